--- /dev/null
+++ b/bramleycrank/__init__.py
@@ -0,0 +1,3 @@
+"""A query tier over many shards."""
+
+__version__ = "0.1.0"
