Add typed settings

Options are attrs fields with a value kind, a unit and a meaning; the loader checks unknown keys, types, ranges and impossible combinations and reports all problems at once. cattrs was tried on paper only: its errors lack the allowed range, so the kinds parse the values themselves.

--- /dev/null
+++ b/bramleycrank/settings/__init__.py
@@ -0,0 +1,37 @@
+"""Typed settings, read from a TOML file and checked before anything else is opened.
+
+To add an option, declare it in the class of its section in `bramleycrank.settings.model` and run
+``python -m bramleycrank.settings.page`` to renew ``docs/settings.md``.
+"""
+
+from bramleycrank.settings.address import Address
+from bramleycrank.settings.model import (
+    ConfigSettings,
+    ConnectionsSettings,
+    LifeCycleSettings,
+    ListenSettings,
+    LoggingSettings,
+    MembershipSettings,
+    MetricsSettings,
+    PeersSettings,
+    QuerySettings,
+    Settings,
+    StorageSettings,
+    VmSettings,
+)
+
+__all__ = [
+    "Address",
+    "ConfigSettings",
+    "ConnectionsSettings",
+    "LifeCycleSettings",
+    "ListenSettings",
+    "LoggingSettings",
+    "MembershipSettings",
+    "MetricsSettings",
+    "PeersSettings",
+    "QuerySettings",
+    "Settings",
+    "StorageSettings",
+    "VmSettings",
+]
