--- /dev/null
+++ b/bramleycrank/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
