--- /dev/null
+++ b/bramleycrank/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of filters that every request passes through."""
