--- /dev/null
+++ b/bramleycrank/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Servers and clients of the remote procedure calls and of HTTP."""
