--- /dev/null
+++ b/bramleycrank/daemon/config_controller.py
@@ -0,0 +1,312 @@
+"""Keeps the configuration in force on this VM, and tells how old it is."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.daemon.identity import format_address
+from bramleycrank.exceptions import BramleycrankError, ConfigurationUnavailable, UnknownService
+from bramleycrank.proto import log_pb2, peer_pb2
+from bramleycrank.settings import ConfigSettings
+from bramleycrank.state import (
+    ConfigFollower,
+    ConfigInForce,
+    FetchConfig,
+    FollowerConfig,
+)
+from bramleycrank.storage import ConfigCache
+from bramleycrank.transport.peer_client import PeerClients
+
+log = logging.getLogger(__name__)
+
+# A leader renews its confirmation well within the lease of 6 s.
+CONFIRM_PERIOD_S = 1.0
+
+CONFIRM_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 2.0
+PUSH_TIMEOUT_S = 1.0
+
+# VMs that the leader tells of a new revision at once; gossip reaches the others.
+PUSH_FANOUT = 8
+
+
+class Peers(Protocol):
+    """What the controller needs to reach other VMs."""
+
+    def addresses(self) -> Sequence[str]:
+        """Return the addresses of VMs that may be alive, without this one."""
+
+    def self_record(self) -> peer_pb2.VmRecord:
+        """Return this VM's own record."""
+
+
+class ConfigController:
+    """Runs the `ConfigFollower` of this VM.
+
+    Parameters
+    ----------
+    cfg : ConfigSettings
+        Lease and waiting time at start.
+    consensus : ConsensusController
+        Source of the configuration on VMs that have a part in the log.
+    peers : Peers
+        Other VMs.
+    clients : PeerClients
+        Connections to other VMs.
+    cache : ConfigCache or None
+        File with the configuration in force, on VMs with a data folder.
+    rng : random.Random
+        Source of all randomness.
+    """
+
+    def __init__(
+        self,
+        cfg: ConfigSettings,
+        consensus: ConsensusController,
+        peers: Peers,
+        clients: PeerClients,
+        cache: ConfigCache | None,
+        rng: random.Random,
+    ) -> None:
+        self._consensus = consensus
+        self._peers = peers
+        self._clients = clients
+        self._cache = cache
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._follower = ConfigFollower.from_config(
+            FollowerConfig(lease_s=cfg.lease_s, start_wait_s=cfg.start_wait_s),
+            cache.load() if cache else None,
+            rng,
+            self._loop.time(),
+        )
+        self._callbacks: list[Callable[[], None]] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._local_seen: tuple[object, ...] = ()
+        self._in_force = asyncio.Event()
+
+    async def start(self) -> None:
+        """Start to follow the configuration."""
+        self._consensus.subscribe(self._on_consensus)
+        self._spawn(self._confirm_regularly())
+        self._tick()
+
+    async def stop(self) -> None:
+        """Stop all tasks."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def wait_in_force(self) -> None:
+        """Wait until a configuration is in force."""
+        await self._in_force.wait()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each new revision in force."""
+        self._callbacks.append(callback)
+
+    # Lookups; `service` is called for every request.
+
+    def service(self, name: str) -> log_pb2.ServiceConfig:
+        """Return the configuration of a service.
+
+        Raises
+        ------
+        ConfigurationUnavailable
+            This VM has no configuration yet.
+        UnknownService
+            No service has this name.
+        """
+        service = self._follower.config.services.get(name)
+        if service is not None:
+            return service
+        if not self._follower.is_ready:
+            raise ConfigurationUnavailable()
+        raise UnknownService(f"no service is named {name[:100]!r}")
+
+    def services(self) -> list[log_pb2.ServiceConfig]:
+        """Return all services by name."""
+        return [service for _, service in sorted(self._follower.config.services.items())]
+
+    def is_drained(self, vm_id: str) -> bool:
+        """Return whether operators drain a VM."""
+        vm = self._follower.config.vms.get(vm_id)
+        return vm is not None and vm.drained
+
+    def vm(self, vm_id: str) -> log_pb2.VmConfig | None:
+        """Return the operators' record of a VM."""
+        return self._follower.config.vms.get(vm_id)
+
+    @property
+    def revision(self) -> int:
+        """Revision in force."""
+        return self._follower.config.revision
+
+    def stale_ms(self) -> int:
+        """Return the age of the configuration in milliseconds; 0 while the VM is current."""
+        now = self._loop.time()
+        if self._follower.is_current(now):
+            return 0
+        return max(1, min(int(self._follower.stale_s(now) * 1000), 2**32 - 1))
+
+    def is_current(self) -> bool:
+        """Return whether a leader confirmed the revision within the lease."""
+        return self._follower.is_current(self._loop.time())
+
+    def status(self) -> peer_pb2.ConfigStatus:
+        """Return what this VM knows, for gossip."""
+        return self._follower.status(self._loop.time())
+
+    def leader_address(self) -> str:
+        """Return ``host:port`` of the leader as gossip tells it, or an empty string."""
+        status = self.status()
+        return format_address(status.leader_host, status.leader_port) if status.leader_host else ""
+
+    def dump(self) -> dict[str, object]:
+        """Return why the configuration is in force and how old it is, in JSON form."""
+        return {
+            "revision": self.revision,
+            "current": self.is_current(),
+            "stale_ms": self.stale_ms(),
+            "services": sorted(self._follower.config.services),
+            "drained_vms": sorted(v.vm_id for v in self._follower.config.vms.values() if v.drained),
+            "follower": self._follower.dump(),
+        }
+
+    # Events.
+
+    def on_gossip(
+        self, address: str, status: peer_pb2.ConfigStatus, sent_at: float | None = None
+    ) -> None:
+        """Take what another VM knows of the configuration."""
+        self._execute(self._follower.on_status(address, status, self._loop.time(), sent_at))
+
+    async def on_fetch(self, request: peer_pb2.FetchConfigRequest) -> peer_pb2.FetchConfigReply:
+        """Return the configuration to another VM.
+
+        Raises
+        ------
+        NotLeader
+            The caller wants a confirmed revision and this VM does not lead.
+        NoQuorum
+            No quorum confirmed in time.
+        """
+        if request.leader_confirmed:
+            await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+            self._take_local()
+        config = self._follower.config
+        reply = peer_pb2.FetchConfigReply(status=self.status())
+        deltas = config.deltas_since(request.from_revision)
+        if deltas is None:
+            reply.image.CopyFrom(config.image())
+        else:
+            reply.deltas.extend(deltas)
+        return reply
+
+    def _on_consensus(self) -> None:
+        """Take the state of the log if the revision, the leader or the confirmation changed.
+
+        Claims change the applied state far more often than operators change the configuration,
+        and taking it copies the configuration.
+        """
+        state = self._consensus.state
+        confirmed = self._consensus.confirmed_at() is not None
+        revision = state.config.revision if state else -1
+        seen = (revision, confirmed, self._consensus.leader_vm())
+        if seen != self._local_seen:
+            previous, self._local_seen = self._local_seen, seen
+            self._take_local()
+            if confirmed and seen != previous:
+                self._push()
+
+    def _take_local(self) -> None:
+        state = self._consensus.state
+        if state is None:
+            return
+        confirmed_at = self._consensus.confirmed_at()
+        actions = self._follower.on_local(
+            state.config,
+            confirmed_at is not None,
+            self._loop.time(),
+            confirmed_at,
+            self._consensus.leader_endpoint(),
+        )
+        self._execute(actions)
+
+    async def _confirm_regularly(self) -> None:
+        """Have a quorum confirm the revision while this VM leads."""
+        while True:
+            if self._consensus.is_leader:
+                try:
+                    await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+                except BramleycrankError as exc:
+                    log.debug("config: not confirmed: %s", exc)
+                self._on_consensus()
+                self._take_local()
+            await self._consensus.wait_role_change(CONFIRM_PERIOD_S)
+
+    def _tick(self) -> None:
+        now = self._loop.time()
+        self._execute(self._follower.tick(now))
+        self._timer = self._loop.call_at(
+            max(self._follower.next_deadline(), now + 0.02), self._tick
+        )
+
+    def _execute(self, actions: Sequence[object]) -> None:
+        for action in actions:
+            match action:
+                case FetchConfig():
+                    self._spawn(self._fetch(action))
+                case ConfigInForce():
+                    self._put_in_force(action.revision)
+        if self._follower.is_ready:
+            self._in_force.set()
+
+    def _put_in_force(self, revision: int) -> None:
+        log.info("config: revision %d is in force", revision)
+        if self._cache is not None:
+            self._cache.save(self._follower.config.image())
+        for callback in self._callbacks:
+            callback()
+
+    async def _fetch(self, action: FetchConfig) -> None:
+        request = peer_pb2.FetchConfigRequest(
+            from_revision=action.from_revision, leader_confirmed=action.leader_confirmed
+        )
+        try:
+            stub = self._clients.stub(action.peer_address)
+            reply = await stub.FetchConfig(request, timeout=FETCH_TIMEOUT_S)
+        except BramleycrankError as exc:
+            log.info("config: fetch from %s failed: %s", action.peer_address, exc)
+            now = self._loop.time()
+            self._execute(self._follower.on_fetch_failed(action.peer_address, now))
+        else:
+            now = self._loop.time()
+            self._execute(self._follower.on_fetched(action.peer_address, reply, now))
+
+    def _push(self) -> None:
+        """Tell a few VMs of a revision that a quorum confirmed."""
+        addresses = list(self._peers.addresses())
+        self._rng.shuffle(addresses)
+        gossip = peer_pb2.Gossip(sender=self._peers.self_record(), config=self.status())
+        request = peer_pb2.ProbeRequest(gossip=gossip)
+        for address in addresses[:PUSH_FANOUT]:
+            self._spawn(self._push_to(address, request))
+
+    async def _push_to(self, address: str, request: peer_pb2.ProbeRequest) -> None:
+        try:
+            await self._clients.stub(address).Probe(request, timeout=PUSH_TIMEOUT_S)
+        except BramleycrankError as exc:
+            log.debug("config: push to %s failed: %s", address, exc)
+
+    def _spawn(self, coro: object) -> None:
+        task = asyncio.ensure_future(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -0,0 +1,377 @@
+"""Owns this VM's part in the replicated log."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+import uuid
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from bramleycrank.consensus import RaftConfig, RaftNode, Role
+from bramleycrank.daemon.identity import Directory, Identity, format_address
+from bramleycrank.daemon.proposal_router import ProposalRouter
+from bramleycrank.daemon.raft_runner import RaftRunner
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    InvalidMembershipChange,
+    NoQuorum,
+    NotBootstrapped,
+    NotLeader,
+    Outcome,
+    ProposalOutcomeUnknown,
+)
+from bramleycrank.proto import log_pb2, peer_pb2
+from bramleycrank.state import ReplicatedState
+from bramleycrank.storage import LogStore
+from bramleycrank.transport.consensus_links import ConsensusLinks
+from bramleycrank.transport.peer_client import PeerClients
+
+log = logging.getLogger(__name__)
+
+# How often the leader checks whether claims can be dropped, in seconds.
+FLOOR_PERIOD_S = 10.0
+
+
+class ConsensusController:
+    """Runs the consensus core where this VM may vote, and forwards proposals everywhere.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who and where this VM is.
+    directory : Directory
+        What gossip knows of VMs.
+    clients : PeerClients
+        Connections to other VMs.
+    rng : random.Random
+        Source of all randomness.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        directory: Directory,
+        clients: PeerClients,
+        rng: random.Random,
+    ) -> None:
+        self.identity = identity
+        self._directory = directory
+        self._rng = rng
+        self._store: LogStore | None = None
+        self._runner: RaftRunner | None = None
+        self._links: ConsensusLinks | None = None
+        self._callbacks: list[Callable[[], None]] = []
+        self._floor_task: asyncio.Task | None = None
+        self._confirmed_term = -1
+        self._role_changed = asyncio.Event()
+        self._router = ProposalRouter(
+            identity.address,
+            self.propose_local,
+            self.leader_address,
+            self._candidates,
+            clients,
+            rng,
+        )
+
+    async def start(self) -> None:
+        """Open the log and start the core, if this VM may vote."""
+        if self.identity.data_dir is None or not self.identity.vote:
+            return
+        self._store = LogStore.open(self.identity.data_dir, self.identity.vm_id)
+        self._start_runner()
+        self._floor_task = asyncio.ensure_future(self._propose_floors())
+
+    async def stop(self) -> None:
+        """Stop the core and close the log."""
+        if self._floor_task is not None:
+            self._floor_task.cancel()
+        if self._runner is not None:
+            self._runner.close()
+        if self._links is not None:
+            self._links.close()
+        if self._store is not None:
+            self._store.close()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change of the applied state, the role or the known leader."""
+        self._callbacks.append(callback)
+
+    # What this VM knows.
+
+    @property
+    def node_id(self) -> str:
+        """Identity of this node in the log; empty if the VM may not vote."""
+        return self._store.node_id if self._store else ""
+
+    @property
+    def state(self) -> ReplicatedState | None:
+        """Replicated state as applied here, if this VM has a part in the log."""
+        return self._runner.state if self._runner and self.membership else None
+
+    @property
+    def membership(self) -> log_pb2.Membership | None:
+        """Newest membership in the log of this VM, if there is one."""
+        if self._runner is None or not self._runner.node.membership.members:
+            return None
+        return self._runner.node.membership
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this VM believes that it leads."""
+        runner = self._runner
+        return runner is not None and not runner.failure and runner.node.role is Role.LEADER
+
+    @property
+    def role(self) -> str:
+        """Role for operators: entry, learner, follower, candidate or leader."""
+        members = self.membership.members if self.membership else ()
+        if self._runner is None or self.node_id not in {m.node_id for m in members}:
+            return "entry"
+        return str(self._runner.node.role)
+
+    def leader_address(self) -> str:
+        """Return ``host:port`` of the leader as far as this VM knows, or an empty string."""
+        if self._runner is not None and self._runner.node.leader_id:
+            return self.address_of(self._runner.node.leader_id) or ""
+        return self._directory.leader_address()
+
+    def leader_endpoint(self) -> tuple[str, int] | None:
+        """Return host and port of the leader as this VM's own log knows it."""
+        leader_id = self._runner.node.leader_id if self._runner else ""
+        address = self.address_of(leader_id) if leader_id else None
+        if not address:
+            return None
+        host, _, port = address.rpartition(":")
+        return host.strip("[]"), int(port)
+
+    def leader_vm(self) -> str:
+        """Return the VM that leads as far as this VM's log knows, or an empty string."""
+        leader_id = self._runner.node.leader_id if self._runner else None
+        return leader_id.partition("/")[0] if leader_id else ""
+
+    def address_of(self, node_id: str) -> str | None:
+        """Return ``host:port`` of a node.
+
+        Gossip goes before the log, because a VM may come back under another address.
+        """
+        vm_id = node_id.partition("/")[0]
+        if vm_id == self.identity.vm_id:
+            return self.identity.address
+        known = self._directory.vm_address(vm_id)
+        if known:
+            return known
+        members = self.membership.members if self.membership else ()
+        member = next((m for m in members if m.node_id == node_id), None)
+        return format_address(member.host, member.port) if member else None
+
+    def on_identity(self) -> peer_pb2.IdentityReply:
+        """Return what other VMs need to know to make this VM a voter."""
+        node = self._runner.node if self._runner else None
+        return peer_pb2.IdentityReply(
+            vm_id=self.identity.vm_id,
+            node_id=self.node_id,
+            cluster_id=node.membership.cluster_id if node else "",
+            host=self.identity.host,
+            port=self.identity.port,
+            domain=self.identity.domain,
+            last_index=node.last_index if node else 0,
+        )
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of this VM's part in the log in JSON form."""
+        return {
+            "role": self.role,
+            "node_id": self.node_id,
+            "may_vote": self.identity.vote,
+            "leader_address": self.leader_address(),
+            "router": attrs.asdict(self._router.stats),
+            "log": self._runner.dump() if self._runner else None,
+        }
+
+    def confirmed_at(self) -> float | None:
+        """Return the time at which a quorum confirmed that this VM leads, or None.
+
+        A new leader's state lacks committed entries until its first confirmed read, so it
+        confirms nothing before.
+        """
+        if not self.is_leader or self._runner.node.term != self._confirmed_term:
+            return None
+        return self._runner.node.confirmed_at
+
+    # Commands and reads.
+
+    async def propose(self, command: log_pb2.Command, timeout_s: float) -> log_pb2.CommandResult:
+        """Commit a command through the leader, wherever it is.
+
+        Raises
+        ------
+        NoQuorum
+            The command was never put into a log and never will be.
+        ProposalOutcomeUnknown
+            The command may still be committed.
+        """
+        return await self._router.propose(command, timeout_s)
+
+    async def propose_local(
+        self, proposal_id: str, command: log_pb2.Command, timeout_s: float
+    ) -> log_pb2.CommandResult:
+        """Commit a command as the leader.
+
+        Raises
+        ------
+        NotLeader
+            This VM does not lead; the command is in no log.
+        ProposalOutcomeUnknown
+            The command may still be committed.
+        """
+        future = self._leading_runner().propose(proposal_id, command)
+        return await self._bounded(future, timeout_s, ProposalOutcomeUnknown)
+
+    def require_leader(self) -> None:
+        """Raise `NotLeader` unless this VM believes that it leads."""
+        self._leading_runner()
+
+    async def confirm_read(self, timeout_s: float) -> int:
+        """Have a quorum confirm that this VM leads and wait until its state is up to date.
+
+        Returns
+        -------
+        int
+            Index of the log that the state now covers.
+
+        Raises
+        ------
+        NotLeader
+            This VM does not lead.
+        NoQuorum
+            No quorum answered in time.
+        """
+        runner = self._leading_runner()
+        term = runner.node.term
+        future = runner.read_index(uuid.uuid4().hex)
+        index = await self._bounded(future, timeout_s, NoQuorum)
+        if self.is_leader and runner.node.term == term:
+            self._confirmed_term = term
+        return index
+
+    async def change_membership(self, change: object, timeout_s: float) -> log_pb2.Membership:
+        """Commit one change of the members as the leader; return the members after it."""
+        future = self._leading_runner().change_membership(uuid.uuid4().hex, change)
+        await self._bounded(future, timeout_s, ProposalOutcomeUnknown)
+        return self.membership or log_pb2.Membership()
+
+    async def transfer_leadership(self, timeout_s: float = 2.0) -> None:
+        """Hand the leadership over and wait until another VM leads or the time is up."""
+        if not self.is_leader or self._runner is None:
+            return
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        self._runner.transfer_leadership()
+        while self.is_leader and loop.time() < deadline:
+            await asyncio.sleep(0.02)
+
+    # Calls of other VMs.
+
+    def on_message(self, message: log_pb2.ConsensusMessage) -> None:
+        """Take a consensus message; replies are messages of their own."""
+        if self._runner is not None:
+            self._runner.receive(message)
+
+    def on_bootstrap(self, membership: log_pb2.Membership) -> None:
+        """Make this VM a first voter of a new cluster.
+
+        Raises
+        ------
+        AlreadyBootstrapped
+            The log of this VM belongs to another cluster.
+        InvalidMembershipChange
+            This VM is not among the members.
+        """
+        if self._store is None or self._runner is None:
+            raise InvalidMembershipChange(f"{self.identity.vm_id} may not vote")
+        node = self._runner.node
+        if node.membership.cluster_id == membership.cluster_id and membership.cluster_id:
+            return  # A resend after a lost answer.
+        if self.node_id not in {member.node_id for member in membership.members}:
+            raise InvalidMembershipChange(f"{self.node_id} is not among the first voters")
+        self._runner.bootstrap(membership)
+        log.info("consensus: bootstrapped cluster %s", membership.cluster_id)
+        self._notify()
+
+    # Listener of the runner.
+
+    def on_applied(self) -> None:
+        """Tell subscribers that the state changed."""
+        self._notify()
+
+    def on_role(self) -> None:
+        """Tell subscribers that the role or the leader changed."""
+        self._role_changed.set()
+        self._notify()
+
+    async def wait_role_change(self, timeout_s: float) -> None:
+        """Wait until the role or the known leader changes, or the time is up."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._role_changed.wait(), timeout_s)
+        self._role_changed.clear()
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
+    def _start_runner(self) -> None:
+        durable = self._store.load()
+        snapshot = durable.snapshot
+        now = asyncio.get_running_loop().time()
+        self._links = ConsensusLinks(self.address_of)
+        self._runner = RaftRunner(
+            RaftNode.from_config(RaftConfig(self.node_id), durable, self._rng, now),
+            self._store,
+            ReplicatedState.from_image(snapshot.image if snapshot else b""),
+            self._links,
+            self,
+            snapshot.index if snapshot else 0,
+        )
+        self._runner.start()
+
+    def _leading_runner(self) -> RaftRunner:
+        if self._runner is not None and self._runner.failure is None and self.membership:
+            if self.is_leader:
+                return self._runner
+        elif not self.leader_address() and self._directory.leader_address() == "":
+            raise NotBootstrapped(outcome=Outcome.NOT_RUN)
+        address = self.leader_address()
+        own = self.identity.address
+        raise NotLeader(leader_address="" if address == own else address)
+
+    async def _bounded(
+        self, future: asyncio.Future, timeout_s: float, error: type[BramleycrankError]
+    ) -> object:
+        try:
+            return await asyncio.wait_for(future, timeout_s)
+        except TimeoutError:
+            raise error(f"no answer of a quorum within {timeout_s:.1f} s") from None
+
+    def _candidates(self) -> Sequence[str]:
+        membership = self.membership
+        members = membership.members if membership else ()
+        addresses = [self.address_of(m.node_id) for m in members if m.node_id != self.node_id]
+        return [a for a in addresses if a] or self._directory.addresses()
+
+    async def _propose_floors(self) -> None:
+        """Propose to drop old claims while this VM leads."""
+        while True:
+            await asyncio.sleep(FLOOR_PERIOD_S)
+            state = self.state
+            command = state.floor_proposal(int(time.time() * 1000)) if state else None
+            if command is None or not self.is_leader:
+                continue
+            try:
+                await self.propose_local(uuid.uuid4().hex, command, FLOOR_PERIOD_S)
+            except BramleycrankError as exc:
+                log.info("consensus: floor of claims not moved: %s", exc)
--- /dev/null
+++ b/bramleycrank/daemon/raft_runner.py
@@ -0,0 +1,289 @@
+"""Runs one consensus core with its log files and its replicated state.
+
+Everything that one loop turn brings is handled together: messages first, then all waiting
+proposals as one batch with one sync of the log, then timers. Actions are executed in the order
+of the core, so a record is synced before any message that depends on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+import attrs
+
+from bramleycrank.consensus import RaftNode, types
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    InternalError,
+    NoQuorum,
+    Outcome,
+    ProposalOutcomeUnknown,
+    StorageError,
+)
+from bramleycrank.proto import log_pb2
+from bramleycrank.state import ReplicatedState
+from bramleycrank.storage import LogStore
+from bramleycrank.transport.consensus_links import ConsensusLinks
+
+log = logging.getLogger(__name__)
+
+# Bounds the log that a restart replays and the time of one compaction.
+COMPACT_ENTRIES = 1000
+
+
+class Listener(Protocol):
+    """Is told what the consensus core did."""
+
+    def on_applied(self) -> None:
+        """Take note that entries or a snapshot were applied."""
+
+    def on_role(self) -> None:
+        """Take note that the role, the term or the known leader changed."""
+
+
+@attrs.define
+class _Waiting:
+    """Futures of callers by proposal or read id."""
+
+    proposals: dict[str, asyncio.Future] = attrs.field(factory=dict)
+    reads: dict[str, asyncio.Future] = attrs.field(factory=dict)
+
+    def fail_all(self, error: Callable[[], BramleycrankError]) -> None:
+        """Fail every future."""
+        for futures in (self.proposals, self.reads):
+            pending = list(futures.values())
+            futures.clear()
+            for future in pending:
+                _fail(future, error())
+
+
+def _resolve(future: asyncio.Future | None, value: object) -> None:
+    if future is not None and not future.done():
+        future.set_result(value)
+
+
+def _fail(future: asyncio.Future | None, error: Exception) -> None:
+    if future is not None and not future.done():
+        future.set_exception(error)
+
+
+class RaftRunner:
+    """Feeds events to a `RaftNode` and executes its actions.
+
+    Parameters
+    ----------
+    node : RaftNode
+        The consensus core.
+    store : LogStore
+        Its log files.
+    state : ReplicatedState
+        The state at the snapshot that the core was loaded with.
+    links : ConsensusLinks
+        Sends messages to other nodes.
+    listener : Listener
+        Told about applied entries and changes of role.
+    applied_index : int, optional
+        Index that the state covers.
+    """
+
+    def __init__(
+        self,
+        node: RaftNode,
+        store: LogStore,
+        state: ReplicatedState,
+        links: ConsensusLinks,
+        listener: Listener,
+        applied_index: int = 0,
+    ) -> None:
+        self.node = node
+        self.state = state
+        self.failure: BaseException | None = None
+        self.applied_index = applied_index
+        self._store = store
+        self._links = links
+        self._listener = listener
+        self._loop = asyncio.get_running_loop()
+        self._inbox: list[log_pb2.ConsensusMessage] = []
+        self._batch: list[types.Proposal] = []
+        self._waiting = _Waiting()
+        self._compacted_index = applied_index
+        self._turn_handle: asyncio.Handle | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._closed = False
+
+    def start(self) -> None:
+        """Start the timers of the core."""
+        self._schedule()
+
+    def close(self) -> None:
+        """Stop; callers that still wait learn that their outcome is unknown."""
+        self._closed = True
+        for handle in (self._turn_handle, self._timer):
+            if handle is not None:
+                handle.cancel()
+        self._waiting.fail_all(ProposalOutcomeUnknown)
+
+    def receive(self, message: log_pb2.ConsensusMessage) -> None:
+        """Queue a message of another node for the next loop turn."""
+        self._inbox.append(message)
+        self._schedule()
+
+    def propose(self, proposal_id: str, command: log_pb2.Command) -> asyncio.Future:
+        """Queue a command for the next loop turn.
+
+        Returns
+        -------
+        asyncio.Future
+            Result of the command; `NotLeader` if it is in no log, `ProposalOutcomeUnknown` if
+            it may still be committed.
+        """
+        known = proposal_id in self._waiting.proposals
+        future = self._wait(self._waiting.proposals, proposal_id)
+        if not known and not future.done():
+            self._batch.append(types.Proposal(proposal_id, command.SerializeToString()))
+            self._schedule()
+        return future
+
+    def change_membership(self, proposal_id: str, change: object) -> asyncio.Future:
+        """Propose one change of the voting VMs."""
+        future = self._wait(self._waiting.proposals, proposal_id)
+        self._run(lambda now: self.node.change_membership(proposal_id, change, now))
+        return future
+
+    def read_index(self, read_id: str) -> asyncio.Future:
+        """Ask a quorum to confirm the leadership; the result is the index that a read must see."""
+        future = self._wait(self._waiting.reads, read_id)
+        self._run(lambda now: self.node.read_index(read_id, now))
+        return future
+
+    def bootstrap(self, membership: log_pb2.Membership) -> None:
+        """Make the node a first voter of a new cluster; raises `AlreadyBootstrapped`."""
+        actions = self.node.bootstrap(membership, self._loop.time())
+        self._run(lambda now: actions)
+
+    def transfer_leadership(self) -> None:
+        """Ask the most advanced follower to take over."""
+        self._run(self.node.transfer_leadership)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of the core, its files and its callers in JSON form."""
+        return {
+            "failure": repr(self.failure) if self.failure else None,
+            "applied_index": self.applied_index,
+            "compacted_index": self._compacted_index,
+            "waiting_proposals": len(self._waiting.proposals),
+            "waiting_reads": len(self._waiting.reads),
+            "core": self.node.dump(),
+            "storage": self._store.dump(),
+            "links": self._links.dump(self._loop.time()),
+        }
+
+    def _wait(self, futures: dict[str, asyncio.Future], key: str) -> asyncio.Future:
+        """Return the future of an id; the same id waits on the same future."""
+        future = futures.get(key)
+        if future is None or future.done():
+            future = futures[key] = self._loop.create_future()
+            future.add_done_callback(lambda done: self._forget(futures, key, done))
+        if self._closed or self.failure:
+            _fail(future, NoQuorum("the consensus core is stopped", outcome=Outcome.NOT_RUN))
+        return future
+
+    @staticmethod
+    def _forget(futures: dict[str, asyncio.Future], key: str, done: asyncio.Future) -> None:
+        if futures.get(key) is done:
+            del futures[key]
+        if not done.cancelled():
+            done.exception()  # A caller that has gone away reads it no more.
+
+    def _schedule(self) -> None:
+        if self._turn_handle is None and not self._closed and not self.failure:
+            self._turn_handle = self._loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self._turn_handle = None
+        inbox, self._inbox = self._inbox, []
+        batch, self._batch = self._batch, []
+        for message in inbox:
+            self._run(lambda now, message=message: self.node.receive(message, now))
+        if batch:
+            self._run(lambda now: self.node.propose(batch, now))
+        if self._loop.time() >= self.node.next_deadline():
+            self._run(self.node.tick)
+
+    def _run(self, event: Callable[[float], Sequence[object]]) -> None:
+        """Feed one event to the core and execute what it answers.
+
+        A failure of the files leaves the core with promises that it could not make durable, so
+        it never runs again in this process.
+        """
+        if self._closed or self.failure:
+            return
+        try:
+            for action in event(self._loop.time()):
+                self._execute(action)
+            self._compact()
+        except Exception as exc:
+            log.exception("consensus: stopped after a failure")
+            self.failure = exc
+            self._waiting.fail_all(self._stopped)
+            self._listener.on_role()
+        else:
+            self._set_timer()
+
+    def _stopped(self) -> BramleycrankError:
+        kind = StorageError if isinstance(self.failure, OSError | StorageError) else InternalError
+        return ProposalOutcomeUnknown(f"{kind.__name__}: {self.failure}")
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(self.node.next_deadline(), self._schedule)
+
+    def _execute(self, action: object) -> None:
+        match action:
+            case types.Persist():
+                self._store.persist(action)
+            case types.PersistSnapshot():
+                self._store.save_snapshot(action.snapshot)
+            case types.Send():
+                self._links.send(action.message)
+            case types.Apply():
+                self._apply(action.entries)
+            case types.RestoreState():
+                self._restore(action.snapshot)
+            case types.ProposalRejected():
+                _fail(self._waiting.proposals.get(action.proposal_id), action.error)
+            case types.ProposalUnresolved():
+                error = ProposalOutcomeUnknown("leadership was lost")
+                _fail(self._waiting.proposals.get(action.proposal_id), error)
+            case types.ReadReady():
+                _resolve(self._waiting.reads.get(action.read_id), action.index)
+            case types.ReadFailed():
+                _fail(self._waiting.reads.get(action.read_id), action.error)
+            case types.RoleChanged():
+                log.info("consensus: %s in term %s", action.role, action.term)
+                self._listener.on_role()
+            case _:
+                raise InternalError(f"unknown action {type(action).__name__}")
+
+    def _apply(self, entries: Sequence[log_pb2.Entry]) -> None:
+        for entry in entries:
+            result = self.state.apply(entry)
+            self.applied_index = entry.index
+            _resolve(self._waiting.proposals.get(entry.proposal_id), result)
+        self._listener.on_applied()
+
+    def _restore(self, snapshot: log_pb2.LogSnapshot) -> None:
+        self.state = ReplicatedState.from_image(snapshot.image)
+        self.applied_index = self._compacted_index = snapshot.index
+        self._listener.on_applied()
+
+    def _compact(self) -> None:
+        if self.applied_index - self._compacted_index < COMPACT_ENTRIES:
+            return
+        self._compacted_index = self.applied_index
+        for action in self.node.compact(self.applied_index, self.state.image()):
+            self._execute(action)
--- /dev/null
+++ b/bramleycrank/transport/consensus_links.py
@@ -0,0 +1,166 @@
+"""Ordered, bounded sending of consensus messages to other VMs.
+
+Each peer has its own queue and its own task, so a silent peer delays no other. The queue drops
+its oldest messages when the peer is slow: the consensus core repeats what matters, and an old
+message is worth less than a new one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from bramleycrank.proto import log_pb2
+from bramleycrank.transport.peer_client import PeerClients
+
+# A queue that holds more than a few heartbeats only delays newer messages.
+QUEUE_LIMIT = 64
+
+# A message that waited for an election timeout is of no use to its recipient.
+MAX_AGE_S = 1.0
+
+# Below the shortest election timeout (0.6 s), so that a connection that went silent is replaced
+# before the peer calls an election.
+SEND_TIMEOUT_S = 0.4
+
+# Large snapshots get more time; the slowest link that a snapshot must pass, in bytes a second.
+MIN_RATE = 2_000_000
+
+
+class AddressBook(Protocol):
+    """Finds the address of a node."""
+
+    def __call__(self, node_id: str) -> str | None:
+        """Return ``host:port``, or None if the node is unknown."""
+
+
+@attrs.define
+class LinkStats:
+    """Counts of one link."""
+
+    sent: int = 0
+    failed: int = 0
+    dropped: int = 0
+    last_ok: float | None = None
+    last_error: str = ""
+
+
+class ConsensusLink:
+    """Sends the messages for one node, one at a time and in order.
+
+    Parameters
+    ----------
+    node_id : str
+        Recipient.
+    address_of : AddressBook
+        Asked for each message, because a node may come back under another address.
+    clients : PeerClients
+        Connections that only consensus messages use.
+    """
+
+    def __init__(self, node_id: str, address_of: AddressBook, clients: PeerClients) -> None:
+        self._node_id = node_id
+        self._address_of = address_of
+        self._clients = clients
+        self._queue: collections.deque[tuple[float, log_pb2.ConsensusMessage]] = collections.deque()
+        self._wake = asyncio.Event()
+        self._address: str | None = None
+        self.stats = LinkStats()
+        self._task = asyncio.ensure_future(self._run())
+
+    def put(self, message: log_pb2.ConsensusMessage) -> None:
+        """Queue a message; the oldest one is dropped when the queue is full."""
+        if len(self._queue) >= QUEUE_LIMIT:
+            self._queue.popleft()
+            self.stats.dropped += 1
+        self._queue.append((asyncio.get_running_loop().time(), message))
+        self._wake.set()
+
+    def close(self) -> None:
+        """End the task."""
+        self._task.cancel()
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state of the link in JSON form."""
+        last_ok = self.stats.last_ok
+        return {
+            "address": self._address,
+            "queued": len(self._queue),
+            "sent": self.stats.sent,
+            "failed": self.stats.failed,
+            "dropped": self.stats.dropped,
+            "last_ok_age_s": None if last_ok is None else round(now - last_ok, 3),
+            "last_error": self.stats.last_error,
+        }
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._wake.wait()
+            while self._queue:
+                queued_at, message = self._queue.popleft()
+                if loop.time() - queued_at > MAX_AGE_S:
+                    self.stats.dropped += 1
+                    continue
+                await self._send(message)
+            self._wake.clear()
+
+    async def _send(self, message: log_pb2.ConsensusMessage) -> None:
+        self._address = self._address_of(self._node_id)
+        if self._address is None:
+            self.stats.last_error = "address unknown"
+            return
+        timeout_s = SEND_TIMEOUT_S + message.ByteSize() / MIN_RATE
+        try:
+            await self._clients.stub(self._address).Consensus(message, timeout=timeout_s)
+        except Exception as exc:
+            self.stats.failed += 1
+            self.stats.last_error = f"{type(exc).__name__}: {exc}"
+        else:
+            self.stats.sent += 1
+            self.stats.last_error = ""
+            self.stats.last_ok = asyncio.get_running_loop().time()
+
+
+class ConsensusLinks:
+    """All links of a node.
+
+    Parameters
+    ----------
+    address_of : AddressBook
+        Finds the address of a node.
+    """
+
+    def __init__(self, address_of: AddressBook) -> None:
+        self._address_of = address_of
+        # A large snapshot or a burst of other calls must not delay heartbeats.
+        self._clients = PeerClients()
+        self._links: dict[str, ConsensusLink] = {}
+
+    def send(self, message: log_pb2.ConsensusMessage) -> None:
+        """Queue a message for its recipient."""
+        link = self._links.get(message.recipient)
+        if link is None:
+            link = self._links[message.recipient] = self._new_link(message.recipient)
+        link.put(message)
+
+    def keep_only(self, wanted: Callable[[str], bool]) -> None:
+        """Close the links to nodes that are no longer wanted."""
+        for node_id in [node_id for node_id in self._links if not wanted(node_id)]:
+            self._links.pop(node_id).close()
+
+    def close(self) -> None:
+        """Close all links."""
+        self.keep_only(lambda _: False)
+        self._clients.close()
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state of all links in JSON form."""
+        return {node_id: link.dump(now) for node_id, link in sorted(self._links.items())}
+
+    def _new_link(self, node_id: str) -> ConsensusLink:
+        return ConsensusLink(node_id, self._address_of, self._clients)
--- /dev/null
+++ b/bramleycrank/transport/operator_service.py
@@ -0,0 +1,324 @@
+"""The `Operator` service: calls of the command-line tool."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Protocol
+
+from bramleycrank.daemon.config_controller import ConfigController
+from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.daemon.identity import format_address
+from bramleycrank.daemon.voter_changes import VoterChanges
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    InternalError,
+    InvalidChange,
+    NoQuorum,
+    NotFound,
+    NotLeader,
+    PeerUnreachable,
+    VersionConflict,
+)
+from bramleycrank.proto import log_pb2, operator_pb2, peer_pb2, target_pb2
+from bramleycrank.proto.operator_grpc import OperatorBase
+from bramleycrank.transport.change_checks import check_change, check_known_fields, check_name
+from bramleycrank.transport.grpc_errors import unary
+from bramleycrank.transport.peer_client import PeerClients
+
+CHANGE_TIMEOUT_S = 5.0
+MEMBER_TIMEOUT_S = 30.0
+DUMP_TIMEOUT_S = 5.0
+
+# A VM that does not answer within this time is shown as unreachable.
+STATUS_TIMEOUT_S = 1.0
+
+# Pause between attempts while no leader is known, in seconds.
+RETRY_PAUSE_S = 0.1
+
+# A drain has no version of its own to compare; races with other changes of the VM are few.
+DRAIN_ATTEMPTS = 5
+
+
+class Directory(Protocol):
+    """What the service needs to know of VMs and targets; the membership controller."""
+
+    def vms(self) -> Sequence[peer_pb2.VmRecord]:
+        """Return the records of all known VMs, this one included."""
+
+    def targets(self, service: str) -> Sequence[target_pb2.TargetRecord]:
+        """Return the records of the targets of a service."""
+
+    def all_targets(self) -> Sequence[target_pb2.TargetRecord]:
+        """Return the records of all targets."""
+
+
+def reply_of(result: log_pb2.CommandResult) -> operator_pb2.ChangeReply:
+    """Return the answer to a committed change.
+
+    Raises
+    ------
+    VersionConflict, NotFound, InvalidChange
+        The change was committed and refused by the replicated state.
+    """
+    match result.code:
+        case log_pb2.RESULT_CODE_OK:
+            return operator_pb2.ChangeReply(revision=result.revision, version=result.version)
+        case log_pb2.RESULT_CODE_VERSION_CONFLICT:
+            raise VersionConflict(result.message, current_version=result.version)
+        case log_pb2.RESULT_CODE_NOT_FOUND:
+            raise NotFound(result.message)
+        case log_pb2.RESULT_CODE_INVALID:
+            raise InvalidChange(result.message)
+    raise InternalError(f"unexpected result {result.code} of a change")
+
+
+class OperatorService(OperatorBase):
+    """Serves operators on every VM; changes go to the leader.
+
+    Parameters
+    ----------
+    config : ConfigController
+        The configuration in force.
+    consensus : ConsensusController
+        This VM's part in the replicated log.
+    directory : Directory
+        Known VMs and targets.
+    voters : VoterChanges
+        Changes of the voting VMs.
+    clients : PeerClients
+        Connections to other VMs.
+    dump : callable
+        Returns the state of this VM in JSON form.
+    """
+
+    def __init__(
+        self,
+        config: ConfigController,
+        consensus: ConsensusController,
+        directory: Directory,
+        voters: VoterChanges,
+        clients: PeerClients,
+        dump: Callable[[], dict[str, Any]],
+    ) -> None:
+        self._config = config
+        self._consensus = consensus
+        self._directory = directory
+        self._voters = voters
+        self._clients = clients
+        self._dump = dump
+        self._own = consensus.identity
+
+    # Configuration.
+
+    @unary
+    async def ListServices(  # noqa: N802
+        self, request: operator_pb2.ListServicesRequest
+    ) -> operator_pb2.ListServicesReply:
+        """Return all services in force on this VM."""
+        return operator_pb2.ListServicesReply(
+            services=self._config.services(), revision=self._config.revision
+        )
+
+    @unary
+    async def GetService(  # noqa: N802
+        self, request: operator_pb2.GetServiceRequest
+    ) -> log_pb2.ServiceConfig:
+        """Return one service in force on this VM."""
+        return self._config.service(request.name)
+
+    @unary
+    async def ApplyChange(  # noqa: N802
+        self, request: operator_pb2.ChangeRequest
+    ) -> operator_pb2.ChangeReply:
+        """Commit a change; a resend of a change id gets the first answer."""
+        check_known_fields(request, "request")
+        check_change(request.change)
+        timeout_s = request.timeout_ms / 1000 or CHANGE_TIMEOUT_S
+        return await self._commit(request.change, timeout_s)
+
+    @unary
+    async def DrainVm(  # noqa: N802
+        self, request: operator_pb2.DrainRequest
+    ) -> operator_pb2.ChangeReply:
+        """Commit that a VM is to be drained, or no longer.
+
+        Each attempt has a change id of its own that follows from the operator's, so a resend
+        gets the answers of the first call in the same order.
+        """
+        check_name(request.vm_id, "vm_id")
+        check_name(request.change_id, "change_id")
+        current = self._config.vm(request.vm_id)
+        if current is None and request.vm_id not in self._records():
+            raise NotFound(f"no VM is named {request.vm_id!r}")
+        version = current.version if current else 0
+        for attempt in range(DRAIN_ATTEMPTS):
+            vm = log_pb2.VmConfig(vm_id=request.vm_id, drained=request.drained)
+            change_id = f"{request.change_id}/{attempt}" if attempt else request.change_id
+            change = log_pb2.Change(change_id=change_id, expected_version=version, put_vm=vm)
+            try:
+                return await self._commit(change, CHANGE_TIMEOUT_S)
+            except VersionConflict as exc:
+                version, conflict = exc.current_version, exc
+        raise conflict
+
+    async def _commit(self, change: log_pb2.Change, timeout_s: float) -> operator_pb2.ChangeReply:
+        command = log_pb2.Command(change=change)
+        return reply_of(await self._consensus.propose(command, timeout_s))
+
+    # Status.
+
+    @unary
+    async def Status(  # noqa: N802
+        self, request: operator_pb2.StatusRequest
+    ) -> operator_pb2.StatusReply:
+        """Return which revision is in force on which VM."""
+        reply = operator_pb2.StatusReply(
+            leader_revision=self._config.status().leader_revision,
+            leader_vm=self._consensus.leader_vm(),
+            vms=[self._own_status()],
+            membership=self._consensus.membership,
+        )
+        if not request.local:
+            await self._collect(reply)
+        return reply
+
+    async def _collect(self, reply: operator_pb2.StatusReply) -> None:
+        """Add what the other VMs say; the leader knows the members best."""
+        others = [r for vm_id, r in self._records().items() if vm_id != self._own.vm_id]
+        answers = await asyncio.gather(*(self._status_of(record) for record in others))
+        for record, answer in zip(others, answers, strict=True):
+            status = reply.vms.add(record=record)
+            if answer is None or not answer.vms:
+                continue
+            status.CopyFrom(answer.vms[0])
+            status.reachable = True
+            status.record.CopyFrom(record)
+            reply.leader_revision = max(reply.leader_revision, answer.leader_revision)
+            if answer.membership.members and (
+                status.role == "leader" or not reply.membership.members
+            ):
+                reply.membership.CopyFrom(answer.membership)
+        leaders = [status.record.vm_id for status in reply.vms if status.role == "leader"]
+        reply.leader_vm = leaders[0] if len(leaders) == 1 else reply.leader_vm
+
+    async def _status_of(self, record: peer_pb2.VmRecord) -> operator_pb2.StatusReply | None:
+        stub = self._clients.operator_stub(format_address(record.host, record.port))
+        try:
+            request = operator_pb2.StatusRequest(local=True)
+            return await stub.Status(request, timeout=STATUS_TIMEOUT_S)
+        except BramleycrankError:
+            return None
+
+    def _own_status(self) -> operator_pb2.VmStatus:
+        return operator_pb2.VmStatus(
+            record=self._records().get(self._own.vm_id),
+            reachable=True,
+            revision=self._config.revision,
+            stale_ms=self._config.stale_ms(),
+            current=self._config.is_current(),
+            role=self._consensus.role,
+        )
+
+    def _records(self) -> dict[str, peer_pb2.VmRecord]:
+        return {record.vm_id: record for record in self._directory.vms()}
+
+    @unary
+    async def ListTargets(  # noqa: N802
+        self, request: operator_pb2.ListTargetsRequest
+    ) -> operator_pb2.ListTargetsReply:
+        """Return the targets that this VM knows."""
+        records = self._directory.all_targets()
+        wanted = [r for r in records if request.service in ("", r.service)]
+        return operator_pb2.ListTargetsReply(targets=wanted)
+
+    @unary
+    async def Dump(self, request: operator_pb2.DumpRequest) -> operator_pb2.DumpReply:  # noqa: N802
+        """Return the state of this VM or of another one."""
+        if request.vm_id in ("", self._own.vm_id):
+            return operator_pb2.DumpReply(json=json.dumps(self._dump(), default=str))
+        record = self._records().get(request.vm_id)
+        if record is None:
+            raise NotFound(f"no VM is named {request.vm_id!r}")
+        stub = self._clients.operator_stub(format_address(record.host, record.port))
+        return await stub.Dump(request, timeout=DUMP_TIMEOUT_S)
+
+    # Voting VMs.
+
+    @unary
+    async def Bootstrap(  # noqa: N802
+        self, request: operator_pb2.BootstrapRequest
+    ) -> operator_pb2.MembershipReply:
+        """Form a cluster of VMs with empty data folders."""
+        membership = await self._voters.bootstrap(list(request.addresses))
+        return operator_pb2.MembershipReply(membership=membership)
+
+    @unary
+    async def AddVoter(  # noqa: N802
+        self, request: operator_pb2.MemberRequest
+    ) -> operator_pb2.MembershipReply:
+        """Add a voter."""
+        return await self._on_leader(
+            "AddVoter", request, lambda left: self._voters.add(request.address, left)
+        )
+
+    @unary
+    async def RemoveVoter(  # noqa: N802
+        self, request: operator_pb2.MemberRequest
+    ) -> operator_pb2.MembershipReply:
+        """Remove a voter or learner."""
+        return await self._on_leader(
+            "RemoveVoter", request, lambda left: self._voters.remove(request.node_id, left)
+        )
+
+    @unary
+    async def ReplaceVoter(  # noqa: N802
+        self, request: operator_pb2.MemberRequest
+    ) -> operator_pb2.MembershipReply:
+        """Add a voter, and remove another one once the first is promoted."""
+        return await self._on_leader(
+            "ReplaceVoter",
+            request,
+            lambda left: self._voters.replace(request.address, request.node_id, left),
+        )
+
+    async def _on_leader(
+        self,
+        method: str,
+        request: operator_pb2.MemberRequest,
+        local: Callable[[float], Awaitable[log_pb2.Membership]],
+    ) -> operator_pb2.MembershipReply:
+        """Run a change of members on the leader, and again elsewhere if the leader changes."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + (request.timeout_ms / 1000 or MEMBER_TIMEOUT_S)
+        error: BramleycrankError = NoQuorum("no leader is known")
+        while (left := deadline - loop.time()) > 0:
+            try:
+                if self._consensus.is_leader or request.forwarded:
+                    return operator_pb2.MembershipReply(membership=await local(left))
+                return await self._forward(method, request, left)
+            except (NotLeader, NoQuorum) as exc:
+                if request.forwarded:
+                    raise
+                error = exc
+            await asyncio.sleep(min(RETRY_PAUSE_S, left))
+        raise error
+
+    async def _forward(
+        self, method: str, request: operator_pb2.MemberRequest, timeout_s: float
+    ) -> operator_pb2.MembershipReply:
+        address = self._consensus.leader_address()
+        if address in ("", self._own.address):
+            raise NoQuorum("no leader is known")
+        forwarded = operator_pb2.MemberRequest(
+            address=request.address,
+            node_id=request.node_id,
+            timeout_ms=max(1, int(timeout_s * 1000)),
+            forwarded=True,
+        )
+        try:
+            stub = self._clients.operator_stub(address)
+            return await getattr(stub, method)(forwarded, timeout=timeout_s)
+        except PeerUnreachable as exc:
+            raise NoQuorum(f"the leader does not answer: {exc}") from exc
--- /dev/null
+++ b/bramleycrank/transport/peer_service.py
@@ -0,0 +1,87 @@
+"""The `Peer` service: calls of other VMs."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from bramleycrank.daemon.config_controller import ConfigController
+from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.proto import log_pb2, peer_pb2
+from bramleycrank.proto.peer_grpc import PeerBase
+from bramleycrank.transport.grpc_errors import unary
+
+DEFAULT_PROPOSE_TIMEOUT_S = 5.0
+
+
+class Gossip(Protocol):
+    """Answers probes and anti-entropy exchanges; the membership controller."""
+
+    async def on_probe(self, request: peer_pb2.ProbeRequest) -> peer_pb2.ProbeReply:
+        """Answer a probe."""
+
+    async def on_sync(self, request: peer_pb2.SyncRequest) -> peer_pb2.SyncReply:
+        """Answer one round of an exchange."""
+
+
+class PeerService(PeerBase):
+    """Delegates the calls of other VMs to the controllers.
+
+    Parameters
+    ----------
+    gossip : Gossip
+        The membership controller.
+    config : ConfigController
+        Serves the configuration.
+    consensus : ConsensusController
+        This VM's part in the replicated log.
+    """
+
+    def __init__(
+        self, gossip: Gossip, config: ConfigController, consensus: ConsensusController
+    ) -> None:
+        self._gossip = gossip
+        self._config = config
+        self._consensus = consensus
+
+    @unary
+    async def Probe(self, request: peer_pb2.ProbeRequest) -> peer_pb2.ProbeReply:  # noqa: N802
+        """Answer a probe, directly or on behalf of another VM."""
+        return await self._gossip.on_probe(request)
+
+    @unary
+    async def Sync(self, request: peer_pb2.SyncRequest) -> peer_pb2.SyncReply:  # noqa: N802
+        """Answer one round of an anti-entropy exchange."""
+        return await self._gossip.on_sync(request)
+
+    @unary
+    async def FetchConfig(  # noqa: N802
+        self, request: peer_pb2.FetchConfigRequest
+    ) -> peer_pb2.FetchConfigReply:
+        """Return deltas or the image of the configuration in force."""
+        return await self._config.on_fetch(request)
+
+    @unary
+    async def Propose(self, request: peer_pb2.ProposeRequest) -> peer_pb2.ProposeReply:  # noqa: N802
+        """Commit a command as the leader; it is not forwarded again."""
+        timeout_s = request.timeout_ms / 1000 or DEFAULT_PROPOSE_TIMEOUT_S
+        result = await self._consensus.propose_local(
+            request.proposal_id, request.command, timeout_s
+        )
+        return peer_pb2.ProposeReply(result=result)
+
+    @unary
+    async def Consensus(self, request: log_pb2.ConsensusMessage) -> peer_pb2.Ack:  # noqa: N802
+        """Take a consensus message; the answer of the core comes as a message of its own."""
+        self._consensus.on_message(request)
+        return peer_pb2.Ack()
+
+    @unary
+    async def Identity(self, request: peer_pb2.IdentityRequest) -> peer_pb2.IdentityReply:  # noqa: N802
+        """Return who this VM is."""
+        return self._consensus.on_identity()
+
+    @unary
+    async def Bootstrap(self, request: peer_pb2.BootstrapRequest) -> peer_pb2.BootstrapReply:  # noqa: N802
+        """Make this VM a first voter of a new cluster."""
+        self._consensus.on_bootstrap(request.membership)
+        return peer_pb2.BootstrapReply()
