--- /dev/null
+++ b/bramleycrank/consensus/log.py
@@ -0,0 +1,117 @@
+"""The log of a node in memory, with the membership that each of its entries puts into effect."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from bramleycrank.proto.log_pb2 import Entry, LogSnapshot, Membership
+
+# Entries kept in memory before a snapshot, so that a follower that is a few messages behind when
+# the log is compacted does not need the whole image.
+RETAINED_ENTRIES = 512
+
+
+class RaftLog:
+    """Entries after a snapshot.
+
+    Parameters
+    ----------
+    snapshot : LogSnapshot or None
+        Start of the log; ``None`` for a node that belongs to no cluster.
+    entries : iterable of Entry
+        Entries after the snapshot, contiguous.
+    """
+
+    def __init__(self, snapshot: LogSnapshot | None, entries: Iterable[Entry]) -> None:
+        self.snapshot: LogSnapshot | None = None
+        self._base_index = 0
+        self._base_term = 0
+        self._entries: list[Entry] = []
+        self._memberships: list[tuple[int, Membership]] = []
+        if snapshot is not None:
+            self.restore(snapshot)
+        self.append(list(entries))
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index of the last entry that the snapshot covers; 0 without a snapshot."""
+        return self.snapshot.index if self.snapshot is not None else 0
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    @property
+    def membership(self) -> Membership:
+        """The newest membership in the log, committed or not."""
+        return self._memberships[-1][1] if self._memberships else Membership()
+
+    @property
+    def membership_index(self) -> int:
+        """Index of the entry with the newest membership."""
+        return self._memberships[-1][0] if self._memberships else 0
+
+    def membership_at(self, index: int) -> Membership:
+        """Return the membership that the entries up to ``index`` put into effect."""
+        return next(
+            (found for at, found in reversed(self._memberships) if at <= index), Membership()
+        )
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry; ``None`` if it is not in memory."""
+        if index == self._base_index:
+            return self._base_term
+        if self._base_index < index <= self.last_index:
+            return self._entries[index - self._base_index - 1].term
+        return None
+
+    def first_index_of_term(self, index: int) -> int:
+        """Return the first index in memory of the run of equal terms that ends at ``index``."""
+        term = self.term_at(index)
+        while index > self._base_index + 1 and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
+    def between(self, first: int, last: int) -> Sequence[Entry]:
+        """Return the entries from ``first`` to ``last``, both included."""
+        return self._entries[first - self._base_index - 1 : max(0, last - self._base_index)]
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries after the last one."""
+        for entry in entries:
+            if entry.index != self.last_index + 1:
+                raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
+            self._entries.append(entry)
+            if entry.WhichOneof("body") == "membership":
+                self._memberships.append((entry.index, entry.membership))
+
+    def truncate_from(self, index: int) -> None:
+        """Drop the entry at ``index`` and all after it, with the memberships in them."""
+        del self._entries[index - self._base_index - 1 :]
+        while self._memberships and self._memberships[-1][0] >= index:
+            self._memberships.pop()
+
+    def compact(self, snapshot: LogSnapshot) -> None:
+        """Replace the entries that the snapshot covers, except for the retained ones."""
+        base = max(self._base_index, snapshot.index - RETAINED_ENTRIES)
+        base_term = self.term_at(base)
+        if base_term is None:
+            raise ValueError(f"entry {base} is not in the log")
+        del self._entries[: base - self._base_index]
+        self._base_index, self._base_term = base, base_term
+        later = [item for item in self._memberships if item[0] > snapshot.index]
+        self._memberships = [(snapshot.index, snapshot.membership), *later]
+        self.snapshot = snapshot
+
+    def restore(self, snapshot: LogSnapshot) -> None:
+        """Replace the whole log by a snapshot."""
+        self._entries = []
+        self._base_index, self._base_term = snapshot.index, snapshot.term
+        self._memberships = [(snapshot.index, snapshot.membership)]
+        self.snapshot = snapshot
