--- /dev/null
+++ b/tests/test_daemon_life_cycle.py
@@ -0,0 +1,137 @@
+"""The order of a stop, and what an operator's drain may and may not do."""
+
+import asyncio
+
+import pytest
+
+from bramleycrank.daemon.life_cycle import LifeCycle
+
+
+class Steps:
+    """Records the steps and fails or blocks in chosen ones."""
+
+    def __init__(self, fail=(), block=()):
+        self.calls = []
+        self.fail = fail
+        self.block = block
+        self.release = asyncio.Event()
+
+    def set_draining(self, draining):
+        self.calls.append(f"draining={draining}")
+
+    def __getattr__(self, name):
+        async def step(*_):
+            self.calls.append(name)
+            if name in self.fail:
+                raise OSError(name)
+            if name in self.block:
+                await self.release.wait()
+
+        return step
+
+
+async def until(condition):
+    async with asyncio.timeout(2):
+        while not condition():
+            await asyncio.sleep(0.001)
+
+
+def run(scenario, **steps_args):
+    async def body():
+        steps = Steps(**steps_args)
+        life = LifeCycle(steps, drain_notice_s=0.02, drain_limit_s=1.0)
+        await scenario(life, steps)
+
+    asyncio.run(body())
+
+
+STOP = ["stop_listening", "finish_requests", "transfer_leadership", "leave", "close"]
+
+
+@pytest.mark.parametrize("fail", [(), ("transfer_leadership", "leave", "finish_requests")])
+def test_stop_goes_through_all_steps_in_order_even_if_some_fail(fail):
+    # A stop that skips a step cuts requests, leaves a leaderless time or a stale VM record.
+    async def scenario(life, steps):
+        life.start()
+        await until(life.ready)
+        steps.calls.clear()
+        life.stop()
+        assert not life.ready()
+        assert steps.calls == []  # Still accepting during the notice.
+        await life.finished.wait()
+        assert steps.calls == ["draining=True", *STOP]
+        assert life.state == "stopped"
+
+    run(scenario, fail=fail)
+
+
+def test_requests_in_flight_hold_up_the_stop():
+    async def scenario(life, steps):
+        life.start()
+        await until(life.ready)
+        life.stop()
+        await until(lambda: "finish_requests" in steps.calls)
+        await asyncio.sleep(0.05)
+        assert life.state == "draining" and "close" not in steps.calls
+        steps.release.set()
+        await life.finished.wait()
+
+    run(scenario, block=("finish_requests",))
+
+
+def test_repeated_stop_runs_the_steps_once():
+    async def scenario(life, steps):
+        life.start()
+        await until(life.ready)
+        for _ in range(3):
+            life.stop()
+        await life.finished.wait()
+        life.stop()
+        assert steps.calls.count("close") == 1
+
+    run(scenario)
+
+
+def test_operator_drain_is_reversible_and_gives_up_leadership():
+    async def scenario(life, steps):
+        life.start()
+        await until(life.ready)
+        life.set_operator_drain(True)
+        await until(lambda: "transfer_leadership" in steps.calls)
+        assert life.state == "drained" and not life.ready()
+        assert "stop_listening" not in steps.calls
+        life.set_operator_drain(False)
+        assert life.ready() and steps.calls[-1] == "draining=False"
+
+    run(scenario)
+
+
+def test_drain_known_before_joining_takes_effect_on_joining():
+    async def scenario(life, steps):
+        life.start()
+        await until(lambda: "join" in steps.calls)
+        life.set_operator_drain(True)
+        steps.release.set()
+        await until(lambda: life.state == "drained")
+
+    run(scenario, block=("join",))
+
+
+def test_stop_before_a_configuration_is_in_force_ends():
+    async def scenario(life, steps):
+        life.start()
+        await until(lambda: "join" in steps.calls)
+        life.stop()
+        await life.finished.wait()
+        assert "finish_requests" not in steps.calls
+
+    run(scenario, block=("join",))
+
+
+def test_failed_start_closes_and_reports_the_failure():
+    async def scenario(life, steps):
+        life.start()
+        await life.finished.wait()
+        assert isinstance(life.failure, OSError) and steps.calls[-1] == "close"
+
+    run(scenario, fail=("start_parts",))
--- /dev/null
+++ b/tests/test_daemon_proposal_router.py
@@ -0,0 +1,107 @@
+"""Which failures of a proposal are "never proposed" and which "may still be committed"."""
+
+import asyncio
+import random
+
+import pytest
+
+from bramleycrank.daemon.proposal_router import ProposalRouter
+from bramleycrank.exceptions import (
+    InternalError,
+    NoQuorum,
+    NotLeader,
+    Outcome,
+    PeerUnreachable,
+    ProposalOutcomeUnknown,
+)
+from bramleycrank.proto import log_pb2, peer_pb2
+
+OK = log_pb2.CommandResult(code=log_pb2.RESULT_CODE_OK, revision=7)
+NOT_SENT = PeerUnreachable("refused", outcome=Outcome.NOT_RUN)
+LOST = PeerUnreachable("reset")
+UNRESOLVED = ProposalOutcomeUnknown("leadership was lost")
+
+
+class Cluster:
+    """Answers proposals by address from a script; the last step of a script repeats."""
+
+    def __init__(self, leader="", **script):
+        self.leader = leader
+        self.script = {name: list(steps) for name, steps in script.items()}
+        self.calls = []
+
+    def stub(self, address):
+        self.address = address
+        return self
+
+    async def Propose(self, request, *, timeout):  # noqa: N802
+        return peer_pb2.ProposeReply(result=self.step(self.address, request.proposal_id))
+
+    async def local(self, proposal_id, command, timeout_s):
+        return self.step("own", proposal_id)
+
+    def step(self, address, proposal_id):
+        self.calls.append((address, proposal_id))
+        steps = self.script[address]
+        step = steps.pop(0) if len(steps) > 1 else steps[0]
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+    def propose(self, timeout_s=0.3, candidates=("a", "b")):
+        async def body():
+            router = ProposalRouter(
+                "own",
+                self.local,
+                lambda: self.leader,
+                lambda: list(candidates),
+                self,
+                random.Random(1),
+            )
+            return await router.propose(log_pb2.Command(), timeout_s)
+
+        return asyncio.run(body())
+
+
+def test_leader_on_this_vm_is_asked_directly():
+    cluster = Cluster("own", own=[OK])
+    assert cluster.propose().revision == 7
+
+
+def test_hint_of_another_vm_is_followed():
+    cluster = Cluster("a", a=[NotLeader(leader_address="b")], b=[OK])
+    assert cluster.propose().revision == 7
+    assert [address for address, _ in cluster.calls] == ["a", "b"]
+
+
+def test_retries_keep_the_proposal_id():
+    # Another id would let a second copy of a claim win against the first.
+    cluster = Cluster("a", a=[LOST, UNRESOLVED, NOT_SENT, OK])
+    assert cluster.propose(1.0).revision == 7
+    assert len({proposal_id for _, proposal_id in cluster.calls}) == 1
+
+
+@pytest.mark.parametrize("error", [NOT_SENT, NotLeader(), NotLeader(leader_address="a")])
+def test_command_that_reached_no_log_is_no_quorum(error):
+    with pytest.raises(NoQuorum) as caught:
+        Cluster("a", a=[error]).propose()
+    assert caught.value.outcome is Outcome.NOT_RUN
+
+
+def test_without_any_known_vm_is_no_quorum():
+    with pytest.raises(NoQuorum):
+        Cluster().propose(candidates=())
+
+
+@pytest.mark.parametrize("error", [LOST, UNRESOLVED])
+def test_command_that_may_be_in_a_log_stays_unknown(error):
+    # Later attempts that provably reached no log do not make the first one undone.
+    with pytest.raises(ProposalOutcomeUnknown):
+        Cluster("a", a=[error, NOT_SENT]).propose()
+
+
+def test_other_errors_are_not_retried():
+    cluster = Cluster("a", a=[InternalError("broken")])
+    with pytest.raises(InternalError):
+        cluster.propose()
+    assert len(cluster.calls) == 1
