--- /dev/null
+++ b/bramleycrank/storage/files.py
@@ -0,0 +1,88 @@
+"""Durable file operations and the frame format of all files in the data folder.
+
+A frame is its length and its xxh32 checksum, both as little-endian 32-bit numbers, followed by
+the payload. The checksum covers the length as well, so a damaged length is found too. It starts
+from a seed of the data folder, so bytes that a caller stored inside a payload never look like a
+frame.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import struct
+from collections.abc import Iterator
+from pathlib import Path
+
+import xxhash
+
+_HEADER = struct.Struct("<II")
+_LENGTH = struct.Struct("<I")
+
+
+def encode_frame(payload: bytes, seed: int = 0) -> bytes:
+    """Return the frame with a payload."""
+    return _HEADER.pack(len(payload), _checksum(payload, seed)) + payload
+
+
+def decode_frames(data: bytes, seed: int = 0) -> Iterator[tuple[int, bytes]]:
+    """Yield the end offset and payload of each intact frame, up to the first damaged one."""
+    offset = 0
+    while (end := _frame_end(data, offset, seed)) is not None:
+        yield end, data[offset + _HEADER.size : end]
+        offset = end
+
+
+def has_frame_after(data: bytes, offset: int, seed: int = 0) -> bool:
+    """Return whether an intact frame starts anywhere after ``offset``.
+
+    A crash while appending damages only the last frame. An intact frame after a damaged one
+    therefore means that synced data was damaged.
+    """
+    starts = range(offset + 1, len(data) - _HEADER.size)
+    return any(_frame_end(data, start, seed) is not None for start in starts)
+
+
+def sync_folder(folder: Path) -> None:
+    """Sync a folder, so that created and renamed files survive a crash."""
+    fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def write_synced(path: Path, data: bytes) -> None:
+    """Replace a file by ``data``: a temporary file is synced and renamed, the folder synced."""
+    temporary = path.with_name(path.name + ".tmp")
+    with open(temporary, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def read_single_frame(path: Path, seed: int = 0) -> bytes | None:
+    """Return the payload of a file with one frame; ``None`` if it is missing or damaged."""
+    with contextlib.suppress(FileNotFoundError):
+        data = path.read_bytes()
+        for end, payload in decode_frames(data, seed):
+            return payload if end == len(data) else None
+    return None
+
+
+def _checksum(payload: bytes, seed: int) -> int:
+    digest = xxhash.xxh32(_LENGTH.pack(len(payload)), seed=seed)
+    digest.update(payload)
+    return digest.intdigest()
+
+
+def _frame_end(data: bytes, offset: int, seed: int) -> int | None:
+    if offset + _HEADER.size > len(data):
+        return None
+    length, checksum = _HEADER.unpack_from(data, offset)
+    end = offset + _HEADER.size + length
+    if end > len(data) or _checksum(data[offset + _HEADER.size : end], seed) != checksum:
+        return None
+    return end
--- a/bramleycrank/storage/log_store.py
+++ b/bramleycrank/storage/log_store.py
@@ -1,39 +1,228 @@
-"""The data folder of a node: synced log, snapshots and disk identity."""
+"""The data folder of a node: synced log, snapshots and disk identity.
+
+The folder holds ``snapshot-N`` and the segment ``log-N`` that continues it. A new snapshot starts
+generation N + 1: first the new segment with what the snapshot does not cover is written, then the
+snapshot. The rename of the snapshot switches the generation, so a crash at any point leaves one
+of the two complete.
+"""
 
 from __future__ import annotations
 
+import logging
+import re
+from collections.abc import Callable
 from pathlib import Path
 
+from google.protobuf.message import DecodeError
+
 from bramleycrank.consensus.types import DurableState, Persist
-from bramleycrank.proto.log_pb2 import LogSnapshot
+from bramleycrank.exceptions import BramleycrankError, CorruptLog, StorageError
+from bramleycrank.proto.log_pb2 import Entry, LogSnapshot
+from bramleycrank.storage.files import encode_frame, read_single_frame, sync_folder, write_synced
+from bramleycrank.storage.identity import DiskIdentity, FolderLock
+from bramleycrank.storage.segment import Segment, SegmentContent
+
+log = logging.getLogger(__name__)
+
+_GENERATION_FILE = re.compile(r"(log|snapshot)-(\d+)(\.tmp)?")
 
 
 class LogStore:
     """Synced log and snapshots of one node; the folder is locked while it is open."""
 
-    node_id: str
+    def __init__(
+        self,
+        folder: Path,
+        lock: FolderLock,
+        identity: DiskIdentity,
+        generation: int,
+        snapshot: LogSnapshot | None,
+        segment: Segment,
+    ) -> None:
+        self._folder = folder
+        self._lock = lock
+        self._identity = identity
+        self._generation = generation
+        self._snapshot = snapshot
+        self._segment = segment
+        self._failed = False
 
     @classmethod
     def open(cls, folder: Path, vm_id: str) -> LogStore:
-        """Open or create the folder; raises ``FolderInUse``, ``CorruptLog``, ``StorageError``."""
-        raise NotImplementedError
+        """Open a data folder, or create it with a new disk id.
+
+        Parameters
+        ----------
+        folder : Path
+            Data folder; made if missing.
+        vm_id : str
+            VM that the folder belongs to.
+
+        Raises
+        ------
+        FolderInUse
+            Another process has the folder open.
+        CorruptLog
+            A synced record is damaged or missing.
+        StorageError
+            The folder belongs to another VM, has lost its identity, or cannot be used.
+        """
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            sync_folder(folder.parent)
+            lock = FolderLock.take(folder)
+        except OSError as exc:
+            raise StorageError(f"{folder} cannot be used: {exc}") from exc
+        try:
+            return cls._open_locked(folder, vm_id, lock)
+        except OSError as exc:
+            lock.release()
+            raise StorageError(f"{folder} cannot be used: {exc}") from exc
+        except BramleycrankError:
+            lock.release()
+            raise
+
+    @property
+    def node_id(self) -> str:
+        """Node id in the replicated log: ``vm_id/disk_id``."""
+        return self._identity.node_id
 
     def load(self) -> DurableState:
-        """Return what was persisted before."""
-        raise NotImplementedError
+        """Return everything that was persisted."""
+        content = self._segment.content
+        return DurableState(content.hard_state, self._snapshot, tuple(content.entries))
 
     def persist(self, action: Persist) -> None:
-        """Write and sync one action."""
-        raise NotImplementedError
+        """Write and sync one action.
+
+        Raises
+        ------
+        StorageError
+            The write failed. What the file holds is then unknown, so every later call fails too
+            and the process must end.
+        """
+        self._guarded(lambda: self._segment.append(action))
 
     def save_snapshot(self, snapshot: LogSnapshot) -> None:
-        """Store a snapshot and drop the log entries that it replaces."""
-        raise NotImplementedError
+        """Store a snapshot and drop the entries that it covers or contradicts.
+
+        Entries after the snapshot stay only if the log holds its last entry with its term.
+
+        Raises
+        ------
+        StorageError
+            The write failed; every later call fails too.
+        """
+        self._guarded(lambda: self._switch_generation(snapshot))
 
     def dump(self) -> dict[str, object]:
         """Return sizes and identity for operators."""
-        raise NotImplementedError
+        content = self._segment.content
+        return {
+            "node_id": self.node_id,
+            "folder": str(self._folder),
+            "generation": self._generation,
+            "snapshot_index": self._snapshot.index if self._snapshot else 0,
+            "entries": len(content.entries),
+            "term": content.hard_state.term,
+            "voted_for": content.hard_state.voted_for,
+            "log_bytes": self._segment.path.stat().st_size,
+            "failed": self._failed,
+        }
 
     def close(self) -> None:
-        """Release the folder."""
-        raise NotImplementedError
+        """Close the files and release the folder."""
+        self._segment.close()
+        self._lock.release()
+
+    @classmethod
+    def _open_locked(cls, folder: Path, vm_id: str, lock: FolderLock) -> LogStore:
+        identity = DiskIdentity.load(folder)
+        if identity is None:
+            return cls._create(folder, vm_id, lock)
+        if identity.vm_id != vm_id:
+            raise StorageError(f"{folder} belongs to VM {identity.vm_id}, not to {vm_id}")
+        generation = max((n for kind, n in _generations(folder) if kind == "snapshot"), default=0)
+        snapshot = _read_snapshot(_path(folder, "snapshot", generation), identity.seed)
+        if snapshot is None and generation:
+            raise CorruptLog(f"snapshot {generation} in {folder} is damaged")
+        path = _path(folder, "log", generation)
+        if not path.exists():
+            # Without its log the node would forget its vote, so it must not start again.
+            raise CorruptLog(f"{path} is missing")
+        first = snapshot.index + 1 if snapshot else 1
+        segment = Segment.open(path, identity.seed, first)
+        store = cls(folder, lock, identity, generation, snapshot, segment)
+        store._remove_other_generations()
+        return store
+
+    @classmethod
+    def _create(cls, folder: Path, vm_id: str, lock: FolderLock) -> LogStore:
+        """Make an empty log and then the identity, whose presence marks a complete folder."""
+        if any(kind == "snapshot" or n for kind, n in _generations(folder)):
+            raise StorageError(f"{folder} has a log but no identity; it cannot be used again")
+        identity = DiskIdentity.create(vm_id)
+        path = _path(folder, "log", 0)
+        segment = Segment.create(path, identity.seed, SegmentContent(first_index=1))
+        identity.save(folder)
+        log.info("storage: created %s as %s", folder, identity.node_id)
+        return cls(folder, lock, identity, 0, None, segment)
+
+    def _switch_generation(self, snapshot: LogSnapshot) -> None:
+        if self._snapshot is not None and snapshot.index <= self._snapshot.index:
+            return
+        generation, old = self._generation + 1, self._segment
+        content = SegmentContent(
+            snapshot.index + 1, old.content.hard_state, self._entries_after(snapshot)
+        )
+        seed = self._identity.seed
+        segment = Segment.create(_path(self._folder, "log", generation), seed, content)
+        frame = encode_frame(snapshot.SerializeToString(), seed)
+        write_synced(_path(self._folder, "snapshot", generation), frame)
+        old.close()
+        self._segment, self._snapshot, self._generation = segment, snapshot, generation
+        self._remove_other_generations()
+
+    def _entries_after(self, snapshot: LogSnapshot) -> list[Entry]:
+        content = self._segment.content
+        position = snapshot.index - content.first_index
+        covered = content.entries[position : position + 1]
+        if not covered or covered[0].term != snapshot.term:
+            return []
+        return content.entries[position + 1 :]
+
+    def _remove_other_generations(self) -> None:
+        for path in self._folder.iterdir():
+            match = _GENERATION_FILE.fullmatch(path.name)
+            if match and (match[3] or int(match[2]) != self._generation):
+                path.unlink()
+        sync_folder(self._folder)
+
+    def _guarded(self, write: Callable[[], None]) -> None:
+        if self._failed:
+            raise StorageError(f"an earlier write to {self._folder} failed")
+        self._failed = True
+        try:
+            write()
+        except OSError as exc:
+            raise StorageError(f"writing to {self._folder} failed: {exc}") from exc
+        self._failed = False
+
+
+def _path(folder: Path, kind: str, generation: int) -> Path:
+    return folder / f"{kind}-{generation}"
+
+
+def _generations(folder: Path) -> list[tuple[str, int]]:
+    matches = (_GENERATION_FILE.fullmatch(path.name) for path in folder.iterdir())
+    return [(match[1], int(match[2])) for match in matches if match and not match[3]]
+
+
+def _read_snapshot(path: Path, seed: int) -> LogSnapshot | None:
+    payload = read_single_frame(path, seed)
+    if payload is None:
+        return None
+    try:
+        return LogSnapshot.FromString(payload)
+    except DecodeError as exc:
+        raise CorruptLog(f"{path} is unreadable") from exc
