--- /dev/null
+++ b/bramleycrank/daemon/membership_controller.py
@@ -0,0 +1,332 @@
+"""Runs the membership cores: sends their messages by grpclib and tells others about changes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from random import Random
+from typing import Any
+
+from bramleycrank.exceptions import BramleycrankError, Draining, Outcome, Refused
+from bramleycrank.membership import (
+    MembershipConfig,
+    PushRecords,
+    RelayProbe,
+    SendProbe,
+    SendSync,
+    TargetChanged,
+    TargetRegistry,
+    VmChanged,
+    VmMembership,
+)
+from bramleycrank.membership.records import address_of
+from bramleycrank.proto.peer_pb2 import (
+    VM_STATE_ALIVE,
+    ConfigStatus,
+    Gossip,
+    ProbeReply,
+    ProbeRequest,
+    SyncReply,
+    SyncRequest,
+    VmRecord,
+)
+from bramleycrank.proto.target_pb2 import (
+    AnnounceReply,
+    AnnounceRequest,
+    LeaveReply,
+    LeaveRequest,
+    TargetRecord,
+)
+from bramleycrank.transport.peer_client import PeerClients
+
+log = logging.getLogger(__name__)
+
+# Longest sleep between two ticks; leases and grace times are checked this often.
+TICK_S = 0.25
+
+# How long Leave waits until the other VMs acknowledged the record before it answers the target.
+LEAVE_WAIT_S = 0.5
+
+# What a target that announces too early waits before it tries again.
+JOIN_RETRY_MS = 500
+
+
+class MembershipController:
+    """Owns the VM membership and the target registry of a VM.
+
+    Parameters
+    ----------
+    cfg : MembershipConfig
+        Options.
+    local : VmRecord
+        Record of this VM: id, domain, host and port. Without an incarnation the Unix time in ms is
+        used, which grows with each start; a clock that was set back is corrected by the other VMs.
+    seeds : iterable of str
+        ``host:port`` of other VMs.
+    clients : PeerClients
+        Connections to other VMs; the owner closes them.
+    rng : random.Random, optional
+        Source of random choices.
+    clock : callable, optional
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        cfg: MembershipConfig,
+        local: VmRecord,
+        seeds: Iterable[str],
+        clients: PeerClients,
+        *,
+        rng: Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._clock = clock
+        self._clients = clients
+        now = clock()
+        record = VmRecord()
+        record.CopyFrom(local)
+        record.incarnation = local.incarnation or int(time.time() * 1000)
+        record.state = VM_STATE_ALIVE
+        self.registry = TargetRegistry.from_config(cfg, record.vm_id, now)
+        self.core = VmMembership.from_config(
+            cfg, record, self.registry, tuple(seeds), rng or Random(), now
+        )
+        self._config_status: Callable[[], ConfigStatus] | None = None
+        self._status_callbacks: list[Callable[[str, ConfigStatus], None]] = []
+        self._target_callbacks: list[Callable[[TargetRecord], None]] = []
+        self._vm_callbacks: list[Callable[[VmRecord], None]] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._loop_task: asyncio.Task[None] | None = None
+        self._draining = False
+
+    @classmethod
+    def from_config(
+        cls, cfg: MembershipConfig, local: VmRecord, seeds: Iterable[str], clients: PeerClients
+    ) -> MembershipController:
+        """Return a controller that is not started."""
+        return cls(cfg, local, seeds, clients)
+
+    async def start(self) -> None:
+        """Start probing; return when the VM has joined, or no seed answered in time.
+
+        The gRPC server of this VM must be listening before.
+        """
+        self._loop_task = asyncio.create_task(self._run())
+        while not self.core.joined:
+            await asyncio.sleep(0.02)
+        log.info("membership: joined with %d VMs", len(self.vms()))
+
+    async def stop(self) -> None:
+        """Stop without telling others; use `leave` before for a graceful stop."""
+        tasks = [*self._tasks, *([self._loop_task] if self._loop_task else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def drain(self) -> None:
+        """Tell others that this VM drains; targets are sent to other home VMs from now on."""
+        self._draining = True
+        self._execute(self.core.drain(self._clock()))
+
+    async def leave(self, timeout_s: float = 1.0) -> None:
+        """Tell others that this VM left, waiting at most `timeout_s` seconds for their answers."""
+        self._draining = True
+        await self._finish(self._execute(self.core.leave(self._clock())), timeout_s)
+
+    # Views for other controllers.
+
+    def vms(self) -> list[VmRecord]:
+        """Return the live VMs, this one included."""
+        return self.core.live_vms(self._clock())
+
+    def all_vms(self) -> list[VmRecord]:
+        """Return all known VMs, dead and left ones within their retention included."""
+        return self.core.all_vms()
+
+    def targets(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that may get new work."""
+        return self.registry.usable(service, self._clock())
+
+    def all_targets(self) -> list[TargetRecord]:
+        """Return all known targets, the ended ones included."""
+        return self.registry.all_records()
+
+    def is_usable(self, target_id: str) -> bool:
+        """Return whether a target may get new work."""
+        return self.registry.is_usable(target_id)
+
+    def vm_count(self, domain: str | None = None) -> int:
+        """Return how many VMs count for connection and slot budgets."""
+        return self.core.budget_count(self._clock(), domain)
+
+    def subscribe_targets(self, callback: Callable[[TargetRecord], None]) -> None:
+        """Call back with the record whenever a target's record or usability changes."""
+        self._target_callbacks.append(callback)
+
+    def subscribe_vms(self, callback: Callable[[VmRecord], None]) -> None:
+        """Call back with the record whenever the record of a VM changes."""
+        self._vm_callbacks.append(callback)
+
+    def set_config_status(self, provider: Callable[[], ConfigStatus]) -> None:
+        """Set the source of the `ConfigStatus` that rides on each gossip message."""
+        self._config_status = provider
+
+    def subscribe_config_status(self, callback: Callable[[str, ConfigStatus], None]) -> None:
+        """Call back with ``host:port`` and status of the sender of each gossip message."""
+        self._status_callbacks.append(callback)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of both cores."""
+        now = self._clock()
+        return {**self.core.dump(now), "registry": self.registry.dump(now)}
+
+    # Calls from the servers of this VM.
+
+    async def on_probe(self, request: ProbeRequest) -> ProbeReply:
+        """Answer `Peer.Probe`; probes a third VM first if the request asks for it."""
+        self._note_status(request.gossip)
+        reply, actions = self.core.on_probe(request, self._clock())
+        relays = [action for action in actions if isinstance(action, RelayProbe)]
+        self._execute(action for action in actions if not isinstance(action, RelayProbe))
+        for relay in relays:
+            reply.indirect_ok = await self._relay(relay)
+        self._add_status(reply.gossip)
+        return reply
+
+    async def on_sync(self, request: SyncRequest) -> SyncReply:
+        """Answer `Peer.Sync`."""
+        self._note_status(request.gossip)
+        reply, actions = self.core.on_sync(request, self._clock())
+        self._execute(actions)
+        self._add_status(reply.gossip)
+        return reply
+
+    async def announce(self, request: AnnounceRequest) -> AnnounceReply:
+        """Answer `Registry.Announce`.
+
+        Raises
+        ------
+        Draining
+            If this VM drains; the target announces to another VM.
+        Refused
+            If this VM has not joined yet. It may not know that the target left, and would give new
+            work to a target that a delayed announcement brings back.
+        InvalidRequest
+            If the announcement is invalid or too old.
+        """
+        if self._draining:
+            raise Draining(outcome=Outcome.NOT_RUN)
+        if not self.core.joined:
+            raise Refused(
+                "the VM is joining", outcome=Outcome.NOT_RUN, retry_after_ms=JOIN_RETRY_MS
+            )
+        reply, actions = self.registry.announce(request, self._clock())
+        self._execute(actions)
+        return reply
+
+    async def leave_target(self, request: LeaveRequest) -> LeaveReply:
+        """Answer `Registry.Leave` once the other VMs acknowledged the record or 0.5 s passed.
+
+        Answering at once would lose the record if this VM died right after the answer.
+        """
+        await self._finish(self._execute(self.registry.leave(request, self._clock())), LEAVE_WAIT_S)
+        return LeaveReply()
+
+    # Execution of actions.
+
+    async def _run(self) -> None:
+        while True:
+            now = self._clock()
+            try:
+                self._execute([*self.core.tick(now), *self.registry.tick(now)])
+            except Exception:
+                log.exception("membership: tick failed")
+            delay_s = min(TICK_S, max(0.005, self.core.next_deadline() - self._clock()))
+            await asyncio.sleep(delay_s)
+
+    def _execute(self, actions: Iterable[Any]) -> list[asyncio.Task[Any]]:
+        """Execute actions and return the tasks that send messages."""
+        tasks = []
+        for action in actions:
+            match action:
+                case SendProbe():
+                    tasks.append(self._spawn(self._probe(action)))
+                case SendSync():
+                    tasks.append(self._spawn(self._sync(action)))
+                case PushRecords():
+                    tasks += self._execute(self.core.push(action, self._clock()))
+                case TargetChanged(record=record):
+                    _notify(self._target_callbacks, record)
+                case VmChanged(record=record):
+                    log.info("membership: %s is now in state %d", record.vm_id, record.state)
+                    _notify(self._vm_callbacks, record)
+        return tasks
+
+    def _spawn(self, coro: Awaitable[None]) -> asyncio.Task[Any]:
+        task = asyncio.ensure_future(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    @staticmethod
+    async def _finish(tasks: list[asyncio.Task[Any]], timeout_s: float) -> None:
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+
+    async def _probe(self, action: SendProbe) -> None:
+        self._add_status(action.request.gossip)
+        try:
+            reply = await self._clients.call(
+                action.address, "Probe", action.request, timeout_s=action.timeout_s
+            )
+        except BramleycrankError as exc:
+            log.debug("membership: no answer from %s: %s", action.address, exc)
+            self._execute(self.core.on_probe_failed(action.probe_id, self._clock()))
+            return
+        self._note_status(reply.gossip)
+        self._execute(self.core.on_probe_reply(action.probe_id, reply, self._clock()))
+
+    async def _relay(self, action: RelayProbe) -> bool:
+        self._add_status(action.request.gossip)
+        try:
+            reply = await self._clients.call(
+                action.address, "Probe", action.request, timeout_s=action.timeout_s
+            )
+        except BramleycrankError:
+            return False
+        self._note_status(reply.gossip)
+        self._execute(self.core.on_relay_reply(reply, self._clock()))
+        return True
+
+    async def _sync(self, action: SendSync) -> None:
+        self._add_status(action.request.gossip)
+        try:
+            reply = await self._clients.call(
+                action.address, "Sync", action.request, timeout_s=action.timeout_s
+            )
+        except BramleycrankError as exc:
+            log.debug("membership: no exchange with %s: %s", action.address, exc)
+            self._execute(self.core.on_sync_failed(action.sync_id, self._clock()))
+            return
+        self._note_status(reply.gossip)
+        self._execute(self.core.on_sync_reply(action.sync_id, reply, self._clock()))
+
+    def _add_status(self, gossip: Gossip) -> None:
+        if self._config_status is not None:
+            gossip.config.CopyFrom(self._config_status())
+
+    def _note_status(self, gossip: Gossip) -> None:
+        if gossip.HasField("config") and gossip.HasField("sender"):
+            _notify(self._status_callbacks, address_of(gossip.sender), gossip.config)
+
+
+def _notify(callbacks: list[Callable[..., None]], *args: object) -> None:
+    """Call all callbacks; one that fails must not stop the membership."""
+    for callback in callbacks:
+        try:
+            callback(*args)
+        except Exception:
+            log.exception("membership: a subscriber failed")
--- /dev/null
+++ b/bramleycrank/membership/anti_entropy.py
@@ -0,0 +1,218 @@
+"""Anti-entropy: two VMs compare digests by bucket and exchange the records that differ.
+
+An exchange starts with one hash over all records. If the hashes differ, the answer has one hash for
+each bucket, and the next rounds compare the digests of a few buckets at a time. Each message is
+bounded, so a round may transfer a part only; a batch of buckets is repeated until it transfers
+nothing more.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from random import Random
+
+import attrs
+
+from bramleycrank.membership.records import (
+    BUCKETS,
+    GONE_STATES,
+    Key,
+    bucket_of,
+    combine,
+    digest,
+    digest_key,
+)
+from bramleycrank.membership.types import Action, SendSync
+from bramleycrank.membership.view import GroupView
+from bramleycrank.proto.peer_pb2 import Gossip, RecordDigest, SyncReply, SyncRequest
+
+# A digest takes about 50 bytes, so a round stays near 25 KiB.
+MAX_DIGESTS = 512
+
+# Bounds an exchange in which both sides keep changing.
+MAX_ROUNDS = 400
+
+Entries = dict[str, tuple[int, Key]]
+
+
+@attrs.define
+class _Exchange:
+    """An exchange that this VM started."""
+
+    address: str
+    remaining: list[int] | None = None  # buckets still to compare; None before the first reply
+    batch: list[int] = attrs.field(factory=list)
+    wanted: list[str] = attrs.field(factory=list)
+    sent: set[str] = attrs.field(factory=set)  # records sent for the current batch
+    rounds: int = 0
+
+
+class AntiEntropy:
+    """Runs the exchanges that this VM starts and answers those of other VMs.
+
+    Parameters
+    ----------
+    view : GroupView
+        What this VM knows.
+    rng : random.Random
+        Source of the order of buckets.
+    """
+
+    def __init__(self, view: GroupView, rng: Random) -> None:
+        self._view = view
+        self._rng = rng
+        self._next_id = 0
+        self._open: dict[int, _Exchange] = {}
+        self.completed = 0
+
+    def start(self, address: str, now: float) -> list[Action]:
+        """Start an exchange, unless one with this address is running."""
+        if any(exchange.address == address for exchange in self._open.values()):
+            return []
+        return [self._send(_Exchange(address), now)]
+
+    def _send(self, exchange: _Exchange, now: float) -> SendSync:
+        self._next_id += 1
+        self._open[self._next_id] = exchange
+        exchange.rounds += 1
+        entries = self._entries(now)
+        request = SyncRequest(
+            gossip=Gossip(sender=self._view.vms.local),
+            digest_hash=_total(entries),
+            buckets=exchange.batch,
+            digests=_digests(entries, exchange.batch),
+        )
+        waiting = self._view.add_records(request.gossip, exchange.wanted, now)
+        exchange.sent.update(set(exchange.wanted).difference(waiting))
+        exchange.wanted = waiting
+        return SendSync(self._next_id, exchange.address, request, self._view.cfg.sync_timeout_s)
+
+    def on_request(self, request: SyncRequest, now: float) -> tuple[SyncReply, list[Action]]:
+        """Answer one round of another VM's exchange."""
+        actions = self._view.merge(request.gossip, now)
+        entries = self._entries(now)
+        reply = SyncReply(gossip=Gossip(sender=self._view.vms.local))
+        if not request.buckets:
+            reply.equal = request.digest_hash == _total(entries)
+            if not reply.equal:
+                reply.bucket_hashes.extend(_bucket_hashes(entries))
+            return reply, actions
+        offered, wanted = self._compare(request, entries)
+        reply.wanted_ids.extend(wanted)
+        self._view.add_records(reply.gossip, offered, now)
+        return reply, actions
+
+    def _compare(self, request: SyncRequest, entries: Entries) -> tuple[list[str], list[str]]:
+        """Return the ids of the records to send and of the records to ask for."""
+        theirs = {item.id: digest_key(item) for item in request.digests}
+        wanted = [i for i, key in theirs.items() if self._lacks(i, key)]
+        buckets = set(request.buckets)
+        offered = [
+            record_id
+            for record_id, (_, key) in entries.items()
+            if bucket_of(record_id) in buckets
+            and (record_id not in theirs or theirs[record_id] < key)
+        ]
+        # VM records first: the usability of a target depends on the record of its home VM.
+        return sorted(offered, key=lambda i: i.startswith("target/")), wanted[:MAX_DIGESTS]
+
+    def _lacks(self, record_id: str, key: Key) -> bool:
+        kind, _, name = record_id.partition("/")
+        if kind == "vm":
+            known = self._view.vms.key(name)
+            if known is None:
+                return key[1] not in GONE_STATES
+        else:
+            known = self._view.registry.key(name)
+        return known is None or known < key
+
+    def on_reply(self, sync_id: int, reply: SyncReply, now: float) -> list[Action]:
+        """Take the answer to one round and send the next one."""
+        exchange = self._open.pop(sync_id, None)
+        if exchange is None:
+            return []
+        actions = self._view.merge(reply.gossip, now)
+        if exchange.remaining is None:
+            exchange.remaining = [] if reply.equal else self._differing(reply, now)
+        self._plan(exchange, reply, progress=bool(actions), now=now)
+        if not exchange.batch or exchange.rounds >= MAX_ROUNDS:
+            self.completed += 1
+            return actions
+        return [*actions, self._send(exchange, now)]
+
+    def _plan(self, exchange: _Exchange, reply: SyncReply, *, progress: bool, now: float) -> None:
+        """Repeat the batch of buckets while it transfers records; then take the next one.
+
+        A record that was sent once and is still asked for is one that the peer does not take.
+        """
+        wanted = {*exchange.wanted, *reply.wanted_ids} - exchange.sent
+        exchange.wanted = sorted(wanted, key=lambda i: i.startswith("target/"))
+        if not exchange.wanted and not progress:
+            exchange.batch = []
+        if not exchange.batch:
+            exchange.sent.clear()
+            exchange.batch = self._next_batch(exchange, now)
+
+    def _differing(self, reply: SyncReply, now: float) -> list[int]:
+        own = _bucket_hashes(self._entries(now))
+        buckets = [
+            bucket
+            for bucket, (mine, other) in enumerate(zip(own, reply.bucket_hashes, strict=False))
+            if mine != other
+        ]
+        self._rng.shuffle(buckets)
+        return buckets
+
+    def _next_batch(self, exchange: _Exchange, now: float) -> list[int]:
+        """Take as many remaining buckets as fit into one message, at least one."""
+        sizes: dict[int, int] = defaultdict(int)
+        for record_id in self._entries(now):
+            sizes[bucket_of(record_id)] += 1
+        batch: list[int] = []
+        count = 0
+        while exchange.remaining and (not batch or count < MAX_DIGESTS):
+            bucket = exchange.remaining.pop()
+            count += sizes[bucket]
+            batch.append(bucket)
+        return batch
+
+    def on_failed(self, sync_id: int) -> None:
+        """End an exchange whose peer did not answer."""
+        self._open.pop(sync_id, None)
+
+    def _entries(self, now: float) -> Entries:
+        vms = ((i, (state, key)) for i, state, key in self._view.vms.entries(now))
+        targets = ((i, (state, key)) for i, state, key in self._view.registry.entries(now))
+        return {**dict(vms), **dict(targets)}
+
+    def dump(self) -> dict[str, object]:
+        """Return the running exchanges."""
+        return {
+            "completed": self.completed,
+            "open": {exchange.address: exchange.rounds for exchange in self._open.values()},
+        }
+
+
+def _bucket_hashes(entries: Entries) -> list[int]:
+    hashes = [0] * BUCKETS
+    for record_id, (_, key) in entries.items():
+        hashes[bucket_of(record_id)] ^= combine(record_id, key)
+    return hashes
+
+
+def _total(entries: Entries) -> int:
+    total = 0
+    for record_id, (_, key) in entries.items():
+        total ^= combine(record_id, key)
+    return total
+
+
+def _digests(entries: Entries, buckets: list[int]) -> list[RecordDigest]:
+    if not buckets:
+        return []
+    chosen = set(buckets)
+    return [
+        digest(record_id, state, key)
+        for record_id, (state, key) in entries.items()
+        if bucket_of(record_id) in chosen
+    ]
--- /dev/null
+++ b/bramleycrank/membership/gossip.py
@@ -0,0 +1,85 @@
+"""Changes that ride on probes: each is sent a bounded number of times."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from bramleycrank.membership.records import Key
+
+
+@attrs.define
+class _Item:
+    """A change that is still being spread."""
+
+    key: Key
+    size: int
+    urgent: bool
+    sent: int = 0
+
+
+class GossipQueue:
+    """Picks the changes for each message.
+
+    A change is sent at most ``3 * log2(n + 1)`` times in a group of ``n`` VMs, which reaches every
+    member with high probability; anti-entropy repairs the rest. Urgent changes go first, then the
+    ones that were sent least often. A newer change of the same record replaces the older one.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[str, _Item] = {}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def add(self, record_id: str, key: Key, size: int, *, urgent: bool = False) -> None:
+        """Start to spread a change.
+
+        Parameters
+        ----------
+        record_id : str
+            ``vm/ID`` or ``target/ID``.
+        key : tuple of int
+            Order key of the record.
+        size : int
+            Size of the serialized record, in bytes.
+        urgent : bool, optional
+            Whether the change goes before others.
+        """
+        self._items[record_id] = _Item(key, size, urgent)
+
+    def discard(self, record_id: str) -> None:
+        """Stop spreading the change of a record."""
+        self._items.pop(record_id, None)
+
+    def take(self, vm_count: int, max_bytes: int) -> list[str]:
+        """Return the ids of the records to put into one message.
+
+        Parameters
+        ----------
+        vm_count : int
+            Number of VMs in the group.
+        max_bytes : int
+            Bound for the sum of the records' sizes. A single larger record is sent alone.
+        """
+        limit = retransmissions(vm_count)
+        taken: list[str] = []
+        left = max_bytes
+        order = sorted(self._items.items(), key=lambda kv: (not kv[1].urgent, kv[1].sent))
+        for record_id, item in order:
+            if item.size > left and taken:
+                continue
+            taken.append(record_id)
+            left -= item.size
+            item.sent += 1
+            if item.sent >= limit:
+                del self._items[record_id]
+            if left <= 0:
+                break
+        return taken
+
+
+def retransmissions(vm_count: int) -> int:
+    """Return how often a change is sent in a group of the given size."""
+    return max(3, math.ceil(3 * math.log2(vm_count + 1)))
--- /dev/null
+++ b/bramleycrank/membership/prober.py
@@ -0,0 +1,163 @@
+"""Failure detection: one direct probe a period, then indirect probes, then suspicion."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+
+from bramleycrank.membership.records import address_of
+from bramleycrank.membership.types import Action, RelayProbe, SendProbe
+from bramleycrank.membership.view import GroupView
+from bramleycrank.proto.peer_pb2 import (
+    VM_STATE_ALIVE,
+    VM_STATE_DRAINING,
+    VM_STATE_SUSPECT,
+    ProbeReply,
+    ProbeRequest,
+    VmRecord,
+)
+
+
+@attrs.define
+class _Probe:
+    """A probe without an answer; `vm_id` is empty for an address whose VM is unknown."""
+
+    vm_id: str
+    address: str
+    direct: bool
+    reconnect: bool = False
+
+
+class Prober:
+    """Probes one member a period and one address where an unreachable VM may come back.
+
+    Parameters
+    ----------
+    view : GroupView
+        What this VM knows.
+    seeds : tuple of str
+        Addresses of the settings.
+    rng : random.Random
+        Source of the probe order.
+    now : float
+        Current time in seconds.
+    """
+
+    def __init__(self, view: GroupView, seeds: tuple[str, ...], rng: Random, now: float) -> None:
+        self._view = view
+        self._seeds = seeds
+        self._rng = rng
+        self._next_id = 0
+        self._order: list[str] = []
+        self._probes: dict[int, _Probe] = {}
+        self._awaited: str | None = None
+        self.next_at = now + rng.uniform(0, view.cfg.probe_period_s)
+
+    def tick(self, now: float) -> list[Action]:
+        """Conclude the period that ends and start the next one."""
+        if now < self.next_at:
+            return []
+        late_s = now - self.next_at
+        period = self._view.cfg.probe_period_s
+        self.next_at = now + period if late_s > period else self.next_at + period
+        actions: list[Action] = []
+        if late_s > period:
+            # After a pause of this process the answers may still wait in its sockets.
+            self._view.vms.postpone(late_s)
+            self._awaited = None
+        else:
+            actions += self._conclude(now)
+        for record in self._view.vms.overdue_suspects(now):
+            actions += self._view.merge_vm(record, now)
+        self._view.forget_gone(now)
+        return actions + self._probe_next(now) + self._probe_unreachable(now)
+
+    def _conclude(self, now: float) -> list[Action]:
+        awaited, self._awaited = self._awaited, None
+        record = self._view.vms.get(awaited) if awaited else None
+        if record is None or record.state not in (VM_STATE_ALIVE, VM_STATE_DRAINING):
+            return []
+        return self._view.merge_vm(self._view.vms.with_state(awaited, VM_STATE_SUSPECT), now)
+
+    def _probe_next(self, now: float) -> list[Action]:
+        record = self._next_member()
+        if record is None:
+            return []
+        self._awaited = record.vm_id
+        return [self._send(_Probe(record.vm_id, address_of(record), direct=True), now)]
+
+    def _next_member(self) -> VmRecord | None:
+        """Return the next member of a shuffled round, which bounds the time to detect a death."""
+        for _ in range(2):
+            while self._order:
+                vm_id = self._order.pop()
+                if self._view.is_live(vm_id):
+                    return self._view.vms.get(vm_id)
+            self._order = [rec.vm_id for rec in self._view.vms.peers()]
+            self._rng.shuffle(self._order)
+        return None
+
+    def _probe_unreachable(self, now: float) -> list[Action]:
+        """Probe one address where a dead or former VM may be back, so that cuts heal fast."""
+        local = address_of(self._view.vms.local)
+        addresses = [a for a in self._view.vms.unreachable_addresses(self._seeds) if a != local]
+        if not addresses:
+            return []
+        address = self._rng.choice(addresses)
+        vm_id = next((r.vm_id for r in self._view.vms.records() if address_of(r) == address), "")
+        return [self._send(_Probe(vm_id, address, direct=False, reconnect=True), now)]
+
+    def _send(self, probe: _Probe, now: float, target: VmRecord | None = None) -> SendProbe:
+        self._next_id += 1
+        self._probes[self._next_id] = probe
+        request = ProbeRequest(gossip=self._view.gossip(now, probe.vm_id))
+        timeout_s = self._view.cfg.probe_timeout_s
+        if target is not None:
+            request.indirect_target.CopyFrom(target)
+            timeout_s *= 1.25  # the relaying VM uses timeout_s; both probes end within the period
+        return SendProbe(self._next_id, probe.address, request, timeout_s)
+
+    def owns(self, probe_id: int) -> bool:
+        """Return whether a probe belongs to the failure detection."""
+        return probe_id in self._probes
+
+    def on_reply(self, probe_id: int, reply: ProbeReply, now: float) -> tuple[list[Action], str]:
+        """Take an answer.
+
+        Returns
+        -------
+        list of Action
+            Changes.
+        str
+            Address of a VM that came back and needs an anti-entropy exchange, or empty.
+        """
+        probe = self._probes.pop(probe_id)
+        returning = probe.reconnect and not self._view.is_live(reply.gossip.sender.vm_id)
+        answered = reply.gossip.sender.vm_id == probe.vm_id if probe.direct else reply.indirect_ok
+        actions = self._view.merge(reply.gossip, now)
+        if probe.vm_id == self._awaited and answered:
+            self._awaited = None
+        return actions, probe.address if returning else ""
+
+    def on_failed(self, probe_id: int, now: float) -> list[Action]:
+        """Ask other VMs to probe a member that did not answer directly."""
+        probe = self._probes.pop(probe_id)
+        target = self._view.vms.get(probe.vm_id)
+        if not probe.direct or probe.vm_id != self._awaited or target is None:
+            return []
+        helpers = [rec for rec in self._view.vms.peers() if rec.vm_id != probe.vm_id]
+        count = min(self._view.cfg.indirect_probes, len(helpers))
+        return [
+            self._send(_Probe(probe.vm_id, address_of(helper), direct=False), now, target)
+            for helper in self._rng.sample(helpers, count)
+        ]
+
+    def relay(self, target: VmRecord, now: float) -> RelayProbe:
+        """Return the probe that another VM asked for."""
+        request = ProbeRequest(gossip=self._view.gossip(now, target.vm_id))
+        return RelayProbe(address_of(target), request, self._view.cfg.probe_timeout_s)
+
+    def dump(self) -> dict[str, object]:
+        """Return the member that the current period waits for."""
+        return {"awaited": self._awaited, "open_probes": len(self._probes)}
--- /dev/null
+++ b/bramleycrank/membership/records.py
@@ -0,0 +1,101 @@
+"""Order and hashes of VM and target records.
+
+Each kind of record has a total order, so two VMs that exchanged the same records hold the same
+ones, whatever the order of arrival. The content hash comes last in the order: it decides between
+records that two VMs wrote on both sides of a cut with the same incarnation and sequence.
+"""
+
+from __future__ import annotations
+
+from functools import lru_cache
+
+import xxhash
+
+from bramleycrank.proto.peer_pb2 import (
+    VM_STATE_ALIVE,
+    VM_STATE_DEAD,
+    VM_STATE_DRAINING,
+    VM_STATE_LEFT,
+    VM_STATE_SUSPECT,
+    RecordDigest,
+    VmRecord,
+)
+from bramleycrank.proto.target_pb2 import (
+    TARGET_STATE_EXPIRED,
+    TARGET_STATE_LEAVING,
+    TargetRecord,
+)
+
+BUCKETS = 256
+LIVE_STATES = frozenset({VM_STATE_ALIVE, VM_STATE_DRAINING, VM_STATE_SUSPECT})
+GONE_STATES = frozenset({VM_STATE_DEAD, VM_STATE_LEFT})
+ENDED_STATES = frozenset({TARGET_STATE_LEAVING, TARGET_STATE_EXPIRED})
+
+Key = tuple[int, int, int, int]
+
+
+def address_of(record: VmRecord | TargetRecord) -> str:
+    """Return the ``host:port`` of a record."""
+    return f"{record.host}:{record.port}"
+
+
+def vm_key(record: VmRecord) -> Key:
+    """Return the order key of a VM record: incarnation, state, 0, content hash."""
+    return record.incarnation, record.state, 0, _hash(record)
+
+
+def target_key(record: TargetRecord) -> Key:
+    """Return the order key of a target record: incarnation, rank, sequence, content hash.
+
+    `ended_age_s` is not part of the content, because it grows while the record stays the same.
+    """
+    rank = int(record.state == TARGET_STATE_LEAVING)
+    return record.incarnation, rank, record.sequence, _hash(without_age(record))
+
+
+def without_age(record: TargetRecord) -> TargetRecord:
+    """Return the record without its age; a copy only if it has one."""
+    return with_age(record, 0) if record.ended_age_s else record
+
+
+def with_age(record: TargetRecord, age_s: int) -> TargetRecord:
+    """Return a copy of the record with an age in whole seconds."""
+    copy = TargetRecord()
+    copy.CopyFrom(record)
+    copy.ended_age_s = age_s
+    return copy
+
+
+def _hash(record: VmRecord | TargetRecord) -> int:
+    return xxhash.xxh64_intdigest(record.SerializeToString(deterministic=True))
+
+
+@lru_cache(maxsize=65536)
+def bucket_of(record_id: str) -> int:
+    """Return the digest bucket of a record id (``vm/ID`` or ``target/ID``)."""
+    return xxhash.xxh64_intdigest(record_id.encode()) % BUCKETS
+
+
+def digest(record_id: str, state: int, key: Key) -> RecordDigest:
+    """Return the digest of a record with the given order key."""
+    incarnation, _, sequence, content_hash = key
+    return RecordDigest(
+        id=record_id,
+        incarnation=incarnation,
+        state=state,
+        sequence=sequence,
+        content_hash=content_hash,
+    )
+
+
+def digest_key(item: RecordDigest) -> Key:
+    """Return the order key that a digest stands for."""
+    if item.id.startswith("vm/"):
+        return item.incarnation, item.state, 0, item.content_hash
+    rank = int(item.state == TARGET_STATE_LEAVING)
+    return item.incarnation, rank, item.sequence, item.content_hash
+
+
+def combine(record_id: str, key: Key) -> int:
+    """Return the contribution of a record to its bucket's hash; contributions are xor-ed."""
+    return xxhash.xxh64_intdigest(f"{record_id}|{key}".encode())
--- /dev/null
+++ b/bramleycrank/membership/target_table.py
@@ -0,0 +1,239 @@
+"""Records of targets: order, usability by the state of the home VM, retention of ended ones."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterator
+
+import attrs
+
+from bramleycrank.membership.records import ENDED_STATES, Key, target_key, with_age
+from bramleycrank.membership.types import MembershipConfig
+from bramleycrank.proto.target_pb2 import (
+    TARGET_STATE_LEAVING,
+    TARGET_STATE_SERVING,
+    TargetRecord,
+)
+
+
+@attrs.define
+class _Entry:
+    """A record with what this VM knows about it."""
+
+    record: TargetRecord
+    key: Key
+    ended_at: float | None
+    usable: bool = False
+
+
+@attrs.define
+class _Home:
+    """What this VM knows of a home VM."""
+
+    live: bool
+    known: bool
+    since: float
+
+
+class TargetTable:
+    """The targets that this VM knows.
+
+    A record is usable while it says SERVING and its home VM is live, or went away less than
+    `home_grace_s` ago. Records whose home VM is unknown or gone are neither usable nor
+    advertised, so they cannot travel between VMs after their home is forgotten.
+
+    Parameters
+    ----------
+    cfg : MembershipConfig
+        Options.
+    vm_id : str
+        This VM.
+    """
+
+    def __init__(self, cfg: MembershipConfig, vm_id: str) -> None:
+        self._cfg = cfg
+        self._vm_id = vm_id
+        self._entries: dict[str, _Entry] = {}
+        self._by_service: dict[str, set[str]] = defaultdict(set)
+        self._by_home: dict[str, set[str]] = defaultdict(set)
+        self._homes: dict[str, _Home] = {vm_id: _Home(live=True, known=True, since=0.0)}
+        self._ended: dict[str, None] = {}
+
+    def get(self, target_id: str) -> TargetRecord | None:
+        """Return the record of a target, or None."""
+        entry = self._entries.get(target_id)
+        return entry.record if entry else None
+
+    def key(self, target_id: str) -> Key | None:
+        """Return the order key of a target's record, or None."""
+        entry = self._entries.get(target_id)
+        return entry.key if entry else None
+
+    def is_usable(self, target_id: str) -> bool:
+        """Return whether new work may go to the target."""
+        entry = self._entries.get(target_id)
+        return entry is not None and entry.usable
+
+    def usable(self, service: str) -> list[TargetRecord]:
+        """Return the usable targets of a service."""
+        ids = self._by_service.get(service, ())
+        return [self._entries[i].record for i in ids if self._entries[i].usable]
+
+    def records(self) -> list[TargetRecord]:
+        """Return all records."""
+        return [entry.record for entry in self._entries.values()]
+
+    def put(self, record: TargetRecord, now: float) -> bool:
+        """Take a record if it is newer; return whether the table changed.
+
+        Parameters
+        ----------
+        record : TargetRecord
+            The record; `ended_age_s` says how long ago it ended.
+        now : float
+            Current time in seconds.
+        """
+        age_s = record.ended_age_s
+        ended = record.state in ENDED_STATES
+        if ended and age_s >= self._retention_s(record):
+            return False
+        entry = self._entries.get(record.target_id)
+        key = target_key(record)
+        if entry is not None and key <= entry.key:
+            if ended and key == entry.key:
+                entry.ended_at = min(entry.ended_at, now - age_s)
+            return False
+        self._drop(record.target_id)
+        # A part of a received message would keep the whole message in memory.
+        self._insert(with_age(record, 0), key, now - age_s if ended else None, now)
+        return True
+
+    def _insert(self, record: TargetRecord, key: Key, ended_at: float | None, now: float) -> None:
+        self._entries[record.target_id] = entry = _Entry(record, key, ended_at)
+        self._by_service[record.service].add(record.target_id)
+        self._by_home[record.home_vm].add(record.target_id)
+        if record.home_vm not in self._homes:
+            self._homes[record.home_vm] = _Home(live=False, known=False, since=now)
+        if ended_at is not None:
+            self._ended[record.target_id] = None
+        entry.usable = self._is_usable(entry, now)
+
+    def _drop(self, target_id: str) -> None:
+        entry = self._entries.pop(target_id, None)
+        if entry is None:
+            return
+        self._ended.pop(target_id, None)
+        for index, name in (
+            (self._by_service, entry.record.service),
+            (self._by_home, entry.record.home_vm),
+        ):
+            index[name].discard(target_id)
+            if not index[name]:
+                del index[name]
+
+    def _is_usable(self, entry: _Entry, now: float) -> bool:
+        return entry.record.state == TARGET_STATE_SERVING and self._home_ok(
+            entry.record.home_vm, now
+        )
+
+    def _home_ok(self, vm_id: str, now: float) -> bool:
+        home = self._homes.get(vm_id)
+        if home is None or not home.known:
+            return False
+        return home.live or now - home.since < self._cfg.home_grace_s
+
+    def set_home(self, vm_id: str, live: bool, now: float) -> list[TargetRecord]:
+        """Note the state of a home VM; return the records whose usability changed."""
+        if vm_id == self._vm_id:
+            return []
+        home = self._homes.get(vm_id)
+        if home is None or not home.known or home.live != live:
+            # A VM that is first heard of as gone has no grace time left to give.
+            known = live or (home is not None and home.known)
+            self._homes[vm_id] = _Home(live=live, known=known, since=now)
+        return self._refresh(vm_id, now)
+
+    def _refresh(self, vm_id: str, now: float) -> list[TargetRecord]:
+        changed = []
+        for target_id in self._by_home.get(vm_id, ()):
+            entry = self._entries[target_id]
+            usable = self._is_usable(entry, now)
+            if usable != entry.usable:
+                entry.usable = usable
+                changed.append(entry.record)
+        return changed
+
+    def tick(self, now: float) -> list[TargetRecord]:
+        """Apply grace times and retentions; return the records whose usability changed."""
+        changed = []
+        for vm_id, home in list(self._homes.items()):
+            if home.live:
+                continue
+            gone_for_s = now - home.since
+            if gone_for_s >= self._cfg.home_grace_s:
+                changed += self._refresh(vm_id, now)
+            if gone_for_s >= self._cfg.record_retention_s:
+                self._forget_home(vm_id)
+        self._forget_ended(now)
+        return changed
+
+    def _forget_home(self, vm_id: str) -> None:
+        for target_id in list(self._by_home.get(vm_id, ())):
+            if self._entries[target_id].ended_at is None:
+                self._drop(target_id)
+        del self._homes[vm_id]
+
+    def _forget_ended(self, now: float) -> None:
+        overdue = [
+            target_id
+            for target_id in self._ended
+            if now - self._entries[target_id].ended_at
+            >= self._retention_s(self._entries[target_id].record)
+        ]
+        excess = len(self._ended) - len(overdue) - self._cfg.max_ended_targets
+        if excess > 0:
+            rest = set(self._ended).difference(overdue)
+            overdue += sorted(rest, key=lambda i: self._entries[i].ended_at)[:excess]
+        for target_id in overdue:
+            self._drop(target_id)
+
+    def _retention_s(self, record: TargetRecord) -> float:
+        if record.state == TARGET_STATE_LEAVING:
+            return self._cfg.leaving_retention_s
+        return self._cfg.expired_retention_s
+
+    def outgoing(self, target_id: str, now: float) -> TargetRecord | None:
+        """Return the record as it is sent, with the age of an ended target rounded up.
+
+        Rounding down would let a record lose age with every hop and never be forgotten.
+        """
+        entry = self._entries.get(target_id)
+        if entry is None:
+            return None
+        if entry.ended_at is None:
+            return entry.record
+        return with_age(entry.record, max(0, math.ceil(now - entry.ended_at)))
+
+    def entries(self, now: float) -> Iterator[tuple[str, int, Key]]:
+        """Yield id, state and key of the records that take part in anti-entropy."""
+        ok = {vm_id: self._home_ok(vm_id, now) for vm_id in self._by_home}
+        for target_id, entry in self._entries.items():
+            if entry.ended_at is not None or ok[entry.record.home_vm]:
+                yield f"target/{target_id}", entry.record.state, entry.key
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return each record with the reason of its usability."""
+        return {
+            target_id: {
+                "service": entry.record.service,
+                "state": entry.record.state,
+                "incarnation": entry.record.incarnation,
+                "sequence": entry.record.sequence,
+                "home_vm": entry.record.home_vm,
+                "home_ok": self._home_ok(entry.record.home_vm, now),
+                "usable": entry.usable,
+                "ended_for_s": None if entry.ended_at is None else round(now - entry.ended_at, 3),
+            }
+            for target_id, entry in self._entries.items()
+        }
--- /dev/null
+++ b/bramleycrank/membership/types.py
@@ -0,0 +1,135 @@
+"""Options and actions of the membership cores."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+
+from bramleycrank.proto import peer_pb2, target_pb2
+
+
+@attrs.frozen
+class MembershipConfig:
+    """Options of `VmMembership` and `TargetRegistry`; times in seconds.
+
+    Parameters
+    ----------
+    probe_period_s : float
+        Time between two direct probes.
+    probe_timeout_s : float
+        Limit for one direct or indirect probe.
+    indirect_probes : int
+        VMs that are asked to probe a member that did not answer.
+    suspicion_periods : float
+        Probe periods from suspicion to death in a group of up to 10 VMs; grows with the logarithm
+        of the group.
+    sync_period_s : float
+        Time between two anti-entropy exchanges.
+    sync_timeout_s : float
+        Limit for one round of an exchange.
+    record_retention_s : float
+        How long dead and left VMs are kept.
+    budget_retention_s : float
+        How long dead and left VMs still count for connection budgets.
+    join_timeout_s : float
+        How long a starting VM waits for a first exchange with a seed.
+    lease_s, renew_s : float
+        Lease of a target and the time between two renewals.
+    home_grace_s : float
+        How long the targets of a dead or left home VM stay usable.
+    leaving_retention_s : float
+        How long a LEAVING record is kept. It must outlast every delayed renewal and every cut after
+        which a VM could still present an older record as usable.
+    expired_retention_s : float
+        How long an EXPIRED record is kept.
+    max_message_bytes : int
+        Bound for the records in one message.
+    max_ended_targets : int
+        Bound for LEAVING and EXPIRED records in memory; the oldest are dropped first.
+    push_retries : int
+        How often a failed push is repeated.
+    push_retry_s : float
+        Time between a failed push and its repetition.
+    """
+
+    probe_period_s: float = 1.0
+    probe_timeout_s: float = 0.4
+    indirect_probes: int = 3
+    suspicion_periods: float = 3.0
+    sync_period_s: float = 10.0
+    sync_timeout_s: float = 1.0
+    record_retention_s: float = 60.0
+    budget_retention_s: float = 30.0
+    join_timeout_s: float = 3.0
+    lease_s: float = 6.0
+    renew_s: float = 2.0
+    home_grace_s: float = 10.0
+    leaving_retention_s: float = 24 * 3600.0
+    expired_retention_s: float = 600.0
+    max_message_bytes: int = 32 * 1024
+    max_ended_targets: int = 100_000
+    push_retries: int = 3
+    push_retry_s: float = 0.5
+
+
+@attrs.frozen
+class SendProbe:
+    """Send a probe; answer with `on_probe_reply` or `on_probe_failed`."""
+
+    probe_id: int
+    address: str
+    request: peer_pb2.ProbeRequest
+    timeout_s: float
+
+
+@attrs.frozen
+class RelayProbe:
+    """Probe a VM on behalf of another one; answer with `on_relay_reply` if it succeeds."""
+
+    address: str
+    request: peer_pb2.ProbeRequest
+    timeout_s: float
+
+
+@attrs.frozen
+class SendSync:
+    """Send one round of an exchange; answer with `on_sync_reply` or `on_sync_failed`."""
+
+    sync_id: int
+    address: str
+    request: peer_pb2.SyncRequest
+    timeout_s: float
+
+
+@attrs.frozen
+class VmChanged:
+    """The record of a VM changed."""
+
+    record: peer_pb2.VmRecord
+
+
+@attrs.frozen
+class TargetChanged:
+    """The record of a target or its usability changed."""
+
+    record: target_pb2.TargetRecord
+
+
+@attrs.frozen
+class PushRecords:
+    """Send records at once; `VmMembership.push` turns the action into probes.
+
+    Parameters
+    ----------
+    records : tuple of TargetRecord
+        Records to send.
+    fanout : int
+        Number of random VMs to send to; 0 for all known VMs.
+    """
+
+    records: tuple[target_pb2.TargetRecord, ...]
+    fanout: int = 0
+
+
+Action: TypeAlias = SendProbe | RelayProbe | SendSync | VmChanged | TargetChanged | PushRecords
--- /dev/null
+++ b/bramleycrank/membership/vm_membership.py
@@ -0,0 +1,204 @@
+"""The membership core: failure detection, gossip, anti-entropy and pushes of one VM."""
+
+from __future__ import annotations
+
+from random import Random
+
+from bramleycrank.membership.anti_entropy import AntiEntropy
+from bramleycrank.membership.prober import Prober
+from bramleycrank.membership.pusher import Pusher
+from bramleycrank.membership.records import address_of
+from bramleycrank.membership.target_registry import TargetRegistry
+from bramleycrank.membership.types import (
+    Action,
+    MembershipConfig,
+    PushRecords,
+    SendProbe,
+)
+from bramleycrank.membership.view import GroupView
+from bramleycrank.proto.peer_pb2 import (
+    VM_STATE_DRAINING,
+    VM_STATE_LEFT,
+    ProbeReply,
+    ProbeRequest,
+    SyncReply,
+    SyncRequest,
+    VmRecord,
+)
+
+
+class VmMembership:
+    """SWIM-style membership of VMs, which also carries the changes of the target registry.
+
+    Parameters
+    ----------
+    cfg : MembershipConfig
+        Options.
+    local : VmRecord
+        Record of this VM. Its incarnation should be higher than in earlier runs; if other VMs know
+        a higher one, it is raised above that.
+    registry : TargetRegistry
+        Registry of the same VM.
+    seeds : tuple of str
+        ``host:port`` of VMs to join through; the own address is skipped.
+    rng : random.Random
+        Source of all random choices.
+    now : float
+        Current time in seconds.
+    """
+
+    def __init__(
+        self,
+        cfg: MembershipConfig,
+        local: VmRecord,
+        registry: TargetRegistry,
+        seeds: tuple[str, ...],
+        rng: Random,
+        now: float,
+    ) -> None:
+        self._cfg = cfg
+        self._rng = rng
+        self._seeds = tuple(seed for seed in seeds if seed != address_of(local))
+        self._view = GroupView(cfg, local, registry)
+        self._prober = Prober(self._view, self._seeds, rng, now)
+        self._pusher = Pusher(self._view, rng)
+        self._sync = AntiEntropy(self._view, rng)
+        self._sync_at = now
+        self._join_until = now + cfg.join_timeout_s
+        self._joined = not self._seeds
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: MembershipConfig,
+        local: VmRecord,
+        registry: TargetRegistry,
+        seeds: tuple[str, ...],
+        rng: Random,
+        now: float,
+    ) -> VmMembership:
+        """Return the core of a VM that has not joined yet."""
+        return cls(cfg, local, registry, seeds, rng, now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due."""
+        if self._view.left:
+            return list(self._pusher.tick(now))
+        actions: list[Action] = []
+        if not self._joined and (self._sync.completed or now >= self._join_until):
+            self._joined = True
+        actions += self._prober.tick(now)
+        actions += self._pusher.tick(now)
+        if now >= self._sync_at:
+            actions += self._start_sync(now)
+        return actions
+
+    def _start_sync(self, now: float) -> list[Action]:
+        """Start an exchange with a random member, or with all seeds while joining."""
+        if self._joined:
+            jitter = self._rng.uniform(0.9, 1.1)
+            self._sync_at = now + self._cfg.sync_period_s * jitter
+            peers = [address_of(rec) for rec in self._view.vms.peers()]
+            addresses = [self._rng.choice(peers)] if peers else []
+        else:
+            self._sync_at = now + min(self._cfg.probe_period_s, self._cfg.sync_period_s) / 2
+            addresses = list(self._seeds)
+        return [action for address in addresses for action in self._sync.start(address, now)]
+
+    @property
+    def joined(self) -> bool:
+        """Whether an exchange with a seed was completed, or no seed answered in time."""
+        return self._joined
+
+    @property
+    def local(self) -> VmRecord:
+        """Record of this VM."""
+        return self._view.vms.local
+
+    def on_probe(self, request: ProbeRequest, now: float) -> tuple[ProbeReply, list[Action]]:
+        """Answer a probe; a `RelayProbe` action asks to probe another VM before the answer."""
+        actions = self._view.merge(request.gossip, now)
+        if request.HasField("indirect_target"):
+            actions.append(self._prober.relay(request.indirect_target, now))
+        sender_id = request.gossip.sender.vm_id
+        return ProbeReply(gossip=self._view.gossip(now, sender_id)), actions
+
+    def on_relay_reply(self, reply: ProbeReply, now: float) -> list[Action]:
+        """Take the answer to a probe for another VM."""
+        return self._view.merge(reply.gossip, now)
+
+    def on_probe_reply(self, probe_id: int, reply: ProbeReply, now: float) -> list[Action]:
+        """Take the answer to a probe or a push."""
+        if self._pusher.owns(probe_id):
+            self._pusher.on_reply(probe_id)
+            return self._view.merge(reply.gossip, now)
+        if not self._prober.owns(probe_id):
+            return []
+        actions, returning = self._prober.on_reply(probe_id, reply, now)
+        if returning and not self._view.left:
+            actions += self._sync.start(returning, now)
+        return actions
+
+    def on_probe_failed(self, probe_id: int, now: float) -> list[Action]:
+        """Note that a probe or a push got no answer."""
+        if self._pusher.owns(probe_id):
+            self._pusher.on_failed(probe_id, now)
+            return []
+        return self._prober.on_failed(probe_id, now) if self._prober.owns(probe_id) else []
+
+    def on_sync(self, request: SyncRequest, now: float) -> tuple[SyncReply, list[Action]]:
+        """Answer one round of an anti-entropy exchange."""
+        return self._sync.on_request(request, now)
+
+    def on_sync_reply(self, sync_id: int, reply: SyncReply, now: float) -> list[Action]:
+        """Take the answer to one round of an exchange."""
+        return self._sync.on_reply(sync_id, reply, now)
+
+    def on_sync_failed(self, sync_id: int, now: float) -> list[Action]:
+        """Note that a round of an exchange got no answer."""
+        self._sync.on_failed(sync_id)
+        return []
+
+    def push(self, action: PushRecords, now: float) -> list[SendProbe]:
+        """Return the messages that carry out a `PushRecords` action."""
+        return self._pusher.push(action, now)
+
+    def drain(self, now: float) -> list[Action]:
+        """Mark this VM as draining."""
+        if self.local.state in (VM_STATE_DRAINING, VM_STATE_LEFT):
+            return []
+        return self._view.set_local(VM_STATE_DRAINING, self.local.incarnation + 1, now)
+
+    def leave(self, now: float) -> list[Action]:
+        """Mark this VM as left and tell others; afterwards it no longer probes."""
+        if self._view.left:
+            return []
+        actions = self._view.set_local(VM_STATE_LEFT, self.local.incarnation, now)
+        return [*actions, *self._pusher.announce_leave()]
+
+    def live_vms(self, now: float) -> list[VmRecord]:
+        """Return the VMs that are alive, draining or suspect, this one included."""
+        return self._view.vms.live()
+
+    def all_vms(self) -> list[VmRecord]:
+        """Return all VMs, dead and left ones within their retention included."""
+        return self._view.vms.records()
+
+    def budget_count(self, now: float, domain: str | None = None) -> int:
+        """Return how many VMs count for connection budgets, of one domain or of all."""
+        return self._view.vms.budget_count(now, domain)
+
+    def next_deadline(self) -> float:
+        """Return when `tick` has something to do."""
+        if self._view.left:
+            return self._pusher.next_deadline()
+        return min(self._prober.next_at, self._sync_at, self._pusher.next_deadline())
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the VMs and the running probes and exchanges."""
+        return {
+            "vms": self._view.vms.dump(now),
+            "joined": self._joined,
+            "probes": self._prober.dump(),
+            "sync": self._sync.dump(),
+        }
--- /dev/null
+++ b/bramleycrank/membership/vm_table.py
@@ -0,0 +1,177 @@
+"""Records of VMs: merging, suspicion deadlines, retention of dead and left VMs."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+from bramleycrank.membership.records import GONE_STATES, LIVE_STATES, Key, address_of, vm_key
+from bramleycrank.membership.types import MembershipConfig
+from bramleycrank.proto.peer_pb2 import (
+    VM_STATE_DEAD,
+    VM_STATE_LEFT,
+    VM_STATE_SUSPECT,
+    VmRecord,
+)
+
+# Addresses of VMs that were dead for longer than the retention; a healed cut is found through them.
+MAX_FORMER_ADDRESSES = 256
+
+
+class VmTable:
+    """The VMs that this VM knows, itself included.
+
+    Parameters
+    ----------
+    cfg : MembershipConfig
+        Options.
+    local : VmRecord
+        Record of this VM.
+    """
+
+    def __init__(self, cfg: MembershipConfig, local: VmRecord) -> None:
+        self._cfg = cfg
+        self.local_id = local.vm_id
+        self._records: dict[str, VmRecord] = {local.vm_id: local}
+        self._keys: dict[str, Key] = {local.vm_id: vm_key(local)}
+        self._gone_at: dict[str, float] = {}
+        self._suspect_until: dict[str, float] = {}
+        self._former: dict[str, str] = {}
+
+    @property
+    def local(self) -> VmRecord:
+        """Record of this VM."""
+        return self._records[self.local_id]
+
+    def get(self, vm_id: str) -> VmRecord | None:
+        """Return the record of a VM, or None."""
+        return self._records.get(vm_id)
+
+    def key(self, vm_id: str) -> Key | None:
+        """Return the order key of a VM's record, or None."""
+        return self._keys.get(vm_id)
+
+    def records(self) -> list[VmRecord]:
+        """Return all records."""
+        return list(self._records.values())
+
+    def live(self) -> list[VmRecord]:
+        """Return the records that are alive, draining or suspect, this VM's included."""
+        return [rec for rec in self._records.values() if rec.state in LIVE_STATES]
+
+    def peers(self) -> list[VmRecord]:
+        """Return the live records of the other VMs."""
+        return [rec for rec in self.live() if rec.vm_id != self.local_id]
+
+    def budget_count(self, now: float, domain: str | None = None) -> int:
+        """Return how many VMs count for connection budgets."""
+        return sum(
+            1
+            for rec in self._records.values()
+            if (domain is None or rec.domain == domain) and self._counts(rec, now)
+        )
+
+    def _counts(self, rec: VmRecord, now: float) -> bool:
+        gone_at = self._gone_at.get(rec.vm_id)
+        return gone_at is None or now - gone_at < self._cfg.budget_retention_s
+
+    def merge(self, record: VmRecord, now: float) -> bool:
+        """Take a record if it is newer; return whether the table changed.
+
+        A dead or left record of an unknown VM is not taken: there is nothing to end, and VMs that
+        forget at different times would hand it to each other forever.
+        """
+        key = vm_key(record)
+        known = self._keys.get(record.vm_id)
+        if known is None and record.state in GONE_STATES:
+            return False
+        if known is not None and key <= known:
+            return False
+        # A part of a received message would keep the whole message in memory.
+        copy = VmRecord()
+        copy.CopyFrom(record)
+        self._records[record.vm_id] = copy
+        self._keys[record.vm_id] = key
+        self._track(copy, now)
+        return True
+
+    def _track(self, record: VmRecord, now: float) -> None:
+        vm_id = record.vm_id
+        if record.state in GONE_STATES:
+            self._gone_at.setdefault(vm_id, now)
+        else:
+            self._gone_at.pop(vm_id, None)
+            self._former.pop(address_of(record), None)
+        if record.state == VM_STATE_SUSPECT:
+            self._suspect_until[vm_id] = now + self._suspicion_s()
+        else:
+            self._suspect_until.pop(vm_id, None)
+
+    def _suspicion_s(self) -> float:
+        growth = max(1.0, math.log10(max(1, len(self._records))))
+        return self._cfg.suspicion_periods * growth * self._cfg.probe_period_s
+
+    def with_state(self, vm_id: str, state: int) -> VmRecord:
+        """Return a copy of a record with another state."""
+        copy = VmRecord()
+        copy.CopyFrom(self._records[vm_id])
+        copy.state = state
+        return copy
+
+    def overdue_suspects(self, now: float) -> list[VmRecord]:
+        """Return dead records for the suspects that did not refute in time."""
+        overdue = [vm_id for vm_id, until in self._suspect_until.items() if until <= now]
+        return [self.with_state(vm_id, VM_STATE_DEAD) for vm_id in overdue]
+
+    def postpone(self, delay_s: float) -> None:
+        """Move all suspicion deadlines, after this process itself was paused."""
+        for vm_id in self._suspect_until:
+            self._suspect_until[vm_id] += delay_s
+
+    def forget_gone(self, now: float) -> list[str]:
+        """Drop dead and left records after their retention and return their ids."""
+        limit = now - self._cfg.record_retention_s
+        dropped = [vm_id for vm_id, since in self._gone_at.items() if since <= limit]
+        for vm_id in dropped:
+            record = self._records.pop(vm_id)
+            del self._keys[vm_id], self._gone_at[vm_id]
+            if record.state != VM_STATE_LEFT:
+                self._former[address_of(record)] = vm_id
+        while len(self._former) > MAX_FORMER_ADDRESSES:
+            del self._former[next(iter(self._former))]
+        return dropped
+
+    def unreachable_addresses(self, seeds: tuple[str, ...]) -> list[str]:
+        """Return addresses where a VM may come back: dead and former VMs, and absent seeds."""
+        live = {address_of(rec) for rec in self.live()}
+        dead = (address_of(r) for r in self._records.values() if r.state == VM_STATE_DEAD)
+        return [a for a in dict.fromkeys([*dead, *self._former, *seeds]) if a not in live]
+
+    def entries(self, now: float) -> Iterator[tuple[str, int, Key]]:
+        """Yield id, state and key of the records that take part in anti-entropy.
+
+        Dead and left records take part for half of their retention only, so that a VM still knows
+        them when the last VM stops to advertise them.
+        """
+        limit = now - self._cfg.record_retention_s / 2
+        for vm_id, record in self._records.items():
+            if self._gone_at.get(vm_id, now) > limit:
+                yield f"vm/{vm_id}", record.state, self._keys[vm_id]
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return each record with the reason of its state."""
+        return {
+            vm_id: {
+                "state": record.state,
+                "incarnation": record.incarnation,
+                "domain": record.domain,
+                "address": address_of(record),
+                "gone_for_s": round(now - self._gone_at[vm_id], 3)
+                if vm_id in self._gone_at
+                else None,
+                "dead_in_s": round(self._suspect_until[vm_id] - now, 3)
+                if vm_id in self._suspect_until
+                else None,
+            }
+            for vm_id, record in self._records.items()
+        }
