Add the replicated state machine and the configuration follower

Claims: stored answers are bounded at 32 MiB in all beside the count, since 200,000 answers of 4 KiB would take 800 MB. An abandonment before its claim is kept, so a late claim does not win without anybody to run it.

--- a/bramleycrank/state/claims.py
+++ b/bramleycrank/state/claims.py
@@ -1,13 +1,204 @@
-"""Claims of non-idempotent requests."""
+"""Claims of non-idempotent requests: at most one attempt wins an id, and it is never replaced."""
 
 from __future__ import annotations
 
+import heapq
+from collections.abc import Iterable
+
+from bramleycrank.proto.log_pb2 import (
+    Claim,
+    ClaimAbandon,
+    ClaimComplete,
+    ClaimId,
+    ClaimOpen,
+    CommandResult,
+    ResultCode,
+)
+from bramleycrank.state.types import (
+    CLAIM_RETENTION_MS,
+    MAX_ANSWER_BYTES,
+    MAX_CLAIMS,
+    MAX_STORED_ANSWER_BYTES,
+)
+from bramleycrank.state.validation import claim_problem
+
+_Key = tuple[str, str, int]
+
+# Claims are grouped by the minute of their issue, so that a move of the floor touches only what
+# it drops; scanning 200,000 claims would hold up the loop.
+_BUCKET_MS = 60_000
+
+# The floor is moved only by whole steps of this size, so that it costs one log entry a minute.
+_FLOOR_STEP_MS = 60_000
+
+# Share of a full table that is kept when claims must be dropped for memory.
+_KEPT_SHARE = 0.9
+
 
 class ClaimTable:
-    """Claims above the floor; the first claim of an id wins."""
+    """Claims whose ``issued_at_ms`` is not below the floor."""
 
-    floor_ms: int
+    def __init__(self) -> None:
+        self.floor_ms = 0
+        self.answer_bytes = 0
+        self._claims: dict[_Key, Claim] = {}
+        self._buckets: dict[int, set[_Key]] = {}
+
+    @classmethod
+    def from_claims(cls, claims: Iterable[Claim], floor_ms: int) -> ClaimTable:
+        """Build the table from an image."""
+        table = cls()
+        table.floor_ms = floor_ms
+        for claim in claims:
+            table._add(claim)
+        return table
 
     def __len__(self) -> int:
-        """Return the number of claims."""
-        raise NotImplementedError
+        return len(self._claims)
+
+    def all(self) -> list[Claim]:
+        """Return all claims in the order in which they were made."""
+        return list(self._claims.values())
+
+    def find(self, claim_id: ClaimId) -> Claim | None:
+        """Return the claim of an id."""
+        return self._claims.get(_key(claim_id))
+
+    def open(self, command: ClaimOpen) -> CommandResult:
+        """Give the claim to the attempt if no other attempt holds it."""
+        if problem := claim_problem(command.id, command.attempt_id, command.vm_id):
+            return _result(ResultCode.RESULT_CODE_INVALID, problem)
+        if command.id.issued_at_ms < self.floor_ms:
+            return _expired()
+        claim = self.find(command.id)
+        if claim is not None and (not claim.abandoned or claim.attempt_id == command.attempt_id):
+            return _standing(claim, command.attempt_id)
+        self._put(command.id, command.attempt_id, command.vm_id)
+        return _result(ResultCode.RESULT_CODE_CLAIM_WON)
+
+    def complete(self, command: ClaimComplete) -> CommandResult:
+        """Store the answer of the attempt that holds the claim; the first answer stays."""
+        if problem := claim_problem(command.id, command.attempt_id):
+            return _result(ResultCode.RESULT_CODE_INVALID, problem)
+        claim = self.find(command.id)
+        if claim is None:
+            below = command.id.issued_at_ms < self.floor_ms
+            return _expired() if below else _result(ResultCode.RESULT_CODE_NOT_FOUND)
+        if claim.attempt_id != command.attempt_id:
+            return _result(ResultCode.RESULT_CODE_CLAIM_HELD)
+        if not claim.completed:
+            # A completion after an abandonment says that the attempt ran after all, so the claim
+            # must not be given away again.
+            claim.completed, claim.abandoned = True, False
+            if len(command.answer) <= MAX_ANSWER_BYTES:
+                claim.answer = command.answer
+                self.answer_bytes += len(command.answer)
+        return _result(ResultCode.RESULT_CODE_OK)
+
+    def abandon(self, command: ClaimAbandon) -> CommandResult:
+        """Give the claim free for other attempts.
+
+        An abandonment that comes before its claim is kept, so that the claim does not win when it
+        arrives late and nobody is left to run it.
+        """
+        if problem := claim_problem(command.id, command.attempt_id):
+            return _result(ResultCode.RESULT_CODE_INVALID, problem)
+        if command.id.issued_at_ms < self.floor_ms:
+            return _expired()
+        claim = self.find(command.id)
+        if claim is None:
+            claim = self._put(command.id, command.attempt_id, "")
+        if claim.attempt_id != command.attempt_id or claim.completed:
+            return _standing(claim, command.attempt_id)
+        claim.abandoned = True
+        return _result(ResultCode.RESULT_CODE_OK)
+
+    def raise_floor(self, floor_ms: int) -> None:
+        """Move the floor up and drop the claims below it; a lower floor changes nothing."""
+        if floor_ms <= self.floor_ms:
+            return
+        self.floor_ms = floor_ms
+        last = floor_ms // _BUCKET_MS
+        for bucket in [number for number in self._buckets if number <= last]:
+            for key in [key for key in self._buckets[bucket] if key[2] < floor_ms]:
+                self._drop(bucket, key)
+
+    def wanted_floor(self, now_ms: int) -> int | None:
+        """Return the floor that retention and memory ask for; ``None`` if it should stay.
+
+        The floor also stays one retention time behind the newest claim: a leader whose clock is
+        far ahead would otherwise expire all requests of the VMs whose clocks are right.
+        """
+        if not self._claims:
+            return None
+        newest = max(key[2] for key in self._buckets[max(self._buckets)])
+        for_memory = self._memory_floor()
+        if for_memory > self.floor_ms:
+            return for_memory
+        floor = min(now_ms, newest) - CLAIM_RETENTION_MS
+        step = floor - max(self.floor_ms, min(self._buckets) * _BUCKET_MS)
+        return floor if step >= _FLOOR_STEP_MS else None
+
+    def _memory_floor(self) -> int:
+        """Return the floor that brings count and answers back below their bounds; 0 if they are."""
+        excess = bytes_excess = 0
+        if len(self._claims) > MAX_CLAIMS:
+            excess = len(self._claims) - int(MAX_CLAIMS * _KEPT_SHARE)
+        if self.answer_bytes > MAX_STORED_ANSWER_BYTES:
+            bytes_excess = self.answer_bytes - int(MAX_STORED_ANSWER_BYTES * _KEPT_SHARE)
+        floor = 0
+        for key in self._oldest_first():
+            if excess <= 0 and bytes_excess <= 0:
+                break
+            excess -= 1
+            bytes_excess -= len(self._claims[key].answer)
+            floor = key[2] + 1
+        return floor
+
+    def _oldest_first(self) -> Iterable[_Key]:
+        numbers = list(self._buckets)
+        heapq.heapify(numbers)
+        while numbers:
+            yield from sorted(self._buckets[heapq.heappop(numbers)], key=lambda key: key[2])
+
+    def _put(self, claim_id: ClaimId, attempt_id: str, vm_id: str) -> Claim:
+        key = _key(claim_id)
+        if key in self._claims:
+            self._drop(key[2] // _BUCKET_MS, key)
+        return self._add(Claim(id=claim_id, attempt_id=attempt_id, vm_id=vm_id))
+
+    def _add(self, claim: Claim) -> Claim:
+        key = _key(claim.id)
+        self._claims[key] = claim
+        self._buckets.setdefault(key[2] // _BUCKET_MS, set()).add(key)
+        self.answer_bytes += len(claim.answer)
+        return claim
+
+    def _drop(self, bucket: int, key: _Key) -> None:
+        self.answer_bytes -= len(self._claims.pop(key).answer)
+        self._buckets[bucket].discard(key)
+        if not self._buckets[bucket]:
+            del self._buckets[bucket]
+
+
+def _key(claim_id: ClaimId) -> _Key:
+    return claim_id.service, claim_id.request_key, claim_id.issued_at_ms
+
+
+def _standing(claim: Claim, attempt_id: str) -> CommandResult:
+    """Return what an attempt is told about a claim that stands."""
+    if claim.completed:
+        message = "" if claim.answer else "the answer was not stored"
+        code = ResultCode.RESULT_CODE_CLAIM_ANSWERED
+        return CommandResult(code=code, answer=claim.answer, message=message)
+    if claim.attempt_id == attempt_id and not claim.abandoned:
+        return _result(ResultCode.RESULT_CODE_CLAIM_WON)
+    return _result(ResultCode.RESULT_CODE_CLAIM_HELD)
+
+
+def _expired() -> CommandResult:
+    return _result(ResultCode.RESULT_CODE_KEY_EXPIRED, "the request key is below the floor")
+
+
+def _result(code: ResultCode, message: str = "") -> CommandResult:
+    return CommandResult(code=code, message=message)
--- a/bramleycrank/state/config_state.py
+++ b/bramleycrank/state/config_state.py
@@ -2,25 +2,144 @@
 
 from __future__ import annotations
 
-from bramleycrank.proto.log_pb2 import ConfigDelta, ConfigImage, ServiceConfig, VmConfig
+from collections import deque
+from collections.abc import Iterable
+
+from bramleycrank.proto.log_pb2 import (
+    Change,
+    CommandResult,
+    ConfigDelta,
+    ConfigImage,
+    ResultCode,
+    ServiceConfig,
+    VmConfig,
+)
+from bramleycrank.state.types import DELTA_RING
+from bramleycrank.state.validation import MAX_SERVICES, MAX_VMS, change_problem
 
 
 class ConfigState:
-    """Configuration objects, the revision and the newest deltas."""
+    """Configuration objects, the revision and the newest deltas.
 
-    revision: int
-    services: dict[str, ServiceConfig]
-    vms: dict[str, VmConfig]
+    The objects are replaced, never changed in place, so readers may keep them.
+    """
 
-    @classmethod
-    def from_image(cls, image: ConfigImage) -> ConfigState:
-        """Build the configuration from an image."""
-        raise NotImplementedError
+    def __init__(self) -> None:
+        self.revision = 0
+        self.services: dict[str, ServiceConfig] = {}
+        self.vms: dict[str, VmConfig] = {}
+        self._deltas: deque[ConfigDelta] = deque(maxlen=DELTA_RING)
 
-    def deltas_since(self, revision: int) -> list[ConfigDelta] | None:
-        """Return the deltas after a revision; ``None`` if the ring does not reach back to it."""
-        raise NotImplementedError
+    @classmethod
+    def from_image(cls, image: ConfigImage, deltas: Iterable[ConfigDelta] = ()) -> ConfigState:
+        """Build the configuration from an image and the deltas that led to it."""
+        config = cls()
+        config.revision = image.revision
+        config.services = {service.name: service for service in image.services}
+        config.vms = {vm.vm_id: vm for vm in image.vms}
+        config._deltas.extend(deltas)
+        return config
 
     def image(self) -> ConfigImage:
         """Return a copy of all objects, sorted by name."""
-        raise NotImplementedError
+        return ConfigImage(
+            revision=self.revision,
+            services=[service for _, service in sorted(self.services.items())],
+            vms=[vm for _, vm in sorted(self.vms.items())],
+        )
+
+    def deltas(self) -> list[ConfigDelta]:
+        """Return the newest deltas, oldest first."""
+        return list(self._deltas)
+
+    def deltas_since(self, revision: int) -> list[ConfigDelta] | None:
+        """Return the deltas after a revision.
+
+        Returns
+        -------
+        list of ConfigDelta or None
+            Empty for this revision and higher ones; ``None`` if the ring does not reach back.
+        """
+        missing = self.revision - revision
+        if missing <= 0:
+            return []
+        if missing > len(self._deltas):
+            return None
+        return list(self._deltas)[-missing:]
+
+    def apply_change(self, change: Change) -> CommandResult:
+        """Apply a change if it is valid and the object has the expected version."""
+        if problem := change_problem(change):
+            return self._result(ResultCode.RESULT_CODE_INVALID, 0, problem)
+        body = change.WhichOneof("body")
+        version = self._version(change)
+        if body == "delete_service" and not version:
+            return self._result(ResultCode.RESULT_CODE_NOT_FOUND, 0, "there is no such service")
+        if version != change.expected_version:
+            message = f"the object has version {version}, not {change.expected_version}"
+            return self._result(ResultCode.RESULT_CODE_VERSION_CONFLICT, version, message)
+        if not version and self._is_full(body):
+            return self._result(ResultCode.RESULT_CODE_INVALID, 0, "there are too many objects")
+        self.apply_delta(ConfigDelta(revision=self.revision + 1, change=change))
+        return self._result(ResultCode.RESULT_CODE_OK, self.revision)
+
+    def apply_delta(self, delta: ConfigDelta) -> None:
+        """Apply an accepted change; raises ``ValueError`` unless it is the next revision."""
+        if delta.revision != self.revision + 1:
+            raise ValueError(f"delta {delta.revision} does not follow {self.revision}")
+        change = delta.change
+        match change.WhichOneof("body"):
+            case "put_service":
+                service = ServiceConfig()
+                service.CopyFrom(change.put_service)
+                service.version = delta.revision
+                self.services[service.name] = service
+            case "delete_service":
+                self.services.pop(change.delete_service, None)
+            case "put_vm":
+                vm = VmConfig()
+                vm.CopyFrom(change.put_vm)
+                vm.version = delta.revision
+                self.vms[vm.vm_id] = vm
+        self.revision = delta.revision
+        self._deltas.append(delta)
+
+    def advance(self, deltas: Iterable[ConfigDelta], image: ConfigImage | None) -> bool:
+        """Move up to a higher revision.
+
+        Deltas that are already applied are skipped, and those behind a gap are not used. An image
+        replaces everything if its revision is higher than what the deltas reach.
+
+        Returns
+        -------
+        bool
+            Whether the revision grew.
+        """
+        before = self.revision
+        for delta in sorted(deltas, key=lambda delta: delta.revision):
+            if delta.revision == self.revision + 1:
+                self.apply_delta(delta)
+        if image is not None and image.revision > self.revision:
+            newer = ConfigState.from_image(image)
+            self.revision, self.services, self.vms = newer.revision, newer.services, newer.vms
+            self._deltas.clear()
+        return self.revision > before
+
+    def _version(self, change: Change) -> int:
+        """Return the version of the object that the change is about; 0 if it does not exist."""
+        match change.WhichOneof("body"):
+            case "put_service":
+                found = self.services.get(change.put_service.name)
+            case "delete_service":
+                found = self.services.get(change.delete_service)
+            case _:
+                found = self.vms.get(change.put_vm.vm_id)
+        return found.version if found is not None else 0
+
+    def _is_full(self, body: str) -> bool:
+        if body == "put_service":
+            return len(self.services) >= MAX_SERVICES
+        return len(self.vms) >= MAX_VMS
+
+    def _result(self, code: ResultCode, version: int, message: str = "") -> CommandResult:
+        return CommandResult(code=code, revision=self.revision, version=version, message=message)
--- a/bramleycrank/state/replicated.py
+++ b/bramleycrank/state/replicated.py
@@ -2,30 +2,139 @@
 
 from __future__ import annotations
 
-from bramleycrank.proto.log_pb2 import Command, CommandResult, Entry
+from collections import OrderedDict
+
+from google.protobuf.message import DecodeError
+
+from bramleycrank.proto.log_pb2 import (
+    Change,
+    ClaimFloor,
+    Command,
+    CommandResult,
+    Entry,
+    RememberedChange,
+    ResultCode,
+    StateImage,
+)
 from bramleycrank.state.claims import ClaimTable
 from bramleycrank.state.config_state import ConfigState
+from bramleycrank.state.types import REMEMBERED_CHANGES
+from bramleycrank.state.validation import has_change_id
 
 
 class ReplicatedState:
-    """Configuration and claims; equal logs give equal states on every node."""
+    """Configuration and claims.
 
-    config: ConfigState
-    claims: ClaimTable
+    Nothing here depends on clocks, random numbers or the order of sets, so equal logs give equal
+    states and equal images on every node.
+    """
 
-    def apply(self, entry: Entry) -> CommandResult:
-        """Apply a committed entry; entries without a command change nothing."""
-        raise NotImplementedError
-
-    def image(self) -> bytes:
-        """Return the serialized state image."""
-        raise NotImplementedError
+    def __init__(self) -> None:
+        self.config = ConfigState()
+        self.claims = ClaimTable()
+        self._changes: OrderedDict[str, CommandResult] = OrderedDict()
 
     @classmethod
     def from_image(cls, data: bytes) -> ReplicatedState:
         """Build the state from an image; empty data gives the empty state."""
-        raise NotImplementedError
+        image = StateImage.FromString(data)
+        state = cls()
+        state.config = ConfigState.from_image(image.config, image.deltas)
+        state.claims = ClaimTable.from_claims(image.claims, image.claims_floor_ms)
+        state._changes.update((item.change_id, item.result) for item in image.changes)
+        return state
+
+    def image(self) -> bytes:
+        """Return the serialized ``StateImage``."""
+        return StateImage(
+            config=self.config.image(),
+            deltas=self.config.deltas(),
+            changes=[
+                RememberedChange(change_id=change_id, result=result)
+                for change_id, result in self._changes.items()
+            ],
+            claims=self.claims.all(),
+            claims_floor_ms=self.claims.floor_ms,
+        ).SerializeToString(deterministic=True)
+
+    def apply(self, entry: Entry) -> CommandResult:
+        """Apply a committed entry.
+
+        Returns
+        -------
+        CommandResult
+            What the proposer is told. An entry without a command changes nothing and is OK. A
+            command that cannot be read is INVALID on every node.
+        """
+        if entry.WhichOneof("body") != "command":
+            return self._with_revision(CommandResult(code=ResultCode.RESULT_CODE_OK))
+        try:
+            command = Command.FromString(entry.command)
+        except DecodeError:
+            command = Command()
+        if command.WhichOneof("body") == "change":
+            return self._apply_change(command.change)
+        return self._with_revision(self._apply_other(command))
 
     def floor_proposal(self, now_ms: int) -> Command | None:
-        """Return the command that moves the claims floor, if it should move."""
-        raise NotImplementedError
+        """Return the command that moves the claims floor, if it should move.
+
+        Parameters
+        ----------
+        now_ms : int
+            Unix time of the leader in milliseconds. The floor protects against repeated runs
+            whatever the clock says; a wrong clock only changes how long answers are kept.
+        """
+        floor_ms = self.claims.wanted_floor(now_ms)
+        if floor_ms is None:
+            return None
+        return Command(claim_floor=ClaimFloor(floor_ms=floor_ms))
+
+    def dump(self) -> dict[str, object]:
+        """Return sizes and positions for operators."""
+        return {
+            "revision": self.config.revision,
+            "services": {name: item.version for name, item in self.config.services.items()},
+            "vms": {name: item.version for name, item in self.config.vms.items()},
+            "remembered_changes": len(self._changes),
+            "claims": len(self.claims),
+            "claims_floor_ms": self.claims.floor_ms,
+            "answer_bytes": self.claims.answer_bytes,
+        }
+
+    def _with_revision(self, result: CommandResult) -> CommandResult:
+        result.revision = self.config.revision
+        return result
+
+    def _apply_other(self, command: Command) -> CommandResult:
+        match command.WhichOneof("body"):
+            case "claim_open":
+                return self.claims.open(command.claim_open)
+            case "claim_complete":
+                return self.claims.complete(command.claim_complete)
+            case "claim_abandon":
+                return self.claims.abandon(command.claim_abandon)
+            case "claim_floor":
+                self.claims.raise_floor(command.claim_floor.floor_ms)
+                return CommandResult(code=ResultCode.RESULT_CODE_OK)
+        return CommandResult(code=ResultCode.RESULT_CODE_INVALID, message="unreadable command")
+
+    def _apply_change(self, change: Change) -> CommandResult:
+        """Apply a change once; a resend gets the first result, whatever that was."""
+        if not has_change_id(change):
+            message = "the change id is missing or too long"
+            result = CommandResult(code=ResultCode.RESULT_CODE_INVALID, message=message)
+            return self._with_revision(result)
+        if (first := self._changes.get(change.change_id)) is not None:
+            return _copy(first)
+        result = self.config.apply_change(change)
+        self._changes[change.change_id] = _copy(result)
+        if len(self._changes) > REMEMBERED_CHANGES:
+            self._changes.popitem(last=False)
+        return result
+
+
+def _copy(result: CommandResult) -> CommandResult:
+    copy = CommandResult()
+    copy.CopyFrom(result)
+    return copy
