Let a VM resume after a drain and tell when a gossip reply was asked for

The configuration follower needs the time at which the request of a reply was sent: without it the age of the leader's confirmation in the reply has no bound, and a VM without a part in the log never became current. An operator can end a drain, so the membership needs a way back from DRAINING.

--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -24,6 +24,7 @@
 from bramleycrank.membership.records import address_of
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_ALIVE,
+    VM_STATE_DRAINING,
     ConfigStatus,
     Gossip,
     ProbeReply,
@@ -96,6 +97,7 @@
         )
         self._config_status: Callable[[], ConfigStatus] | None = None
         self._status_callbacks: list[Callable[[str, ConfigStatus], None]] = []
+        self._reply_callbacks: list[Callable[[str, ConfigStatus, float], None]] = []
         self._target_callbacks: list[Callable[[TargetRecord], None]] = []
         self._vm_callbacks: list[Callable[[VmRecord], None]] = []
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -131,6 +133,14 @@
         self._draining = True
         self._execute(self.core.drain(self._clock()))
 
+    def resume(self) -> None:
+        """Tell others that this VM no longer drains."""
+        local = self.core.local
+        if not self._draining or local.state != VM_STATE_DRAINING:
+            return
+        self._draining = False
+        self._execute(self.core.resume(self._clock()))
+
     async def leave(self, timeout_s: float = 1.0) -> None:
         """Tell others that this VM left, waiting at most `timeout_s` seconds for their answers."""
         self._draining = True
@@ -178,6 +188,15 @@
         """Call back with ``host:port`` and status of the sender of each gossip message."""
         self._status_callbacks.append(callback)
 
+    def subscribe_config_replies(
+        self, callback: Callable[[str, ConfigStatus, float], None]
+    ) -> None:
+        """Call back for each reply with the address, the status and when the request was sent.
+
+        A reply is no older than its request, so it bounds the age of what it says.
+        """
+        self._reply_callbacks.append(callback)
+
     def dump(self) -> dict[str, Any]:
         """Return the state of both cores."""
         now = self._clock()
@@ -278,6 +297,7 @@
 
     async def _probe(self, action: SendProbe) -> None:
         self._add_status(action.request.gossip)
+        sent_at = self._clock()
         try:
             reply = await self._clients.call(
                 action.address, "Probe", action.request, timeout_s=action.timeout_s
@@ -286,23 +306,25 @@
             log.debug("membership: no answer from %s: %s", action.address, exc)
             self._execute(self.core.on_probe_failed(action.probe_id, self._clock()))
             return
-        self._note_status(reply.gossip)
+        self._note_status(reply.gossip, sent_at)
         self._execute(self.core.on_probe_reply(action.probe_id, reply, self._clock()))
 
     async def _relay(self, action: RelayProbe) -> bool:
         self._add_status(action.request.gossip)
+        sent_at = self._clock()
         try:
             reply = await self._clients.call(
                 action.address, "Probe", action.request, timeout_s=action.timeout_s
             )
         except BramleycrankError:
             return False
-        self._note_status(reply.gossip)
+        self._note_status(reply.gossip, sent_at)
         self._execute(self.core.on_relay_reply(reply, self._clock()))
         return True
 
     async def _sync(self, action: SendSync) -> None:
         self._add_status(action.request.gossip)
+        sent_at = self._clock()
         try:
             reply = await self._clients.call(
                 action.address, "Sync", action.request, timeout_s=action.timeout_s
@@ -311,16 +333,20 @@
             log.debug("membership: no exchange with %s: %s", action.address, exc)
             self._execute(self.core.on_sync_failed(action.sync_id, self._clock()))
             return
-        self._note_status(reply.gossip)
+        self._note_status(reply.gossip, sent_at)
         self._execute(self.core.on_sync_reply(action.sync_id, reply, self._clock()))
 
     def _add_status(self, gossip: Gossip) -> None:
         if self._config_status is not None:
             gossip.config.CopyFrom(self._config_status())
 
-    def _note_status(self, gossip: Gossip) -> None:
-        if gossip.HasField("config") and gossip.HasField("sender"):
-            _notify(self._status_callbacks, address_of(gossip.sender), gossip.config)
+    def _note_status(self, gossip: Gossip, sent_at: float | None = None) -> None:
+        if not (gossip.HasField("config") and gossip.HasField("sender")):
+            return
+        address = address_of(gossip.sender)
+        _notify(self._status_callbacks, address, gossip.config)
+        if sent_at is not None:
+            _notify(self._reply_callbacks, address, gossip.config, sent_at)
 
 
 def _notify(callbacks: list[Callable[..., None]], *args: object) -> None:
--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -17,6 +17,7 @@
 )
 from bramleycrank.membership.view import GroupView
 from bramleycrank.proto.peer_pb2 import (
+    VM_STATE_ALIVE,
     VM_STATE_DRAINING,
     VM_STATE_LEFT,
     ProbeReply,
@@ -169,6 +170,12 @@
             return []
         return self._view.set_local(VM_STATE_DRAINING, self.local.incarnation + 1, now)
 
+    def resume(self, now: float) -> list[Action]:
+        """Mark this VM as alive again after `drain`."""
+        if self.local.state != VM_STATE_DRAINING:
+            return []
+        return self._view.set_local(VM_STATE_ALIVE, self.local.incarnation + 1, now)
+
     def leave(self, now: float) -> list[Action]:
         """Mark this VM as left and tell others; afterwards it no longer probes."""
         if self._view.left:
