--- a/bramleycrank/daemon/query_controller.py
+++ b/bramleycrank/daemon/query_controller.py
@@ -2,22 +2,54 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
+from bramleycrank.exceptions import BramleycrankError, Draining, InternalError
+from bramleycrank.filters.admit import AdmitFilter
+from bramleycrank.filters.answer import AnswerFilter
+from bramleycrank.filters.chain import compose, settle_outcome
+from bramleycrank.filters.claim import ClaimFilter
+from bramleycrank.filters.classify import ClassifyFilter
+from bramleycrank.filters.dispatch import DispatchFilter
+from bramleycrank.filters.merge import MergeFilter
+from bramleycrank.filters.plan import PlanFilter
+from bramleycrank.filters.snapshot import SnapshotFilter
+from bramleycrank.filters.timer import SharedTimer
 from bramleycrank.filters.types import (
     Configuration,
+    Filter,
     Metrics,
     NoMetrics,
     Proposer,
+    RequestContext,
     Sessions,
     Targets,
 )
-from bramleycrank.proto.target_pb2 import LoadReport
+from bramleycrank.filters.validate import ValidateFilter
+from bramleycrank.proto.target_pb2 import LoadReport, TargetRecord
+from bramleycrank.query.admission import Admission
+from bramleycrank.query.catalog import SnapshotCatalog
+from bramleycrank.query.policy import make_policy
+from bramleycrank.query.replicas import ReplicaTable
 from bramleycrank.query.types import Answer, QueryConfig, QueryRequest
 
+log = logging.getLogger(__name__)
+
+REFRESH_S = 1.0
+"""Period in which the targets of the used services are read again; leases run out silently."""
+
+DRAIN_RETRY_MS = 100
+"""Retry time of a refusal by a VM that shuts down; other VMs can serve at once."""
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
 
 class QueryController:
     """Executes requests and owns admission, snapshots, replicas and budgets.
@@ -26,6 +58,10 @@
     ----------
     vm_id, domain : str
         Identity and failure domain of this VM.
+    clock : callable
+        Monotonic time in seconds.
+    wall_ms : callable
+        Unix time in milliseconds.
     """
 
     def __init__(
@@ -41,46 +77,182 @@
         metrics: Metrics | None = None,
         rng: random.Random | None = None,
         clock: Callable[[], float] = time.monotonic,
-        wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
+        wall_ms: Callable[[], int] = _wall_ms,
     ) -> None:
+        rng = rng or random.Random()
+        self._domain = domain
+        self._source = targets
         self._metrics = metrics or NoMetrics()
+        self._clock = clock
+        self._timer = SharedTimer(clock)
+        self._catalog = SnapshotCatalog()
+        self._table = ReplicaTable(domain, rng, cfg.warmup_s)
+        self._policy = make_policy(cfg, self._table, rng)
+        self._admission = Admission.from_config(cfg)
+        self._stale: dict[str, bool] = {}
+        self._next_refresh: float | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._draining = False
+        self._configuration = configuration
+        claim = ClaimFilter(proposer, vm_id, self._spawn, clock)
+        self._chain = compose(self._filters(configuration, sessions, claim, wall_ms))
+
+    def _filters(
+        self,
+        configuration: Configuration,
+        sessions: Sessions,
+        claim: Filter,
+        wall_ms: Callable[[], int],
+    ) -> list[Filter]:
+        clock, timer, metrics = self._clock, self._timer, self._metrics
+        self._dispatch = DispatchFilter(sessions, timer, clock, metrics)
+        return [
+            ValidateFilter(configuration, wall_ms),
+            ClassifyFilter(),
+            AdmitFilter(self._admission, timer, clock, metrics),
+            claim,
+            SnapshotFilter(self._catalog, self._refresh, clock),
+            PlanFilter(self._policy, self._catalog, sessions.next_sub_id, clock),
+            self._dispatch,
+            MergeFilter(),
+            AnswerFilter(configuration),
+        ]
 
     @property
     def in_flight(self) -> int:
         """Number of requests that are not answered yet, and of claims not completed yet."""
-        raise NotImplementedError
+        return len(self._tasks)
 
     async def start(self) -> None:
-        """Subscribe to target changes."""
+        """Subscribe to target changes and start the periodic refresh."""
+        self._source.subscribe_targets(self._on_target)
+        self._next_refresh = self._clock() + REFRESH_S
+        self._timer.update(self)
 
     async def stop(self) -> None:
         """Stop timers and background work."""
+        self._draining = True
+        self._next_refresh = None
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._timer.close()
 
     async def execute(self, req: QueryRequest) -> Answer:
         """Return the answer to `req`.
 
+        If the calling task is cancelled, the request is cancelled too, unless it is a
+        non-idempotent one that was dispatched: that one is completed in the log.
+
         Raises
         ------
         BramleycrankError
             If the request cannot be answered.
         """
-        raise NotImplementedError
+        ctx = RequestContext(req, received_at=self._clock())
+        task = self._spawn(self._run(ctx))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            if ctx.idempotent or not ctx.dispatched:
+                task.cancel()
+            raise
+
+    async def _run(self, ctx: RequestContext) -> Answer:
+        name = "unexpected"
+        try:
+            if self._draining:
+                raise Draining(retry_after_ms=DRAIN_RETRY_MS)
+            answer = await self._chain(ctx)
+            name = answer.outcome
+            return answer
+        except BramleycrankError as exc:
+            settle_outcome(ctx, exc)
+            name = exc.name
+            raise
+        except asyncio.CancelledError:
+            name = "cancelled"
+            raise
+        except Exception:
+            log.exception("query: a request failed unexpectedly")
+            error = InternalError()
+            settle_outcome(ctx, error)
+            raise error from None
+        finally:
+            self._metrics.incr(f"query.requests.{name}")
+            self._metrics.timing("query.latency", (self._clock() - ctx.received_at) * 1e3)
+
+    def _spawn(self, coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+        return task
+
+    def _on_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # marks it as retrieved; the caller may have gone away
 
     async def drain(self, limit_s: float) -> bool:
         """Wait until nothing is in flight, at most `limit_s`; return whether that was reached.
 
         New requests are refused with `Draining` from the start of this call.
         """
-        raise NotImplementedError
+        self._draining = True
+        until = self._clock() + limit_s
+        while self._tasks and (left := until - self._clock()) > 0:
+            await asyncio.wait(list(self._tasks), timeout=left)
+        return not self._tasks
 
     def set_down(self, target_id: str, down: bool) -> None:
         """Take over the connection monitor's view of a target."""
-        raise NotImplementedError
+        now = self._clock()
+        self._table.set_down(target_id, down, now)
+        self._catalog.set_down(target_id, down, now)
 
     def on_load(self, target_id: str, report: LoadReport) -> None:
         """Take over the load report of a target."""
-        raise NotImplementedError
+        self._table.on_load(target_id, report, self._clock())
+
+    def _on_target(self, record: TargetRecord) -> None:
+        """Mark a service for a refresh before its next query."""
+        if record.service in self._stale:
+            self._stale[record.service] = True
+
+    def _refresh(self, service: str) -> None:
+        """Read the targets of a service again if they may have changed."""
+        if not self._stale.get(service, True):
+            return
+        self._stale[service] = False
+        now = self._clock()
+        records = list(self._source.targets(service))
+        if self._catalog.update(service, records, now):
+            self._table.set_vm_counts({self._domain: self._source.vm_count(self._domain)})
+            self._table.update(service, records, now)
+
+    def next_deadline(self) -> float | None:
+        """Return the time of the next periodic refresh."""
+        return self._next_refresh
+
+    def on_time(self, now: float) -> None:
+        """Mark all services for a refresh and report gauges."""
+        self._next_refresh = now + REFRESH_S
+        self._stale = dict.fromkeys(self._stale, True)
+        self._metrics.gauge("query.in_flight", self._admission.in_flight)
+        self._metrics.gauge("query.queued", self._admission.queued)
+        self._metrics.gauge("query.concurrency_limit", self._admission.limit.value)
 
     def dump(self) -> dict[str, Any]:
         """Return the state of targets, limits, budgets and snapshots with its explanation."""
-        raise NotImplementedError
+        now = self._clock()
+        running = [ctx.execution for ctx in self._dispatch.running.values() if ctx.execution]
+        return {
+            "draining": self._draining,
+            "in_flight": self.in_flight,
+            "admission": self._admission.dump(now),
+            "snapshots": self._catalog.dump(now),
+            "targets": self._table.dump(now),
+            "budgets": self._policy.dump(now),
+            "executions": [execution.dump(now) for execution in running[:100]],
+        }
--- /dev/null
+++ b/bramleycrank/filters/admit.py
@@ -0,0 +1,83 @@
+"""Waits for admission and holds a place until the request has ended."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from bramleycrank.filters.timer import SharedTimer
+from bramleycrank.filters.types import Metrics, Next, RequestContext
+from bramleycrank.query.admission import Admission
+from bramleycrank.query.types import Admit, Answer, Refuse, Ticket
+
+
+class AdmitFilter:
+    """Runs the admission core."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        timer: SharedTimer,
+        clock: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._admission = admission
+        self._timer = timer
+        self._clock = clock
+        self._metrics = metrics
+        self._waiting: dict[Ticket, asyncio.Future[None]] = {}
+
+    async def __call__(self, ctx: RequestContext, next: Next) -> Answer:
+        """Admit the request, run it and give its place back."""
+        ticket = ctx.ticket
+        assert ticket is not None
+        await self._enter(ticket)
+        try:
+            return await next(ctx)
+        finally:
+            self._leave(ctx, ticket)
+
+    async def _enter(self, ticket: Ticket) -> None:
+        actions = self._admission.offer(ticket, self._clock())
+        if ticket.state == "running":
+            return
+        fut = self._waiting[ticket] = asyncio.get_running_loop().create_future()
+        self._perform(actions)
+        self._timer.update(self)
+        try:
+            await fut
+        except asyncio.CancelledError:
+            if ticket.state == "running":
+                self._perform(self._admission.release(ticket, 0.0, False, self._clock()))
+            self._admission.withdraw(ticket)
+            raise
+        finally:
+            self._waiting.pop(ticket, None)
+
+    def _leave(self, ctx: RequestContext, ticket: Ticket) -> None:
+        """Release the place; only the execution's own time counts as latency."""
+        now, execution = self._clock(), ctx.execution
+        latency_s, overloaded = 0.0, False
+        if execution is not None and execution.dispatched:
+            latency_s = now - execution.started_at
+            overloaded = execution.shed > 0 or now >= execution.deadline
+        self._perform(self._admission.release(ticket, latency_s, overloaded, now))
+
+    def _perform(self, actions: Iterable[Admit | Refuse]) -> None:
+        for action in actions:
+            fut = self._waiting.get(action.ticket)
+            if fut is None or fut.done():
+                continue
+            if isinstance(action, Admit):
+                fut.set_result(None)
+            else:
+                self._metrics.incr(f"query.refused.{action.error.name}")
+                fut.set_exception(action.error)
+
+    def next_deadline(self) -> float | None:
+        """Return the time of the next check of the queues."""
+        return self._admission.next_deadline()
+
+    def on_time(self, now: float) -> None:
+        """Refuse queued requests that cannot be answered in time."""
+        self._perform(self._admission.tick(now))
--- /dev/null
+++ b/bramleycrank/query/result.py
@@ -0,0 +1,77 @@
+"""The answer or the error that a query ends with."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    DeadlineExceeded,
+    IncompleteCoverage,
+    NoTargets,
+    Outcome,
+    TargetFailed,
+)
+from bramleycrank.query.merge import merge_hits
+from bramleycrank.query.subrequests import ShardState
+from bramleycrank.query.types import (
+    READ_KINDS,
+    Answer,
+    Attempts,
+    Coverage,
+    MissingReason,
+    MissingShard,
+    QueryRequest,
+    Snapshot,
+)
+
+NO_REPLICA_RETRY_MS = 1000
+"""Retry time when replicas are missing; targets renew their announcements every 2 s."""
+
+
+def build_answer(
+    req: QueryRequest,
+    snapshot: Snapshot,
+    shards: Sequence[ShardState],
+    counts: tuple[int, int, int, int],
+) -> Answer:
+    """Return the merged answer; `counts` are first sub-requests, hedges, retries, restarts."""
+    replies = [shard.reply for shard in shards if shard.reply is not None]
+    missing = tuple(
+        MissingShard(shard.index, shard.reason or MissingReason.FAILED)
+        for shard in shards
+        if shard.reply is None
+    )
+    first, hedges, retries, restarts = counts
+    if req.kind in READ_KINDS:
+        result = merge_hits(replies, req.limit)
+    else:
+        result = replies[0].payload.decode(errors="replace")
+    return Answer(
+        outcome="partial" if missing else "complete",
+        result=result,
+        snapshot=snapshot,
+        coverage=Coverage(len(replies), len(shards), missing),
+        attempts=Attempts(len(shards), first + hedges + retries, hedges, retries, restarts),
+        request_key=req.request_key,
+    )
+
+
+def build_error(
+    shards: Sequence[ShardState], late: bool, outcome: Outcome, retry_after_ms: int
+) -> BramleycrankError:
+    """Return the error of a query whose replies are not enough for an answer."""
+    reasons = Counter(shard.reason for shard in shards if shard.reply is None and shard.reason)
+    if late:
+        return DeadlineExceeded(outcome=outcome, retry_after_ms=retry_after_ms)
+    text = ", ".join(f"{count} {reason}" for reason, count in sorted(reasons.items()))
+    if set(reasons) == {MissingReason.NO_REPLICA}:
+        retry_after_ms = retry_after_ms or NO_REPLICA_RETRY_MS
+        if len(shards) == reasons.total() and outcome is Outcome.NOT_RUN:
+            return NoTargets(outcome=outcome, retry_after_ms=retry_after_ms)
+    elif MissingReason.SHED not in reasons and reasons.total() == len(shards):
+        return TargetFailed(f"No shard answered: {text}.", outcome=outcome)
+    return IncompleteCoverage(
+        f"Shards without an answer: {text}.", outcome=outcome, retry_after_ms=retry_after_ms
+    )
--- /dev/null
+++ b/bramleycrank/query/subrequests.py
@@ -0,0 +1,61 @@
+"""Sub-requests of one query: their messages and their state."""
+
+from __future__ import annotations
+
+import attrs
+import xxhash
+
+from bramleycrank.proto.target_pb2 import Snapshot as SnapshotMessage
+from bramleycrank.proto.target_pb2 import SubReply, SubRequest
+from bramleycrank.query.types import SCATTER_KINDS, MissingReason, QueryRequest, Snapshot
+
+
+@attrs.define(eq=False)
+class Sub:
+    """A sub-request that was sent and has not ended."""
+
+    sub_id: int
+    shard: ShardState
+    target_id: str
+    sent_at: float
+    first: bool
+
+
+@attrs.define(eq=False)
+class ShardState:
+    """Progress of one shard of a query."""
+
+    index: int
+    open: list[Sub] = attrs.field(factory=list)
+    tried: list[str] = attrs.field(factory=list)
+    reply: SubReply | None = None
+    reason: MissingReason | None = None
+    ended: bool = False
+    hedged: bool = False
+    retries: int = 0
+
+
+def shard_of(key: str, shard_count: int) -> int:
+    """Return the shard that holds `key`."""
+    return xxhash.xxh64_intdigest(key.encode()) % shard_count
+
+
+def shards_for(req: QueryRequest, snapshot: Snapshot) -> list[int]:
+    """Return the shards that a request needs."""
+    if req.kind in SCATTER_KINDS:
+        return list(range(snapshot.shard_count))
+    return [shard_of(req.key, snapshot.shard_count)]
+
+
+def template(req: QueryRequest, snapshot: Snapshot) -> SubRequest:
+    """Return the fields that all sub-requests of a query on one snapshot share."""
+    return SubRequest(
+        service=req.service,
+        kind=req.kind,
+        snapshot=SnapshotMessage(version=snapshot.version, shard_count=snapshot.shard_count),
+        query=req.query,
+        key=req.key,
+        limit=req.limit,
+        payload=req.payload.encode(),
+        request_key=req.request_key,
+    )
--- /dev/null
+++ b/bramleycrank/query/targets.py
@@ -0,0 +1,147 @@
+"""What the VM has observed of one target."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from bramleycrank.proto.target_pb2 import TargetRecord
+
+FAILURES_TO_EJECT = 5
+"""Consecutive failures after which a target is ejected."""
+
+EJECT_BASE_S, EJECT_MAX_S = 1.0, 60.0
+"""First and longest time of an ejection; each further ejection doubles it."""
+
+CALM_S = 30.0
+"""Time without an ejection after which the back-off starts anew."""
+
+WARMUP_FLOOR = 0.05
+"""Smallest share of a cold target; without it no observation would ever arrive."""
+
+_LATENCY_WEIGHT = 0.1
+_SHED_FACTOR = 0.7
+
+
+@attrs.define(eq=False)
+class TargetState:
+    """Observed state of one target.
+
+    Parameters
+    ----------
+    limit : float
+        Concurrency limit of this VM for the target.
+    warm_from : float
+        Start of the warm-up.
+    """
+
+    target_id: str
+    domain: str
+    local: bool
+    slots: int
+    incarnation: int
+    limit: float
+    warm_from: float
+    warm_until: float
+    in_flight: int = 0
+    latency_s: float = 0.0
+    failures: int = 0
+    ejections: int = 0
+    ejected_at: float = 0.0
+    ejected_until: float = 0.0
+    limit_cut_at: float = -1e9
+    down: bool = False
+    leaving: bool = False
+    reported: float = 0.0
+    replies: int = 0
+    sheds: int = 0
+    losses: int = 0
+
+    @classmethod
+    def from_record(
+        cls, record: TargetRecord, local: bool, limit: float, warm_from: float, warm_until: float
+    ) -> TargetState:
+        """Return the state of a target that the VM has not used yet."""
+        return cls(
+            target_id=record.target_id,
+            domain=record.domain,
+            local=local,
+            slots=max(1, record.slots),
+            incarnation=record.incarnation,
+            limit=limit,
+            warm_from=warm_from,
+            warm_until=warm_until,
+        )
+
+    def warm_share(self, now: float) -> float:
+        """Return the share of a full one that the target gets while it warms up."""
+        if now >= self.warm_until:
+            return 1.0
+        return max(WARMUP_FLOOR, (now - self.warm_from) / (self.warm_until - self.warm_from))
+
+    def score(self) -> float:
+        """Return the expected cost of one more sub-request; lower is better."""
+        # The reported load only decides between otherwise equal targets; it can lag or mislead.
+        return (
+            (self.in_flight + 1) * (self.latency_s or 1e-4) * (1 + self.failures)
+        ) + 1e-9 * self.reported
+
+    def on_reply(self, latency_s: float, now: float) -> None:
+        """Count an accepted reply."""
+        self.replies += 1
+        self.failures = 0
+        if self.ejections and now - self.ejected_until > CALM_S:
+            self.ejections = 0
+        # A limit that is not used says nothing about the capacity behind it.
+        if self.in_flight * 2 >= self.limit and self.limit < 4 * self.slots:
+            self.limit += 1.0 / self.limit
+        known = self.latency_s
+        self.latency_s = known + (latency_s - known) * _LATENCY_WEIGHT if known else latency_s
+
+    def on_shed(self, now: float) -> None:
+        """Lower the limit, once for all shed replies of one round trip."""
+        self.sheds += 1
+        if now - self.limit_cut_at >= self.latency_s:
+            self.limit = max(1.0, self.limit * _SHED_FACTOR)
+            self.limit_cut_at = now
+
+    def on_failure(self, now: float) -> None:
+        """Count a failure; eject after too many in a row."""
+        self.losses += 1
+        self.failures += 1
+        if self.failures >= FAILURES_TO_EJECT and now >= self.ejected_until:
+            wait = min(EJECT_MAX_S, EJECT_BASE_S * 2**self.ejections)
+            self.ejections = min(self.ejections + 1, 10)
+            self.ejected_at, self.ejected_until = now, now + wait
+            # After the ejection a single failure is enough for the next one.
+            self.failures = FAILURES_TO_EJECT - 1
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the state with its explanation."""
+        return {
+            "domain": self.domain,
+            "why": self._why(now),
+            "in_flight": self.in_flight,
+            "limit": round(self.limit, 2),
+            "latency_ms": round(self.latency_s * 1e3, 3),
+            "consecutive_failures": self.failures,
+            "replies": self.replies,
+            "shed": self.sheds,
+            "failed": self.losses,
+            "reported_load": round(self.reported, 3),
+        }
+
+    def _why(self, now: float) -> str:
+        if self.leaving:
+            return "leaving: the target refused work because it is leaving"
+        if self.down:
+            return "down: the connection monitor got no answer"
+        if self.ejected_until > now:
+            left = self.ejected_until - now
+            return f"ejected: consecutive failures, for {left:.1f} s more"
+        if now < self.warm_until:
+            return f"warming up: gets {self.warm_share(now):.0%} of a full share"
+        if self.in_flight >= self.limit:
+            return "at its limit: used only if no replica has free capacity"
+        return "in use"
--- a/bramleycrank/query/types.py
+++ b/bramleycrank/query/types.py
@@ -9,7 +9,7 @@
 import attrs
 
 from bramleycrank.exceptions import BramleycrankError
-from bramleycrank.proto.target_pb2 import LoadReport, SubRequest
+from bramleycrank.proto.target_pb2 import SubRequest
 
 READ_KINDS = frozenset({"search", "fetch", "quick_match"})
 """Built-in kinds; they are always idempotent."""
@@ -338,17 +338,11 @@
     ) -> None:
         """Count a cancelled sub-request; `elapsed_s` is 0 unless another reply overtook it."""
 
-    def on_unusable(
+    def on_gone(
         self, service: str, target_id: str, snapshot: Snapshot | None, shard: int, now: float
     ) -> None:
         """Record that the target does not hold the shard, or is leaving if `snapshot` is None."""
 
-    def on_load(self, target_id: str, report: LoadReport, now: float) -> None:
-        """Record the load report of a target."""
-
-    def set_down(self, target_id: str, down: bool, now: float) -> None:
-        """Record the connection monitor's view of a target."""
-
     def dump(self, now: float) -> dict[str, Any]:
         """Return the state and its explanation."""
 
--- a/bramleycrank/transport/http_api.py
+++ b/bramleycrank/transport/http_api.py
@@ -2,14 +2,47 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+import json
+import logging
+import math
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
+from urllib.parse import unquote_to_bytes
 
 from klein import Klein
-from twisted.web.server import Site
+from twisted.internet.defer import CancelledError as DeferredCancelled
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+from twisted.web.iweb import IRequest
+from twisted.web.server import Request, Site
+from werkzeug.exceptions import HTTPException
 
+from bramleycrank.exceptions import (
+    BodyTooLarge,
+    BramleycrankError,
+    InternalError,
+    InvalidRequest,
+    NotFound,
+    Outcome,
+)
+from bramleycrank.filters.parse import parse_request
 from bramleycrank.query.types import Answer, QueryRequest
 
+log = logging.getLogger(__name__)
+
+MAX_BODY = 64 * 1024
+"""Largest body in bytes."""
+
+MAX_DISCARDED = 1024 * 1024
+"""Bytes of a too large body that are read and discarded so that the caller sees the answer.
+
+Closing a connection with unread data resets it, and the answer may be lost.
+"""
+
+IDLE_TIMEOUT_S = 70.0
+"""Time after which an idle connection is closed; longer than the longest deadline."""
+
 
 class Executor(Protocol):
     """Executes requests; the query controller in the daemon."""
@@ -18,6 +51,90 @@
         """Return the answer; raises `BramleycrankError`."""
 
 
+class LimitedRequest(Request):
+    """Bounds the memory and the time that a body can take while it is read."""
+
+    _received = 0
+    _refused = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802 - Twisted's name
+        """Prepare for the body; refuse at once what is far above the limit."""
+        # Twisted would parse forms by itself and answer malformed ones without a typed error.
+        self.requestHeaders.removeHeader(b"content-type")
+        super().gotLength(min(length, MAX_BODY) if length is not None else None)
+        if length is not None and length > MAX_DISCARDED:
+            self._refuse(_too_large())
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802 - Twisted's name
+        """Keep a part of the body up to the limit, discard more, then give up."""
+        self._received += len(data)
+        if self._received <= MAX_BODY:
+            super().handleContentChunk(data)
+        elif self._received > MAX_DISCARDED:
+            self._refuse(_too_large())
+
+    def requestReceived(  # noqa: N802 - Twisted's name
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Pass on a request whose body and path are acceptable."""
+        if self._received > MAX_BODY:
+            self._refuse(_too_large())
+        elif not _is_text(path):
+            problem = InvalidRequest("The path is not valid text.", outcome=Outcome.NOT_RUN)
+            self._refuse(problem)
+        if not self._refused:
+            super().requestReceived(command, path, version)
+
+    def _refuse(self, error: BramleycrankError) -> None:
+        """Answer at once and close; what still arrives is ignored."""
+        if self._refused or self.channel is None:
+            return
+        self._refused = True
+        body = _error_body(error)
+        head = (
+            f"HTTP/1.1 {error.http_status} {error.name}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        self.channel.transport.write(head.encode() + body)
+        self.channel.loseConnection()
+
+
+def _too_large() -> BramleycrankError:
+    return BodyTooLarge(f"The body is larger than {MAX_BODY} bytes.")
+
+
+def _is_text(path: bytes) -> bool:
+    try:
+        unquote_to_bytes(path).decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def _error_body(error: BramleycrankError) -> bytes:
+    return json.dumps({"error": error.as_dict()}).encode()
+
+
+def _write_json(request: IRequest, data: Any, status: int = 200) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    return json.dumps(data).encode()
+
+
+def _write_error(request: IRequest, error: BramleycrankError) -> bytes:
+    if error.retry_after_ms > 0:
+        seconds = math.ceil(error.retry_after_ms / 1e3)
+        request.setHeader(b"retry-after", str(seconds).encode())
+    request.setResponseCode(error.http_status)
+    request.setHeader(b"content-type", b"application/json")
+    return _error_body(error)
+
+
+def _deferred(coro: Coroutine[Any, Any, Any]) -> Deferred[Any]:
+    return Deferred.fromFuture(asyncio.ensure_future(coro))
+
+
 class HttpApi:
     """The klein application.
 
@@ -40,6 +157,70 @@
         self._readyz = readyz
         self._dump = dump
 
-    def site(self) -> Site:
+    def site(self, reactor: Any = None) -> Site:
         """Return the factory to listen with; it limits bodies while it reads them."""
-        raise NotImplementedError
+        site = Site(
+            self.app.resource(),
+            requestFactory=LimitedRequest,
+            timeout=IDLE_TIMEOUT_S,
+            reactor=reactor,
+        )
+        site.displayTracebacks = False
+        return site
+
+    @app.route("/v1/query", methods=["POST"])
+    def query(self, request: IRequest) -> Deferred[bytes]:
+        """Execute a request; it is cancelled when the caller disconnects."""
+        # klein cancels the Deferred, and with it the task, when the connection is lost.
+        return _deferred(self._query(request))
+
+    async def _query(self, request: IRequest) -> bytes:
+        try:
+            req = parse_request(request.content.read())
+            answer = await self._executor.execute(req)
+            return _write_json(request, answer.as_dict())
+        except BramleycrankError as exc:
+            return _write_error(request, exc)
+        except Exception:
+            log.exception("http: a request failed unexpectedly")
+            return _write_error(request, InternalError())
+
+    @app.route("/healthz", methods=["GET"])
+    def health(self, request: IRequest) -> bytes:
+        """Answer as long as the process serves HTTP."""
+        return _write_json(request, {"status": "ok"})
+
+    @app.route("/readyz", methods=["GET"])
+    def ready(self, request: IRequest) -> bytes:
+        """Tell the load balancer whether to send requests here."""
+        reason = self._readyz()
+        if reason:
+            return _write_json(request, {"status": "not ready", "reason": reason}, 503)
+        return _write_json(request, {"status": "ready"})
+
+    @app.route("/v1/dump", methods=["GET"])
+    def dump(self, request: IRequest) -> bytes:
+        """Return the state of the VM."""
+        return _write_json(request, self._dump())
+
+    @app.handle_errors(HTTPException)
+    def routing_error(self, request: IRequest, failure: Failure) -> bytes:
+        """Answer an unknown path or method."""
+        status = failure.value.code or 404
+        if status == 404:
+            return _write_error(request, NotFound("No such path.", outcome=Outcome.NOT_RUN))
+        error = InvalidRequest(failure.value.name, outcome=Outcome.NOT_RUN)
+        body = _write_error(request, error)
+        request.setResponseCode(status)
+        return body
+
+    @app.handle_errors(DeferredCancelled, asyncio.CancelledError)
+    def disconnected(self, request: IRequest, failure: Failure) -> bytes:
+        """Ignore the cancellation that follows a lost connection."""
+        return b""
+
+    @app.handle_errors(Exception)
+    def unexpected(self, request: IRequest, failure: Failure) -> bytes:
+        """Answer a failure inside the interface."""
+        log.error("http: a request failed unexpectedly: %s", failure.getTraceback())
+        return _write_error(request, InternalError())
