--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -201,14 +201,7 @@
         if request.leader_confirmed:
             await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
             self._take_local()
-        config = self._follower.config
-        reply = peer_pb2.FetchConfigReply(status=self.status())
-        deltas = config.deltas_since(request.from_revision)
-        if deltas is None:
-            reply.image.CopyFrom(config.image())
-        else:
-            reply.deltas.extend(deltas)
-        return reply
+        return self._follower.fetch_reply(request.from_revision, self._loop.time())
 
     def _on_consensus(self) -> None:
         """Take the state of the log if the revision, the leader or the confirmation changed.
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -271,8 +271,9 @@
             return
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
-        self._runner.transfer_leadership()
         while self.is_leader and loop.time() < deadline:
+            # Without effect while a transfer is under way; the core gives a failed one up.
+            self._runner.transfer_leadership()
             await asyncio.sleep(0.02)
 
     # Calls of other VMs.
@@ -290,15 +291,13 @@
         AlreadyBootstrapped
             The log of this VM belongs to another cluster.
         InvalidMembershipChange
-            This VM is not among the members.
+            The members are no valid first ones or lack this VM.
         """
         if self._store is None or self._runner is None:
             raise InvalidMembershipChange(f"{self.identity.vm_id} may not vote")
         node = self._runner.node
         if node.membership.cluster_id == membership.cluster_id and membership.cluster_id:
             return  # A resend after a lost answer.
-        if self.node_id not in {member.node_id for member in membership.members}:
-            raise InvalidMembershipChange(f"{self.node_id} is not among the first voters")
         self._runner.bootstrap(membership)
         log.info("consensus: bootstrapped cluster %s", membership.cluster_id)
         self._notify()
--- /dev/null
+++ b/bramleycrank/daemon/directory.py
@@ -0,0 +1,53 @@
+"""Addresses of VMs, kept up to date by gossip."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from bramleycrank.daemon.identity import format_address
+from bramleycrank.daemon.membership_controller import MembershipController
+from bramleycrank.proto import peer_pb2
+
+GONE = (peer_pb2.VM_STATE_DEAD, peer_pb2.VM_STATE_LEFT)
+
+
+class PeerDirectory:
+    """Finds VMs by id.
+
+    Parameters
+    ----------
+    membership : MembershipController
+        Source of the records.
+    seeds : sequence of str
+        Addresses that serve until gossip knows more.
+    """
+
+    def __init__(self, membership: MembershipController, seeds: Sequence[str]) -> None:
+        self._membership = membership
+        self._seeds = list(seeds)
+        self._own = membership.core.local
+        # A lookup runs for each consensus message, so the records are not searched.
+        self._by_vm: dict[str, str] = {}
+        self.leader_address: Callable[[], str] = str
+        membership.subscribe_vms(self._on_vm)
+
+    def vm_address(self, vm_id: str) -> str:
+        """Return the ``host:port`` of a VM, or an empty string."""
+        return self._by_vm.get(vm_id, "")
+
+    def addresses(self) -> Sequence[str]:
+        """Return the addresses of VMs that may be alive, without this one."""
+        records = self._membership.vms()
+        known = [format_address(r.host, r.port) for r in records if r.vm_id != self._own.vm_id]
+        return known or self._seeds
+
+    def self_record(self) -> peer_pb2.VmRecord:
+        """Return this VM's own record."""
+        return self._membership.core.local
+
+    def _on_vm(self, record: peer_pb2.VmRecord) -> None:
+        if record.state in GONE:
+            # The address in the log may still be right, for example if only gossip is cut.
+            self._by_vm.pop(record.vm_id, None)
+        else:
+            self._by_vm[record.vm_id] = format_address(record.host, record.port)
--- a/bramleycrank/daemon/main.py
+++ b/bramleycrank/daemon/main.py
@@ -41,7 +41,7 @@
 
     from bramleycrank.daemon.node import Node
 
-    node = Node.from_config(cfg, loop)
+    node = Node(cfg)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.life_cycle.stop)
 
--- /dev/null
+++ b/bramleycrank/daemon/node.py
@@ -0,0 +1,267 @@
+"""Builds and wires all parts of a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable
+from typing import Any
+
+import attrs
+from grpclib.server import Server
+
+from bramleycrank.daemon.config_controller import ConfigController
+from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.daemon.directory import PeerDirectory
+from bramleycrank.daemon.identity import Identity
+from bramleycrank.daemon.life_cycle import LifeCycle
+from bramleycrank.daemon.membership_controller import MembershipController
+from bramleycrank.daemon.query_controller import QueryController
+from bramleycrank.daemon.session_controller import SessionController
+from bramleycrank.daemon.voter_changes import VoterChanges
+from bramleycrank.exceptions import StorageError
+from bramleycrank.membership import MembershipConfig
+from bramleycrank.observability import metrics as metrics_module
+from bramleycrank.proto import peer_pb2
+from bramleycrank.query.types import QueryConfig
+from bramleycrank.settings import Settings
+from bramleycrank.storage import ConfigCache
+from bramleycrank.transport.http_api import HttpApi
+from bramleycrank.transport.operator_service import OperatorService
+from bramleycrank.transport.peer_client import PeerClients
+from bramleycrank.transport.peer_service import PeerService
+from bramleycrank.transport.registry_service import RegistryService
+
+log = logging.getLogger(__name__)
+
+# How long a stop waits for calls of other VMs and operators that are still being answered.
+SERVER_CLOSE_S = 1.0
+
+
+@attrs.define
+class Parts:
+    """All parts of a running node."""
+
+    clients: PeerClients
+    membership: MembershipController
+    consensus: ConsensusController
+    config: ConfigController
+    sessions: SessionController
+    query: QueryController
+    voters: VoterChanges
+    metrics: metrics_module.Metrics
+
+
+class Node:
+    """A daemon: its parts, its listeners and the steps of its life cycle.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Settings of the VM.
+    """
+
+    def __init__(self, cfg: Settings) -> None:
+        self._cfg = cfg
+        self._parts: Parts | None = None
+        self._server: Server | None = None
+        self._http_port: Any = None
+        self._in_gossip = False
+        self.life_cycle = LifeCycle(
+            self, cfg.life_cycle.drain_notice_s, cfg.life_cycle.drain_limit_s
+        )
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all parts in JSON form."""
+        parts = self._parts
+        return {
+            "vm": {
+                "id": self._cfg.vm.id,
+                "domain": self._cfg.vm.domain,
+                "region": self._cfg.vm.region,
+                "http": str(self._cfg.listen.http),
+                "grpc": str(self._cfg.listen.grpc),
+            },
+            "life_cycle": self.life_cycle.dump(),
+            "consensus": parts and parts.consensus.dump(),
+            "config": parts and parts.config.dump(),
+            "membership": parts and parts.membership.dump(),
+            "sessions": parts and parts.sessions.dump(),
+            "query": parts and parts.query.dump(),
+            "peer_calls": parts and parts.clients.dump(),
+        }
+
+    def readiness(self) -> str:
+        """Return an empty string while the VM is ready, otherwise the reason why not."""
+        return "" if self.life_cycle.ready() else f"the VM is {self.life_cycle.state}"
+
+    # Steps of the life cycle.
+
+    async def start_parts(self) -> None:
+        """Build and start everything; callers are refused until a configuration is in force."""
+        parts = self._parts = self._build()
+        await parts.consensus.start()
+        await parts.config.start()
+        self._server = Server(self._services(parts))
+        await self._server.start(self._cfg.listen.grpc.host, self._cfg.listen.grpc.port)
+        await parts.query.start()
+        await parts.sessions.start()
+        self._listen_http(parts)
+        self._in_gossip = True
+        await parts.membership.start()
+
+    async def join(self) -> None:
+        """Wait until a configuration is in force."""
+        await self._parts.config.wait_in_force()
+
+    def set_draining(self, draining: bool) -> None:
+        """Tell the other VMs and the targets whether this VM is draining."""
+        if draining:
+            self._parts.membership.drain()
+        else:
+            self._parts.membership.resume()
+
+    async def stop_listening(self) -> None:
+        """Accept no new requests of callers."""
+        if self._http_port is not None:
+            port, self._http_port = self._http_port, None
+            await _as_future(port.stopListening())
+
+    async def finish_requests(self, limit_s: float) -> None:
+        """Wait until no request is in flight."""
+        if not await self._parts.query.drain(limit_s):
+            log.warning("life cycle: requests are still in flight after %s s", limit_s)
+
+    async def transfer_leadership(self) -> None:
+        """Hand the leadership over, if this VM leads."""
+        if self._parts is not None:
+            await self._parts.consensus.transfer_leadership()
+
+    async def leave(self) -> None:
+        """Tell the other VMs that this VM has left.
+
+        A second daemon that was started with the same settings by mistake must not say so.
+        """
+        if self._in_gossip:
+            await self._parts.membership.leave()
+
+    async def close(self) -> None:
+        """Close everything; what was not started is passed over."""
+        await self.stop_listening()
+        if self._parts is None:
+            return
+        parts = self._parts
+        for step in (parts.query.stop(), parts.sessions.stop(), parts.config.stop()):
+            await _logged(step)
+        await _logged(parts.membership.stop())
+        if self._server is not None:
+            self._server.close()
+            await _logged(asyncio.wait_for(self._server.wait_closed(), SERVER_CLOSE_S))
+        await _logged(parts.consensus.stop())
+        parts.clients.close()
+        parts.metrics.close()
+
+    # Construction.
+
+    def _build(self) -> Parts:
+        cfg, rng = self._cfg, random.Random()
+        clients = PeerClients()
+        seeds = [str(seed) for seed in cfg.peers.seeds]
+        membership = MembershipController(
+            self._membership_config(), self._record(), seeds, clients, rng=rng
+        )
+        directory = PeerDirectory(membership, seeds)
+        consensus = ConsensusController(self._identity(), directory, clients, rng)
+        config = ConfigController(cfg.config, consensus, directory, clients, self._cache(), rng)
+        directory.leader_address = config.leader_address
+        membership.set_config_status(config.status)
+        membership.subscribe_config_status(config.on_gossip)
+        membership.subscribe_config_replies(config.on_gossip)
+        config.subscribe(lambda: self._on_config(config))
+        metrics = metrics_module.create(cfg.metrics)
+        sessions = SessionController.from_config(cfg, membership)
+        query = QueryController(
+            vm_id=cfg.vm.id,
+            domain=cfg.vm.domain,
+            cfg=QueryConfig.from_settings(cfg.query),
+            configuration=config,
+            targets=membership,
+            sessions=sessions,
+            proposer=consensus,
+            metrics=metrics,
+            rng=rng,
+        )
+        voters = VoterChanges(consensus, clients)
+        return Parts(clients, membership, consensus, config, sessions, query, voters, metrics)
+
+    def _services(self, parts: Parts) -> list[Any]:
+        operator = OperatorService(
+            parts.config,
+            parts.consensus,
+            parts.membership,
+            parts.voters,
+            parts.clients,
+            self.dump,
+        )
+        peer = PeerService(parts.membership, parts.config, parts.consensus)
+        return [operator, peer, RegistryService(parts.membership)]
+
+    def _listen_http(self, parts: Parts) -> None:
+        from twisted.internet import reactor
+
+        site = HttpApi(parts.query, self.readiness, self.dump).site()
+        address = self._cfg.listen.http
+        self._http_port = reactor.listenTCP(address.port, site, interface=address.host)
+
+    def _on_config(self, config: ConfigController) -> None:
+        self.life_cycle.set_operator_drain(config.is_drained(self._cfg.vm.id))
+
+    def _identity(self) -> Identity:
+        cfg = self._cfg
+        return Identity(
+            vm_id=cfg.vm.id,
+            domain=cfg.vm.domain,
+            host=cfg.listen.grpc.host,
+            port=cfg.listen.grpc.port,
+            data_dir=cfg.storage.data_dir if cfg.storage else None,
+            vote=bool(cfg.storage and cfg.storage.vote),
+        )
+
+    def _record(self) -> peer_pb2.VmRecord:
+        cfg = self._cfg
+        grpc = cfg.listen.grpc
+        return peer_pb2.VmRecord(
+            vm_id=cfg.vm.id, domain=cfg.vm.domain, host=grpc.host, port=grpc.port
+        )
+
+    def _membership_config(self) -> MembershipConfig:
+        cfg = self._cfg.membership
+        return MembershipConfig(
+            probe_period_s=cfg.probe_period_s,
+            lease_s=cfg.lease_s,
+            renew_s=cfg.renew_s,
+            sync_period_s=cfg.sync_period_s,
+        )
+
+    def _cache(self) -> ConfigCache | None:
+        if self._cfg.storage is None:
+            return None
+        try:
+            return ConfigCache.open(self._cfg.storage.data_dir)
+        except OSError as exc:
+            raise StorageError(f"{self._cfg.storage.data_dir}: {exc}") from exc
+
+
+async def _logged(step: Awaitable[Any]) -> None:
+    """Run a step of closing; its failure does not keep the others from running."""
+    try:
+        await step
+    except Exception:
+        log.exception("life cycle: a part did not close")
+
+
+async def _as_future(result: Any) -> None:
+    """Wait for what Twisted returned: a Deferred, or None if it is done already."""
+    if result is not None:
+        await result.asFuture(asyncio.get_running_loop())
--- a/bramleycrank/daemon/raft_runner.py
+++ b/bramleycrank/daemon/raft_runner.py
@@ -177,6 +177,7 @@
             "waiting_proposals": len(self._waiting.proposals),
             "waiting_reads": len(self._waiting.reads),
             "core": self.node.dump(),
+            "state": self.state.dump(),
             "storage": self._store.dump(),
             "links": self._links.dump(self._loop.time()),
         }
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,383 @@
+"""Real daemons and stand-in targets as child processes, for the process tests.
+
+Every wait is bounded and polls a condition; every process is stopped by its own pid.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from grpclib.client import Channel
+
+from bramleycrank.exceptions import BramleycrankError
+from bramleycrank.proto import log_pb2, operator_pb2, standin_pb2
+from bramleycrank.proto.standin_grpc import StandInStub
+from bramleycrank.transport.peer_client import PeerClients
+
+HOST = "127.0.0.1"
+TESTS = Path(__file__).parent
+
+# Longest wait for a condition on a busy machine, in seconds.
+PATIENCE_S = 15.0
+
+SETTINGS = """
+[vm]
+id = "{vm_id}"
+domain = "{domain}"
+[listen]
+http = "127.0.0.1:{http}"
+grpc = "127.0.0.1:{grpc}"
+[peers]
+seeds = [{seeds}]
+[membership]
+probe_period_s = 0.25
+sync_period_s = 1.0
+[config]
+lease_s = 2.0
+start_wait_s = 3.0
+[life_cycle]
+drain_notice_s = 0.5
+drain_limit_s = 10.0
+[logging]
+level = "info"
+{storage}
+"""
+
+
+def free_port() -> int:
+    """Return a free port below the range that the kernel hands out for connections."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 30_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
+
+
+async def until(
+    condition: Callable[[], Any], what: str, timeout_s: float = PATIENCE_S, pause_s: float = 0.03
+) -> Any:
+    """Return the first true value of a condition, which may be a coroutine function.
+
+    A `BramleycrankError` or `OSError` counts as not yet true and appears in the failure.
+    """
+    deadline = time.monotonic() + timeout_s
+    last: object = None
+    while time.monotonic() < deadline:
+        try:
+            value = condition()
+            last = await value if isinstance(value, Awaitable) else value
+            if last:
+                return last
+        except (BramleycrankError, OSError) as exc:
+            last = exc
+        await asyncio.sleep(pause_s)
+    raise AssertionError(f"not within {timeout_s} s: {what}; last: {last!r}")
+
+
+class Process:
+    """A child process with its output in a file."""
+
+    def __init__(self, command: list[str], log: Path, env: dict[str, str] | None = None) -> None:
+        self._log = log
+        with log.open("ab") as file:
+            self._popen = subprocess.Popen(
+                command, stdout=subprocess.PIPE, stderr=file, env={**os.environ, **(env or {})}
+            )
+
+    def read_line(self) -> bytes:
+        """Return one line of standard output."""
+        return self._popen.stdout.readline()
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, or None while the process runs."""
+        return self._popen.poll()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self._popen.poll() is None:
+            os.kill(self._popen.pid, number)
+
+    def reap(self) -> None:
+        """End the process at once and collect it."""
+        self.signal(signal.SIGKILL)
+        self._popen.wait(10)
+        self._popen.stdout.close()
+
+    def log_tail(self, lines: int = 15) -> str:
+        """Return the end of the log."""
+        return "\n".join(self._log.read_text(errors="replace").splitlines()[-lines:])
+
+
+class Vm:
+    """A daemon that can be killed, frozen, stopped and started again."""
+
+    def __init__(self, fleet: Fleet, number: int, domain: str, storage: bool) -> None:
+        self.fleet = fleet
+        self.vm_id = f"vm{number}"
+        self.domain = domain
+        self.storage = storage
+        self.http, self.grpc = free_port(), free_port()
+        self.process: Process | None = None
+        self.env: dict[str, str] = {}
+
+    @property
+    def address(self) -> str:
+        """Address for VMs, targets and operators."""
+        return f"{HOST}:{self.grpc}"
+
+    @property
+    def data_dir(self) -> Path:
+        """Data folder."""
+        return self.fleet.folder / f"{self.vm_id}-data"
+
+    @property
+    def operator(self) -> Any:
+        """Typed stub of the `Operator` service."""
+        return self.fleet.clients.operator_stub(self.address)
+
+    def start(self) -> None:
+        """Start the daemon."""
+        seeds = ", ".join(f'"{vm.address}"' for vm in self.fleet.vms)
+        storage = f'[storage]\ndata_dir = "{self.data_dir}"' if self.storage else ""
+        path = self.fleet.folder / f"{self.vm_id}.toml"
+        path.write_text(
+            SETTINGS.format(
+                vm_id=self.vm_id,
+                domain=self.domain,
+                http=self.http,
+                grpc=self.grpc,
+                seeds=seeds,
+                storage=storage,
+            )
+        )
+        command = [sys.executable, str(TESTS / "relayed_daemon.py"), f"--settings={path}"]
+        log = self.fleet.folder / f"{self.vm_id}.log"
+        self.process = self.fleet.spawn(command, log, self.env)
+
+    def kill(self) -> None:
+        """End the daemon as a power loss would."""
+        self.process.reap()
+
+    async def stop(self, timeout_s: float = 30.0) -> None:
+        """Stop the daemon gracefully and check its exit code."""
+        self.process.signal(signal.SIGTERM)
+        await until(lambda: self.process.exit_code is not None, f"{self.vm_id} exits", timeout_s)
+        assert self.process.exit_code == 0, self.process.log_tail()
+
+    def freeze(self) -> None:
+        """Stop the process without ending it."""
+        self.process.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.process.signal(signal.SIGCONT)
+
+    async def request(
+        self, method: str, path: str, body: dict | None = None, timeout_s: float = 10.0
+    ) -> tuple[int, Any]:
+        """Return status and JSON of one HTTP request; `OSError` if the connection fails."""
+        return await asyncio.to_thread(self._request, method, path, body, timeout_s)
+
+    def _request(self, method: str, path: str, body: dict | None, timeout_s: float) -> tuple:
+        conn = http.client.HTTPConnection(HOST, self.http, timeout=timeout_s)
+        try:
+            data = None if body is None else json.dumps(body)
+            conn.request(method, path, data, {"Content-Type": "application/json"})
+            response = conn.getresponse()
+            text = response.read()
+            try:
+                return response.status, json.loads(text)
+            except ValueError:
+                return response.status, text.decode(errors="replace")
+        except http.client.HTTPException as exc:
+            raise ConnectionError(f"{type(exc).__name__}: {exc}") from exc
+        finally:
+            conn.close()
+
+    async def ready(self) -> bool:
+        """Return whether readyz is ok."""
+        return (await self.request("GET", "/readyz", timeout_s=2.0))[0] == 200
+
+    async def query(self, **fields: Any) -> tuple[int, Any]:
+        """Return status and JSON of one search, unless other fields are given."""
+        body = {"service": "demo", "kind": "search", "query": "bell", "deadline_ms": 3000, **fields}
+        return await self.request("POST", "/v1/query", body)
+
+    async def status(self, **fields: Any) -> operator_pb2.StatusReply:
+        """Return what the VM says about all VMs."""
+        return await self.operator.Status(operator_pb2.StatusRequest(**fields), timeout=5.0)
+
+    async def revision(self) -> int:
+        """Return the revision in force on this VM."""
+        return (await self.status(local=True)).vms[0].revision
+
+    async def role(self) -> str:
+        """Return this VM's own view of its role."""
+        return (await self.status(local=True)).vms[0].role
+
+    async def dump(self) -> dict[str, Any]:
+        """Return the dump of this VM."""
+        return json.loads((await self.operator.Dump(operator_pb2.DumpRequest())).json)
+
+    async def put_service(
+        self, name: str, expected: int = 0, change_id: str = "", timeout_s: float = 5.0, **fields
+    ) -> operator_pb2.ChangeReply:
+        """Create or change a service through this VM."""
+        change = log_pb2.Change(
+            change_id=change_id or uuid.uuid4().hex,
+            expected_version=expected,
+            put_service=log_pb2.ServiceConfig(name=name, **fields),
+        )
+        request = operator_pb2.ChangeRequest(change=change, timeout_ms=int(timeout_s * 1000))
+        return await self.operator.ApplyChange(request, timeout=timeout_s + 1.0)
+
+
+class StandIn:
+    """A process with stand-in targets of the service `demo`."""
+
+    def __init__(self, fleet: Fleet, options: dict[str, object]) -> None:
+        vms = ",".join(vm.address for vm in fleet.vms)
+        args = {"vms": vms, "services": "demo", "latency_ms": 3, **options}
+        command = [sys.executable, "-m", "bramleycrank.standin.main"]
+        code = "from bramleycrank.standin.main import main; main()"
+        command = [sys.executable, "-c", code, *(f"--{k}={v}" for k, v in args.items())]
+        self.process = fleet.spawn(command, fleet.folder / "standin.log")
+        line = self.process.read_line()
+        assert line, self.process.log_tail()
+        host, _, port = json.loads(line)["control"].rpartition(":")
+        self._channel = Channel(host, int(port))
+        self.stub = StandInStub(self._channel)
+
+    async def effects(self) -> dict[str, int]:
+        """Return how often each request key was run, over all targets."""
+        total: dict[str, int] = {}
+        for target in (await self.stub.Stats(standin_pb2.StatsRequest())).targets:
+            for key, count in target.effects.items():
+                total[key] = total.get(key, 0) + count
+        return total
+
+    def close(self) -> None:
+        """Close the control channel."""
+        self._channel.close()
+
+
+class Fleet:
+    """All processes of one test."""
+
+    def __init__(self, folder: Path, domains: tuple[str, ...], voters: int) -> None:
+        self.folder = folder
+        self.clients = PeerClients()
+        self._processes: list[Process] = []
+        self._standins: list[StandIn] = []
+        self.vms: list[Vm] = []
+        for number, domain in enumerate(domains, 1):
+            self.vms.append(Vm(self, number, domain, storage=number <= voters))
+        self.voters = self.vms[:voters]
+
+    def spawn(self, command: list[str], log: Path, env: dict[str, str] | None = None) -> Process:
+        """Start a process that ends with the fleet."""
+        process = Process(command, log, env)
+        self._processes.append(process)
+        return process
+
+    def standin(self, **options: object) -> StandIn:
+        """Start stand-in targets of the service `demo`."""
+        standin = StandIn(self, options)
+        self._standins.append(standin)
+        return standin
+
+    async def start(self, bootstrap: bool = True) -> None:
+        """Start all VMs, form the cluster and wait until all are ready."""
+        for vm in self.vms:
+            vm.start()
+        if bootstrap:
+            await self.bootstrap()
+            for vm in self.vms:
+                await until(vm.ready, f"{vm.vm_id} is ready")
+
+    async def bootstrap(self) -> None:
+        """Form a cluster of the voters; all of them are waited for first."""
+        for vm in self.vms:
+            await until(lambda vm=vm: vm.status(local=True), f"{vm.vm_id} answers operators")
+        request = operator_pb2.BootstrapRequest(addresses=[vm.address for vm in self.voters])
+        await self.voters[0].operator.Bootstrap(request)
+
+    async def leader(self, among: list[Vm] | None = None, timeout_s: float = PATIENCE_S) -> Vm:
+        """Return the VM that leads in its own view."""
+        candidates = self.vms if among is None else among
+
+        async def find() -> Vm | None:
+            for vm in candidates:
+                with contextlib.suppress(BramleycrankError):
+                    if await vm.role() == "leader":
+                        return vm
+            return None
+
+        return await until(find, "a leader stands", timeout_s)
+
+    def others(self, *excluded: Vm) -> list[Vm]:
+        """Return all VMs but the given ones."""
+        return [vm for vm in self.vms if vm not in excluded]
+
+    async def in_force(self, revision: int, vms: list[Vm] | None = None, timeout_s=10.0) -> None:
+        """Wait until a revision or a later one is in force on VMs."""
+
+        async def all_have_it() -> bool:
+            values = await asyncio.gather(*(vm.revision() for vm in vms or self.vms))
+            return min(values) >= revision
+
+        await until(all_have_it, f"revision {revision} is in force", timeout_s)
+
+    def close(self) -> None:
+        """End every process."""
+        for standin in self._standins:
+            standin.close()
+        self.clients.close()
+        for process in self._processes:
+            process.signal(signal.SIGCONT)
+            process.reap()
+
+
+def run_fleet(
+    folder: Path,
+    scenario: Callable[[Fleet], Awaitable[None]],
+    *,
+    domains: tuple[str, ...] = ("a", "b", "c"),
+    voters: int = 3,
+    start: bool = True,
+    timeout_s: float = 60.0,
+) -> None:
+    """Run a scenario with its own fleet; a failure shows the logs of the VMs."""
+
+    async def body() -> None:
+        fleet = Fleet(folder, domains, voters)
+        try:
+            async with asyncio.timeout(timeout_s):
+                if start:
+                    await fleet.start()
+                await scenario(fleet)
+        except BaseException:
+            for vm in fleet.vms:
+                if vm.process is not None:
+                    print(f"--- {vm.vm_id}, exit code {vm.process.exit_code}")
+                    print(vm.process.log_tail())
+            raise
+        finally:
+            fleet.close()
+
+    asyncio.run(body())
