Test the consensus node under faults

A hypothesis machine drives nodes with in-memory disks through loss, duplication, reordering, crashes between actions, lost disks, partitions and membership changes, against an oracle. A promotion is now checked for its quorum when it is appended: the check at the request gave InvalidMembershipChange where the learner was just silent.

--- a/bramleycrank/consensus/leadership.py
+++ b/bramleycrank/consensus/leadership.py
@@ -228,12 +228,17 @@
         if pending or not self.knows_commits:
             raise MembershipChangeInProgress(outcome=Outcome.NOT_RUN)
         after = quorum.changed(core.log.membership, change)
-        longest = core.cfg.election_timeout_s[1]
-        if not quorum.has_quorum(after, self.replication.heard_since(self._core.now - longest)):
+        # A promotion waits for its learner, and is checked when it is appended.
+        if not isinstance(change, Promote) and not self._answers(after):
             message = "a majority of the voters after the change does not answer"
             raise InvalidMembershipChange(message, outcome=Outcome.NOT_RUN)
         return after
 
+    def _answers(self, membership: Membership) -> bool:
+        """Return whether a majority of the voters answered within an election timeout."""
+        since = self._core.now - self._core.cfg.election_timeout_s[1]
+        return quorum.has_quorum(membership, self.replication.heard_since(since))
+
     def _advance_promotion(self) -> None:
         waiting = self._promotion
         if waiting is None:
@@ -243,9 +248,10 @@
         since = core.now - core.cfg.election_timeout_s[1]
         answered = progress is not None and progress.heard_at >= since
         if answered and progress.match_index >= waiting.target_index:
-            self._promotion = None
             after = quorum.changed(core.log.membership, waiting.change)
-            self._append_membership(waiting.proposal_id, after)
+            if self._answers(after):
+                self._promotion = None
+                self._append_membership(waiting.proposal_id, after)
 
     def _reject_promotion(self, error: BramleycrankError) -> None:
         waiting, self._promotion = self._promotion, None
--- a/bramleycrank/state/follower.py
+++ b/bramleycrank/state/follower.py
@@ -9,7 +9,7 @@
 from bramleycrank.proto.log_pb2 import ConfigImage
 from bramleycrank.proto.peer_pb2 import ConfigStatus, FetchConfigReply
 from bramleycrank.state.config_state import ConfigState
-from bramleycrank.state.confirmation import MAX_AGE_MS, Confirmation
+from bramleycrank.state.confirmation import CLOCK_ALLOWANCE, MAX_AGE_MS, Confirmation
 from bramleycrank.state.peer_hints import PeerHints
 from bramleycrank.state.types import ConfigInForce, FetchConfig, FollowerAction, FollowerConfig
 
@@ -186,7 +186,8 @@
         """
         if self._covered_at is None:
             return MAX_AGE_MS / 1000
-        return min(max(0.0, now - self._covered_at), MAX_AGE_MS / 1000)
+        age = max(0.0, now - self._covered_at) * (1 + CLOCK_ALLOWANCE)
+        return min(age, MAX_AGE_MS / 1000)
 
     def is_current(self, now: float) -> bool:
         """Return whether a leader's confirmation of this revision is within the lease."""
--- /dev/null
+++ b/tests/consensus_cluster.py
@@ -0,0 +1,366 @@
+"""A cluster of consensus nodes with in-memory disks, a lossy network and checks of every step."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import os
+import random
+
+import attrs
+from hypothesis import settings
+
+from bramleycrank.consensus import (
+    AddLearner,
+    Apply,
+    DurableState,
+    Persist,
+    PersistSnapshot,
+    Promote,
+    Proposal,
+    ProposalRejected,
+    ProposalUnresolved,
+    RaftConfig,
+    RaftNode,
+    ReadFailed,
+    ReadReady,
+    Remove,
+    RestoreState,
+    Role,
+    RoleChanged,
+    Send,
+)
+from bramleycrank.proto.log_pb2 import (
+    Command,
+    CommandResult,
+    ConsensusMessage,
+    Entry,
+    LogSnapshot,
+    Member,
+    Membership,
+    ResultCode,
+)
+from bramleycrank.state import ReplicatedState
+from bramleycrank.storage.segment import SegmentContent
+
+
+def bounded(examples: int, steps: int = 30) -> settings:
+    """Return settings for the profile in use; the long profile runs 40 times the examples."""
+    long = os.environ.get("HYPOTHESIS_PROFILE") == "long"
+    return settings(
+        max_examples=examples * (40 if long else 1), stateful_step_count=steps * (3 if long else 1)
+    )
+
+
+class MemoryDisk:
+    """Keeps what a node persisted, by the rules of ``LogStore``."""
+
+    def __init__(self) -> None:
+        self.snapshot: LogSnapshot | None = None
+        self.content = SegmentContent(first_index=1)
+
+    def load(self) -> DurableState:
+        return DurableState(self.content.hard_state, self.snapshot, tuple(self.content.entries))
+
+    def save_snapshot(self, snapshot: LogSnapshot) -> None:
+        old = self.content
+        position = snapshot.index - old.first_index
+        covered = old.entries[position : position + 1]
+        keep = covered and covered[0].term == snapshot.term
+        entries = old.entries[position + 1 :] if keep else []
+        self.content = SegmentContent(snapshot.index + 1, old.hard_state, entries)
+        self.snapshot = snapshot
+
+
+@attrs.define(eq=False)
+class SimNode:
+    """One node with its disk and state machine."""
+
+    node_id: str
+    disk: MemoryDisk
+    raft: RaftNode
+    state: ReplicatedState
+    applied: int = 0
+    alive: bool = True
+    crash_after: int | None = None
+    waiting: set[str] = attrs.field(factory=set)
+
+
+class Oracle:
+    """What must hold for the whole cluster, whatever fails."""
+
+    def __init__(self) -> None:
+        self.leaders: dict[int, str] = {}
+        self.contents: dict[tuple[int, int], tuple[bytes, int]] = {}
+        self.committed: dict[int, bytes] = {}
+        self.commit_times: dict[int, float] = {}
+        self.results: dict[int, CommandResult] = {}
+        self.rejected: set[str] = set()
+        self.acknowledged: dict[str, tuple[int, CommandResult]] = {}
+        self.membership = Membership()
+        self.versions: dict[str, int] = {}
+        self.first_answers: dict[str, CommandResult] = {}
+        self.revision = 0
+
+    def on_persisted(self, entry: Entry, previous_term: int) -> None:
+        """Log matching: index and term determine the entry and the entry before it."""
+        content = (entry.SerializeToString(), previous_term)
+        assert self.contents.setdefault((entry.index, entry.term), content) == content
+
+    def on_leader(self, node: SimNode, term: int) -> None:
+        """Election safety, and a leader's log holds every committed entry."""
+        assert self.leaders.setdefault(term, node.node_id) == node.node_id
+        held = {entry.index: entry.SerializeToString() for entry in node.disk.content.entries}
+        start = node.disk.snapshot.index
+        assert all(held.get(i) == data for i, data in self.committed.items() if i > start)
+
+    def on_applied(self, entry: Entry, now: float) -> CommandResult:
+        """Return the result that the first node to apply the entry must have computed, too."""
+        data = entry.SerializeToString()
+        assert self.committed.setdefault(entry.index, data) == data
+        assert entry.proposal_id not in self.rejected
+        if entry.index not in self.results:
+            self.commit_times[entry.index] = now
+            self.results[entry.index] = self._result(entry)
+            if entry.WhichOneof("body") == "membership":
+                self.membership = entry.membership
+        return self.results[entry.index]
+
+    def committed_before(self, time: float) -> int:
+        return max((i for i, at in self.commit_times.items() if at < time), default=0)
+
+    def _result(self, entry: Entry) -> CommandResult:
+        """Compute the configuration model: versions by name, first answers by change id."""
+        ok = ResultCode.RESULT_CODE_OK
+        if entry.WhichOneof("body") != "command":
+            return CommandResult(code=ok, revision=self.revision)
+        change = Command.FromString(entry.command).change
+        if change.change_id in self.first_answers:
+            return self.first_answers[change.change_id]
+        name = change.put_service.name
+        version = self.versions.get(name, 0)
+        if version == change.expected_version:
+            self.revision += 1
+            version = self.versions[name] = self.revision
+        else:
+            ok = ResultCode.RESULT_CODE_VERSION_CONFLICT
+        result = CommandResult(code=ok, revision=self.revision, version=version)
+        self.first_answers[change.change_id] = result
+        return result
+
+
+class Cluster:
+    """Nodes, the messages between them, and time."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.oracle = Oracle()
+        self.nodes: dict[str, SimNode] = {}
+        self.lost: set[str] = set()
+        self.cuts: set[tuple[str, str]] = set()
+        self.network: list[tuple[float, int, ConsensusMessage]] = []
+        self.loss = self.duplication = 0.0
+        self.max_delay = 0.02
+        self.ids = itertools.count(1)
+        self.reads: dict[str, int] = {}
+        self.outcomes: dict[str, object] = {}
+        members = [Member(node_id=f"vm{i}/0", voter=True) for i in range(size)]
+        self.first = Membership(cluster_id="cluster", members=members)
+        self.oracle.membership = self.first
+        for member in members:
+            node = self.add(member.node_id)
+            self.execute(node, node.raft.bootstrap(self.first, self.now))
+            node.applied = node.raft.commit_index
+
+    def add(self, node_id: str) -> SimNode:
+        """Start a node with an empty disk."""
+        disk = MemoryDisk()
+        node = SimNode(node_id, disk, self._raft(node_id, disk), ReplicatedState())
+        self.nodes[node_id] = node
+        return node
+
+    def crash(self, node: SimNode) -> None:
+        node.alive, node.crash_after = False, None
+        node.waiting.clear()
+
+    def restart(self, node: SimNode) -> None:
+        node.raft = self._raft(node.node_id, node.disk)
+        snapshot = node.disk.snapshot or LogSnapshot()
+        node.state = ReplicatedState.from_image(snapshot.image)
+        node.applied, node.alive = snapshot.index, True
+
+    def lose_disk(self, node: SimNode) -> None:
+        """End a node for good; its VM may start again under a new node id."""
+        self.crash(node)
+        self.lost.add(node.node_id)
+        del self.nodes[node.node_id]
+
+    def may_lose(self, node_id: str) -> bool:
+        """Return whether a majority of the voters keeps its disks, in every membership in use."""
+        used = [node.raft.membership for node in self.nodes.values()]
+        lost = self.lost | {node_id}
+        voter_ids = [[m.node_id for m in item.members if m.voter] for item in used]
+        if any(len(lost & set(ids)) > (len(ids) - 1) // 2 for ids in voter_ids if ids):
+            return False
+        is_voter = any(node_id in ids for ids in voter_ids)
+        return is_voter or not any(self.lost & set(ids) for ids in voter_ids)
+
+    def alive(self) -> list[SimNode]:
+        return [node for node in self.nodes.values() if node.alive]
+
+    def leader(self) -> SimNode | None:
+        leaders = [node for node in self.alive() if node.raft.role is Role.LEADER]
+        return max(leaders, key=lambda node: node.raft.term, default=None)
+
+    def propose(self, node: SimNode, command: Command) -> str:
+        return self.propose_all(node, [command])[0]
+
+    def propose_all(self, node: SimNode, commands: list[Command]) -> list[str]:
+        ids = [f"p{next(self.ids)}" for _ in commands]
+        proposals = [
+            Proposal(i, command.SerializeToString())
+            for i, command in zip(ids, commands, strict=True)
+        ]
+        node.waiting.update(ids)
+        self.execute(node, node.raft.propose(proposals, self.now))
+        return ids
+
+    def change(self, node: SimNode, change: AddLearner | Promote | Remove) -> str:
+        proposal_id = f"m{next(self.ids)}"
+        node.waiting.add(proposal_id)
+        self.execute(node, node.raft.change_membership(proposal_id, change, self.now))
+        return proposal_id
+
+    def read(self, node: SimNode) -> str:
+        read_id = f"r{next(self.ids)}"
+        self.reads[read_id] = max(self.oracle.committed, default=0)
+        self.execute(node, node.raft.read_index(read_id, self.now))
+        return read_id
+
+    def compact(self, node: SimNode) -> None:
+        self.execute(node, node.raft.compact(node.applied, node.state.image()))
+
+    def run(self, duration: float) -> None:
+        """Let time pass, delivering messages and ticking the nodes when they are due."""
+        end = self.now + duration
+        while True:
+            ticks = [(node.raft.next_deadline(), node.node_id) for node in self.alive()]
+            tick_at, node_id = min(ticks, default=(end, ""))
+            message_at = self.network[0][0] if self.network else end
+            at = max(self.now, min(tick_at, message_at))
+            if at >= end:
+                self.now = end
+                return
+            self.now = at
+            if message_at <= tick_at:
+                self.deliver(heapq.heappop(self.network)[2])
+            else:
+                node = self.nodes[node_id]
+                self.execute(node, node.raft.tick(self.now))
+
+    def settle(self, duration: float = 8.0) -> None:
+        """End all faults, restart what crashed and let the cluster come to rest."""
+        self.cuts.clear()
+        self.loss = self.duplication = 0.0
+        self.max_delay = 0.02
+        for node in self.nodes.values():
+            node.crash_after = None
+            if not node.alive:
+                self.restart(node)
+        self.run(duration)
+
+    def deliver(self, msg: ConsensusMessage) -> None:
+        node = self.nodes.get(msg.recipient)
+        cut = (msg.sender, msg.recipient) in self.cuts
+        if node is not None and node.alive and not cut and self.rng.random() >= self.loss:
+            self.execute(node, node.raft.receive(msg, self.now))
+
+    def execute(self, node: SimNode, actions: list[object]) -> None:
+        """Execute actions in order; a crash may come between any two of them."""
+        for action in actions:
+            if node.crash_after is not None:
+                if node.crash_after == 0:
+                    self.crash(node)
+                    return
+                node.crash_after -= 1
+            self._execute_one(node, action)
+        confirmed_at = node.raft.confirmed_at
+        if confirmed_at is not None:
+            assert node.raft.commit_index >= self.oracle.committed_before(confirmed_at)
+
+    def _execute_one(self, node: SimNode, action: object) -> None:
+        match action:
+            case Persist():
+                self._persist(node, action)
+            case PersistSnapshot(snapshot):
+                node.disk.save_snapshot(snapshot)
+            case RestoreState(snapshot):
+                assert snapshot.index > node.applied
+                before = node.state.config.revision
+                node.state = ReplicatedState.from_image(snapshot.image)
+                node.applied = snapshot.index
+                assert node.state.config.revision >= before
+            case Send(message):
+                self._send(message)
+            case Apply(entries):
+                for entry in entries:
+                    self._apply(node, entry)
+            case ProposalRejected(proposal_id, error):
+                assert proposal_id in node.waiting
+                node.waiting.discard(proposal_id)
+                self.oracle.rejected.add(proposal_id)
+                self.outcomes[proposal_id] = error
+            case ProposalUnresolved(proposal_id):
+                assert proposal_id in node.waiting
+                node.waiting.discard(proposal_id)
+                self.outcomes[proposal_id] = action
+            case ReadReady(read_id, index):
+                assert self.reads[read_id] <= index <= node.applied
+                self.outcomes[read_id] = index
+            case ReadFailed(read_id, error):
+                self.outcomes[read_id] = error
+            case RoleChanged(role, term, leader_id):
+                if role is Role.LEADER:
+                    assert leader_id == node.node_id
+                    self.oracle.on_leader(node, term)
+            case _:
+                raise AssertionError(action)
+
+    def _persist(self, node: SimNode, action: Persist) -> None:
+        old = node.disk.content.hard_state
+        node.disk.content.persist(action)
+        new = node.disk.content.hard_state
+        assert new.term >= old.term
+        assert new.term > old.term or old.voted_for in ("", new.voted_for)
+        content = node.disk.content
+        for entry in action.entries:
+            position = entry.index - content.first_index
+            first = position == 0
+            before = node.disk.snapshot if first else content.entries[position - 1]
+            self.oracle.on_persisted(entry, before.term)
+
+    def _apply(self, node: SimNode, entry: Entry) -> None:
+        assert entry.index == node.applied + 1
+        node.applied = entry.index
+        before = node.state.config.revision
+        result = node.state.apply(entry)
+        expected = self.oracle.on_applied(entry, self.now)
+        found = (result.code, result.revision, result.version)
+        assert found == (expected.code, expected.revision, expected.version)
+        assert result.revision >= 0 <= node.state.config.revision - before
+        if entry.proposal_id in node.waiting:
+            node.waiting.discard(entry.proposal_id)
+            self.oracle.acknowledged[entry.proposal_id] = (entry.index, result)
+            self.outcomes[entry.proposal_id] = result
+
+    def _send(self, msg: ConsensusMessage) -> None:
+        copies = 2 if self.rng.random() < self.duplication else 1
+        for _ in range(copies):
+            due = self.now + self.rng.uniform(0.001, self.max_delay)
+            heapq.heappush(self.network, (due, next(self.ids), msg))
+
+    def _raft(self, node_id: str, disk: MemoryDisk) -> RaftNode:
+        cfg = RaftConfig(node_id, max_entries_per_append=3, snapshot_retry_s=0.5)
+        rng = random.Random(self.rng.getrandbits(32))
+        return RaftNode.from_config(cfg, disk.load(), rng, self.now)
--- /dev/null
+++ b/tests/test_consensus_node.py
@@ -0,0 +1,421 @@
+"""Tests of the consensus node under message loss, crashes, lost disks and membership changes."""
+
+import pytest
+from consensus_cluster import Cluster, bounded
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from bramleycrank.consensus import AddLearner, Promote, Remove, Role
+from bramleycrank.exceptions import (
+    AlreadyBootstrapped,
+    InvalidMembershipChange,
+    LearnerNotCaughtUp,
+    MembershipChangeInProgress,
+    NoQuorum,
+    NotLeader,
+)
+from bramleycrank.proto.log_pb2 import Change, Command, Member, Membership, ServiceConfig
+
+NAMES = st.sampled_from(["archivio", "preventivi"])
+
+
+def put(name: str, expected: int, change_id: str) -> Command:
+    change = Change(
+        change_id=change_id, expected_version=expected, put_service=ServiceConfig(name=name)
+    )
+    return Command(change=change)
+
+
+class FaultyCluster(RuleBasedStateMachine):
+    """Guards against lost, repeated or reordered commits under any mix of faults."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.cluster: Cluster
+        self.sent: list[Command] = []
+        self.replacements = 0
+
+    @initialize(size=st.sampled_from([1, 3, 3, 4, 5]), seed=st.integers(0, 2**32))
+    def start(self, size: int, seed: int) -> None:
+        self.cluster = Cluster(size, seed)
+        self.cluster.run(3)
+
+    def pick(self, data: st.DataObject, nodes: list) -> object:
+        return nodes[data.draw(st.integers(0, len(nodes) - 1))] if nodes else None
+
+    @rule(duration=st.floats(0.01, 3))
+    def run(self, duration: float) -> None:
+        self.cluster.run(duration)
+
+    @rule(
+        loss=st.sampled_from([0, 0, 0.1, 0.4]),
+        duplication=st.sampled_from([0, 0.3]),
+        max_delay=st.sampled_from([0.02, 0.3, 1.5]),
+    )
+    def change_network(self, loss: float, duplication: float, max_delay: float) -> None:
+        cluster = self.cluster
+        cluster.loss, cluster.duplication, cluster.max_delay = loss, duplication, max_delay
+
+    @rule(data=st.data(), both_ways=st.booleans())
+    def partition(self, data: st.DataObject, both_ways: bool) -> None:
+        ids = sorted(self.cluster.nodes)
+        apart = data.draw(st.sets(st.sampled_from(ids)))
+        rest = set(ids) - apart
+        self.cluster.cuts = {(a, b) for a in apart for b in rest}
+        if both_ways:
+            self.cluster.cuts |= {(b, a) for a, b in self.cluster.cuts}
+
+    @rule()
+    def heal(self) -> None:
+        self.cluster.cuts = set()
+
+    @rule(data=st.data(), after=st.integers(0, 6))
+    def crash(self, data: st.DataObject, after: int) -> None:
+        """Crash between two actions; 0 is before the next one."""
+        if node := self.pick(data, self.cluster.alive()):
+            node.crash_after = after
+
+    @rule(data=st.data())
+    def restart(self, data: st.DataObject) -> None:
+        down = [node for node in self.cluster.nodes.values() if not node.alive]
+        if node := self.pick(data, down):
+            self.cluster.restart(node)
+
+    @rule(data=st.data())
+    def lose_disk(self, data: st.DataObject) -> None:
+        candidates = [n for i, n in self.cluster.nodes.items() if self.cluster.may_lose(i)]
+        if node := self.pick(data, candidates):
+            self.cluster.lose_disk(node)
+
+    def target(self, data: st.DataObject) -> object:
+        """Return mostly the leader, at times any other node."""
+        leader = self.cluster.leader()
+        if leader is not None and data.draw(st.integers(0, 4)):
+            return leader
+        return self.pick(data, self.cluster.alive())
+
+    @rule(data=st.data(), name=NAMES, offset=st.sampled_from([0, 0, 0, 1]), count=st.integers(1, 6))
+    def propose(self, data: st.DataObject, name: str, offset: int, count: int) -> None:
+        if node := self.target(data):
+            expected = self.cluster.oracle.versions.get(name, 0) + offset
+            commands = [put(name, expected, f"c{len(self.sent) + i}") for i in range(count)]
+            self.sent += commands
+            self.cluster.propose_all(node, commands)
+
+    @precondition(lambda self: self.sent)
+    @rule(data=st.data())
+    def resend(self, data: st.DataObject) -> None:
+        if node := self.target(data):
+            self.cluster.propose(node, self.pick(data, self.sent))
+
+    @rule(data=st.data())
+    def read(self, data: st.DataObject) -> None:
+        if node := self.target(data):
+            self.cluster.read(node)
+
+    @rule(data=st.data())
+    def compact(self, data: st.DataObject) -> None:
+        if node := self.pick(data, self.cluster.alive()):
+            self.cluster.compact(node)
+
+    @rule(data=st.data())
+    def transfer(self, data: st.DataObject) -> None:
+        if node := self.target(data):
+            self.cluster.execute(node, node.raft.transfer_leadership(self.cluster.now))
+
+    @precondition(lambda self: self.replacements < 4)
+    @rule(data=st.data())
+    def add_learner(self, data: st.DataObject) -> None:
+        if node := self.target(data):
+            self.replacements += 1
+            learner = self.cluster.add(f"vm{self.replacements}/{self.replacements}")
+            self.cluster.change(node, AddLearner(Member(node_id=learner.node_id)))
+
+    @rule(data=st.data(), promote=st.booleans())
+    def change_member(self, data: st.DataObject, promote: bool) -> None:
+        node = self.target(data)
+        member = self.pick(data, list(node.raft.membership.members)) if node else None
+        if member is None:
+            return
+        ids = {m.node_id for m in node.raft.membership.members if m.voter}
+        after = ids | {member.node_id} if promote else ids - {member.node_id}
+        # A change that leaves no majority with a disk would be an operator's error.
+        if len(after & self.cluster.lost) <= (len(after) - 1) // 2:
+            change = Promote(member.node_id) if promote else Remove(member.node_id)
+            self.cluster.change(node, change)
+
+    @invariant()
+    def acknowledged_results_stand(self) -> None:
+        oracle = getattr(self, "cluster", None) and self.cluster.oracle
+        if oracle:
+            for index, result in oracle.acknowledged.values():
+                assert oracle.results[index].code == result.code
+                assert oracle.results[index].revision == result.revision
+
+    def teardown(self) -> None:
+        """After all faults the cluster must commit again, and all members must agree."""
+        cluster = getattr(self, "cluster", None)
+        if cluster is None:
+            return
+        cluster.settle()
+        leader = cluster.leader()
+        assert leader is not None
+        cluster.propose(leader, put("fonderia", cluster.oracle.versions.get("fonderia", 0), "end"))
+        cluster.run(4)
+        assert "end" in cluster.oracle.first_answers
+        members = {m.node_id for m in cluster.oracle.membership.members}
+        nodes = [node for node in cluster.nodes.values() if node.node_id in members]
+        assert len({node.state.image() for node in nodes}) == 1
+        assert not any(node.waiting for node in cluster.nodes.values())
+
+
+FaultyCluster.TestCase.settings = bounded(120, 40)
+TestFaultyCluster = FaultyCluster.TestCase
+
+
+@pytest.fixture(params=[3, 5])
+def cluster(request: pytest.FixtureRequest) -> Cluster:
+    """Return a calm cluster with a leader and some commits."""
+    cluster = Cluster(request.param, seed=7)
+    cluster.run(3)
+    cluster.propose_all(cluster.leader(), [put(f"s{i}", 0, f"c{i}") for i in range(5)])
+    cluster.run(1)
+    assert cluster.oracle.revision == 5
+    return cluster
+
+
+def isolate(cluster: Cluster, *node_ids: str) -> None:
+    others = set(cluster.nodes) - set(node_ids)
+    cluster.cuts = {(a, b) for a in node_ids for b in others}
+    cluster.cuts |= {(b, a) for a, b in cluster.cuts}
+
+
+@bounded(25)
+@given(seed=st.integers(0, 2**32), silent_s=st.floats(0.5, 100), restart=st.booleans())
+def test_a_returning_silent_node_does_not_depose_the_leader(seed, silent_s, restart):
+    """Guards against elections that a node forces by a term that it raised while cut off."""
+    cluster = Cluster(3, seed)
+    cluster.run(3)
+    leader = cluster.leader()
+    term = leader.raft.term
+    silent = next(node for node in cluster.nodes.values() if node is not leader)
+    isolate(cluster, silent.node_id)
+    cluster.run(silent_s)
+    if restart:
+        cluster.restart(silent)
+    cluster.cuts = set()
+    proposal = cluster.propose(leader, put("archivio", 0, "c"))
+    cluster.run(3)
+    assert (cluster.leader(), leader.raft.term) == (leader, term)
+    assert proposal in cluster.oracle.acknowledged
+    assert silent.raft.leader_id == leader.node_id
+
+
+@bounded(10)
+@given(seed=st.integers(0, 2**32))
+def test_one_cut_link_does_not_cause_elections(seed):
+    """Guards against a node that reaches voters but not the leader and so deposes it."""
+    cluster = Cluster(3, seed)
+    cluster.run(3)
+    leader = cluster.leader()
+    term = leader.raft.term
+    other = next(node for node in cluster.nodes.values() if node is not leader)
+    cluster.cuts = {(leader.node_id, other.node_id), (other.node_id, leader.node_id)}
+    cluster.run(10)
+    assert (cluster.leader(), leader.raft.term) == (leader, term)
+
+
+def test_a_cut_off_leader_stops_accepting_and_serving_reads(cluster):
+    """Guards against a leader behind a partition that accepts what it cannot commit."""
+    leader = cluster.leader()
+    isolate(cluster, leader.node_id)
+    open_read = cluster.read(leader)
+    open_proposal = cluster.propose(leader, put("late", 0, "late"))
+    cluster.run(1.3)
+    assert leader.raft.role is not Role.LEADER
+    assert leader.raft.confirmed_at is None
+    assert isinstance(cluster.outcomes[open_read], NoQuorum)
+    assert not leader.waiting and open_proposal not in cluster.oracle.acknowledged
+    refused = cluster.propose(leader, put("later", 0, "later"))
+    assert isinstance(cluster.outcomes[refused], NotLeader)
+    cluster.run(1.7)
+    assert cluster.leader() not in (None, leader)
+
+
+def test_a_leader_that_was_paused_does_not_accept_at_once(cluster):
+    """Guards against a frozen process that goes on as leader before its first tick."""
+    leader = cluster.leader()
+    cluster.now += 5
+    refused = cluster.propose(leader, put("late", 0, "late"))
+    assert isinstance(cluster.outcomes[refused], NoQuorum)
+    assert isinstance(cluster.outcomes[cluster.read(leader)], NotLeader)
+
+
+def test_a_new_leader_within_three_seconds(cluster):
+    """Guards against elections that take longer than the goal for a lost leader."""
+    for _ in range(10):
+        leader = cluster.leader()
+        cluster.crash(leader)
+        cluster.run(3)
+        assert cluster.leader() not in (None, leader)
+        cluster.restart(leader)
+        cluster.run(1)
+
+
+def test_transfer_hands_over_without_an_election_timeout(cluster):
+    """Guards against a graceful stop that leaves the cluster without a leader."""
+    leader = cluster.leader()
+    proposal = cluster.propose(leader, put("late", 0, "late"))
+    cluster.execute(leader, leader.raft.transfer_leadership(cluster.now))
+    refused = cluster.propose(leader, put("later", 0, "later"))
+    assert isinstance(cluster.outcomes[refused], NotLeader)
+    cluster.run(0.3)
+    assert cluster.leader() not in (None, leader)
+    assert proposal in cluster.oracle.acknowledged
+
+
+def test_an_unreachable_learner_is_not_promoted(cluster):
+    """Guards against a voter that cannot vote and so takes the quorum away."""
+    leader = cluster.leader()
+    down = [node for node in cluster.nodes.values() if node is not leader]
+    for node in down[: (len(cluster.nodes) - 1) // 2]:
+        cluster.crash(node)
+    cluster.add("new/1")
+    cluster.change(leader, AddLearner(Member(node_id="new/1")))
+    isolate(cluster, "new/1")
+    cluster.run(2)
+    promotion = cluster.change(leader, Promote("new/1"))
+    assert promotion not in cluster.outcomes
+    busy = cluster.change(leader, AddLearner(Member(node_id="other/1")))
+    assert isinstance(cluster.outcomes[busy], MembershipChangeInProgress)
+    cluster.run(2)
+    assert isinstance(cluster.outcomes[promotion], LearnerNotCaughtUp)
+    proposal = cluster.propose(leader, put("late", 0, "late"))
+    cluster.run(1)
+    assert proposal in cluster.oracle.acknowledged
+
+
+@bounded(25)
+@given(seed=st.integers(0, 2**32), loss=st.floats(0, 0.2), wait=st.floats(0, 0.5))
+def test_second_loss_right_after_a_repair(seed, loss, wait):
+    """Guards against a replacement that counts as a voter before it holds the commits."""
+    cluster = Cluster(3, seed)
+    cluster.run(3)
+    first, second, *_ = [n for n in cluster.nodes.values() if n is not cluster.leader()]
+    cluster.propose_all(cluster.leader(), [put(f"s{i}", 0, f"c{i}") for i in range(20)])
+    cluster.run(0.5)
+    cluster.compact(cluster.leader())
+    cluster.lose_disk(first)
+    cluster.loss = loss
+    replacement = cluster.add("vm9/1")
+    changes = [AddLearner(Member(node_id="vm9/1")), Promote("vm9/1"), Remove(first.node_id)]
+    for change in changes:
+        for _ in range(40):
+            cluster.run(0.3)
+            if leader := cluster.leader():
+                outcome = cluster.change(leader, change)
+                cluster.run(1.3)
+                if outcome in cluster.oracle.acknowledged:
+                    break
+        else:
+            raise AssertionError(change)
+    late = cluster.propose(cluster.leader(), put("late", 0, "late")) if cluster.leader() else ""
+    cluster.run(wait)
+    lost = cluster.leader() if cluster.leader() not in (None, replacement) else second
+    cluster.lose_disk(lost)
+    cluster.settle()
+    assert cluster.leader() is not None
+    assert replacement.state.config.revision >= 20
+    if late in cluster.oracle.acknowledged:
+        assert "late" in replacement.state.config.services
+
+
+@pytest.mark.parametrize("blank", [True, False])
+def test_a_node_outside_the_membership_never_votes(cluster, blank):
+    """Guards against a lost disk, or a removed node, that votes under a majority's eyes."""
+    leader = cluster.leader()
+    if blank:
+        outsider = cluster.add("vm1/other-disk")
+    else:
+        outsider = next(node for node in cluster.nodes.values() if node is not leader)
+        cluster.change(leader, Remove(outsider.node_id))
+        cluster.run(1)
+        assert outsider.node_id not in [m.node_id for m in outsider.raft.membership.members]
+    for node in cluster.alive():
+        if node not in (leader, outsider):
+            cluster.crash(node)
+    term = outsider.raft.term
+    cluster.run(5)
+    assert cluster.leader() is None
+    assert (outsider.raft.term, outsider.raft.role) == (term, Role.LEARNER)
+    assert outsider.disk.content.hard_state.voted_for in ("", leader.node_id)
+
+
+def test_messages_of_others_are_ignored(cluster):
+    """Guards against clusters that mix, and against a new disk answering for a lost one."""
+    leader = cluster.leader()
+    follower = next(node for node in cluster.nodes.values() if node is not leader)
+    sent = leader.raft.tick(cluster.now + 1)
+    before = follower.raft.dump()
+    for action in sent:
+        if getattr(action, "message", None) and action.message.recipient == follower.node_id:
+            for field, value in (("cluster_id", "foreign"), ("recipient", "vm1/lost")):
+                message = type(action.message)()
+                message.CopyFrom(action.message)
+                setattr(message, field, value)
+                message.term += 1
+                assert follower.raft.receive(message, cluster.now + 1) == []
+    assert follower.raft.dump() == before
+
+
+def test_a_learner_gets_the_log_and_never_counts(cluster):
+    """Guards against a learner that replaces a voter in a majority."""
+    leader = cluster.leader()
+    cluster.compact(leader)
+    learner = cluster.add("new/1")
+    cluster.change(leader, AddLearner(Member(node_id="new/1")))
+    cluster.run(2)
+    assert learner.state.image() == leader.state.image()
+    for node in list(cluster.nodes.values()):
+        if node not in (leader, learner):
+            cluster.crash(node)
+    proposal = cluster.propose(leader, put("late", 0, "late"))
+    cluster.run(5)
+    assert proposal not in cluster.oracle.acknowledged
+    assert cluster.leader() is None
+
+
+def test_membership_changes_that_would_break_the_cluster_are_refused(cluster):
+    """Guards against operators' slips: double adds, unknown nodes, more than seven voters."""
+    leader = cluster.leader()
+    known = leader.node_id
+    for change in (AddLearner(Member(node_id=known)), Promote(known), Remove("nobody/0")):
+        refused = cluster.change(leader, change)
+        assert isinstance(cluster.outcomes[refused], InvalidMembershipChange)
+    with pytest.raises(AlreadyBootstrapped):
+        leader.raft.bootstrap(cluster.first, cluster.now)
+    with pytest.raises(InvalidMembershipChange):
+        blank = cluster.add("blank/1")
+        blank.raft.bootstrap(Membership(cluster_id="x"), cluster.now)
+    accepted = 0
+    for i in range(8):
+        cluster.add(f"new/{i}")
+        cluster.change(leader, AddLearner(Member(node_id=f"new/{i}")))
+        cluster.run(1)
+        promotion = cluster.change(leader, Promote(f"new/{i}"))
+        cluster.run(1)
+        accepted += promotion in cluster.oracle.acknowledged
+    assert accepted == 7 - len(cluster.first.members)
+
+
+def test_removal_that_would_lose_the_quorum_is_refused(cluster):
+    """Guards against removing a live voter while the others that remain do not answer."""
+    leader = cluster.leader()
+    others = [node for node in cluster.nodes.values() if node is not leader]
+    silent = (len(cluster.nodes) - 1) // 2
+    for node in others[:silent]:
+        cluster.crash(node)
+    cluster.run(2)
+    refused = cluster.change(leader, Remove(others[-1].node_id))
+    assert isinstance(cluster.outcomes[refused], InvalidMembershipChange)
