--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -34,6 +34,7 @@
     VmRecord,
 )
 from bramleycrank.proto.target_pb2 import (
+    TARGET_STATE_LEAVING,
     AnnounceReply,
     AnnounceRequest,
     LeaveReply,
@@ -254,6 +255,13 @@
         await self._finish(self._execute(self.registry.leave(request, self._clock())), LEAVE_WAIT_S)
         return LeaveReply()
 
+    def note_leaving(self, target_id: str, incarnation: int) -> None:
+        """Record that a target itself refused work because it leaves."""
+        request = LeaveRequest(target_id=target_id, incarnation=incarnation)
+        known = self.registry.get(target_id)
+        if known is None or known.state != TARGET_STATE_LEAVING:
+            self._execute(self.registry.leave(request, self._clock()))
+
     # Execution of actions.
 
     async def _run(self) -> None:
--- /dev/null
+++ b/bramleycrank/daemon/session_controller.py
@@ -0,0 +1,226 @@
+"""Owns the sessions to all targets: sends sub-requests and executes the monitors' decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from bramleycrank.connections import ConnectionBudget, ConnectionConfig, ReconnectBudget
+from bramleycrank.daemon.membership_controller import MembershipController
+from bramleycrank.daemon.target_link import LinkContext, Listener, TargetLink
+from bramleycrank.proto.target_pb2 import LoadReport, SubRequest, TargetRecord
+from bramleycrank.query.types import FailureReason
+
+log = logging.getLogger(__name__)
+
+# Time between two ticks of the monitors: a fifth of the shortest silence that matters.
+TICK_S = 0.05
+
+# How long sessions of targets that left may finish their work when this VM stops.
+CLOSE_WAIT_S = 1.0
+
+
+class _Settings(Protocol):
+    """The part of `Settings` that is needed."""
+
+    vm: Any
+    connections: Any
+
+
+class SessionController:
+    """Keeps a session to every usable target and sends sub-requests on it.
+
+    A target that is no longer usable gets no new work from the moment the registry says so; its
+    session is closed when its work in flight has ended.
+
+    Parameters
+    ----------
+    vm_id : str
+        This VM.
+    cfg : ConnectionConfig
+        Options.
+    membership : MembershipController
+        Source of targets and of the number of VMs.
+    rng : random.Random, optional
+        Source of jitter.
+    clock : callable, optional
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        cfg: ConnectionConfig,
+        membership: MembershipController,
+        *,
+        rng: Random | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        now = clock()
+        self._membership = membership
+        self._clock = clock
+        self._budget = ConnectionBudget(cfg, now)
+        self._context = LinkContext(
+            vm_id=vm_id,
+            cfg=cfg,
+            clock=clock,
+            rng=rng or Random(),
+            reconnects=ReconnectBudget.from_config(cfg, now),
+            share=lambda limit: self._budget.share(limit, clock()),
+            on_down=self._on_down,
+            on_load=self._on_load,
+            on_leaving=self._on_leaving,
+        )
+        self._links: dict[str, TargetLink] = {}
+        self._retiring: set[TargetLink] = set()
+        self._down_callbacks: list[Callable[[str, bool], None]] = []
+        self._load_callbacks: list[Callable[[str, LoadReport], None]] = []
+        # Ids of an earlier process must not be taken for new ones by a target.
+        self._ids = itertools.count(time.time_ns() // 1000)
+        self._task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(cls, cfg: _Settings, membership: MembershipController) -> SessionController:
+        """Return a controller with the options of the settings."""
+        options = cfg.connections
+        return cls(
+            cfg.vm.id,
+            ConnectionConfig(
+                silence_min_s=options.silence_min_s,
+                idle_ping_s=options.idle_ping_s,
+                reconnects_per_s=options.reconnects_per_s,
+                reconnect_burst=options.reconnect_burst,
+            ),
+            membership,
+        )
+
+    async def start(self) -> None:
+        """Open sessions to all usable targets and follow the registry from now on."""
+        now = self._clock()
+        self._budget = ConnectionBudget(self._context.cfg, now)
+        self._budget.on_count(self._membership.vm_count(), now)
+        self._membership.subscribe_targets(self._on_target)
+        for record in self._membership.all_targets():
+            self._on_target(record)
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Close all sessions; sub-requests in flight are reported as failed."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        links = [*self._links.values(), *self._retiring]
+        self._links.clear()
+        self._retiring.clear()
+        waits = [link.close() for link in links]
+        if waits:
+            await asyncio.wait([asyncio.ensure_future(w) for w in waits], timeout=CLOSE_WAIT_S)
+
+    # Interface for queries.
+
+    def next_sub_id(self) -> int:
+        """Return an id that was never used before by this VM."""
+        return next(self._ids)
+
+    def send(self, target_id: str, request: SubRequest, listener: Listener) -> None:
+        """Send a sub-request to a target.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        request : SubRequest
+            The request, with an id of `next_sub_id`.
+        listener : Listener
+            Gets either ``on_reply(reply)`` or ``on_failure(sub_id, reason)``, once, possibly before
+            this call returns; nothing after `cancel`. The reason is a `FailureReason`: ``not_sent``
+            is proof that the request did not run.
+        """
+        link = self._links.get(target_id)
+        if link is None:
+            listener.on_failure(request.sub_id, FailureReason.NOT_SENT)
+            return
+        link.send(request, listener)
+
+    def cancel(self, sub_id: int, target_id: str) -> None:
+        """Give up a sub-request; its listener hears nothing more of it."""
+        for link in self._links_of(target_id):
+            link.cancel(sub_id)
+
+    def subscribe_down(self, callback: Callable[[str, bool], None]) -> None:
+        """Call back with target id and True when a target is found down, False when it is up."""
+        self._down_callbacks.append(callback)
+
+    def subscribe_load(self, callback: Callable[[str, LoadReport], None]) -> None:
+        """Call back with target id and report whenever a target reports its load."""
+        self._load_callbacks.append(callback)
+
+    def is_connected(self, target_id: str) -> bool:
+        """Return whether new work can be sent to a target at once."""
+        link = self._links.get(target_id)
+        return link is not None and link.monitor.ready_conn is not None
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of each session and of the budgets."""
+        now = self._clock()
+        return {
+            "targets": {target_id: link.dump(now) for target_id, link in self._links.items()},
+            "retiring": [link.dump(now) for link in self._retiring],
+            "reconnects": self._context.reconnects.dump(),
+            "connections": self._budget.dump(),
+        }
+
+    # Changes of targets.
+
+    def _links_of(self, target_id: str) -> list[TargetLink]:
+        link = self._links.get(target_id)
+        links = [] if link is None else [link]
+        if self._retiring:
+            links += [old for old in self._retiring if old.target_id == target_id]
+        return links
+
+    def _on_target(self, record: TargetRecord) -> None:
+        link = self._links.get(record.target_id)
+        usable = self._membership.is_usable(record.target_id)
+        if link is not None and (not usable or not link.serves(record)):
+            del self._links[record.target_id]
+            if link.retire():
+                self._retiring.add(link)
+            link = None
+        if not usable:
+            return
+        if link is None:
+            self._links[record.target_id] = link = TargetLink(record, self._context)
+            link.tick(self._clock())
+        else:
+            link.update(record)
+
+    def _on_leaving(self, target_id: str, incarnation: int) -> None:
+        """Take the target's own word that it leaves; this VM may be cut off from its home VM."""
+        self._membership.note_leaving(target_id, incarnation)
+
+    def _on_down(self, target_id: str, down: bool) -> None:
+        log.info("sessions: target %s is %s", target_id, "down" if down else "up")
+        for callback in self._down_callbacks:
+            callback(target_id, down)
+
+    def _on_load(self, target_id: str, report: LoadReport) -> None:
+        for callback in self._load_callbacks:
+            callback(target_id, report)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self._clock()
+            self._budget.on_count(self._membership.vm_count(), now)
+            for link in [*self._links.values(), *self._retiring]:
+                try:
+                    link.tick(now)
+                except Exception:
+                    log.exception("sessions: tick of target %s failed", link.target_id)
+            self._retiring = {link for link in self._retiring if not link.finished}
--- /dev/null
+++ b/bramleycrank/transport/target_session.py
@@ -0,0 +1,224 @@
+"""One connection to a target with its `Target.Session` stream."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Protocol
+
+import h2.exceptions
+from grpclib.client import Channel, Stream
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.stream import recv_message
+
+from bramleycrank.proto.target_grpc import TargetStub
+from bramleycrank.proto.target_pb2 import SessionReply, SessionRequest, SubRequest
+
+log = logging.getLogger(__name__)
+
+# Id of the ping in the first message; the monitor's pings start at 1 and never get here.
+OPEN_PING = 2**63
+
+# A message is split here, so that one large message does not delay the pings behind it.
+MAX_REQUESTS_PER_MESSAGE = 500
+
+_STREAM_ERRORS = (
+    OSError,
+    StreamTerminatedError,
+    GRPCError,
+    h2.exceptions.ProtocolError,
+    AssertionError,  # grpclib's answer to a stream that ends within a message
+    AttributeError,  # grpclib's answer to the use of a connection that it has closed
+)
+
+
+class SessionEvents(Protocol):
+    """Receives the events of a session."""
+
+    def on_open(self, session: TargetSession) -> None:
+        """Note that the target answered the first ping."""
+
+    def on_message(self, session: TargetSession, message: SessionReply) -> None:
+        """Take a message of the target."""
+
+    def on_sent(self, session: TargetSession, requests: list[SubRequest]) -> None:
+        """Note that requests are being written; from now on they may run."""
+
+    def on_closed(self, session: TargetSession, unsent: list[SubRequest], *, refused: bool) -> None:
+        """Note the end of the session; `unsent` were never written."""
+
+
+class TargetSession:
+    """A connection to a target, on which everything travels in one bidirectional stream.
+
+    What is sent in one loop turn goes out in one message; while the target's flow control holds a
+    message up, the following ones are joined. A request counts as sent as soon as grpclib starts to
+    write its message.
+
+    Parameters
+    ----------
+    conn_id : int
+        Id of the connection for the monitor.
+    host, port
+        Address of the target.
+    vm_id : str
+        This VM, told to the target in the first message.
+    events : SessionEvents
+        Receiver of the events.
+    """
+
+    def __init__(
+        self, conn_id: int, host: str, port: int, vm_id: str, events: SessionEvents
+    ) -> None:
+        self.conn_id = conn_id
+        self.opened = False
+        self.closed = False
+        self._vm_id = vm_id
+        self._events = events
+        self._channel = Channel(host, port)
+        self._pending: dict[int, SubRequest] = {}
+        self._cancels: list[int] = []
+        self._ping = 0
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._refused = False
+
+    def start(self, open_timeout_s: float) -> None:
+        """Start to connect; ends with `on_open`, or with `on_closed` after `open_timeout_s`."""
+        self._task = asyncio.ensure_future(self._run(open_timeout_s))
+
+    def send(self, request: SubRequest) -> None:
+        """Send a request with the next message."""
+        self._pending[request.sub_id] = request
+        self._wake.set()
+
+    def cancel(self, sub_id: int) -> None:
+        """Cancel a request; one that is not written yet is dropped."""
+        if self._pending.pop(sub_id, None) is None:
+            self._cancels.append(sub_id)
+            self._wake.set()
+
+    def ping(self, ping_id: int) -> None:
+        """Send a ping with the next message."""
+        self._ping = ping_id
+        self._wake.set()
+
+    def close(self, *, abort: bool = False) -> None:
+        """Close the connection; `on_closed` follows in a later loop turn.
+
+        Parameters
+        ----------
+        abort : bool, optional
+            Whether to drop what is still in the socket buffer. A silent connection would hold its
+            descriptor until TCP gives up.
+        """
+        if abort and (protocol := self._channel._protocol) is not None:
+            protocol.connection._transport.abort()
+        if self._task is not None:
+            self._task.cancel()
+
+    async def wait_closed(self) -> None:
+        """Wait until the connection is closed."""
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self, open_timeout_s: float) -> None:
+        try:
+            await self._serve(open_timeout_s)
+        except _STREAM_ERRORS as exc:
+            if isinstance(exc, GRPCError) and exc.status is Status.RESOURCE_EXHAUSTED:
+                self._refused = True
+            log.debug("sessions: connection %d ended: %r", self.conn_id, exc)
+        except TimeoutError:
+            log.debug("sessions: connection %d was not answered in time", self.conn_id)
+        except Exception:
+            log.exception("sessions: connection %d failed", self.conn_id)
+        finally:
+            self.closed = True
+            self._channel.close()
+            unsent, self._pending = list(self._pending.values()), {}
+            self._events.on_closed(self, unsent, refused=self._refused)
+
+    async def _serve(self, open_timeout_s: float) -> None:
+        async with asyncio.timeout(open_timeout_s) as limit:
+            stream = TargetStub(self._channel).Session.open()
+            await stream.__aenter__()
+            try:
+                await stream.send_message(SessionRequest(vm_id=self._vm_id, ping=OPEN_PING))
+                writer = asyncio.ensure_future(self._write(stream))
+                try:
+                    await self._read(stream, limit)
+                finally:
+                    writer.cancel()
+            finally:
+                self._reset(stream)
+
+    @staticmethod
+    def _reset(stream: Stream) -> None:
+        """Drop the stream; `Stream.__aexit__` would wait for trailers of a dead connection."""
+        inner = getattr(stream, "_stream", None)
+        if inner is not None and inner.closable:
+            inner.reset_nowait()
+
+    async def _read(self, stream: Stream, limit: asyncio.Timeout) -> None:
+        try:
+            while (message := await stream.recv_message()) is not None:
+                self._deliver(message, limit)
+        except StreamTerminatedError:
+            self._refused = _is_refusal(stream)
+            await self._read_rest(stream, limit)
+            raise
+
+    async def _read_rest(self, stream: Stream, limit: asyncio.Timeout) -> None:
+        """Deliver the messages that arrived before the connection was lost.
+
+        grpclib cancels the reader when the connection ends, though replies may still be in its
+        buffer.
+        """
+        inner = stream._stream
+        inner.buffer._ack_callback = lambda size: None  # nothing to acknowledge any more
+        inner.buffer.eof()
+        while (message := await recv_message(inner, stream._codec, stream._recv_type)) is not None:
+            self._deliver(message, limit)
+
+    def _deliver(self, message: SessionReply, limit: asyncio.Timeout) -> None:
+        if not self.opened:
+            self.opened = True
+            limit.reschedule(None)
+            self._events.on_open(self)
+        self._events.on_message(self, message)
+
+    async def _write(self, stream: Stream) -> None:
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                await stream.send_message(self._next_message())
+        except StreamTerminatedError:
+            pass  # the reader ends too, after it has delivered what has arrived
+        except _STREAM_ERRORS as exc:
+            log.debug("sessions: connection %d cannot be written: %r", self.conn_id, exc)
+            self.close()
+
+    def _next_message(self) -> SessionRequest:
+        message = SessionRequest(cancel_sub_ids=self._cancels, ping=self._ping)
+        self._cancels, self._ping = [], 0
+        requests = list(self._pending.values())[:MAX_REQUESTS_PER_MESSAGE]
+        if len(requests) == len(self._pending):
+            self._pending.clear()
+        else:
+            for request in requests:
+                del self._pending[request.sub_id]
+            self._wake.set()
+        if requests:
+            message.requests.extend(requests)
+            self._events.on_sent(self, requests)
+        return message
+
+
+def _is_refusal(stream: Stream) -> bool:
+    """Tell whether a reset stream carried the status for "too many connections"."""
+    inner = stream._stream
+    headers = dict(inner.trailers or inner.headers or ())
+    return headers.get("grpc-status") == str(Status.RESOURCE_EXHAUSTED.value)
