--- /dev/null
+++ b/tests/test_membership_controller.py
@@ -0,0 +1,128 @@
+"""Tests of the membership controller and the registry server over real grpclib on loopback."""
+
+import asyncio
+import time
+
+import pytest
+from grpclib.client import Channel
+from grpclib.server import Server
+
+from bramleycrank.daemon.membership_controller import MembershipController
+from bramleycrank.exceptions import Draining, InvalidRequest
+from bramleycrank.membership import MembershipConfig
+from bramleycrank.proto import peer_pb2, target_pb2
+from bramleycrank.proto.peer_grpc import PeerBase
+from bramleycrank.proto.target_grpc import RegistryStub
+from bramleycrank.transport.grpc_errors import call, unary
+from bramleycrank.transport.peer_client import PeerClients
+from bramleycrank.transport.registry_service import RegistryService
+
+FAST = MembershipConfig(
+    probe_period_s=0.2, probe_timeout_s=0.08, sync_period_s=1.0, lease_s=1.2, renew_s=0.4
+)
+
+
+class GossipService(PeerBase):
+    """The two methods of `Peer` that membership needs."""
+
+    def __init__(self):
+        self.controller = None
+
+    @unary
+    async def Probe(self, request):  # noqa: N802
+        return await self.controller.on_probe(request)
+
+    @unary
+    async def Sync(self, request):  # noqa: N802
+        return await self.controller.on_sync(request)
+
+    FetchConfig = Propose = Consensus = Identity = Bootstrap = Probe
+
+
+class Vm:
+    """One VM with its server on loopback."""
+
+    async def start(self, vm_id, seeds):
+        service = GossipService()
+        self.clients = PeerClients()
+        registry = RegistryService(None)
+        self.server = Server([service, registry])
+        await self.server.start("127.0.0.1", 0)
+        port = self.server._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        local = peer_pb2.VmRecord(vm_id=vm_id, domain="a", host="127.0.0.1", port=port)
+        self.controller = MembershipController.from_config(FAST, local, seeds, self.clients)
+        self.service = service
+        service.controller = registry._membership = self.controller
+        status = peer_pb2.ConfigStatus(revision=port)
+        self.controller.set_config_status(lambda: status)
+        await self.controller.start()
+        return self
+
+    async def stop(self):
+        # grpclib's server keeps open connections after `close`, so the service fails from now on.
+        self.service.controller = None
+        self.server.close()
+        await self.controller.stop()
+        self.clients.close()
+
+
+async def until(condition, limit_s=5.0):
+    """Wait for a condition and return the time it took in seconds."""
+    started = time.monotonic()
+    while not condition():
+        assert time.monotonic() - started < limit_s, "the condition did not become true"
+        await asyncio.sleep(0.01)
+    return time.monotonic() - started
+
+
+def announcement(**fields):
+    record = target_pb2.TargetRecord(
+        target_id="t-1",
+        incarnation=1,
+        sequence=1,
+        state=target_pb2.TARGET_STATE_SERVING,
+        service="archivio",
+        host="127.0.0.1",
+        port=9000,
+    )
+    record.MergeFrom(target_pb2.TargetRecord(**fields))
+    return target_pb2.AnnounceRequest(record=record)
+
+
+def test_target_life_and_departures_over_real_connections():
+    """Guards against gossip, pushes, leases or typed refusals that only work in memory."""
+
+    async def scenario():
+        vms = [await Vm().start("vm-0", [])]
+        vms += [await Vm().start(f"vm-{i}", [vms[0].address]) for i in (1, 2)]
+        seen = set()
+        vms[2].controller.subscribe_config_status(lambda address, status: seen.add(address))
+        controllers = [vm.controller for vm in vms]
+        await until(lambda: all(c.vm_count() == 3 for c in controllers))
+        await until(lambda: seen >= {vms[0].address, vms[1].address})
+
+        async with Channel(*vms[0].address.split(":")) as channel:
+            registry = RegistryStub(channel)
+            await call(registry.Announce, announcement(), timeout_s=1.0)
+            await until(lambda: all(len(c.targets("archivio")) == 1 for c in controllers))
+            await until(lambda: not any(c.targets("archivio") for c in controllers))  # lease ends
+            await call(registry.Announce, announcement(), timeout_s=1.0)
+            await until(lambda: all(len(c.targets("archivio")) == 1 for c in controllers))
+            left = target_pb2.LeaveRequest(target_id="t-1", incarnation=1)
+            await call(registry.Leave, left, timeout_s=1.0)
+            assert not any(c.targets("archivio") for c in controllers), "pushed before the answer"
+            with pytest.raises(InvalidRequest):
+                await call(registry.Announce, announcement(sequence=9), timeout_s=1.0)
+            vms[0].controller.drain()
+            with pytest.raises(Draining):
+                await call(registry.Announce, announcement(incarnation=2), timeout_s=1.0)
+
+        await vms[0].controller.leave()
+        assert all(len(c.vms()) == 2 for c in controllers[1:])
+        await vms[0].stop()
+        await vms[1].stop()  # without leaving
+        await until(lambda: len(vms[2].controller.vms()) == 1)
+        await vms[2].stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
