Wait for sessions before a VM is ready, and test the operator service

A VM that was ready before its sessions stood answered its first requests in part. Status now shows voters that gossip has forgotten, and sessions tell the query path about targets that are down and about load.

--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -39,6 +39,32 @@
 SERVER_CLOSE_S = 1.0
 
 
+# Longest wait of a starting VM for sessions to the targets that it knows.
+SESSIONS_WAIT_S = 3.0
+
+# Answers that were written when the last request ended still have to leave the sockets.
+FLUSH_S = 0.05
+
+
+@attrs.frozen
+class QueryMetrics:
+    """Passes metrics of the query path on; that path counts in milliseconds."""
+
+    target: metrics_module.Metrics
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+        self.target.incr(name, count)
+
+    def timing(self, name: str, ms: float) -> None:
+        """Record a duration in milliseconds."""
+        self.target.timing(name, ms / 1000)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.target.gauge(name, value)
+
+
 @attrs.define
 class Parts:
     """All parts of a running node."""
@@ -112,8 +138,24 @@
         await parts.membership.start()
 
     async def join(self) -> None:
-        """Wait until a configuration is in force."""
+        """Wait until a configuration is in force and sessions to the known targets stand.
+
+        A VM that is ready before its sessions would answer its first requests in part. Targets
+        that cannot be reached hold this up for a short time only.
+        """
         await self._parts.config.wait_in_force()
+        deadline = asyncio.get_running_loop().time() + SESSIONS_WAIT_S
+        while asyncio.get_running_loop().time() < deadline and not self._sessions_stand():
+            await asyncio.sleep(0.02)
+
+    def _sessions_stand(self) -> bool:
+        parts = self._parts
+        usable = (t.target_id for t in parts.membership.all_targets())
+        return all(
+            parts.sessions.is_connected(target_id)
+            for target_id in usable
+            if parts.membership.is_usable(target_id)
+        )
 
     def set_draining(self, draining: bool) -> None:
         """Tell the other VMs and the targets whether this VM is draining."""
@@ -132,6 +174,7 @@
         """Wait until no request is in flight."""
         if not await self._parts.query.drain(limit_s):
             log.warning("life cycle: requests are still in flight after %s s", limit_s)
+        await asyncio.sleep(FLUSH_S)
 
     async def transfer_leadership(self) -> None:
         """Hand the leadership over, if this VM leads."""
@@ -189,9 +232,11 @@
             targets=membership,
             sessions=sessions,
             proposer=consensus,
-            metrics=metrics,
+            metrics=QueryMetrics(metrics),
             rng=rng,
         )
+        sessions.subscribe_down(query.set_down)
+        sessions.subscribe_load(query.on_load)
         voters = VoterChanges(consensus, clients)
         return Parts(clients, membership, consensus, config, sessions, query, voters, metrics)
 
--- a/bramleycrank/transport/operator_service.py
+++ b/bramleycrank/transport/operator_service.py
@@ -44,11 +44,8 @@
 class Directory(Protocol):
     """What the service needs to know of VMs and targets; the membership controller."""
 
-    def vms(self) -> Sequence[peer_pb2.VmRecord]:
-        """Return the records of all known VMs, this one included."""
-
-    def targets(self, service: str) -> Sequence[target_pb2.TargetRecord]:
-        """Return the records of the targets of a service."""
+    def all_vms(self) -> Sequence[peer_pb2.VmRecord]:
+        """Return the records of all known VMs, this one and those that are gone included."""
 
     def all_targets(self) -> Sequence[target_pb2.TargetRecord]:
         """Return the records of all targets."""
@@ -204,6 +201,8 @@
         reply.leader_vm = leaders[0] if len(leaders) == 1 else reply.leader_vm
 
     async def _status_of(self, record: peer_pb2.VmRecord) -> operator_pb2.StatusReply | None:
+        if record.state == peer_pb2.VM_STATE_LEFT:
+            return None
         stub = self._clients.operator_stub(format_address(record.host, record.port))
         try:
             request = operator_pb2.StatusRequest(local=True)
@@ -222,7 +221,18 @@
         )
 
     def _records(self) -> dict[str, peer_pb2.VmRecord]:
-        return {record.vm_id: record for record in self._directory.vms()}
+        """Return all VMs that gossip or the log knows; gossip forgets VMs that are long dead."""
+        records = {record.vm_id: record for record in self._directory.all_vms()}
+        membership = self._consensus.membership
+        for member in membership.members if membership else ():
+            vm_id = member.node_id.partition("/")[0]
+            records.setdefault(
+                vm_id,
+                peer_pb2.VmRecord(
+                    vm_id=vm_id, domain=member.domain, host=member.host, port=member.port
+                ),
+            )
+        return records
 
     @unary
     async def ListTargets(  # noqa: N802
--- /dev/null
+++ b/tests/test_operator_service.py
@@ -0,0 +1,213 @@
+"""The operator service over a real server: typed refusals, status, forwarding and drains."""
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+import pytest
+from grpclib.server import Server
+
+from bramleycrank.daemon.identity import Identity
+from bramleycrank.exceptions import (
+    BodyTooLarge,
+    InvalidChange,
+    NoQuorum,
+    NotFound,
+    NotLeader,
+    UnknownService,
+    VersionConflict,
+)
+from bramleycrank.proto import log_pb2, operator_pb2, peer_pb2
+from bramleycrank.transport.operator_service import OperatorService
+from bramleycrank.transport.peer_client import PeerClients
+
+OK = log_pb2.CommandResult(code=log_pb2.RESULT_CODE_OK, revision=3, version=3)
+MEMBERS = log_pb2.Membership(members=[log_pb2.Member(node_id="other/1", voter=True)])
+
+
+class World:
+    """A server with fake controllers; `proposed` holds the commands that reached the log."""
+
+    def __init__(self):
+        self.proposed = []
+        self.results = [OK]
+        self.calls = []
+        self.voter_error = None
+        self.consensus = SimpleNamespace(
+            identity=Identity(vm_id="own", domain="a", host="127.0.0.1", port=1),
+            membership=None,
+            is_leader=False,
+            role="entry",
+            leader_vm=str,
+            leader_address=str,
+            propose=self.propose,
+        )
+        self.config = SimpleNamespace(
+            revision=3,
+            service=self.service,
+            services=list,
+            vm=lambda vm_id: None,
+            status=lambda: peer_pb2.ConfigStatus(leader_revision=4),
+            stale_ms=lambda: 0,
+            is_current=lambda: True,
+        )
+        self.records = [peer_pb2.VmRecord(vm_id="own", state=peer_pb2.VM_STATE_ALIVE)]
+        self.voters = SimpleNamespace(add=self.voter_call, remove=self.voter_call)
+
+    async def propose(self, command, timeout_s):
+        self.proposed.append(command.change)
+        return self.results.pop(0) if len(self.results) > 1 else self.results[0]
+
+    async def voter_call(self, *args):
+        self.calls.append(args)
+        if self.voter_error:
+            raise self.voter_error
+        return MEMBERS
+
+    def service(self, name):
+        raise UnknownService()
+
+    def run(self, scenario):
+        async def body():
+            clients = PeerClients()
+            directory = SimpleNamespace(all_vms=lambda: self.records, all_targets=list)
+            service = OperatorService(
+                self.config, self.consensus, directory, self.voters, clients, lambda: {"a": 1}
+            )
+            server = Server([service])
+            await server.start("127.0.0.1", 0)
+            port = server._server.sockets[0].getsockname()[1]
+            try:
+                self.address = f"127.0.0.1:{port}"
+                return await scenario(clients.operator_stub(self.address))
+            finally:
+                clients.close()
+                server.close()
+                await server.wait_closed()
+
+        return asyncio.run(body())
+
+    def call(self, method, request, timeout=5.0):
+        return self.run(lambda stub: getattr(stub, method)(request, timeout=timeout))
+
+
+def put(change_id="c1", **fields):
+    service = log_pb2.ServiceConfig(**{"name": "demo", **fields})
+    change = log_pb2.Change(change_id=change_id, put_service=service)
+    return operator_pb2.ChangeRequest(change=change)
+
+
+def with_unknown_field():
+    request = put()
+    # Field 100, varint 1: a setting of a newer version inside the service.
+    request.change.put_service.MergeFromString(b"\xa0\x06\x01")
+    return request
+
+
+@pytest.mark.parametrize(
+    "request_, error, part",
+    [
+        (operator_pb2.ChangeRequest(), InvalidChange, "change_id"),
+        (operator_pb2.ChangeRequest(change=log_pb2.Change(change_id="x")), InvalidChange, "body"),
+        (put(change_id=""), InvalidChange, "change_id"),
+        (put(change_id="x" * 200), InvalidChange, "change_id"),
+        (put(name=""), InvalidChange, "name"),
+        (put(name="a\nb"), InvalidChange, "name"),
+        (put(classes=["sometimes"]), InvalidChange, "sometimes"),
+        (put(kinds=[log_pb2.KindConfig(name="search")]), InvalidChange, "idempotent"),
+        (put(kinds=[log_pb2.KindConfig(name="a")] * 2), InvalidChange, "twice"),
+        (put(default_deadline_ms=60_001), InvalidChange, "default_deadline_ms"),
+        (put(classes=["normal" * 20_000]), BodyTooLarge, "bytes"),
+        (with_unknown_field(), InvalidChange, "field 100"),
+    ],
+)
+def test_bad_change_is_refused_before_it_is_proposed(request_, error, part):
+    world = World()
+    with pytest.raises(error, match=part):
+        world.call("ApplyChange", request_)
+    assert world.proposed == []
+
+
+@pytest.mark.parametrize(
+    "code, error",
+    [
+        (log_pb2.RESULT_CODE_VERSION_CONFLICT, VersionConflict),
+        (log_pb2.RESULT_CODE_NOT_FOUND, NotFound),
+        (log_pb2.RESULT_CODE_INVALID, InvalidChange),
+    ],
+)
+def test_refusal_of_the_replicated_state_keeps_its_type(code, error):
+    world = World()
+    world.results = [log_pb2.CommandResult(code=code, version=9, message="m")]
+    with pytest.raises(error) as caught:
+        world.call("ApplyChange", put())
+    assert getattr(caught.value, "current_version", 9) == 9
+
+
+def test_drain_tries_again_with_the_current_version_and_another_change_id():
+    # The same change id would get the first answer, the conflict, for ever.
+    world = World()
+    world.records.append(peer_pb2.VmRecord(vm_id="vm2"))
+    conflict = log_pb2.CommandResult(code=log_pb2.RESULT_CODE_VERSION_CONFLICT, version=8)
+    world.results = [conflict, OK]
+    request = operator_pb2.DrainRequest(vm_id="vm2", drained=True, change_id="d")
+    assert world.call("DrainVm", request).revision == 3
+    assert [(c.change_id, c.expected_version) for c in world.proposed] == [("d", 0), ("d/1", 8)]
+
+
+def test_drain_of_an_unknown_vm_is_refused():
+    request = operator_pb2.DrainRequest(vm_id="typo", drained=True, change_id="d")
+    with pytest.raises(NotFound):
+        World().call("DrainVm", request)
+
+
+def test_status_shows_unreachable_and_forgotten_vms():
+    world = World()
+    world.records.append(peer_pb2.VmRecord(vm_id="gone", host="127.0.0.1", port=9))
+    world.consensus.membership = MEMBERS
+    reply = world.call("Status", operator_pb2.StatusRequest())
+    shown = {vm.record.vm_id: vm.reachable for vm in reply.vms}
+    assert shown == {"own": True, "gone": False, "other": False}
+    assert reply.leader_revision == 4
+
+
+def test_change_of_voters_is_repeated_when_the_leader_moves():
+    world = World()
+    world.consensus.is_leader = True
+    world.voter_error = NotLeader()
+
+    async def scenario(stub):
+        request = operator_pb2.MemberRequest(node_id="n", timeout_ms=3000)
+        call = asyncio.ensure_future(stub.RemoveVoter(request))
+        while len(world.calls) < 2:
+            await asyncio.sleep(0.01)
+        world.voter_error = None
+        return await call
+
+    assert world.run(scenario).membership == MEMBERS
+
+
+def test_forwarded_change_of_voters_is_not_forwarded_again():
+    # Two VMs that take each other for the leader would call each other without end.
+    world = World()
+    world.voter_error = NotLeader(leader_address="127.0.0.1:9")
+    with pytest.raises(NotLeader):
+        world.call("AddVoter", operator_pb2.MemberRequest(address="a", forwarded=True))
+    assert len(world.calls) == 1
+
+
+def test_change_of_voters_without_a_leader_ends():
+    with pytest.raises(NoQuorum):
+        World().call("AddVoter", operator_pb2.MemberRequest(address="a", timeout_ms=300))
+
+
+def test_dump_of_this_vm_and_of_an_unknown_one():
+    world = World()
+    assert json.loads(world.call("Dump", operator_pb2.DumpRequest()).json) == {"a": 1}
+    with pytest.raises(NotFound):
+        world.call("Dump", operator_pb2.DumpRequest(vm_id="typo"))
+
+
+def test_unknown_service_is_typed():
+    with pytest.raises(UnknownService):
+        World().call("GetService", operator_pb2.GetServiceRequest(name=""))
