--- a/bramleycrank/state/claims.py
+++ b/bramleycrank/state/claims.py
@@ -31,6 +31,10 @@
 # The floor is moved only by whole steps of this size, so that it costs one log entry a minute.
 _FLOOR_STEP_MS = 60_000
 
+# Attempts of one claim that are known to have given up. Only a command that is delayed past this
+# many further attempts of the same request could win late, and then it holds a claim unused.
+_REMEMBERED_ATTEMPTS = 8
+
 # Share of a full table that is kept when claims must be dropped for memory.
 _KEPT_SHARE = 0.9
 
@@ -71,9 +75,11 @@
         if command.id.issued_at_ms < self.floor_ms:
             return _expired()
         claim = self.find(command.id)
-        if claim is not None and (not claim.abandoned or claim.attempt_id == command.attempt_id):
+        if claim is None:
+            claim = self._add(Claim(id=command.id))
+        elif not claim.abandoned or command.attempt_id in claim.abandoned_attempts:
             return _standing(claim, command.attempt_id)
-        self._put(command.id, command.attempt_id, command.vm_id)
+        claim.attempt_id, claim.vm_id, claim.abandoned = command.attempt_id, command.vm_id, False
         return _result(ResultCode.RESULT_CODE_CLAIM_WON)
 
     def complete(self, command: ClaimComplete) -> CommandResult:
@@ -96,10 +102,10 @@
         return _result(ResultCode.RESULT_CODE_OK)
 
     def abandon(self, command: ClaimAbandon) -> CommandResult:
-        """Give the claim free for other attempts.
+        """Record that the attempt gave up, and give the claim free if the attempt holds it.
 
-        An abandonment that comes before its claim is kept, so that the claim does not win when it
-        arrives late and nobody is left to run it.
+        An abandonment that comes before its claim counts too, so that the claim does not win when
+        it arrives late and nobody is left to run it.
         """
         if problem := claim_problem(command.id, command.attempt_id):
             return _result(ResultCode.RESULT_CODE_INVALID, problem)
@@ -107,8 +113,12 @@
             return _expired()
         claim = self.find(command.id)
         if claim is None:
-            claim = self._put(command.id, command.attempt_id, "")
-        if claim.attempt_id != command.attempt_id or claim.completed:
+            claim = self._add(Claim(id=command.id, abandoned=True))
+        if command.attempt_id not in claim.abandoned_attempts:
+            claim.abandoned_attempts.append(command.attempt_id)
+            del claim.abandoned_attempts[:-_REMEMBERED_ATTEMPTS]
+        holds = claim.attempt_id == command.attempt_id
+        if claim.completed or not (holds or claim.abandoned):
             return _standing(claim, command.attempt_id)
         claim.abandoned = True
         return _result(ResultCode.RESULT_CODE_OK)
@@ -161,12 +171,6 @@
         while numbers:
             yield from sorted(self._buckets[heapq.heappop(numbers)], key=lambda key: key[2])
 
-    def _put(self, claim_id: ClaimId, attempt_id: str, vm_id: str) -> Claim:
-        key = _key(claim_id)
-        if key in self._claims:
-            self._drop(key[2] // _BUCKET_MS, key)
-        return self._add(Claim(id=claim_id, attempt_id=attempt_id, vm_id=vm_id))
-
     def _add(self, claim: Claim) -> Claim:
         key = _key(claim.id)
         self._claims[key] = claim
