Start the timers of a restarted voter, send metrics and test more faults

Cause: the timer was set only after an event, so a cluster whose voters all restarted had no event and never elected a leader; a single restarted voter got its timer with the first message of a leader. The test that restarts all VMs found it. Ruled out: election timeouts and stored terms, which were right. Result: all VMs come back with every accepted change and accept new ones.

New process tests: voters added, the leader removed, bootstrap sent again, an operator's drain, a second daemon on a data folder, requests that outlast a stop, and work orders whose VM is lost or frozen at five points.

--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -25,6 +25,7 @@
     Outcome,
     ProposalOutcomeUnknown,
 )
+from bramleycrank.observability.metrics import Metrics, NullMetrics
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.state import ReplicatedState
 from bramleycrank.storage import LogStore
@@ -50,6 +51,8 @@
         Connections to other VMs.
     rng : random.Random
         Source of all randomness.
+    metrics : Metrics, optional
+        Receiver of metrics.
     """
 
     def __init__(
@@ -58,7 +61,9 @@
         directory: Directory,
         clients: PeerClients,
         rng: random.Random,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics or NullMetrics()
         self.identity = identity
         self._directory = directory
         self._rng = rng
@@ -215,7 +220,11 @@
         ProposalOutcomeUnknown
             The command may still be committed.
         """
-        return await self._router.propose(command, timeout_s)
+        started = time.monotonic()
+        try:
+            return await self._router.propose(command, timeout_s)
+        finally:
+            self._metrics.timing("consensus.propose", time.monotonic() - started)
 
     async def propose_local(
         self, proposal_id: str, command: log_pb2.Command, timeout_s: float
@@ -334,6 +343,7 @@
             ReplicatedState.from_image(snapshot.image if snapshot else b""),
             self._links,
             self,
+            self._metrics,
             snapshot.index if snapshot else 0,
         )
         self._runner.start()
--- a/bramleycrank/daemon/directory.py
+++ b/bramleycrank/daemon/directory.py
@@ -7,6 +7,7 @@
 from bramleycrank.daemon.identity import format_address
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.proto import peer_pb2
+from bramleycrank.transport.peer_client import PeerClients
 
 GONE = (peer_pb2.VM_STATE_DEAD, peer_pb2.VM_STATE_LEFT)
 
@@ -20,9 +21,14 @@
         Source of the records.
     seeds : sequence of str
         Addresses that serve until gossip knows more.
+    clients : PeerClients
+        Connections to other VMs; those to VMs that are gone are closed.
     """
 
-    def __init__(self, membership: MembershipController, seeds: Sequence[str]) -> None:
+    def __init__(
+        self, membership: MembershipController, seeds: Sequence[str], clients: PeerClients
+    ) -> None:
+        self._clients = clients
         self._membership = membership
         self._seeds = list(seeds)
         self._own = membership.core.local
@@ -46,8 +52,11 @@
         return self._membership.core.local
 
     def _on_vm(self, record: peer_pb2.VmRecord) -> None:
+        address = format_address(record.host, record.port)
         if record.state in GONE:
             # The address in the log may still be right, for example if only gossip is cut.
             self._by_vm.pop(record.vm_id, None)
+            if record.vm_id != self._own.vm_id:
+                self._clients.forget(address)
         else:
-            self._by_vm[record.vm_id] = format_address(record.host, record.port)
+            self._by_vm[record.vm_id] = address
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -39,6 +39,8 @@
 SERVER_CLOSE_S = 1.0
 
 
+GAUGE_PERIOD_S = 10.0
+
 # Longest wait of a starting VM for sessions to the targets that it knows.
 SESSIONS_WAIT_S = 3.0
 
@@ -94,6 +96,7 @@
         self._server: Server | None = None
         self._http_port: Any = None
         self._in_gossip = False
+        self._gauge_timer: asyncio.TimerHandle | None = None
         self.life_cycle = LifeCycle(
             self, cfg.life_cycle.drain_notice_s, cfg.life_cycle.drain_limit_s
         )
@@ -136,6 +139,7 @@
         self._listen_http(parts)
         self._in_gossip = True
         await parts.membership.start()
+        self._report_gauges()
 
     async def join(self) -> None:
         """Wait until a configuration is in force and sessions to the known targets stand.
@@ -195,6 +199,8 @@
         if self._parts is None:
             return
         parts = self._parts
+        if self._gauge_timer is not None:
+            self._gauge_timer.cancel()
         for step in (parts.query.stop(), parts.sessions.stop(), parts.config.stop()):
             await _logged(step)
         await _logged(parts.membership.stop())
@@ -205,6 +211,17 @@
         parts.clients.close()
         parts.metrics.close()
 
+    def _report_gauges(self) -> None:
+        parts = self._parts
+        targets = parts.membership.all_targets()
+        usable = sum(parts.membership.is_usable(target.target_id) for target in targets)
+        parts.metrics.gauge("config.revision", parts.config.revision)
+        parts.metrics.gauge("config.stale", parts.config.stale_ms())
+        parts.metrics.gauge("membership.vms", len(parts.membership.vms()))
+        parts.metrics.gauge("membership.targets", usable)
+        loop = asyncio.get_running_loop()
+        self._gauge_timer = loop.call_later(GAUGE_PERIOD_S, self._report_gauges)
+
     # Construction.
 
     def _build(self) -> Parts:
@@ -214,15 +231,15 @@
         membership = MembershipController(
             self._membership_config(), self._record(), seeds, clients, rng=rng
         )
-        directory = PeerDirectory(membership, seeds)
-        consensus = ConsensusController(self._identity(), directory, clients, rng)
+        directory = PeerDirectory(membership, seeds, clients)
+        metrics = metrics_module.create(cfg.metrics)
+        consensus = ConsensusController(self._identity(), directory, clients, rng, metrics)
         config = ConfigController(cfg.config, consensus, directory, clients, self._cache(), rng)
         directory.leader_address = config.leader_address
         membership.set_config_status(config.status)
         membership.subscribe_config_status(config.on_gossip)
         membership.subscribe_config_replies(config.on_gossip)
         config.subscribe(lambda: self._on_config(config))
-        metrics = metrics_module.create(cfg.metrics)
         sessions = SessionController.from_config(cfg, membership)
         query = QueryController(
             vm_id=cfg.vm.id,
--- a/bramleycrank/daemon/raft_runner.py
+++ b/bramleycrank/daemon/raft_runner.py
@@ -23,6 +23,7 @@
     ProposalOutcomeUnknown,
     StorageError,
 )
+from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto import log_pb2
 from bramleycrank.state import ReplicatedState
 from bramleycrank.storage import LogStore
@@ -85,6 +86,8 @@
         Sends messages to other nodes.
     listener : Listener
         Told about applied entries and changes of role.
+    metrics : Metrics
+        Receiver of metrics.
     applied_index : int, optional
         Index that the state covers.
     """
@@ -96,6 +99,7 @@
         state: ReplicatedState,
         links: ConsensusLinks,
         listener: Listener,
+        metrics: Metrics,
         applied_index: int = 0,
     ) -> None:
         self.node = node
@@ -105,6 +109,7 @@
         self._store = store
         self._links = links
         self._listener = listener
+        self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._inbox: list[log_pb2.ConsensusMessage] = []
         self._batch: list[types.Proposal] = []
@@ -116,7 +121,7 @@
 
     def start(self) -> None:
         """Start the timers of the core."""
-        self._schedule()
+        self._set_timer()
 
     def close(self) -> None:
         """Stop; callers that still wait learn that their outcome is unknown."""
@@ -128,6 +133,8 @@
 
     def receive(self, message: log_pb2.ConsensusMessage) -> None:
         """Queue a message of another node for the next loop turn."""
+        if self._closed or self.failure:
+            return
         self._inbox.append(message)
         self._schedule()
 
@@ -246,7 +253,9 @@
     def _execute(self, action: object) -> None:
         match action:
             case types.Persist():
+                started = self._loop.time()
                 self._store.persist(action)
+                self._metrics.timing("storage.sync", self._loop.time() - started)
             case types.PersistSnapshot():
                 self._store.save_snapshot(action.snapshot)
             case types.Send():
@@ -266,6 +275,7 @@
                 _fail(self._waiting.reads.get(action.read_id), action.error)
             case types.RoleChanged():
                 log.info("consensus: %s in term %s", action.role, action.term)
+                self._metrics.incr("consensus.role_changes")
                 self._listener.on_role()
             case _:
                 raise InternalError(f"unknown action {type(action).__name__}")
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -253,7 +253,6 @@
     def __init__(self, fleet: Fleet, options: dict[str, object]) -> None:
         vms = ",".join(vm.address for vm in fleet.vms)
         args = {"vms": vms, "services": "demo", "latency_ms": 3, **options}
-        command = [sys.executable, "-m", "bramleycrank.standin.main"]
         code = "from bramleycrank.standin.main import main; main()"
         command = [sys.executable, "-c", code, *(f"--{k}={v}" for k, v in args.items())]
         self.process = fleet.spawn(command, fleet.folder / "standin.log")
@@ -279,14 +278,16 @@
 class Fleet:
     """All processes of one test."""
 
-    def __init__(self, folder: Path, domains: tuple[str, ...], voters: int) -> None:
+    def __init__(
+        self, folder: Path, domains: tuple[str, ...], voters: int, disks: int | None = None
+    ) -> None:
         self.folder = folder
         self.clients = PeerClients()
         self._processes: list[Process] = []
         self._standins: list[StandIn] = []
         self.vms: list[Vm] = []
         for number, domain in enumerate(domains, 1):
-            self.vms.append(Vm(self, number, domain, storage=number <= voters))
+            self.vms.append(Vm(self, number, domain, storage=number <= (disks or voters)))
         self.voters = self.vms[:voters]
 
     def spawn(self, command: list[str], log: Path, env: dict[str, str] | None = None) -> Process:
@@ -359,13 +360,14 @@
     *,
     domains: tuple[str, ...] = ("a", "b", "c"),
     voters: int = 3,
+    disks: int | None = None,
     start: bool = True,
     timeout_s: float = 60.0,
 ) -> None:
     """Run a scenario with its own fleet; a failure shows the logs of the VMs."""
 
     async def body() -> None:
-        fleet = Fleet(folder, domains, voters)
+        fleet = Fleet(folder, domains, voters, disks)
         try:
             async with asyncio.timeout(timeout_s):
                 if start:
--- a/tests/test_process_consensus.py
+++ b/tests/test_process_consensus.py
@@ -3,12 +3,13 @@
 import asyncio
 import contextlib
 import shutil
+import sys
 import time
 
 import pytest
-from processes import run_fleet, until
+from processes import TESTS, free_port, run_fleet, until
 
-from bramleycrank.exceptions import BramleycrankError
+from bramleycrank.exceptions import AlreadyBootstrapped, BramleycrankError, NotFound
 from bramleycrank.proto import operator_pb2
 
 pytestmark = pytest.mark.process
@@ -82,21 +83,23 @@
     # a leader that slept must not go on as one, or bring back an older revision.
     async def scenario(fleet):
         leader = await fleet.leader()
-        follower = fleet.others(leader)[0]
+        # The entry VM has to find the leader by gossip alone.
+        entry = fleet.vms[3]
+        follower = fleet.others(leader, entry)[0]
         stream = ChangeStream(fleet.others(leader, follower))
         await stream.more()
-        before = await terms(fleet.others(follower))
+        before = await terms(fleet.others(follower, entry))
         follower.freeze()
         await asyncio.sleep(3.0)  # The length of the freeze is what is tested.
         await stream.more()
         accepted = stream.accepted[-1][1]
         follower.thaw()
         await fleet.in_force(accepted, [follower])
-        assert await terms(fleet.others(follower)) == before
+        assert await terms(fleet.others(follower, entry)) == before
         assert await leader.role() == "leader"
 
         leader.freeze()
-        other = await fleet.leader(fleet.others(leader))
+        other = await fleet.leader(fleet.others(leader, entry))
         await stream.more()
         accepted = stream.accepted[-1][1]
         leader.thaw()
@@ -105,7 +108,7 @@
         await stream.stop()
         await stream.check(fleet.vms)
 
-    run_fleet(tmp_path, scenario)
+    run_fleet(tmp_path, scenario, domains=("a", "b", "c", "a"))
 
 
 def test_replaced_disk_then_second_voter_lost(tmp_path):
@@ -131,3 +134,87 @@
         await stream.check([leader, lost])
 
     run_fleet(tmp_path, scenario)
+
+
+def test_voters_can_be_added_and_the_leader_removed(tmp_path):
+    async def scenario(fleet):
+        newcomer = fleet.vms[3]
+        addresses = [vm.address for vm in fleet.voters]
+        again = operator_pb2.BootstrapRequest(addresses=addresses)
+        first = await fleet.vms[0].operator.Bootstrap(again)
+        with pytest.raises(AlreadyBootstrapped):
+            other = operator_pb2.BootstrapRequest(addresses=addresses[:1])
+            await fleet.vms[0].operator.Bootstrap(other)
+        stream = ChangeStream(fleet.vms)
+        reply = await fleet.vms[1].operator.AddVoter(
+            operator_pb2.MemberRequest(address=newcomer.address), timeout=30.0
+        )
+        assert sum(m.voter for m in reply.membership.members) == 4
+        assert reply.membership.cluster_id == first.membership.cluster_id
+        leader = await fleet.leader()
+        old = (await leader.dump())["consensus"]["node_id"]
+        reply = await leader.operator.RemoveVoter(
+            operator_pb2.MemberRequest(node_id=old), timeout=30.0
+        )
+        assert old not in {m.node_id for m in reply.membership.members}
+        assert await fleet.leader(fleet.others(leader)) is not leader
+        with pytest.raises(NotFound):
+            await leader.operator.RemoveVoter(operator_pb2.MemberRequest(node_id=old))
+        await stream.more()
+        await stream.stop()
+        await stream.check(fleet.vms)
+
+    run_fleet(tmp_path, scenario, domains=("a", "b", "c", "a"), disks=4)
+
+
+def test_stopped_cluster_comes_back_with_everything(tmp_path):
+    async def scenario(fleet):
+        stream = ChangeStream(fleet.vms)
+        await stream.more(20)
+        await stream.stop()
+        for vm in fleet.vms:
+            vm.kill()
+        for vm in fleet.vms:
+            vm.start()
+        for vm in fleet.vms:
+            await until(vm.ready, f"{vm.vm_id} is ready")
+        await stream.check(fleet.vms)
+        assert (await fleet.vms[0].put_service("more")).revision > stream.accepted[-1][1]
+
+    run_fleet(tmp_path, scenario)
+
+
+def test_second_daemon_on_a_data_folder_exits_and_disturbs_nobody(tmp_path):
+    async def scenario(fleet):
+        vm = fleet.vms[0]
+        path = fleet.folder / "second.toml"
+        text = (fleet.folder / f"{vm.vm_id}.toml").read_text()
+        text = text.replace(f":{vm.http}", f":{free_port()}")
+        path.write_text(text.replace(f'grpc = "{vm.address}"', f'grpc = "127.0.0.1:{free_port()}"'))
+        command = [sys.executable, str(TESTS / "relayed_daemon.py"), f"--settings={path}"]
+        second = fleet.spawn(command, fleet.folder / "second.log")
+        await until(lambda: second.exit_code is not None, "the second daemon exits")
+        assert second.exit_code == 8, second.log_tail()
+        status = await fleet.vms[1].status()
+        assert all(shown.reachable for shown in status.vms)
+
+    run_fleet(tmp_path, scenario)
+
+
+def test_operator_drain_ends_readiness_and_can_be_ended(tmp_path):
+    async def scenario(fleet):
+        leader = await fleet.leader()
+        drain = operator_pb2.DrainRequest(vm_id=leader.vm_id, drained=True, change_id="d1")
+        first = await fleet.others(leader)[0].operator.DrainVm(drain)
+        await until(lambda: not_ready(leader), "the drained VM is not ready")
+        other = await fleet.leader(fleet.others(leader))
+        assert await other.operator.DrainVm(drain) == first
+        drain = operator_pb2.DrainRequest(vm_id=leader.vm_id, drained=False, change_id="d2")
+        await other.operator.DrainVm(drain)
+        await until(leader.ready, "the VM is ready again")
+
+    run_fleet(tmp_path, scenario)
+
+
+async def not_ready(vm):
+    return not await vm.ready()
--- a/tests/test_process_requests.py
+++ b/tests/test_process_requests.py
@@ -81,8 +81,83 @@
     return status == 200 and body["outcome"] == "complete"
 
 
-@pytest.mark.parametrize("kill_after_s", [0.0, 0.02, 0.25])
-def test_work_order_resent_after_a_lost_vm_runs_at_most_once(tmp_path, kill_after_s):
+def test_slow_requests_outlast_a_stop(tmp_path):
+    # The service time is longer than the notice, so the requests are in flight when the VM stops
+    # listening.
+    async def scenario(fleet):
+        fleet.standin(shards=2, replicas=3, domains="a,b,c", latency_ms=1200, sigma=0)
+        kinds = [log_pb2.KindConfig(name="work_order")]
+        reply = await fleet.vms[0].put_service("demo", kinds=kinds)
+        await fleet.in_force(reply.revision)
+        leader = await fleet.leader()
+        await until(lambda: complete(leader), "the leader answers in full")
+        calls = [asyncio.ensure_future(leader.query()) for _ in range(2)]
+        calls.append(asyncio.ensure_future(leader.request("POST", "/v1/query", order_of("stop"))))
+        await asyncio.sleep(0.1)  # The requests must reach the VM before the signal.
+        await leader.stop()
+        answers = await asyncio.gather(*calls)
+        assert [status for status, _ in answers] == [200, 200, 200]
+        again = await fleet.others(leader)[0].request("POST", "/v1/query", order_of("stop"))
+        assert again[0] == 200 and again[1]["result"] == answers[2][1]["result"]
+
+    run_fleet(tmp_path, scenario)
+
+
+ISSUED_AT_MS = time.time_ns() // 1_000_000
+
+
+def order_of(key):
+    return {
+        "service": "demo",
+        "kind": "work_order",
+        "key": "bell-17",
+        "request_key": key,
+        "issued_at_ms": ISSUED_AT_MS,
+        "deadline_ms": 4000,
+    }
+
+
+async def lost_at_once(vm, standin, call):
+    vm.kill()
+
+
+async def lost_during_its_claim(vm, standin, call):
+    await asyncio.sleep(0.02)
+    vm.kill()
+
+
+async def lost_after_the_run_without_an_answer(vm, standin, call):
+    await asyncio.sleep(0.25)
+    vm.freeze()
+    await until(lambda: ran_once(standin), "the target ran the order")
+    vm.kill()
+
+
+async def lost_after_the_answer(vm, standin, call):
+    assert (await call)[0] == 200
+    await asyncio.sleep(0.3)  # The completion follows the answer.
+    vm.kill()
+
+
+async def frozen_before_its_claim(vm, standin, call):
+    vm.freeze()
+
+
+async def ran_once(standin):
+    return (await standin.effects()).get("order") == 1
+
+
+@pytest.mark.parametrize(
+    "fault, runs",
+    [
+        (lost_at_once, {0, 1}),
+        (lost_during_its_claim, {0, 1}),
+        (lost_after_the_run_without_an_answer, {1}),
+        (lost_after_the_answer, {1}),
+        (frozen_before_its_claim, {1}),
+    ],
+)
+def test_work_order_resent_through_another_vm_runs_at_most_once(tmp_path, fault, runs):
     async def scenario(fleet):
         standin = fleet.standin(shards=2, replicas=3, domains="a,b,c", latency_ms=500, sigma=0)
         kinds = [log_pb2.KindConfig(name="work_order")]
@@ -90,29 +165,22 @@
         await fleet.in_force(reply.revision)
         for vm in fleet.vms:
             await until(lambda vm=vm: complete(vm), f"{vm.vm_id} answers in full")
-        leader = await fleet.leader()
-        first, second = fleet.others(leader)
-        order = {
-            "service": "demo",
-            "kind": "work_order",
-            "key": "bell-17",
-            "request_key": "order-17",
-            "issued_at_ms": time.time_ns() // 1_000_000,
-            "deadline_ms": 4000,
-        }
-        call = asyncio.ensure_future(first.request("POST", "/v1/query", order))
-        await asyncio.sleep(kill_after_s)  # Where the request stands when its VM dies.
-        first.kill()
-        await asyncio.gather(call, return_exceptions=True)
+        first, second = fleet.others(await fleet.leader())
+        call = asyncio.ensure_future(first.request("POST", "/v1/query", order_of("order")))
+        await fault(first, standin, call)
+        statuses = []
         for _ in range(3):
-            status, body = await second.request("POST", "/v1/query", order)
-            runs = (await standin.effects()).get("order-17", 0)
-            assert runs <= 1
-            if status == 200:
-                assert runs == 1
-            else:
-                assert body["error"]["outcome"] == "unknown"
+            status, body = await second.request("POST", "/v1/query", order_of("order"))
+            assert status == 200 or body["error"]["outcome"] == "unknown"
+            statuses.append(status)
+        first.thaw()
+        await asyncio.gather(call, return_exceptions=True)
         await asyncio.sleep(0.7)  # Longer than the service time: a late run would show.
-        assert (await standin.effects()).get("order-17", 0) <= 1
+        count = (await standin.effects()).get("order", 0)
+        assert count in runs
+        if 200 in statuses:
+            assert count == 1 and set(statuses[statuses.index(200) :]) == {200}
+        if fault is lost_after_the_answer:
+            assert statuses == [200, 200, 200]
 
     run_fleet(tmp_path, scenario)
