--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -72,7 +72,6 @@
         self._links: ConsensusLinks | None = None
         self._callbacks: list[Callable[[], None]] = []
         self._floor_task: asyncio.Task | None = None
-        self._confirmed_term = -1
         self._role_changed = asyncio.Event()
         self._router = ProposalRouter(
             identity.address,
@@ -125,29 +124,33 @@
             return None
         return self._runner.node.membership
 
+    @property
+    def _node(self) -> RaftNode | None:
+        """The core while it runs; one that stopped after a failure knows nothing any more."""
+        return self._runner.node if self._runner and not self._runner.failure else None
+
     @property
     def is_leader(self) -> bool:
         """Whether this VM believes that it leads."""
-        runner = self._runner
-        return runner is not None and not runner.failure and runner.node.role is Role.LEADER
+        return self._node is not None and self._node.role is Role.LEADER
 
     @property
     def role(self) -> str:
         """Role for operators: entry, learner, follower, candidate or leader."""
         members = self.membership.members if self.membership else ()
-        if self._runner is None or self.node_id not in {m.node_id for m in members}:
+        if self._node is None or self.node_id not in {m.node_id for m in members}:
             return "entry"
-        return str(self._runner.node.role)
+        return str(self._node.role)
 
     def leader_address(self) -> str:
         """Return ``host:port`` of the leader as far as this VM knows, or an empty string."""
-        if self._runner is not None and self._runner.node.leader_id:
-            return self.address_of(self._runner.node.leader_id) or ""
+        if self._node is not None and self._node.leader_id:
+            return self.address_of(self._node.leader_id) or ""
         return self._directory.leader_address()
 
     def leader_endpoint(self) -> tuple[str, int] | None:
         """Return host and port of the leader as this VM's own log knows it."""
-        leader_id = self._runner.node.leader_id if self._runner else ""
+        leader_id = self._node.leader_id if self._node else ""
         address = self.address_of(leader_id) if leader_id else None
         if not address:
             return None
@@ -156,8 +159,7 @@
 
     def leader_vm(self) -> str:
         """Return the VM that leads as far as this VM's log knows, or an empty string."""
-        leader_id = self._runner.node.leader_id if self._runner else None
-        return leader_id.partition("/")[0] if leader_id else ""
+        return self._node.leader_id.partition("/")[0] if self._node else ""
 
     def address_of(self, node_id: str) -> str | None:
         """Return ``host:port`` of a node.
@@ -199,14 +201,8 @@
         }
 
     def confirmed_at(self) -> float | None:
-        """Return the time at which a quorum confirmed that this VM leads, or None.
-
-        A new leader's state lacks committed entries until its first confirmed read, so it
-        confirms nothing before.
-        """
-        if not self.is_leader or self._runner.node.term != self._confirmed_term:
-            return None
-        return self._runner.node.confirmed_at
+        """Return the time before which the state holds every commit, or None if not leading."""
+        return self._node.confirmed_at if self._node else None
 
     # Commands and reads.
 
@@ -261,12 +257,7 @@
             No quorum answered in time.
         """
         runner = self._leading_runner()
-        term = runner.node.term
-        future = runner.read_index(uuid.uuid4().hex)
-        index = await self._bounded(future, timeout_s, NoQuorum)
-        if self.is_leader and runner.node.term == term:
-            self._confirmed_term = term
-        return index
+        return await self._bounded(runner.read_index(uuid.uuid4().hex), timeout_s, NoQuorum)
 
     async def change_membership(self, change: object, timeout_s: float) -> log_pb2.Membership:
         """Commit one change of the members as the leader; return the members after it."""
@@ -349,14 +340,12 @@
         self._runner.start()
 
     def _leading_runner(self) -> RaftRunner:
-        if self._runner is not None and self._runner.failure is None and self.membership:
-            if self.is_leader:
-                return self._runner
-        elif not self.leader_address() and self._directory.leader_address() == "":
-            raise NotBootstrapped(outcome=Outcome.NOT_RUN)
+        if self.is_leader:
+            return self._runner
         address = self.leader_address()
-        own = self.identity.address
-        raise NotLeader(leader_address="" if address == own else address)
+        if not address and self.membership is None:
+            raise NotBootstrapped(outcome=Outcome.NOT_RUN)
+        raise NotLeader(leader_address="" if address == self.identity.address else address)
 
     async def _bounded(
         self, future: asyncio.Future, timeout_s: float, error: type[BramleycrankError]
