--- /dev/null
+++ b/tests/test_daemon_consensus_links.py
@@ -0,0 +1,110 @@
+"""Consensus messages: order, bounds, and independence of peers."""
+
+import asyncio
+
+from grpclib.server import Server
+
+from bramleycrank.proto import log_pb2, peer_pb2
+from bramleycrank.proto.peer_grpc import PeerBase
+from bramleycrank.transport import consensus_links
+from bramleycrank.transport.consensus_links import ConsensusLinks
+from bramleycrank.transport.grpc_errors import unary
+
+
+class Peer(PeerBase):
+    """Takes consensus messages; a frozen one answers nothing."""
+
+    def __init__(self):
+        self.terms = []
+        self.frozen = False
+
+    @unary
+    async def Consensus(self, request):  # noqa: N802
+        while self.frozen:
+            await asyncio.sleep(0.01)
+        self.terms.append(request.term)
+        return peer_pb2.Ack()
+
+    Probe = Sync = FetchConfig = Propose = Identity = Bootstrap = Consensus
+
+
+def message(recipient, term):
+    return log_pb2.ConsensusMessage(recipient=recipient, term=term)
+
+
+async def until(condition, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def run(scenario, names=("a", "b")):
+    async def body():
+        peers, servers, addresses = {}, [], {}
+        for name in names:
+            peers[name] = Peer()
+            server = Server([peers[name]])
+            await server.start("127.0.0.1", 0)
+            servers.append(server)
+            addresses[name] = f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}"
+        links = ConsensusLinks(addresses.get)
+        try:
+            await scenario(links, peers)
+        finally:
+            links.close()
+            for server in servers:
+                server.close()
+
+    asyncio.run(body())
+
+
+def test_messages_arrive_in_order():
+    async def scenario(links, peers):
+        for term in range(50):
+            links.send(message("a", term))
+        await until(lambda: len(peers["a"].terms) == 50)
+        assert peers["a"].terms == list(range(50))
+
+    run(scenario)
+
+
+def test_silent_peer_is_bounded_and_delays_no_other():
+    async def scenario(links, peers):
+        peers["a"].frozen = True
+        for term in range(1000):
+            links.send(message("a", term))
+        links.send(message("b", 1))
+        await until(lambda: peers["b"].terms == [1], 0.3)
+        state = links.dump(asyncio.get_running_loop().time())["a"]
+        assert state["queued"] <= consensus_links.QUEUE_LIMIT
+        assert state["dropped"] >= 1000 - consensus_links.QUEUE_LIMIT - 1
+
+    run(scenario)
+
+
+def test_old_messages_are_dropped_when_the_peer_answers_again(monkeypatch):
+    # A burst of old heartbeats would only delay what is new.
+    monkeypatch.setattr(consensus_links, "MAX_AGE_S", 0.2)
+    monkeypatch.setattr(consensus_links, "SEND_TIMEOUT_S", 0.3)
+
+    async def scenario(links, peers):
+        peers["a"].frozen = True
+        for term in range(10):
+            links.send(message("a", term))
+        now = asyncio.get_running_loop().time
+        await until(lambda: links.dump(now())["a"]["dropped"] == 9)
+        peers["a"].frozen = False
+        links.send(message("a", 99))
+        await until(lambda: 99 in peers["a"].terms)
+        assert set(peers["a"].terms) <= {0, 99}
+
+    run(scenario)
+
+
+def test_unknown_address_is_reported():
+    async def scenario(links, peers):
+        links.send(message("nobody", 1))
+        now = asyncio.get_running_loop().time
+        await until(lambda: links.dump(now())["nobody"]["last_error"] == "address unknown")
+
+    run(scenario)
--- /dev/null
+++ b/tests/test_daemon_raft_runner.py
@@ -0,0 +1,151 @@
+"""Order of actions, group commit and what a failing disk does to those who wait."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from bramleycrank.consensus import types
+from bramleycrank.daemon.raft_runner import COMPACT_ENTRIES, RaftRunner
+from bramleycrank.exceptions import NoQuorum, ProposalOutcomeUnknown
+from bramleycrank.observability.metrics import NullMetrics
+from bramleycrank.proto import log_pb2
+from bramleycrank.state import ReplicatedState
+
+SEND = types.Send(log_pb2.ConsensusMessage(recipient="x"))
+PERSIST = types.Persist(entries=(log_pb2.Entry(index=1),))
+
+
+class World:
+    """A runner whose core answers from a script; `trace` holds what was executed, in order."""
+
+    def __init__(self):
+        self.trace = []
+        self.disk_fails = False
+        self.batches = []
+        self.actions = [PERSIST, SEND]
+        self.compacted = []
+        self.node = SimpleNamespace(
+            propose=self.propose,
+            receive=lambda msg, now: self.actions,
+            next_deadline=lambda: asyncio.get_running_loop().time() + 60,
+            compact=self.compact,
+            dump=dict,
+        )
+        self.store = SimpleNamespace(persist=self.persist, dump=dict)
+        self.links = SimpleNamespace(
+            send=lambda message: self.trace.append("send"), dump=lambda now: {}
+        )
+        self.listener = SimpleNamespace(on_applied=lambda: None, on_role=lambda: None)
+        self.runner = RaftRunner(
+            self.node, self.store, ReplicatedState(), self.links, self.listener, NullMetrics()
+        )
+
+    def propose(self, batch, now):
+        self.batches.append([proposal.proposal_id for proposal in batch])
+        return self.actions
+
+    def persist(self, action):
+        if self.disk_fails:
+            raise OSError("no space left")
+        self.trace.append("persist")
+
+    def compact(self, index, image):
+        self.compacted.append(index)
+        return []
+
+
+def run(scenario):
+    async def body():
+        await scenario(World())
+
+    asyncio.run(body())
+
+
+async def turn():
+    for _ in range(3):
+        await asyncio.sleep(0)
+
+
+def test_proposals_of_one_turn_share_one_sync_before_the_messages():
+    async def scenario(world):
+        futures = [world.runner.propose(name, log_pb2.Command()) for name in "abc"]
+        await turn()
+        assert world.batches == [["a", "b", "c"]]
+        assert world.trace == ["persist", "send"]
+        assert not any(future.done() for future in futures)
+
+    run(scenario)
+
+
+def test_repeated_proposal_waits_on_the_first():
+    async def scenario(world):
+        first = world.runner.propose("a", log_pb2.Command())
+        assert world.runner.propose("a", log_pb2.Command()) is first
+        await turn()
+        assert world.batches == [["a"]]
+
+    run(scenario)
+
+
+def test_failing_disk_stops_the_core_before_it_promises_anything():
+    # A vote or an acknowledgement that was sent without being durable can lose a commit.
+    async def scenario(world):
+        world.disk_fails = True
+        waiting = world.runner.propose("a", log_pb2.Command())
+        await turn()
+        assert world.trace == []
+        with pytest.raises(ProposalOutcomeUnknown, match="no space left"):
+            await waiting
+        world.disk_fails = False
+        world.runner.receive(log_pb2.ConsensusMessage())
+        with pytest.raises(NoQuorum):
+            await world.runner.propose("b", log_pb2.Command())
+        await turn()
+        assert world.trace == [] and "no space left" in world.runner.dump()["failure"]
+
+    run(scenario)
+
+
+def test_outcomes_reach_the_proposal_they_belong_to():
+    async def scenario(world):
+        futures = {name: world.runner.propose(name, log_pb2.Command()) for name in "abc"}
+        entry = log_pb2.Entry(index=1, proposal_id="a", command=b"")
+        world.actions = [
+            types.Apply((entry,)),
+            types.ProposalRejected("b", NoQuorum()),
+            types.ProposalUnresolved("c"),
+        ]
+        await turn()
+        assert (await futures["a"]).code == log_pb2.RESULT_CODE_INVALID  # An empty command.
+        with pytest.raises(NoQuorum):
+            await futures["b"]
+        with pytest.raises(ProposalOutcomeUnknown):
+            await futures["c"]
+
+    run(scenario)
+
+
+def test_log_is_compacted_every_thousand_entries():
+    async def scenario(world):
+        entries = [log_pb2.Entry(index=n + 1) for n in range(COMPACT_ENTRIES)]
+        world.actions = [types.Apply(tuple(entries[:-1]))]
+        world.runner.receive(log_pb2.ConsensusMessage())
+        await turn()
+        assert world.compacted == []
+        world.actions = [types.Apply(tuple(entries[-1:]))]
+        world.runner.receive(log_pb2.ConsensusMessage())
+        await turn()
+        assert world.compacted == [COMPACT_ENTRIES]
+
+    run(scenario)
+
+
+def test_closing_tells_waiting_callers_that_the_outcome_is_unknown():
+    async def scenario(world):
+        waiting = world.runner.propose("a", log_pb2.Command())
+        world.runner.close()
+        with pytest.raises(ProposalOutcomeUnknown):
+            await waiting
+
+    run(scenario)
