Add the stand-in target

One process hosts many targets with slots, a bounded queue, deadlines, cancellation, faults and counted effects.

--- a/bramleycrank/settings/options.py
+++ b/bramleycrank/settings/options.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import ipaddress
 import math
 import re
 from pathlib import Path
@@ -139,6 +140,23 @@
         return Path(value) if isinstance(value, str) and value and "\0" not in value else INVALID
 
 
+@attrs.frozen
+class IpNumber:
+    """An IPv4 or IPv6 number."""
+
+    @property
+    def allowed(self) -> str:
+        """Describe the allowed values."""
+        return 'an IP number, such as "127.0.0.1"'
+
+    def parse(self, value: object) -> Any:
+        """Return the number as text, or ``INVALID``."""
+        try:
+            return str(ipaddress.ip_address(value)) if isinstance(value, str) else INVALID
+        except ValueError:
+            return INVALID
+
+
 @attrs.frozen
 class HostPort:
     """An address of the form ``host:port``."""
--- /dev/null
+++ b/bramleycrank/standin/session.py
@@ -0,0 +1,116 @@
+"""The target's side of `Target.Session`."""
+
+from __future__ import annotations
+
+import asyncio
+
+import grpclib
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Stream
+
+from bramleycrank.proto import target_pb2 as pb
+from bramleycrank.proto.target_grpc import TargetBase
+from bramleycrank.standin.target import StandInTarget
+
+# Load reports ride on replies, at most this often on each session.
+LOAD_REPORT_PERIOD_S = 0.05
+
+
+class Session:
+    """One open session; collects what one loop turn produced into one message.
+
+    Parameters
+    ----------
+    target : StandInTarget
+        Target that runs the sub-requests.
+    stream : Stream
+        The gRPC stream.
+    """
+
+    def __init__(self, target: StandInTarget, stream: Stream) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._target = target
+        self._stream = stream
+        self._pending = pb.SessionReply()
+        self._wake = asyncio.Event()
+        self._next_load_report = 0.0
+        self.silent = False
+
+    def on_reply(self, reply: pb.SubReply) -> None:
+        """Queue the reply of a sub-request."""
+        self._pending.replies.append(reply)
+        self._wake.set()
+
+    def go_silent(self) -> None:
+        """Answer nothing from now on, pings included."""
+        self.silent = True
+
+    async def run(self) -> None:
+        """Serve the session until the VM ends it."""
+        writer = asyncio.ensure_future(self._write())
+        self._wake.set()
+        try:
+            while (message := await self._stream.recv_message()) is not None:
+                await self._target.resumed.wait()
+                self._handle(message)
+        finally:
+            writer.cancel()
+
+    def _handle(self, message: pb.SessionRequest) -> None:
+        if self.silent:
+            return
+        for request in message.requests:
+            self._target.submit(request, self)
+        for sub_id in message.cancel_sub_ids:
+            self._target.cancel(self, sub_id)
+        if message.ping:
+            self._pending.pong = message.ping
+            self._wake.set()
+
+    async def _write(self) -> None:
+        """Send what is pending; the first message only carries the load."""
+        while True:
+            await self._wake.wait()
+            await self._target.resumed.wait()
+            self._wake.clear()
+            message, self._pending = self._pending, pb.SessionReply()
+            if self.silent:
+                continue
+            now = self._loop.time()
+            if now >= self._next_load_report:
+                self._next_load_report = now + LOAD_REPORT_PERIOD_S
+                message.load.CopyFrom(self._target.load())
+            try:
+                await self._stream.send_message(message)
+            except (StreamTerminatedError, ConnectionError):
+                return
+
+
+class TargetService(TargetBase):
+    """gRPC service of one target.
+
+    Parameters
+    ----------
+    target : StandInTarget
+        Target that runs the sub-requests.
+    """
+
+    def __init__(self, target: StandInTarget) -> None:
+        self._target = target
+        self._silent_peers: set[object] = set()
+
+    async def Session(self, stream: Stream) -> None:  # noqa: N802
+        """Serve one session, or refuse it if the limit on connections is reached."""
+        session = Session(self._target, stream)
+        peer = stream.peer.addr() if stream.peer else None
+        # A silent connection stays silent when the VM opens another stream on it.
+        session.silent = peer in self._silent_peers
+        if not self._target.add_sink(session):
+            raise grpclib.GRPCError(grpclib.const.Status.RESOURCE_EXHAUSTED, "too many connections")
+        try:
+            await asyncio.sleep(self._target.timing.connection_ms / 1000)
+            await session.run()
+        finally:
+            if session.silent:
+                self._silent_peers.add(peer)
+            self._target.drop_sink(session)
