Add the command-line tool

Commands return an object that runs after all arguments were accepted, because fire reports surplus arguments only after it has called a command, so a mistyped option would still have made the change. fire's own conversion of values is turned off: it turns a key such as 1e3 into 1000.0. Run by hand without a daemon: help, refused arguments and the exit codes 2 and 9.

--- /dev/null
+++ b/bramleycrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line tool; each module holds one group of commands."""
--- /dev/null
+++ b/bramleycrank/cli/check_settings.py
@@ -0,0 +1,27 @@
+"""The command that checks a settings file."""
+
+from __future__ import annotations
+
+from bramleycrank.cli.context import Context, Pending
+from bramleycrank.settings import Settings
+from bramleycrank.standin.settings import StandInSettings
+
+
+def check_settings(context: Context, path: str, standin: bool) -> Pending:
+    """Return the command that checks a file; it raises `InvalidSettings` with all problems.
+
+    Parameters
+    ----------
+    context : Context
+        Output form.
+    path : str
+        TOML file.
+    standin : bool
+        Whether the file is for the stand-in target.
+    """
+
+    async def run() -> None:
+        (StandInSettings if standin else Settings).load(path)
+        context.show({"result": "ok", "file": path}, f"{path}: ok")
+
+    return Pending(run)
--- /dev/null
+++ b/bramleycrank/cli/query.py
@@ -0,0 +1,248 @@
+"""Commands that send requests as a caller does, by HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import time
+import urllib.error
+import urllib.request
+import uuid
+from typing import Any
+
+from bramleycrank.cli.arguments import command
+from bramleycrank.cli.context import Context, Pending, parse_address
+from bramleycrank.cli.output import table
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    Outcome,
+    PeerUnreachable,
+    RemoteError,
+    error_types,
+)
+
+DEFAULT_DEADLINE_MS = 1_000
+# The daemon answers by the deadline; the rest is for the way there and back.
+TIMEOUT_MARGIN_S = 2.0
+
+
+class QueryCommands:
+    """Sends requests to the HTTP address of a VM (`--http` or BRAMLEYCRANK_HTTP)."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    @command
+    def search(
+        self,
+        service: str,
+        query: str,
+        limit: int = 10,
+        deadline_ms: int = 0,
+        priority: str = "normal",
+        allow_partial: bool = True,
+    ) -> Pending:
+        """Search all shards of a service.
+
+        Parameters
+        ----------
+        service : str
+            Service name.
+        query : str
+            Search text.
+        limit : int
+            Most hits to return.
+        deadline_ms : int
+            Time for the whole answer in ms; 0: the default of the service.
+        priority : str
+            Priority class: urgent, normal or bulk.
+        allow_partial : bool
+            Accept an answer that lacks shards.
+        """
+        fields = {"kind": "search", "query": query, "limit": limit}
+        return self._read(service, fields, deadline_ms, priority, allow_partial)
+
+    @command
+    def quick_match(
+        self,
+        service: str,
+        query: str,
+        limit: int = 10,
+        deadline_ms: int = 0,
+        priority: str = "normal",
+        allow_partial: bool = True,
+    ) -> Pending:
+        """Search for a few good hits; `search --help` describes the options.
+
+        Parameters
+        ----------
+        service : str
+            Service name.
+        query : str
+            Search text.
+        limit, deadline_ms, priority, allow_partial :
+            See `search`; deadline_ms is in ms.
+        """
+        fields = {"kind": "quick_match", "query": query, "limit": limit}
+        return self._read(service, fields, deadline_ms, priority, allow_partial)
+
+    @command
+    def fetch(
+        self, service: str, key: str, deadline_ms: int = 0, priority: str = "normal"
+    ) -> Pending:
+        """Fetch one record.
+
+        Parameters
+        ----------
+        service : str
+            Service name.
+        key : str
+            Record key.
+        deadline_ms : int
+            Time for the answer in ms; 0: the default of the service.
+        priority : str
+            Priority class: urgent, normal or bulk.
+        """
+        return self._read(service, {"kind": "fetch", "key": key}, deadline_ms, priority, True)
+
+    @command
+    def execute(
+        self,
+        service: str,
+        kind: str,
+        key: str,
+        payload: str = "",
+        request_key: str = "",
+        issued_at_ms: int = 0,
+        deadline_ms: int = 0,
+        priority: str = "normal",
+    ) -> Pending:
+        """Run a request of an operator-defined kind, at most once.
+
+        The request key and the time of issue are shown in the result or error; give both to
+        resend the same request.
+
+        Parameters
+        ----------
+        service : str
+            Service name.
+        kind : str
+            Kind that the service defines.
+        key : str
+            Record key; selects the shard.
+        payload : str
+            Passed to the target.
+        request_key : str
+            Key of an earlier attempt, to resend it; empty: a new one.
+        issued_at_ms : int
+            Unix time in ms of an earlier attempt, to resend it; 0: now.
+        deadline_ms : int
+            Time for the answer in ms; 0: the default of the service.
+        priority : str
+            Priority class: urgent, normal or bulk.
+        """
+        body = {
+            "kind": kind,
+            "key": key,
+            "payload": payload,
+            "request_key": request_key or uuid.uuid4().hex,
+            "issued_at_ms": issued_at_ms or time.time_ns() // 1_000_000,
+        }
+        return self._send(service, body, deadline_ms, priority)
+
+    def _read(
+        self,
+        service: str,
+        fields: dict[str, Any],
+        deadline_ms: int,
+        priority: str,
+        allow_partial: bool,
+    ) -> Pending:
+        return self._send(
+            service, {**fields, "allow_partial": allow_partial}, deadline_ms, priority
+        )
+
+    def _send(
+        self, service: str, fields: dict[str, Any], deadline_ms: int, priority: str
+    ) -> Pending:
+        body = {"service": service, "class": priority, **fields}
+        if deadline_ms:
+            body["deadline_ms"] = deadline_ms
+
+        async def run() -> None:
+            address = parse_address(self._context.http, "--http")
+            timeout_s = (deadline_ms or 60_000) / 1000 + TIMEOUT_MARGIN_S
+            url = f"http://{address}/v1/query"
+            try:
+                answer = await asyncio.to_thread(post_json, url, body, timeout_s)
+            except BramleycrankError as exc:
+                if "request_key" in body:
+                    exc.message += (
+                        f" (resend with --request-key {body['request_key']}"
+                        f" --issued-at-ms {body['issued_at_ms']})"
+                    )
+                raise
+            self._context.show(answer, _text(answer))
+
+        return Pending(run)
+
+
+def post_json(url: str, body: dict[str, Any], timeout_s: float) -> dict[str, Any]:
+    """Send a JSON object and return the one that comes back.
+
+    Raises
+    ------
+    BramleycrankError
+        The error of the answer, or `PeerUnreachable`.
+    """
+    request = urllib.request.Request(
+        url, json.dumps(body).encode(), {"Content-Type": "application/json"}
+    )
+    # Settings of the environment for proxies do not apply to VMs.
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    try:
+        with opener.open(request, timeout=timeout_s) as reply:
+            return json.load(reply)
+    except urllib.error.HTTPError as exc:
+        raise _error(exc.code, exc.read()) from exc
+    except urllib.error.URLError as exc:
+        raise PeerUnreachable(f"{url}: {exc.reason}") from exc
+    except (OSError, http.client.HTTPException, ValueError) as exc:
+        raise PeerUnreachable(f"{url}: {exc!r}") from exc
+
+
+def _error(status: int, content: bytes) -> BramleycrankError:
+    """Return the typed error of an answer."""
+    try:
+        data = json.loads(content)["error"]
+        cls = error_types().get(data["code"], RemoteError)
+        error = cls.__new__(cls)
+        BramleycrankError.__init__(
+            error,
+            data["message"],
+            outcome=Outcome(data["outcome"]),
+            retry_after_ms=data["retry_after_ms"],
+        )
+        return error
+    except (ValueError, KeyError, TypeError):
+        return RemoteError(f"HTTP status {status} without a readable error")
+
+
+def _text(answer: dict[str, Any]) -> str:
+    """Return an answer as lines for people."""
+    snapshot, coverage = answer["snapshot"], answer["coverage"]
+    lines = [
+        f"{answer['outcome']}: {coverage['answered']} of {coverage['total']} shards, "
+        f"version {snapshot['version']} with {snapshot['shard_count']} shards"
+    ]
+    lines += [f"missing shard {m['shard']}: {m['reason']}" for m in coverage["missing"]]
+    if answer.get("request_key"):
+        lines.append(f"request key: {answer['request_key']}")
+    result = answer["result"]
+    if isinstance(result, list):
+        rows = [(hit["id"], f"{hit['score']:.4f}", hit["body"]) for hit in result]
+        lines.append(table(("ID", "SCORE", "BODY"), rows))
+    else:
+        lines.append(str(result))
+    return "\n".join(lines)
