--- a/bramleycrank/cli/arguments.py
+++ b/bramleycrank/cli/arguments.py
@@ -7,18 +7,15 @@
 import math
 import types
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
-from fire import decorators
-
 from bramleycrank.exceptions import InvalidRequest, Outcome
 
 
 def command(method: Callable[..., Any]) -> Callable[..., Any]:
     """Decorate a command so that its arguments are converted by their annotations.
 
-    The parser's own conversion is turned off, because it would change keys such as ``1e3``.
     Numbers must not be negative.
     """
     hints = typing.get_type_hints(method)
@@ -32,7 +29,37 @@
                 bound.arguments[name] = _convert(name, value, _plain(hints[name]))
         return method(*bound.args, **bound.kwargs)
 
-    return decorators.SetParseFn(str)(wrapper)
+    return wrapper
+
+
+def quoted(argv: Sequence[str], root: object) -> list[str]:
+    """Return the arguments with all values of the command as Python string literals.
+
+    `fire` reads values as Python literals, which would turn a key such as ``1e3`` into ``1000.0``.
+    The words that name the command, flags and what follows ``--`` stay as they are.
+
+    Parameters
+    ----------
+    argv : sequence of str
+        Arguments.
+    root : object
+        Object whose members are the groups and commands.
+    """
+    result, place, plain = [], root, False
+    for word in argv:
+        plain = plain or word == "--"
+        member = getattr(place, word.replace("-", "_"), None) if not callable(place) else None
+        if plain:
+            result.append(word)
+        elif member is not None:
+            place = member
+            result.append(word)
+        elif word.startswith("-"):
+            flag, equals, value = word.partition("=")
+            result.append(f"{flag}={value!r}" if equals else flag)
+        else:
+            result.append(repr(word))
+    return result
 
 
 def _plain(hint: Any) -> type:
@@ -43,9 +70,11 @@
 
 
 def _convert(name: str, value: Any, wanted: type) -> Any:
+    option = name.replace("_", "-")
+    if value is True and wanted is not bool:
+        raise invalid(f"{option}: needs a value")
     if not isinstance(value, str) or wanted is str:
         return value
-    option = name.replace("_", "-")
     if wanted is bool:
         if value.lower() not in ("true", "false"):
             raise invalid(f"{option}: found {value!r}; allowed: true or false")
--- a/bramleycrank/cli/main.py
+++ b/bramleycrank/cli/main.py
@@ -11,7 +11,7 @@
 import fire
 
 from bramleycrank.cli import check_settings, dump, errors
-from bramleycrank.cli.arguments import command, invalid
+from bramleycrank.cli.arguments import command, invalid, quoted
 from bramleycrank.cli.config import ConfigCommands
 from bramleycrank.cli.context import DEFAULT_HTTP, DEFAULT_SERVER, Context, Pending
 from bramleycrank.cli.query import QueryCommands
@@ -102,9 +102,10 @@
     as_json = "--json" in argv
     try:
         context, rest = read_context(argv)
+        commands = Commands(context)
         result = fire.Fire(
-            Commands(context),
-            command=rest,
+            commands,
+            command=quoted(rest, commands),
             name="bramleycrank",
             serialize=lambda value: None if isinstance(value, Pending) else value,
         )
