Test settings, logs and metrics, and list the metrics that are sent

A test compares the list with the calls in the code. The first list was written before the modules that send them; names that nothing sends, those of connections among them, were removed.

--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -43,19 +43,24 @@
 
 
 METRICS: tuple[MetricInfo, ...] = (
-    _counter("query.requests", "requests", "Requests received."),
-    _counter("query.answers.complete", "answers", "Answers that cover all shards."),
-    _counter("query.answers.partial", "answers", "Answers that lack shards."),
-    _counter("query.errors.CODE", "answers", "Error answers, by error code."),
-    _timing("query.latency", "Time from the receipt of a request to its answer."),
+    _counter(
+        "query.requests.RESULT",
+        "requests",
+        "Requests that ended: `complete`, `partial`, `cancelled`, `unexpected` or an error name.",
+    ),
+    _timing("query.latency", "Time from the receipt of a request to its answer or error."),
+    _counter("query.refused.ERROR", "requests", "Requests refused by admission, by error name."),
     _gauge("query.in_flight", "requests", "Requests that hold a place in the concurrency limit."),
     _gauge("query.queued", "requests", "Requests that wait in the queues of all classes."),
     _gauge("query.concurrency_limit", "requests", "Current value of the adaptive limit."),
-    _counter("query.sub_requests.needed", "sub-requests", "Sub-requests that answers needed."),
-    _counter("query.sub_requests.sent", "sub-requests", "Sub-requests sent to targets."),
-    _counter("query.sub_requests.hedges", "sub-requests", "Hedges sent."),
-    _counter("query.sub_requests.retries", "sub-requests", "Retries sent."),
-    _counter("query.restarts", "requests", "Queries that restarted on a newer snapshot."),
+    _counter(
+        "query.sub_requests.EVENT",
+        "sub-requests",
+        "`first`: first attempts sent; `hedges` and `retries`: further attempts sent; `restarts`: "
+        "queries that restarted on a newer snapshot; `shed`: replies that refused for load; "
+        "`unmatched_replies`: replies and failures that no open sub-request waited for.",
+    ),
+    _counter("query.late_replies", "sub-requests", "Replies that came after the answer was given."),
     _gauge("config.revision", "revision", "Configuration revision in force."),
     _gauge("config.stale", "ms", "Age of the last confirmation by the leader; 0 while current."),
     _gauge("membership.vms", "VMs", "VMs known as alive."),
@@ -63,9 +68,6 @@
     _counter("consensus.role_changes", "changes", "Changes of the VM's role in the log."),
     _timing("consensus.propose", "Time from a proposal to its result."),
     _timing("storage.sync", "Time to write and sync records of the log."),
-    _counter("connections.opened", "connections", "Connections opened to targets."),
-    _counter("connections.silent", "connections", "Connections closed because they went silent."),
-    _counter("connections.target_down", "targets", "Times that a target was found down."),
 )
 
 
--- /dev/null
+++ b/tests/test_observability_metrics.py
@@ -0,0 +1,106 @@
+"""Tests of logs and metrics."""
+
+import ast
+import io
+import json
+import logging
+import re
+import socket
+from pathlib import Path
+
+import pytest
+
+import bramleycrank
+from bramleycrank.observability import logs, metrics
+from bramleycrank.observability.metric_names import METRICS
+from bramleycrank.settings import Address, LoggingSettings, MetricsSettings
+
+SOURCES = sorted(Path(bramleycrank.__file__).parent.rglob("*.py"))
+
+
+@pytest.fixture
+def server():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        sock.settimeout(5)
+        yield sock
+
+
+def sender(server):
+    host, port = server.getsockname()
+    return metrics.create(MetricsSettings(statsd=Address(host, port), prefix="p"))
+
+
+def test_values_reach_the_server_in_its_units(server):
+    """Guards against seconds that are sent where statsd takes milliseconds."""
+    client = sender(server)
+    client.incr("a", 3)
+    client.timing("b", 0.25)
+    client.gauge("c", 7)
+    assert [server.recv(100) for _ in range(3)] == [b"p.a:3|c", b"p.b:250.000000|ms", b"p.c:7|g"]
+
+
+def test_sending_never_raises(server):
+    """Guards against a query that fails because of its metrics."""
+    client = sender(server)
+    client.incr("name\udcff")
+    client.close()
+    client.incr("a")
+    metrics.create(None).gauge("a", 1)
+    metrics.create(MetricsSettings(statsd=Address("127.0.0.1", 9))).timing("a", 1)
+
+
+def test_the_socket_does_not_block(server):
+    """Guards against a loop that waits for the send buffer of the metrics socket."""
+    client = sender(server)
+    assert client._client._sock.getblocking() is False
+
+
+def sent_names():
+    """Yield the metric names in the code; a part that varies becomes VARIES."""
+    for path in SOURCES:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+                continue
+            owner = ast.unparse(node.func.value)
+            if node.func.attr not in ("incr", "timing", "gauge") or "metrics" not in owner:
+                continue
+            name = node.args[0]
+            if isinstance(name, ast.Constant):
+                yield node.func.attr, name.value
+            elif isinstance(name, ast.JoinedStr):
+                parts = (p.value if isinstance(p, ast.Constant) else "VARIES" for p in name.values)
+                yield node.func.attr, "".join(parts)
+            else:
+                raise AssertionError(f"{path}: {ast.unparse(node)}: the name must be a literal")
+
+
+def test_listed_and_sent_metrics_are_the_same():
+    """Guards against a metric without unit and meaning, and a listed one that is never sent."""
+    kinds = {"incr": "counter", "timing": "timing", "gauge": "gauge"}
+    sent = {(kinds[method], name) for method, name in sent_names()}
+    listed = {(m.kind, re.sub(r"[A-Z]{2,}", "VARIES", m.name)) for m in METRICS}
+    assert sent == listed
+
+
+def test_log_lines_are_json_with_the_name_of_the_vm(monkeypatch):
+    """Guards against lines that a log collector cannot read."""
+    root = logging.getLogger()
+    monkeypatch.setattr(root, "handlers", [])
+    before = root.level
+    stream = io.StringIO()
+    try:
+        logs.configure(LoggingSettings(level="warning"), "vm7", stream)
+        logging.getLogger("part").info("part: not written")
+        logging.getLogger("part").warning("part: %d lost", 3)
+        assert logging.getLogger("hpack").level == logging.WARNING
+    finally:
+        root.setLevel(before)
+    record = json.loads(stream.getvalue())
+    assert record.pop("time").endswith("+00:00")
+    assert record == {
+        "level": "WARNING",
+        "logger": "part",
+        "message": "part: 3 lost",
+        "vm": "vm7",
+    }
