--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,92 @@
+"""Command line of the measurements: ``python -m bench``."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import platform
+import time
+from pathlib import Path
+
+import fire
+
+from bench import control, report, slopes
+from bench.runner import Measurement, run_all
+from bench.scenarios import SCENARIOS
+from bench.shapes import SHAPES
+
+RESULTS = Path(__file__).parent / "results"
+
+
+class Bench:
+    """Measurements with real daemons and stand-in targets."""
+
+    def run(
+        self,
+        shapes: str = "battaglio,hangang",
+        scenarios: str = ",".join(SCENARIOS),
+        seconds: float = 15.0,
+        rate: float = 90.0,
+        seed: int = 1,
+        out: str = "policy",
+    ) -> None:
+        """Run the scenarios with the baseline and the product in turn.
+
+        Parameters
+        ----------
+        shapes, scenarios : str
+            Names, separated by commas.
+        seconds : float
+            Recorded length of each scenario, in s.
+        rate : float
+            Calm load in requests a second.
+        seed : int
+            Seed of load and targets.
+        out : str
+            Name of the result file.
+        """
+        logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(message)s")
+        results = {"about": about(seconds=seconds, rate=rate, seed=seed), "shapes": {}}
+        for name in words(shapes):
+            measurement = Measurement(SHAPES[name], rate, seconds, seed)
+            results["shapes"][name] = asyncio.run(run_all(measurement, words(scenarios)))
+            write(out, results)
+
+    def control(self, changes: int = 100, recoveries: int = 10, out: str = "control") -> None:
+        """Measure how soon changes are in force and how soon a lost leader is replaced."""
+        logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(message)s")
+        figures = asyncio.run(control.measure(SHAPES["battaglio"], changes, recoveries))
+        write(out, {"about": about(changes=changes, recoveries=recoveries), **figures})
+
+    def slopes(self, out: str = "slopes") -> None:
+        """Measure the slopes that the capacity page rests on."""
+        write(out, {"about": about(), **slopes.measure()})
+
+    def report(self) -> None:
+        """Write docs/measurements.md from the result files."""
+        report.write(RESULTS)
+
+
+def words(value: object) -> list[str]:
+    """Return the parts of a list option; fire turns plain words with commas into a tuple."""
+    return value.split(",") if isinstance(value, str) else [str(item) for item in value]
+
+
+def about(**parameters: float) -> dict[str, object]:
+    """Return when and where a result was measured."""
+    return {
+        "date": time.strftime("%Y-%m-%d %H:%M UTC", time.gmtime()),
+        "python": platform.python_version(),
+        **parameters,
+    }
+
+
+def write(name: str, results: dict[str, object]) -> None:
+    """Write one result file."""
+    RESULTS.mkdir(exist_ok=True)
+    (RESULTS / f"{name}.json").write_text(json.dumps(results, indent=1, sort_keys=True) + "\n")
+
+
+if __name__ == "__main__":
+    fire.Fire(Bench)
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,127 @@
+"""Measures the control plane: changes in force and recovery from a lost leader."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from bench.fleet import VOTERS, BenchFleet, Vm, resident_mb
+from bench.shapes import Shape
+from bramleycrank.exceptions import BramleycrankError
+from bramleycrank.proto import operator_pb2
+from harness.processes import until
+
+POLL_S = 0.02
+IDLE_S = 20.0
+
+
+async def measure(shape: Shape, changes: int, recoveries: int) -> dict[str, Any]:
+    """Run both measurements and an idle one on one fleet."""
+    with tempfile.TemporaryDirectory(prefix="bramleycrank-bench-") as name:
+        fleet = BenchFleet(shape, "adaptive", Path(name), 1)
+        try:
+            await fleet.start()
+            return {
+                "idle": await idle(fleet),
+                "in_force": await in_force(fleet, changes),
+                "recovery": await recovery(fleet, recoveries),
+            }
+        finally:
+            fleet.close()
+
+
+async def idle(fleet: BenchFleet) -> dict[str, float]:
+    """Measure processor time and memory of VMs without load."""
+    before = fleet.processor_s()
+    await asyncio.sleep(IDLE_S)
+    after = fleet.processor_s()
+    shares = [(after[name] - before[name]) / IDLE_S for name in after]
+    return {
+        "processor_share_mean": sum(shares) / len(shares),
+        "processor_share_max": max(shares),
+        "resident_mb_max": max(resident_mb(vm.process.pid) for vm in fleet.vms),
+    }
+
+
+async def in_force(fleet: BenchFleet, changes: int) -> dict[str, Any]:
+    """Measure the time from the accepted change to its revision on every VM."""
+    spread, accepted = [], []
+    service = fleet.shape.records.name
+    version = await current_version(fleet, service)
+    for number in range(changes):
+        start = time.perf_counter()
+        version = await fleet.put_service(service, version, queue_limit=200 + number % 2)
+        done = time.perf_counter()
+        await asyncio.gather(*(until_revision(vm, version) for vm in fleet.vms))
+        accepted.append(done - start)
+        spread.append(time.perf_counter() - done)
+    return {"accepted_s": quantiles(accepted), "everywhere_s": quantiles(spread)}
+
+
+async def current_version(fleet: BenchFleet, service: str) -> int:
+    """Return the version of a service."""
+    stub = fleet.clients.operator_stub(fleet.vms[0].address)
+    reply = await stub.GetService(operator_pb2.GetServiceRequest(name=service))
+    return reply.version
+
+
+async def until_revision(vm: Vm, revision: int) -> None:
+    """Wait until a VM has a revision in force."""
+
+    async def reached() -> bool:
+        return await vm.revision() >= revision
+
+    await until(reached, f"{vm.vm_id} has revision {revision}", 30, POLL_S)
+
+
+async def recovery(fleet: BenchFleet, rounds: int) -> dict[str, Any]:
+    """Measure the time from the leader's end to the next accepted change."""
+    times = []
+    service = fleet.shape.records.name
+    for number in range(rounds):
+        leader = await find_leader(fleet)
+        others = [vm for vm in fleet.vms if vm is not leader]
+        version = await current_version(fleet, service)
+        leader.process.reap()
+        start = time.perf_counter()
+        fleet.vms.remove(leader)
+        await until(
+            lambda v=version, n=number: fleet.put_service(service, v, queue_limit=300 + n % 2),
+            "a change is accepted again",
+            30,
+            POLL_S,
+        )
+        times.append(time.perf_counter() - start)
+        fleet.vms[:] = sorted([*others, leader], key=lambda vm: int(vm.vm_id[2:]))
+        leader.start()
+        await until(leader.ready, f"{leader.vm_id} is ready again", 40)
+    return {"rounds": rounds, "accepted_again_s": quantiles(times)}
+
+
+async def find_leader(fleet: BenchFleet) -> Vm:
+    """Return the VM that leads."""
+
+    async def find() -> Vm | None:
+        for vm in fleet.vms[:VOTERS]:
+            with contextlib.suppress(BramleycrankError):
+                stub = fleet.clients.operator_stub(vm.address)
+                status = await stub.Status(operator_pb2.StatusRequest(local=True), timeout=2.0)
+                if status.vms[0].role == "leader":
+                    return vm
+        return None
+
+    return await until(find, "a leader stands", 30)
+
+
+def quantiles(values: list[float]) -> dict[str, float]:
+    """Return minimum, median, 99th percentile (nearest rank) and maximum, in s."""
+    ordered = sorted(values)
+
+    def rank(share: float) -> float:
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+    return {"min": ordered[0], "p50": rank(0.5), "p99": rank(0.99), "max": ordered[-1]}
--- a/bench/load.py
+++ b/bench/load.py
@@ -117,7 +117,7 @@
 
 
 class Recorder:
-    """Counts and latency histograms, one per class and in all."""
+    """The finished requests of one run."""
 
     def __init__(self) -> None:
         self.rows: list[dict[str, Any]] = []
@@ -127,12 +127,12 @@
         self.rows.append(row)
 
     def summary(self, seconds: float) -> dict[str, Any]:
-        """Summarize all requests and each class."""
-        classes = sorted({row["class"] for row in self.rows})
-        parts = {name: [r for r in self.rows if r["class"] == name] for name in classes}
+        """Summarize all requests and those of each label."""
+        labels = sorted({row["label"] for row in self.rows})
+        parts = {name: [r for r in self.rows if r["label"] == name] for name in labels}
         return {
             "all": summarize(self.rows, seconds),
-            "classes": {name: summarize(rows, seconds) for name, rows in parts.items()},
+            "labels": {name: summarize(rows, seconds) for name, rows in parts.items()},
         }
 
 
@@ -144,7 +144,7 @@
     for row in rows:
         hist.record_value(max(1, int(row["latency_s"] * 1e6)))
     answered = [row for row in rows if row["kind"] == "answer"]
-    good = [row for row in answered if row["in_time"]]
+    good = [row for row in answered if row["in_time"] and row["coverage"] == 1]
     needed = sum(row["needed"] for row in answered)
     return {
         "requests": len(rows),
@@ -152,6 +152,7 @@
         "p99_ms": hist.get_value_at_percentile(99) / 1000,
         "p99_9_ms": hist.get_value_at_percentile(99.9) / 1000,
         "goodput_per_s": len(good) / seconds,
+        "good_share": len(good) / len(rows) if rows else 0,
         "coverage": sum(row["coverage"] for row in answered) / len(answered) if answered else 0,
         "complete_share": sum(row["coverage"] == 1 for row in answered) / len(rows) if rows else 0,
         "refused_share": share(rows, "refused"),
@@ -214,7 +215,7 @@
             body |= {"request_key": f"{self.spec['seed']}-{number}", "key": f"k{number}"}
             body |= {"issued_at_ms": int(time.time() * 1000)}
         deadline_s = body["deadline_ms"] / 1000
-        row = {"class": body.get("class", "normal"), "needed": 0, "sent": 0, "coverage": 0.0}
+        row = {"label": item["label"], "needed": 0, "sent": 0, "coverage": 0.0}
         try:
             answer = await self.client.query(self.fleet.pick(), body, deadline_s + CLIENT_GRACE_S)
             row |= self.judge(answer, item.get("exhaustive", False))
@@ -244,19 +245,22 @@
 
 def main() -> None:
     """Run the specification named on the command line."""
-    spec = json.loads(Path(sys.argv[1]).read_text())
+    spec_path, result_path = map(Path, sys.argv[1:3])
+    spec = json.loads(spec_path.read_text())
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     from twisted.internet import reactor
 
-    reactor.startRunning(installSignalHandlers=False)
-
-    async def run() -> dict[str, Any]:
-        return await LoadRun(spec).run()
+    async def run() -> None:
+        try:
+            result = await LoadRun(spec).run()
+            result_path.write_text(json.dumps(result))
+        finally:
+            reactor.stop()
 
-    result = loop.run_until_complete(run())
-    Path(sys.argv[2]).write_text(json.dumps(result))
+    reactor.callWhenRunning(lambda: loop.create_task(run()))
+    reactor.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts daemons and stand-in targets as child processes, for tests and measurements."""
