--- /dev/null
+++ b/tests/test_session_controller.py
@@ -0,0 +1,317 @@
+"""Tests of the session layer against real grpclib servers on loopback."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+import attrs
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+
+from bramleycrank.connections import ConnectionConfig
+from bramleycrank.daemon.session_controller import SessionController
+from bramleycrank.proto import target_pb2 as pb
+from bramleycrank.proto.target_grpc import TargetBase
+
+
+class FakeTarget(TargetBase):
+    """Target whose answers a test can hold back, and whose connections can go silent."""
+
+    def __init__(self):
+        self.silent = set()
+        self.frozen = asyncio.Event()
+        self.frozen.set()
+        self.limit = 10
+        self.open = 0
+        self.peak = 0
+        self.received = []
+        self.cancelled = []
+        self.messages = 0
+        self.streams = []
+        self.answer = lambda request: True
+
+    async def Session(self, stream):  # noqa: N802
+        if self.open >= self.limit:
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, "too many connections")
+        self.open += 1
+        self.peak = max(self.peak, self.open)
+        self.streams.append(stream)
+        try:
+            while (message := await stream.recv_message()) is not None:
+                await self.frozen.wait()
+                self.messages += bool(message.requests)
+                if stream not in self.silent:
+                    await self.handle(stream, message)
+        finally:
+            self.open -= 1
+
+    async def handle(self, stream, message):
+        self.received += [request.sub_id for request in message.requests]
+        self.cancelled += message.cancel_sub_ids
+        replies = [reply_to(r) for r in message.requests if self.answer(r)]
+        if replies or message.ping:
+            await stream.send_message(pb.SessionReply(replies=replies, pong=message.ping))
+
+
+def reply_to(request, status=pb.SUB_STATUS_OK):
+    return pb.SubReply(sub_id=request.sub_id, status=status, snapshot=request.snapshot)
+
+
+@attrs.define
+class FakeMembership:
+    """Registry with one target."""
+
+    record: pb.TargetRecord
+    usable: bool = True
+    left: list = attrs.field(factory=list)
+    callback: object = None
+
+    def vm_count(self, domain=None):
+        return 3
+
+    def all_targets(self):
+        return [self.record]
+
+    def is_usable(self, target_id):
+        return self.usable
+
+    def subscribe_targets(self, callback):
+        self.callback = callback
+
+    def note_leaving(self, target_id, incarnation):
+        self.left.append((target_id, incarnation))
+
+
+class Recorder:
+    """Listener that keeps what it hears."""
+
+    def __init__(self):
+        self.replies = {}
+        self.failures = {}
+
+    def on_reply(self, reply):
+        assert reply.sub_id not in self.replies and reply.sub_id not in self.failures
+        self.replies[reply.sub_id] = reply
+
+    def on_failure(self, sub_id, reason):
+        assert sub_id not in self.replies and sub_id not in self.failures
+        self.failures[sub_id] = str(reason)
+
+
+async def until(condition, limit_s=3.0):
+    """Wait for a condition and return the time it took in seconds."""
+    started = time.monotonic()
+    while not condition():
+        assert time.monotonic() - started < limit_s, "the condition did not become true"
+        await asyncio.sleep(0.005)
+    return time.monotonic() - started
+
+
+def run(scenario, **options):
+    """Run a scenario with a target and a session controller that is past its joining time."""
+
+    async def main():
+        target = FakeTarget()
+        server = Server([target])
+        await server.start("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        record = pb.TargetRecord(
+            target_id="t", incarnation=7, host="127.0.0.1", port=port, connections=20
+        )
+        membership = FakeMembership(record)
+        cfg = ConnectionConfig(join_s=0.0, **options)
+        sessions = SessionController("vm-0", cfg, membership)
+        await sessions.start()
+        await until(lambda: sessions.is_connected("t"))
+        env = SimpleNamespace(
+            target=target, membership=membership, sessions=sessions, log=Recorder(), down=[]
+        )
+        sessions.subscribe_down(lambda target_id, down: env.down.append(down))
+        env.send = lambda **fields: send(env, **fields)
+        try:
+            await asyncio.wait_for(scenario(env), 15)
+        finally:
+            target.frozen.set()
+            await sessions.stop()
+            server.close()
+            await server.wait_closed()
+
+    asyncio.run(main())
+
+
+def send(env, **fields):
+    sub_id = env.sessions.next_sub_id()
+    request = pb.SubRequest(sub_id=sub_id, timeout_ms=3000, service="s", **fields)
+    env.sessions.send("t", request, env.log)
+    return sub_id
+
+
+def test_requests_of_one_turn_share_a_message_and_replies_may_come_in_any_order():
+    """Guards against a message per request, and replies that reach the wrong request."""
+
+    async def scenario(env):
+        env.target.answer = lambda request: False
+        ids = [env.send(key=str(i)) for i in range(50)]
+        await until(lambda: len(env.target.received) == 50)
+        assert env.target.messages == 1
+        for sub_id in reversed(ids):
+            reply = pb.SubReply(sub_id=sub_id, payload=str(sub_id).encode())
+            await env.target.streams[0].send_message(pb.SessionReply(replies=[reply, reply]))
+        await until(lambda: len(env.log.replies) == 50)
+        assert all(r.payload == str(i).encode() for i, r in env.log.replies.items())
+
+    run(scenario)
+
+
+def test_cancelled_request_is_dropped_or_told_to_the_target():
+    """Guards against replies to a request that was given up, and against useless work."""
+
+    async def scenario(env):
+        env.target.answer = lambda request: False
+        never = env.send()
+        env.sessions.cancel(never, "t")
+        sub_id = env.send()
+        await until(lambda: env.target.received == [sub_id])
+        env.sessions.cancel(sub_id, "t")
+        await until(lambda: env.target.cancelled == [sub_id])
+        await env.target.streams[0].send_message(
+            pb.SessionReply(replies=[pb.SubReply(sub_id=sub_id)])
+        )
+        env.target.answer = lambda request: True
+        last = env.send()
+        await until(lambda: env.log.replies)
+        assert set(env.log.replies) == {last} and not env.log.failures
+
+    run(scenario)
+
+
+def test_silent_connection_is_replaced_and_the_target_stays_up():
+    """Guards against treating a connection that went silent for good as a dead target."""
+
+    async def scenario(env):
+        env.target.silent.add(env.target.streams[0])
+        lost = [env.send(), env.send(request_key="k")]
+        took_s = await until(lambda: len(env.log.failures) == 2)
+        assert took_s < 1.0
+        assert set(env.log.failures) == set(lost)
+        assert set(env.log.failures.values()) == {"connection_lost"}
+        env.send()
+        await until(lambda: env.log.replies)
+        assert env.down == [] and env.target.peak == 2
+        await until(lambda: env.target.open == 1)
+        assert not set(lost) & set(env.target.received), "nothing is sent twice by itself"
+
+    run(scenario)
+
+
+def test_slow_target_keeps_its_connection():
+    """Guards against closing a connection whose target answers pings but not requests."""
+
+    async def scenario(env):
+        env.target.answer = lambda request: False
+        sub_id = env.send()
+        await asyncio.sleep(1.0)
+        assert env.target.peak == 1 and not env.log.failures and env.down == []
+        await env.target.streams[0].send_message(
+            pb.SessionReply(replies=[pb.SubReply(sub_id=sub_id)])
+        )
+        await until(lambda: env.log.replies)
+
+    run(scenario)
+
+
+def test_frozen_target_is_down_until_it_answers_again():
+    """Guards against hanging reads, a lost reply of a write, and reconnects without end."""
+
+    async def scenario(env):
+        env.target.frozen.clear()
+        read, write = env.send(), env.send(request_key="k")
+        await until(lambda: env.down == [True])
+        assert env.log.failures == {read: "target_down"}
+        late = env.send()
+        assert env.log.failures[late] == "not_sent"
+        env.target.frozen.set()
+        await until(lambda: env.down == [True, False])
+        await until(lambda: write in env.log.replies)
+        env.send()
+        await until(lambda: len(env.log.replies) == 2)
+        await until(lambda: env.target.open == 1)
+
+    run(scenario)
+
+
+def test_abrupt_close_delivers_what_arrived_and_reconnects():
+    """Guards against replies that are dropped since the connection ended right behind them."""
+
+    async def scenario(env):
+        env.target.answer = lambda request: False
+        answered, lost = env.send(), env.send()
+        await until(lambda: len(env.target.received) == 2)
+        stream = env.target.streams[0]
+        replies = [pb.SubReply(sub_id=answered, payload=b"x" * 3000)]
+        await stream.send_message(pb.SessionReply(replies=replies))
+        stream._stream.connection._transport.close()
+        await until(lambda: env.log.failures)
+        assert set(env.log.replies) == {answered}
+        assert env.log.failures == {lost: "connection_lost"}
+        env.target.answer = lambda request: True
+        held = env.send()
+        await until(lambda: held in env.log.replies)
+        assert env.down == []
+
+    run(scenario)
+
+
+def test_leaving_target_gets_no_new_work_but_finishes_what_it_has():
+    """Guards against new work for a leaving target, and against cutting its work in flight."""
+
+    async def scenario(env):
+        env.target.answer = lambda request: False
+        sub_id = env.send()
+        await until(lambda: env.target.received == [sub_id])
+        unwritten = env.send()
+        env.membership.usable = False
+        env.membership.callback(env.membership.record)
+        refused = env.send()
+        assert env.log.failures == {unwritten: "not_sent", refused: "not_sent"}
+        await asyncio.sleep(0.1)
+        assert env.target.open == 1 and env.target.received == [sub_id]
+        reply = pb.SubReply(sub_id=sub_id, status=pb.SUB_STATUS_LEAVING)
+        await env.target.streams[0].send_message(pb.SessionReply(replies=[reply]))
+        await until(lambda: env.target.open == 0)
+        assert sub_id in env.log.replies and env.membership.left == [("t", 7)]
+
+    run(scenario)
+
+
+def test_target_at_its_connection_limit_gets_its_silent_connection_replaced():
+    """Guards against a silent connection that stays, since it uses the target's last place."""
+
+    async def scenario(env):
+        env.target.limit = 1
+        env.target.silent.add(env.target.streams[0])
+        env.send()
+        await until(lambda: env.log.failures)
+        env.send()
+        await until(lambda: env.log.replies or len(env.log.failures) > 1)
+        await until(lambda: env.sessions.is_connected("t"))
+        env.send()
+        await until(lambda: env.log.replies)
+        assert env.target.peak == 1
+
+    run(scenario)
+
+
+def test_flow_control_does_not_block_pings_and_replies():
+    """Guards against a large message that waits for the target's window and blocks everything."""
+
+    async def scenario(env):
+        env.target.frozen.clear()
+        ids = [env.send(payload=b"x" * 60_000, request_key="k") for _ in range(200)]
+        await asyncio.sleep(0.2)
+        env.target.frozen.set()
+        await until(lambda: len(env.log.replies) == len(ids), limit_s=8.0)
+        assert not env.log.failures
+
+    run(scenario, silence_min_s=5.0, silence_max_s=5.0)
