--- a/bramleycrank/query/policy.py
+++ b/bramleycrank/query/policy.py
@@ -50,7 +50,8 @@
         self._services: dict[str, ServiceStats] = {}
         self.choose = table.choose
 
-    def _stats(self, service: str) -> ServiceStats:
+    def stats(self, service: str) -> ServiceStats:
+        """Return latencies and budgets of a service."""
         stats = self._services.get(service)
         if stats is None:
             stats = self._services[service] = ServiceStats.from_config(self._cfg)
@@ -58,7 +59,7 @@
 
     def hedge_delay(self, service: str) -> float | None:
         """Return the time in seconds after which to hedge; None while too little is known."""
-        stats = self._stats(service)
+        stats = self.stats(service)
         if stats.latency.samples < MIN_SAMPLES:
             return None
         return stats.latency.quantile(self._quantile(stats.hedges))
@@ -76,18 +77,18 @@
 
     def take_hedge(self, service: str) -> bool:
         """Take one hedge from the budget; False if it is used up."""
-        stats = self._stats(service)
+        stats = self.stats(service)
         return stats.hedges.take(stats.shed.scale)
 
     def take_retry(self, service: str) -> bool:
         """Take one retry from the budget; False if it is used up."""
-        stats = self._stats(service)
+        stats = self.stats(service)
         return stats.retries.take(stats.shed.scale)
 
     def on_sent(self, service: str, target_id: str, first: bool, now: float) -> None:
         """Count a sub-request; a first one earns budget for extra ones."""
         if first:
-            stats = self._stats(service)
+            stats = self.stats(service)
             scale = stats.shed.scale
             stats.hedges.earn(scale)
             stats.retries.earn(scale)
@@ -97,7 +98,7 @@
         self, service: str, target_id: str, latency_s: float, first: bool, now: float
     ) -> None:
         """Count an accepted reply."""
-        stats = self._stats(service)
+        stats = self.stats(service)
         stats.shed.record(False)
         if first:
             stats.latency.record(latency_s)
@@ -105,7 +106,7 @@
 
     def on_shed(self, service: str, target_id: str, now: float) -> None:
         """Count a shed reply."""
-        self._stats(service).shed.record(True)
+        self.stats(service).shed.record(True)
         self._table.on_shed(target_id, now)
 
     def on_failure(self, service: str, target_id: str, now: float) -> None:
@@ -125,7 +126,7 @@
             return
         delay = self.hedge_delay(service)
         if first:
-            self._stats(service).latency.record(elapsed_s)
+            self.stats(service).latency.record(elapsed_s)
         if delay is not None and elapsed_s < delay:
             self._table.on_cancelled(target_id, now)
         else:
