Test the stand-in target and end its announcers reliably

A stopped process could hang: closing a channel makes a call in flight fail with its own error, which hid the cancellation, and the announcer went on. Tasks are now ended before the channels are closed, and timeouts no longer use wait_for, which can lose a cancellation in Python 3.11.

--- a/bramleycrank/standin/announcer.py
+++ b/bramleycrank/standin/announcer.py
@@ -87,14 +87,16 @@
         if self._vms is None:
             return True
         try:
-            await asyncio.wait_for(self._left.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._left.wait()
         except TimeoutError:
             return False
         return True
 
     async def _wait_for_change(self, timeout_s: float) -> None:
         try:
-            await asyncio.wait_for(self._target.changed.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._target.changed.wait()
         except TimeoutError:
             await self._target.resumed.wait()
 
--- a/bramleycrank/standin/fleet.py
+++ b/bramleycrank/standin/fleet.py
@@ -92,10 +92,11 @@
         """Close everything at once, as a crash would."""
         for task in self._tasks:
             task.cancel()
+        # A call on a closed channel fails with that error and hides the cancellation.
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.close()
         self._channels.close()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _start_target(self, place: Place, incarnation: int) -> None:
         cfg = self._cfg
--- /dev/null
+++ b/tests/test_standin_announcer.py
@@ -0,0 +1,103 @@
+"""Tests of how stand-in targets announce themselves."""
+
+import asyncio
+
+from standin_fakes import FakeRegistry, fleet, until
+
+from bramleycrank.proto import target_pb2 as pb
+
+THREE = {"shards": 3, "domains": ["a", "b"], "replicas": 2}
+
+
+async def registries(count):
+    found = [FakeRegistry() for _ in range(count)]
+    for registry in found:
+        await registry.start()
+    return found
+
+
+def test_targets_spread_over_vms_and_renew():
+    """Guards against one VM that becomes the home of all targets, and leases that run out."""
+
+    async def body():
+        first, second = await registries(2)
+        async with fleet(fleet=THREE, registry={"vms": [first.address, second.address]}) as running:
+            await until(lambda: len(first.announced) >= 9 and len(second.announced) >= 9)
+            homes = [{r.target_id for r in registry.announced} for registry in (first, second)]
+            assert homes[0] | homes[1] == set(running.targets) and not homes[0] & homes[1]
+            record = first.announced[-1]
+            assert record.state == pb.TARGET_STATE_SERVING and record.port
+            assert {r.domain for r in first.announced + second.announced} == {"a", "b"}
+        for registry in (first, second):
+            await registry.stop()
+
+    asyncio.run(body())
+
+
+def test_a_target_moves_on_when_its_vm_fails():
+    """Guards against a target that is lost together with its home VM."""
+
+    async def body():
+        first, second = await registries(2)
+        registry = {"vms": [first.address, second.address], "timeout_s": 0.1}
+        async with fleet(registry=registry):
+            await until(lambda: len(first.announced) >= 2)
+            first.frozen = True
+            await until(lambda: second.announced)
+            # The sequence grows, so that the record wins where the lease has run out.
+            assert second.announced[0].sequence > first.announced[-1].sequence
+        for registry in (first, second):
+            await registry.stop()
+
+    asyncio.run(body())
+
+
+def test_a_stop_tells_a_vm_that_the_target_leaves():
+    """Guards against a planned stop that VMs learn of only by failures."""
+
+    async def body():
+        (registry,) = await registries(1)
+        async with fleet(registry={"vms": [registry.address]}) as running:
+            await until(lambda: registry.announced)
+            await running.stop(limit_s=5)
+            assert registry.left == ["demo-0-0"]
+            assert all(record.state != pb.TARGET_STATE_LEAVING for record in registry.announced)
+        await registry.stop()
+
+    asyncio.run(body())
+
+
+def test_a_warming_target_says_so():
+    """Guards against full load on a target that has just started."""
+
+    async def body():
+        (registry,) = await registries(1)
+        timing = {"warming_s": 0.3}
+        async with fleet(registry={"vms": [registry.address]}, timing=timing):
+            await until(lambda: registry.announced)
+            assert registry.announced[0].state == pb.TARGET_STATE_WARMING
+            await until(lambda: registry.announced[-1].state == pb.TARGET_STATE_SERVING)
+            assert registry.announced[-1].sequence > registry.announced[0].sequence
+        await registry.stop()
+
+    asyncio.run(body())
+
+
+def test_a_frozen_target_does_not_renew():
+    """Guards against a lease that hides a target which answers nothing."""
+
+    async def body():
+        (registry,) = await registries(1)
+        async with fleet(registry={"vms": [registry.address]}) as running:
+            await until(lambda: registry.announced)
+            (target,) = running.targets.values()
+            target.resumed.clear()
+            await asyncio.sleep(0.2)
+            count = len(registry.announced)
+            await asyncio.sleep(0.3)
+            assert len(registry.announced) == count
+            target.resumed.set()
+            await until(lambda: len(registry.announced) > count)
+        await registry.stop()
+
+    asyncio.run(body())
