--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -116,7 +116,7 @@
             ready = self._warm([t for t in pool if t.in_flight < t.limit], now)
         if not ready:
             return min(pool, key=lambda t: (t.in_flight + 1) / t.limit).target_id
-        return self._better_of_two(ready).target_id
+        return self._better_of_two(ready, now).target_id
 
     def _warm(self, ready: list[TargetState], now: float) -> list[TargetState]:
         for state in ready:
@@ -124,20 +124,21 @@
                 return [t for t in ready if self._random() < t.warm_share(now)]
         return ready
 
-    def _better_of_two(self, ready: list[TargetState]) -> TargetState:
+    def _better_of_two(self, ready: list[TargetState], now: float) -> TargetState:
         count = len(ready)
         if count == 1:
             return ready[0]
         first = int(self._random() * count)
         second = int(self._random() * (count - 1))
         left, right = ready[first], ready[second if second < first else second + 1]
-        return left if left.score() <= right.score() else right
+        return left if left.score(now) <= right.score(now) else right
 
     def on_sent(self, target_id: str, now: float) -> None:
         """Count a sub-request in flight."""
         state = self._targets.get(target_id)
         if state is not None:
             state.in_flight += 1
+            state.sent_at = now
 
     def _ended(self, target_id: str) -> TargetState | None:
         state = self._targets.get(target_id)
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -20,6 +20,9 @@
 WARMUP_FLOOR = 0.05
 """Smallest share of a cold target; without it no observation would ever arrive."""
 
+REPROBE_S = 1.0
+"""Time without a sub-request after which a target is tried again whatever its score was."""
+
 _LATENCY_WEIGHT = 0.1
 _SHED_FACTOR = 0.7
 _USED = 0.8  # part of the limit that must be in use before it grows
@@ -48,6 +51,7 @@
     warm_from: float
     warm_until: float
     in_flight: int = 0
+    sent_at: float = -1e9
     latency_s: float = 0.0
     base_s: float = 0.0
     failures: int = 0
@@ -84,8 +88,10 @@
             return 1.0
         return max(WARMUP_FLOOR, (now - self.warm_from) / (self.warm_until - self.warm_from))
 
-    def score(self) -> float:
+    def score(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
+        if now - self.sent_at > REPROBE_S:
+            return 0.0  # what was observed is too old; without a new sample it would never change
         # The reported load only decides between otherwise equal targets; it can lag or mislead.
         return (
             (self.in_flight + 1) * (self.latency_s or 1e-4) * (1 + self.failures)
--- a/tests/query_fakes.py
+++ b/tests/query_fakes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+import selectors
+from collections.abc import Callable, Coroutine, Sequence
 
 from bramleycrank.exceptions import NoQuorum, ProposalOutcomeUnknown, UnknownService
 from bramleycrank.proto.log_pb2 import (
@@ -209,3 +210,32 @@
             self.claims[key] = fresh
             return CommandResult(code=RESULT_CODE_CLAIM_WON)
         return CommandResult(code=RESULT_CODE_CLAIM_HELD)
+
+
+class _SkippingSelector(selectors.DefaultSelector):
+    """Advances virtual time instead of waiting."""
+
+    now = 1000.0
+
+    def select(self, timeout: float | None = None) -> list:
+        if timeout is None:
+            raise AssertionError("the loop waits for something that never comes")
+        self.now += max(timeout, 0.0)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose timers need no real time."""
+
+    def __init__(self) -> None:
+        self._skipping = _SkippingSelector()
+        super().__init__(self._skipping)
+
+    def time(self) -> float:
+        return self._skipping.now
+
+
+def run_virtual(coro: Coroutine) -> object:
+    """Run `coro` to its end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(coro)
--- /dev/null
+++ b/tests/test_query_admission.py
@@ -0,0 +1,177 @@
+"""Runs admission through arbitrary offers and releases.
+
+Guards against places that leak, limits that are passed, requests that get no answer or two, and
+requests that are kept waiting past the time at which they could still be answered.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import hypothesis.strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from bramleycrank.exceptions import Outcome
+from bramleycrank.query.admission import RECHECK_S, WEIGHTS, Admission
+from bramleycrank.query.limit import MIN_LIMIT, AdaptiveLimit
+from bramleycrank.query.types import CLASSES, Admit, Ticket
+
+QUEUE_LIMIT = 6
+LIMITS = {"archivio": (0, 0), "preventivi": (2, 0), "fonderia": (0, 2)}
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Offers, releases, withdrawals and time."""
+
+    @initialize(seed=st.integers(0, 99))
+    def set_up(self, seed: int) -> None:
+        self.now = 1000.0
+        self.rng = random.Random(seed)
+        self.admission = Admission(AdaptiveLimit(6, 40), QUEUE_LIMIT)
+        self.running: list[Ticket] = []
+        self.queued: list[Ticket] = []
+        self.final: Counter[Ticket] = Counter()
+        self.cut = False
+
+    def _take(self, actions: list) -> None:
+        for action in actions:
+            ticket = action.ticket
+            self.final[ticket] += 1
+            if ticket in self.queued:
+                self.queued.remove(ticket)
+            if isinstance(action, Admit):
+                older = [t for t in self.queued if t.offered_at < ticket.offered_at]
+                same = (ticket.service, ticket.priority)
+                assert same not in {(t.service, t.priority) for t in older}, "overtaken"
+                self.running.append(ticket)
+            else:
+                assert action.error.outcome is Outcome.NOT_RUN
+                assert action.error.retry_after_ms > 0
+
+    @rule(
+        priority=st.sampled_from(CLASSES),
+        service=st.sampled_from(sorted(LIMITS)),
+        left=st.sampled_from([0.02, 0.2, 1.0, 10.0]),
+        count=st.integers(1, 8),
+    )
+    def offer(self, priority: str, service: str, left: float, count: int) -> None:
+        for _ in range(count):
+            self.now += 1e-6
+            most, queue = LIMITS[service]
+            ticket = Ticket(0, service, priority, self.now + left, most, queue)
+            before = len([t for t in self.queued if t.priority == priority])
+            actions = self.admission.offer(ticket, self.now)
+            if not actions:
+                assert before < QUEUE_LIMIT
+                self.queued.append(ticket)
+            self._take(actions)
+
+    @rule(count=st.integers(1, 8), latency=st.sampled_from([0.01, 0.05, 0.4]), shed=st.booleans())
+    def release(self, count: int, latency: float, shed: bool) -> None:
+        self.now += latency / 4
+        for _ in range(min(count, len(self.running))):
+            ticket = self.running.pop(self.rng.randrange(len(self.running)))
+            self._take(self.admission.release(ticket, latency, shed, self.now))
+            assert self.admission.release(ticket, latency, shed, self.now) == []
+
+    @rule()
+    def withdraw(self) -> None:
+        if self.queued:
+            ticket = self.queued.pop(self.rng.randrange(len(self.queued)))
+            self.admission.withdraw(ticket)
+            self.final[ticket] += 1
+
+    @rule(step=st.sampled_from([0.005, 0.03, 0.5]))
+    def wait(self, step: float) -> None:
+        self.now += step
+        due = self.admission.next_deadline()
+        if due is not None and due <= self.now:
+            self._take(self.admission.tick(self.now))
+            assert all(ticket.deadline >= self.now for ticket in self.queued), "kept too long"
+
+    @invariant()
+    def limits_hold(self) -> None:
+        if not hasattr(self, "admission"):
+            return
+        assert self.admission.in_flight == len(self.running)
+        assert self.admission.queued == len(self.queued)
+        assert MIN_LIMIT <= self.admission.limit.value <= 40
+        by_service = Counter(ticket.service for ticket in self.running)
+        assert by_service["preventivi"] <= 2
+        queued = Counter((ticket.service, ticket.priority) for ticket in self.queued)
+        assert all(queued["fonderia", name] <= 2 for name in CLASSES)
+        assert all(count == 1 for count in self.final.values())
+        due = self.admission.next_deadline()
+        assert (due is None) == (not self.queued)
+        assert due is None or due <= self.now + RECHECK_S
+
+    @invariant()
+    def no_place_stays_empty(self) -> None:
+        if hasattr(self, "admission") and any(t.service == "archivio" for t in self.queued):
+            assert len(self.running) >= int(self.admission.limit.value)
+
+
+TestAdmission = AdmissionMachine.TestCase
+
+
+def saturated(limit: int = 10, queue_limit: int = 10_000) -> tuple[Admission, list[Ticket]]:
+    """Return an admission whose places are all taken, with a known service time of 10 ms."""
+    admission = Admission(AdaptiveLimit(limit, limit), queue_limit)
+    for _ in range(200):
+        ticket = Ticket(0, "archivio", "normal", 1e9)
+        admission.offer(ticket, 0.0)
+        admission.release(ticket, 0.01, False, 0.0)
+    running = [Ticket(0, "archivio", "normal", 1e9) for _ in range(limit)]
+    for ticket in running:
+        assert admission.offer(ticket, 0.0)
+    return admission, running
+
+
+def test_classes_share_by_weight_and_bulk_is_not_starved() -> None:
+    admission, running = saturated()
+    for name in CLASSES:
+        for _ in range(300):
+            assert not admission.offer(Ticket(0, "archivio", name, 1e9), 0.0)
+    served: Counter[str] = Counter()
+    for _ in range(120):
+        [action] = admission.release(running.pop(0), 0.01, False, 0.0)
+        served[action.ticket.priority] += 1
+        running.append(action.ticket)
+    assert served == {name: weight * 10 for name, weight in WEIGHTS.items()}
+
+
+def test_a_request_that_cannot_be_answered_in_time_is_refused_at_once() -> None:
+    admission, _ = saturated()
+    assert not admission.offer(Ticket(0, "archivio", "normal", 0.1), 0.0)
+    for _ in range(200):
+        admission.offer(Ticket(0, "archivio", "normal", 1e9), 0.0)
+    [refusal] = admission.offer(Ticket(0, "archivio", "normal", 0.1), 0.0)
+    assert refusal.error.name == "DeadlineUnreachable"
+    assert 100 <= refusal.error.retry_after_ms <= 400  # 200 requests, 10 at once, 10 ms each
+
+
+def test_a_queued_request_is_refused_before_its_deadline_passes() -> None:
+    admission, _ = saturated()
+    ticket = Ticket(0, "archivio", "urgent", 0.1)
+    assert not admission.offer(ticket, 0.0)
+    assert not admission.tick(0.05)
+    [refusal] = admission.tick(0.095)
+    assert refusal.ticket is ticket
+
+
+def test_the_limit_falls_on_overload_and_recovers() -> None:
+    limit, now = AdaptiveLimit(100, 200), 0.0
+    for _ in range(400):
+        now += 0.005
+        limit.on_end(0.01, True, 100, now)
+    low = limit.value
+    assert low < 30
+    for _ in range(4000):
+        now += 0.005
+        limit.on_end(0.01, False, 100, now)
+    assert limit.value > low + 50
+    for _ in range(400):
+        now += 0.005
+        limit.on_end(0.03, False, 100, now)
+    assert "long-term median" in limit.dump()["why"]
