--- a/bramleycrank/query/admission.py
+++ b/bramleycrank/query/admission.py
@@ -86,9 +86,9 @@
             return [self._admit(ticket)]
         full = len(queue) >= self._queue_limit
         if full or 0 < ticket.queue_limit <= queue.count(ticket.service):
-            wait = self._wait(ticket.priority, len(queue))
+            wait = self._wait(ticket, len(queue), queue.count(ticket.service))
             return [self._refuse(ticket, _error(QueueFull, "", wait))]
-        wait = self._wait(ticket.priority, len(queue) + 1)
+        wait = self._wait(ticket, len(queue) + 1, queue.count(ticket.service) + 1)
         if self._refuse_late and not self._in_time(ticket, wait, now):
             return [self._refuse(ticket, self._too_late(wait))]
         ticket.state = "queued"
@@ -123,12 +123,15 @@
     def _too_late(self, wait_s: float) -> BramleycrankError:
         return _error(DeadlineUnreachable, "", wait_s)
 
-    def _wait(self, priority: str, place: int) -> float:
-        """Return the estimated wait in seconds of the request at `place` of its class."""
-        median = self._service_time.quantile(0.5)
+    def _wait(self, ticket: Ticket, place: int, service_place: int) -> float:
+        """Return the estimated wait in seconds at a place of the class and of the service."""
+        median, priority = self._service_time.quantile(0.5), ticket.priority
         waiting = [name for name in CLASSES if self._queues[name] or name == priority]
         share = WEIGHTS[priority] / sum(WEIGHTS[name] for name in waiting)
-        return place * median / (max(1, int(self.limit.value)) * share)
+        turns = place / (max(1, int(self.limit.value)) * share)
+        if ticket.max_concurrency:
+            turns = max(turns, service_place / ticket.max_concurrency)
+        return turns * median
 
     def _in_time(self, ticket: Ticket, wait_s: float, now: float) -> bool:
         needed = self._service_time.quantile(QUEUED_QUANTILE)
@@ -167,7 +170,7 @@
             if ticket is None:
                 break
             if self._refuse_late and not self._in_time(ticket, 0.0, now):
-                out.append(self._refuse(ticket, self._too_late(self._wait(ticket.priority, 1))))
+                out.append(self._refuse(ticket, self._too_late(self._wait(ticket, 1, 1))))
             else:
                 out.append(self._admit(ticket))
         if not self.queued:
@@ -192,18 +195,18 @@
         """Refuse queued requests that cannot be answered in time any more."""
         out = self._serve(now)
         if self._refuse_late:
-            for name, queue in self._queues.items():
-                out += self._refuse_hopeless(name, queue, now)
+            for queue in self._queues.values():
+                out += self._refuse_hopeless(queue, now)
         self._next_check = now + RECHECK_S if self.queued else None
         return out
 
-    def _refuse_hopeless(self, name: str, queue: ClassQueue, now: float) -> list[_Action]:
+    def _refuse_hopeless(self, queue: ClassQueue, now: float) -> list[_Action]:
         out: list[_Action] = []
-        place = 0
+        places: Counter[str] = Counter()
         for ticket in list(queue):
-            wait = self._wait(name, place + 1)
+            wait = self._wait(ticket, places.total() + 1, places[ticket.service] + 1)
             if self._in_time(ticket, wait, now):
-                place += 1
+                places[ticket.service] += 1
             else:
                 queue.remove(ticket)
                 out.append(self._refuse(ticket, self._too_late(wait)))
--- a/bramleycrank/query/catalog.py
+++ b/bramleycrank/query/catalog.py
@@ -33,6 +33,7 @@
     keys: dict[str, tuple[int, int, int]] = attrs.field(factory=dict)
     holders: dict[Snapshot, dict[int, set[str]]] = attrs.field(factory=dict)
     chosen: dict[int, Snapshot | None] = attrs.field(factory=dict)
+    leaving: dict[str, int] = attrs.field(factory=dict)  # target to its last incarnation
 
 
 class SnapshotCatalog:
@@ -51,8 +52,12 @@
             return False
         kept = known.holders if known else {}
         fresh = _Service(keys=keys)
+        if known is not None:
+            fresh.leaving = {name: at for name, at in known.leaving.items() if name in keys}
         for record in records:
             target_id = record.target_id
+            if fresh.leaving.get(target_id, -1) >= record.incarnation:
+                continue
             unchanged = known is not None and known.keys.get(target_id) == keys[target_id]
             for snapshot, shard in replicas_of(record):
                 # A replica that the target disowned stays removed until it announces anew.
@@ -76,6 +81,8 @@
                     holders.discard(target_id)
             elif held == snapshot and shard in shards:
                 shards[shard].discard(target_id)
+        if snapshot is None and target_id in known.keys:
+            known.leaving[target_id] = known.keys[target_id][0]
         known.chosen.clear()
 
     def set_down(self, target_id: str, down: bool, now: float) -> None:
--- a/bramleycrank/query/execution.py
+++ b/bramleycrank/query/execution.py
@@ -321,20 +321,22 @@
         """Hedge every sub-request that has waited long enough, oldest first."""
         delay = self._hedge_delay or 0.0
         due_next: float | None = None
+        allowed = True
         for sub in list(self._open.values()):
             shard = sub.shard
             if shard.hedged or len(shard.open) > 1:
                 continue
             due = sub.sent_at + delay
             if due <= now:
-                if self._hedge_one(shard, now, out):
+                allowed = allowed and self._hedge_one(shard, now, out)
+                if allowed:
                     continue
                 due = now + max(delay * _HEDGE_RECHECK, 1e-3)
             due_next = due if due_next is None else min(due_next, due)
         self._hedge_at = due_next
 
     def _hedge_one(self, shard: ShardState, now: float, out: list[Action]) -> bool:
-        """Send a hedge; False if the budget does not allow it now."""
+        """Send a hedge if another replica is left; False if the budget is used up."""
         service = self.req.service
         target_id = self._policy.choose(service, self.snapshot, shard.index, shard.tried, now)
         if target_id is not None:
--- a/bramleycrank/query/policy.py
+++ b/bramleycrank/query/policy.py
@@ -19,9 +19,6 @@
 HEDGE_BURST, RETRY_BURST = 30.0, 10.0
 """Tokens at the start and most tokens kept; a quiet service can retry its first failures."""
 
-PLAIN_RETRIES = 2
-"""Retries of one shard under the plain policy; it has no budget."""
-
 
 @attrs.define(eq=False)
 class ServiceStats:
--- a/tests/test_query_admission.py
+++ b/tests/test_query_admission.py
@@ -155,6 +155,18 @@
     assert 100 <= refusal.error.retry_after_ms <= 400  # 200 requests, 10 at once, 10 ms each
 
 
+def test_the_wait_takes_the_limit_of_the_service_into_account() -> None:
+    admission, _ = saturated(limit=100)
+    tickets = [Ticket(0, "preventivi", "normal", 0.1, max_concurrency=1) for _ in range(12)]
+    refused = [ticket for ticket in tickets if ticket_state(admission, ticket) == "refused"]
+    assert len(refused) in (2, 3)  # one at a time, 10 ms each, 100 ms left
+
+
+def ticket_state(admission: Admission, ticket: Ticket) -> str:
+    admission.offer(ticket, 0.0)
+    return ticket.state
+
+
 def test_a_queued_request_is_refused_before_its_deadline_passes() -> None:
     admission, _ = saturated()
     ticket = Ticket(0, "archivio", "urgent", 0.1)
--- a/tests/test_query_replicas.py
+++ b/tests/test_query_replicas.py
@@ -181,6 +181,17 @@
     assert catalog.choose(SERVICE, pinned, 0.0) == expected
 
 
+def test_a_late_record_of_a_leaving_target_does_not_bring_its_shards_back() -> None:
+    catalog, held = SnapshotCatalog(), [(SNAP, 0)]
+    catalog.update(SERVICE, [record("t0", held)], 0.0)
+    catalog.mark_gone(SERVICE, "t0", None, 0, 0.0)
+    assert catalog.choose(SERVICE, 0, 0.0) is None
+    catalog.update(SERVICE, [record("t0", held, sequence=2)], 0.0)
+    assert catalog.choose(SERVICE, 0, 0.0) is None
+    catalog.update(SERVICE, [record("t0", held, incarnation=2)], 0.0)
+    assert catalog.choose(SERVICE, 0, 0.0) == SNAP
+
+
 def test_a_disowned_replica_stays_away_until_it_is_announced_anew() -> None:
     catalog, old, new = SnapshotCatalog(), Snapshot(1, 2), Snapshot(2, 2)
     records = [*grid(old, 2), record("n0", [(new, 0)]), record("n1", [(new, 1)])]
