Close gaps in the tests that hand-made breaks showed

Breaks that no test noticed: commit of an older term, a membership change before an entry of the own term, commit beyond what a message proves, a membership that is not rolled back or lost at a compaction, a second completion, and ages rounded down or passed on without the clock allowance. Each has a test now. Not noticed and left: votes asked of a node without a membership, which two checks refuse.

--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -1,12 +1,23 @@
 """Tests of the consensus node under message loss, crashes, lost disks and membership changes."""
 
+import random
+
 import pytest
 from consensus_cluster import Cluster, bounded
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from bramleycrank.consensus import AddLearner, Promote, Remove, Role
+from bramleycrank.consensus import (
+    AddLearner,
+    DurableState,
+    Promote,
+    RaftConfig,
+    RaftNode,
+    ReadReady,
+    Remove,
+    Role,
+)
 from bramleycrank.exceptions import (
     AlreadyBootstrapped,
     InvalidMembershipChange,
@@ -16,12 +27,18 @@
     NotLeader,
 )
 from bramleycrank.proto.log_pb2 import (
+    AppendReply,
+    AppendRequest,
     Change,
     Command,
     ConsensusMessage,
+    Entry,
+    HardState,
+    LogSnapshot,
     Member,
     Membership,
     ServiceConfig,
+    VoteReply,
     VoteRequest,
 )
 
@@ -176,6 +193,7 @@
         nodes = [node for node in cluster.nodes.values() if node.node_id in members]
         assert len({node.state.image() for node in nodes}) == 1
         assert not any(node.waiting for node in cluster.nodes.values())
+        assert all(node.raft.membership == cluster.oracle.membership for node in nodes)
 
 
 FaultyCluster.TestCase.settings = bounded(120, 40)
@@ -485,3 +503,53 @@
     cluster.run(2)
     refused = cluster.change(leader, Remove(others[-1].node_id))
     assert isinstance(cluster.outcomes[refused], InvalidMembershipChange)
+
+
+def test_a_membership_that_was_never_committed_is_rolled_back(cluster):
+    """Guards against a node that counts majorities by a change that another leader undid."""
+    leader = cluster.leader()
+    isolate(cluster, leader.node_id)
+    cluster.change(leader, AddLearner(Member(node_id="new/1")))
+    cluster.compact(leader)
+    assert "new/1" in [m.node_id for m in leader.raft.membership.members]
+    cluster.run(3)
+    cluster.propose(cluster.leader(), put("late", 0, "late"))
+    cluster.settle(2)
+    assert leader.raft.membership == cluster.first
+    assert leader.state.image() == cluster.leader().state.image()
+
+
+def alone(entries: list[Entry]) -> RaftNode:
+    """Return node a of three with entries of an older term after the first snapshot."""
+    members = [Member(node_id=name, voter=True) for name in "abc"]
+    snapshot = LogSnapshot(index=1, term=1, membership=Membership(cluster_id="c", members=members))
+    durable = DurableState(HardState(term=3), snapshot, entries)
+    return RaftNode.from_config(RaftConfig("a"), durable, random.Random(1), now=0.0)
+
+
+def message(term: int, **body: object) -> ConsensusMessage:
+    return ConsensusMessage(cluster_id="c", sender="b", recipient="a", term=term, **body)
+
+
+def test_a_leader_commits_and_changes_nothing_before_an_entry_of_its_term():
+    """Guards against a commit of an older entry that a later leader may still overwrite."""
+    node = alone([Entry(index=2, term=2, command=b"x")])
+    node.tick(2.0)
+    node.receive(message(4, vote_reply=VoteReply(pre_vote=True, granted=True)), 2.0)
+    node.receive(message(4, vote_reply=VoteReply(granted=True)), 2.0)
+    assert (node.role, node.last_index) == (Role.LEADER, 3)
+    node.receive(message(4, append_reply=AppendReply(success=True, match_index=2, round=1)), 2.0)
+    assert (node.commit_index, node.confirmed_at) == (1, None)
+    assert not any(isinstance(action, ReadReady) for action in node.read_index("r", 2.0))
+    (refused,) = node.change_membership("m", Remove("c"), 2.0)
+    assert isinstance(refused.error, MembershipChangeInProgress)
+    node.receive(message(4, append_reply=AppendReply(success=True, match_index=3, round=1)), 2.0)
+    assert (node.commit_index, node.confirmed_at) == (3, 2.0)
+
+
+def test_a_follower_commits_only_what_the_message_proves_equal():
+    """Guards against a commit of own entries that contradict the leader's log."""
+    node = alone([Entry(index=i, term=2, command=b"x") for i in (2, 3)])
+    heartbeat = AppendRequest(prev_index=1, prev_term=1, commit_index=3)
+    node.receive(message(3, append_request=heartbeat), 0.1)
+    assert node.commit_index == 1
--- a/tests/test_state_follower.py
+++ b/tests/test_state_follower.py
@@ -20,6 +20,7 @@
     FetchConfig,
     FollowerConfig,
 )
+from bramleycrank.state.confirmation import Confirmation
 
 SEEDS = st.integers(0, 2**32)
 
@@ -322,3 +323,22 @@
     assert follower.config.revision == 7 and follower.is_ready
     newer = ConfigState.from_image(pb.ConfigImage(revision=9))
     assert ConfigInForce(9) in follower.on_local(newer, False, now=2)
+
+
+RATES = st.sampled_from([0.9995, 1.0, 1.0005])
+HOPS = st.lists(st.tuples(RATES, st.floats(0, 5), st.floats(0, 2)), min_size=1, max_size=8)
+
+
+@given(hops=HOPS)
+def test_an_age_that_is_passed_on_is_never_below_the_true_one(hops):
+    """Guards against ages that shrink by rounding, by slow clocks or by the time in flight."""
+    time, rate = 0.0, 1.0
+    known = Confirmation(revision=1, at=0.0)
+    for next_rate, waited, in_flight in hops:
+        time += waited
+        age_ms = known.age_ms(rate * time)
+        assert age_ms >= time * 1000 - 1e-6
+        status = ConfigStatus(leader_revision=1, leader_age_ms=age_ms, confirmed=True)
+        # The request was sent just before the reply was made, and the reply took long.
+        known = Confirmation.from_reply(status, sent_at=next_rate * time)
+        time, rate = time + in_flight, next_rate
--- a/tests/test_state_replicated.py
+++ b/tests/test_state_replicated.py
@@ -110,6 +110,8 @@
             answer = data.draw(st.sampled_from([b"x", b"y" * (MAX_ANSWER_BYTES + 1)]))
             done = pb.ClaimComplete(id=claim_id, attempt_id=attempt, answer=answer)
             assert self.apply(pb.Command(claim_complete=done)).code == OK
+            late = pb.ClaimComplete(id=claim_id, attempt_id=attempt, answer=b"other")
+            self.apply(pb.Command(claim_complete=late))
             self.completed[run_key] = answer if len(answer) <= MAX_ANSWER_BYTES else b""
 
     @rule(data=st.data())
