--- a/bramleycrank/cli/main.py
+++ b/bramleycrank/cli/main.py
@@ -116,6 +116,10 @@
         return exc.exit_code
     except KeyboardInterrupt:
         return 130
+    except BrokenPipeError:
+        # The reader of the output, such as head, has ended; what is left must not raise again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 141
     return 0
 
 
--- a/bramleycrank/settings/__init__.py
+++ b/bramleycrank/settings/__init__.py
@@ -1,7 +1,7 @@
 """Typed settings, read from a TOML file and checked before anything else is opened.
 
 To add an option, declare it in the class of its section in `bramleycrank.settings.model` and run
-``python -m bramleycrank.settings.page`` to renew ``docs/settings.md``.
+``scripts/pages.py`` to renew ``docs/settings.md``.
 """
 
 from bramleycrank.settings.address import Address
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -1,6 +1,8 @@
 """Tests of the command line against fake services."""
 
 import json
+import subprocess
+import sys
 
 import pytest
 from cli_fakes import FakeOperator, HttpThread, OperatorThread
@@ -259,3 +261,14 @@
     assert exit_info.value.code == 0
     text = "".join(capsys.readouterr())
     assert "Deadline in ms" in text and "FIRE_METADATA" not in text
+
+
+def test_a_reader_that_ends_early_causes_no_traceback():
+    """Guards against a traceback when the output goes to a program such as head."""
+    code = "from bramleycrank.cli.main import main; main()"
+    with subprocess.Popen(
+        [sys.executable, "-c", code, "errors"], stdout=subprocess.PIPE, stderr=subprocess.PIPE
+    ) as process:
+        process.stdout.close()
+        assert process.stderr.read() == b""
+        assert process.wait(20) == 141
