--- a/tests/test_cli_docs.py
+++ b/tests/test_cli_docs.py
@@ -47,7 +47,7 @@
                 yield pytest.param(words, id=f"{page.name}: {match.group(1)[:50]}")
 
 
-@pytest.mark.parametrize("words", commands())
+@pytest.mark.parametrize("words", list(commands()))
 def test_commands_in_the_pages_can_be_called(words):
     """Guards against procedures with commands or options that do not exist."""
     _, rest = read_context(words)
