--- a/bramleycrank/daemon/session_controller.py
+++ b/bramleycrank/daemon/session_controller.py
@@ -21,6 +21,9 @@
 # Time between two ticks of the monitors: a fifth of the shortest silence that matters.
 TICK_S = 0.05
 
+# Ticks between two counts of the VMs, which read all of their records.
+COUNT_TURNS = 10
+
 # How long sessions of targets that left may finish their work when this VM stops.
 CLOSE_WAIT_S = 1.0
 
@@ -214,10 +217,11 @@
             callback(target_id, report)
 
     async def _run(self) -> None:
-        while True:
+        for turn in itertools.count():
             await asyncio.sleep(TICK_S)
             now = self._clock()
-            self._budget.on_count(self._membership.vm_count(), now)
+            if turn % COUNT_TURNS == 0:
+                self._budget.on_count(self._membership.vm_count(), now)
             for link in [*self._links.values(), *self._retiring]:
                 try:
                     link.tick(now)
--- a/bramleycrank/membership/anti_entropy.py
+++ b/bramleycrank/membership/anti_entropy.py
@@ -196,14 +196,14 @@
 def _bucket_hashes(entries: Entries) -> list[int]:
     hashes = [0] * BUCKETS
     for record_id, (_, key) in entries.items():
-        hashes[bucket_of(record_id)] ^= combine(record_id, key)
+        hashes[bucket_of(record_id)] ^= combine(key)
     return hashes
 
 
 def _total(entries: Entries) -> int:
     total = 0
-    for record_id, (_, key) in entries.items():
-        total ^= combine(record_id, key)
+    for _, key in entries.values():
+        total ^= combine(key)
     return total
 
 
--- a/bramleycrank/membership/records.py
+++ b/bramleycrank/membership/records.py
@@ -96,6 +96,9 @@
     return item.incarnation, rank, item.sequence, item.content_hash
 
 
-def combine(record_id: str, key: Key) -> int:
-    """Return the contribution of a record to its bucket's hash; contributions are xor-ed."""
-    return xxhash.xxh64_intdigest(f"{record_id}|{key}".encode())
+def combine(key: Key) -> int:
+    """Return the contribution of a record to its bucket's hash; contributions are xor-ed.
+
+    The content hash covers the id and all other parts of the key.
+    """
+    return key[3]
--- a/bramleycrank/transport/target_session.py
+++ b/bramleycrank/transport/target_session.py
@@ -20,8 +20,8 @@
 # Id of the ping in the first message; the monitor's pings start at 1 and never get here.
 OPEN_PING = 2**63
 
-# A message is split here, so that one large message does not delay the pings behind it.
-MAX_REQUESTS_PER_MESSAGE = 500
+# A message ends here, so that a large one does not delay the pings behind it.
+MAX_MESSAGE_BYTES = 256 * 1024
 
 _STREAM_ERRORS = (
     OSError,
@@ -201,16 +201,23 @@
             log.debug("sessions: connection %d cannot be written: %r", self.conn_id, exc)
             self.close()
 
+    def _take(self) -> list[SubRequest]:
+        """Take the requests of the next message, at least one if there is any."""
+        requests = []
+        size = 0
+        while self._pending and size < MAX_MESSAGE_BYTES:
+            request = next(iter(self._pending.values()))
+            del self._pending[request.sub_id]
+            requests.append(request)
+            size += request.ByteSize()
+        if self._pending:
+            self._wake.set()
+        return requests
+
     def _next_message(self) -> SessionRequest:
         message = SessionRequest(cancel_sub_ids=self._cancels, ping=self._ping)
         self._cancels, self._ping = [], 0
-        requests = list(self._pending.values())[:MAX_REQUESTS_PER_MESSAGE]
-        if len(requests) == len(self._pending):
-            self._pending.clear()
-        else:
-            for request in requests:
-                del self._pending[request.sub_id]
-            self._wake.set()
+        requests = self._take()
         if requests:
             message.requests.extend(requests)
             self._events.on_sent(self, requests)
