Read targets again soon after a change, without waiting for a query

Cause: the replica table was refreshed only by the next query of the service, so hedges and retries of running queries could still go to a target that had left.

--- a/bramleycrank/daemon/query_controller.py
+++ b/bramleycrank/daemon/query_controller.py
@@ -43,6 +43,9 @@
 REFRESH_S = 1.0
 """Period in which the targets of the used services are read again; leases run out silently."""
 
+REFRESH_DELAY_S = 0.05
+"""Time for which target changes are collected; hedges and retries see them without a new query."""
+
 DRAIN_RETRY_MS = 100
 """Retry time of a refusal by a VM that shuts down; other VMs can serve at once."""
 
@@ -91,6 +94,7 @@
         self._admission = Admission.from_config(cfg)
         self._stale: dict[str, bool] = {}
         self._next_refresh: float | None = None
+        self._refresh_handle: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         self._draining = False
         self._configuration = configuration
@@ -133,6 +137,8 @@
         """Stop timers and background work."""
         self._draining = True
         self._next_refresh = None
+        if self._refresh_handle is not None:
+            self._refresh_handle.cancel()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -216,9 +222,18 @@
         self._table.on_load(target_id, report, self._clock())
 
     def _on_target(self, record: TargetRecord) -> None:
-        """Mark a service for a refresh before its next query."""
-        if record.service in self._stale:
-            self._stale[record.service] = True
+        """Mark a service for a refresh, before its next query and soon."""
+        if record.service not in self._stale:
+            return
+        self._stale[record.service] = True
+        if self._refresh_handle is None:
+            loop = asyncio.get_running_loop()
+            self._refresh_handle = loop.call_later(REFRESH_DELAY_S, self._refresh_all)
+
+    def _refresh_all(self) -> None:
+        self._refresh_handle = None
+        for service in list(self._stale):
+            self._refresh(service)
 
     def _refresh(self, service: str) -> None:
         """Read the targets of a service again if they may have changed."""
@@ -236,9 +251,10 @@
         return self._next_refresh
 
     def on_time(self, now: float) -> None:
-        """Mark all services for a refresh and report gauges."""
+        """Read the targets of all used services again and report gauges."""
         self._next_refresh = now + REFRESH_S
         self._stale = dict.fromkeys(self._stale, True)
+        self._refresh_all()
         self._metrics.gauge("query.in_flight", self._admission.in_flight)
         self._metrics.gauge("query.queued", self._admission.queued)
         self._metrics.gauge("query.concurrency_limit", self._admission.limit.value)
--- a/bramleycrank/filters/timer.py
+++ b/bramleycrank/filters/timer.py
@@ -83,7 +83,9 @@
                 item.on_time(now)
             except Exception:
                 log.exception("query: a timed item failed")
-                return
+                due = item.next_deadline()
+                if due is not None and due <= now:
+                    return  # it would fail again at once, for ever
         self.update(item)
 
     def close(self) -> None:
--- a/tests/test_query_controller.py
+++ b/tests/test_query_controller.py
@@ -294,6 +294,24 @@
     run_with(scenario)
 
 
+def test_a_target_that_left_is_forgotten_without_another_query() -> None:
+    """Guard against hedges and retries of running queries to a leaving target."""
+
+    async def scenario(system: System) -> None:
+        await system.execute()
+        for records in (system.targets.records[1:], system.targets.records[2:]):
+            # The second change is silent, as when the lease of a target runs out.
+            if len(records) == 8:
+                system.targets.replace(records)
+                await asyncio.sleep(0.1)
+            else:
+                system.targets.records = records
+                await asyncio.sleep(1.1)
+            assert len(system.controller.dump()["targets"][SERVICE]) == len(records)
+
+    run_with(scenario)
+
+
 def test_an_overloaded_vm_refuses_at_once_instead_of_letting_requests_wait() -> None:
     async def scenario(system: System) -> None:
         system.configuration.config.max_concurrency = 2
