--- a/bramleycrank/query/execution.py
+++ b/bramleycrank/query/execution.py
@@ -85,6 +85,7 @@
         self._pinned_version = pinned_version
         self._open: dict[int, Sub] = {}
         self._shards: list[ShardState] = []
+        self._template = b""
         self._left = 0
         self._hits = 0
         self._unproven = 0
@@ -129,8 +130,9 @@
             for shard in self._shards:
                 shard.reason = MissingReason.NO_REPLICA
             return self._end(now)
-        self._template = template(req, snapshot)
-        self._template.timeout_ms = self._timeout_ms(now)
+        fields = template(req, snapshot)
+        fields.timeout_ms = self._timeout_ms(now)
+        self._template = fields.SerializeToString()
         for shard, target_id in planned:
             if target_id is None:
                 self._miss(shard, MissingReason.NO_REPLICA)
@@ -151,8 +153,7 @@
         self, shard: ShardState, target_id: str, first: bool, now: float, out: list[Action]
     ) -> None:
         sub_id = self._next_sub_id()
-        request = SubRequest()
-        request.CopyFrom(self._template)
+        request = SubRequest.FromString(self._template)  # cheaper than a copy of the message
         request.sub_id = sub_id
         request.shard = shard.index
         sub = Sub(sub_id, shard, target_id, now, first)
