Keep half of the reconnect budget for targets that are not down

Behind a cut, 140 unreachable targets used up all tokens, and a silent connection to a target of the own domain was not replaced in time. Without the reserve test_unreachable_targets_leave_reconnects_for_the_others fails.

--- a/bramleycrank/connections/budgets.py
+++ b/bramleycrank/connections/budgets.py
@@ -31,12 +31,21 @@
         """Return a full budget."""
         return cls(cfg.reconnects_per_s, cfg.reconnect_burst, now)
 
-    def take(self, now: float) -> bool:
-        """Take one token; return whether there was one."""
+    def take(self, now: float, *, reserve: float = 0.0) -> bool:
+        """Take one token; return whether there was one.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        reserve : float, optional
+            Share of the bucket that must be left. Repeated attempts to reach targets that are down
+            leave half of it, or the targets behind a cut would use up what the others need.
+        """
         elapsed = max(0.0, now - self._updated)
         self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
         self._updated = now
-        if self._tokens < 1:
+        if self._tokens < 1 + reserve * self._burst:
             return False
         self._tokens -= 1
         return True
--- a/bramleycrank/connections/monitor.py
+++ b/bramleycrank/connections/monitor.py
@@ -19,6 +19,9 @@
     TargetUp,
 )
 
+# Share of the reconnect budget that attempts to reach a target that is down leave to others.
+RETRY_RESERVE = 0.5
+
 # Relative step of the p99 estimate; a slower reply raises it 99 times as far as a faster one
 # lowers it, so it settles where 1% of the replies are slower.
 _QUANTILE_STEP = 0.1
@@ -295,7 +298,8 @@
             return []
         # The first connection is not a reconnect; a check that found no budget asks again.
         reconnect = self._opened_before or self._failures > 0
-        if reconnect and not self._reconnects.take(now):
+        reserve = RETRY_RESERVE if self.down else 0.0
+        if reconnect and not self._reconnects.take(now, reserve=reserve):
             return []
         self._opening = True
         return [OpenConnection(self.target_id)]
--- a/tests/test_connections_monitor.py
+++ b/tests/test_connections_monitor.py
@@ -255,6 +255,23 @@
     assert len(sim.opens) == len(silent), "only silent connections are replaced, each once"
 
 
+@given(st.integers(0, 2**32), st.integers(1, 2))
+@settings(max_examples=20)
+def test_unreachable_targets_leave_reconnects_for_the_others(seed, share):
+    """Guards against targets behind a cut that use up the budget of the VM's own domain."""
+    sim = Simulation(seed, 150, share)
+    sim.run_for(1.0)
+    for target in sim.targets[:-10]:
+        target.frozen = True
+        sim.send(target, 1.0)
+    sim.run_for(30.0)
+    own = sim.targets[-1]
+    sim.go_silent(own)
+    sim.send(own, 1.0)
+    sim.run_for(BOUND_S)
+    assert not own.down and list(own.conns.values()) == [False]
+
+
 @given(
     st.lists(st.tuples(st.floats(0.1, 20.0), st.integers(1, 20)), min_size=1, max_size=20),
     st.integers(1, 200),
--- a/tests/test_membership_bounds.py
+++ b/tests/test_membership_bounds.py
@@ -127,6 +127,20 @@
     assert all(len(vm.core.all_vms()) == 3 for vm in others)
 
 
+@few
+@given(SEEDS, st.integers(4, 12))
+def test_joining_vm_keeps_all_connections_within_the_limit(seed, limit):
+    """Guards against VMs that use the places of one that joins before they know of it."""
+    fleet = Fleet(seed)
+    fleet.vms[3].core = None
+    fleet.run_for(80.0)
+    fleet.start_vm(fleet.vms[3], incarnation=2)
+    for _ in range(150):
+        fleet.run_for(TICK_S)
+        shares = [min(2, vm.budget.share(limit, fleet.now)) for vm in fleet.vms]
+        assert sum(shares) <= limit
+
+
 @few
 @given(SEEDS)
 def test_many_changes_travel_in_bounded_messages(seed):
