--- a/bramleycrank/storage/log_store.py
+++ b/bramleycrank/storage/log_store.py
@@ -17,7 +17,7 @@
 
 from bramleycrank.consensus.types import DurableState, Persist
 from bramleycrank.exceptions import BramleycrankError, CorruptLog, StorageError
-from bramleycrank.proto.log_pb2 import Entry, LogSnapshot
+from bramleycrank.proto.log_pb2 import LogSnapshot
 from bramleycrank.storage.files import encode_frame, read_single_frame, sync_folder, write_synced
 from bramleycrank.storage.identity import DiskIdentity, FolderLock
 from bramleycrank.storage.segment import Segment, SegmentContent
@@ -172,9 +172,7 @@
         if self._snapshot is not None and snapshot.index <= self._snapshot.index:
             return
         generation, old = self._generation + 1, self._segment
-        content = SegmentContent(
-            snapshot.index + 1, old.content.hard_state, self._entries_after(snapshot)
-        )
+        content = old.content.after(snapshot)
         seed = self._identity.seed
         segment = Segment.create(_path(self._folder, "log", generation), seed, content)
         frame = encode_frame(snapshot.SerializeToString(), seed)
@@ -183,14 +181,6 @@
         self._segment, self._snapshot, self._generation = segment, snapshot, generation
         self._remove_other_generations()
 
-    def _entries_after(self, snapshot: LogSnapshot) -> list[Entry]:
-        content = self._segment.content
-        position = snapshot.index - content.first_index
-        covered = content.entries[position : position + 1]
-        if not covered or covered[0].term != snapshot.term:
-            return []
-        return content.entries[position + 1 :]
-
     def _remove_other_generations(self) -> None:
         for path in self._folder.iterdir():
             match = _GENERATION_FILE.fullmatch(path.name)
--- a/bramleycrank/storage/segment.py
+++ b/bramleycrank/storage/segment.py
@@ -10,7 +10,7 @@
 
 from bramleycrank.consensus.types import Persist
 from bramleycrank.exceptions import CorruptLog
-from bramleycrank.proto.log_pb2 import Entry, HardState, LogBatch, LogRecord
+from bramleycrank.proto.log_pb2 import Entry, HardState, LogBatch, LogRecord, LogSnapshot
 from bramleycrank.storage.files import decode_frames, encode_frame, has_frame_after, write_synced
 
 
@@ -50,6 +50,17 @@
                 case _:
                     raise CorruptLog("the log has a record of an unknown kind")
 
+    def after(self, snapshot: LogSnapshot) -> SegmentContent:
+        """Return what a snapshot leaves to keep.
+
+        Entries after the snapshot stay only if the last entry that it covers is here with its
+        term; otherwise they contradict the leader's log.
+        """
+        position = snapshot.index - self.first_index
+        covered = self.entries[position : position + 1]
+        kept = self.entries[position + 1 :] if covered and covered[0].term == snapshot.term else []
+        return SegmentContent(snapshot.index + 1, self.hard_state, kept)
+
     def _truncate_from(self, index: int) -> None:
         if index < self.first_index:
             raise CorruptLog(f"the log drops entry {index}, which is before its start")
