Keep claims serialized in memory

Trial with 200,000 claims of 150-byte answers on this machine: 375 MiB and 0.51 s for an image as message objects, 94 MiB and 0.12 s as bytes. The image is made every 1,000 entries on the loop, where 0.5 s comes near the shortest election timeout.

--- a/bramleycrank/state/claims.py
+++ b/bramleycrank/state/claims.py
@@ -22,8 +22,6 @@
 )
 from bramleycrank.state.validation import claim_problem
 
-_Key = tuple[str, str, int]
-
 # Claims are grouped by the minute of their issue, so that a move of the floor touches only what
 # it drops; scanning 200,000 claims would hold up the loop.
 _BUCKET_MS = 60_000
@@ -45,8 +43,10 @@
     def __init__(self) -> None:
         self.floor_ms = 0
         self.answer_bytes = 0
-        self._claims: dict[_Key, Claim] = {}
-        self._buckets: dict[int, set[_Key]] = {}
+        # Serialized ids and claims: as message objects 200,000 claims took 375 MiB, and their
+        # image 0.5 s of the loop.
+        self._claims: dict[bytes, bytes] = {}
+        self._buckets: dict[int, list[bytes]] = {}
 
     @classmethod
     def from_claims(cls, claims: Iterable[Claim], floor_ms: int) -> ClaimTable:
@@ -54,19 +54,22 @@
         table = cls()
         table.floor_ms = floor_ms
         for claim in claims:
-            table._add(claim)
+            table._add(claim.id)
+            table._store(claim)
+            table.answer_bytes += len(claim.answer)
         return table
 
     def __len__(self) -> int:
         return len(self._claims)
 
-    def all(self) -> list[Claim]:
-        """Return all claims in the order in which they were made."""
-        return list(self._claims.values())
+    def serialized(self) -> Iterable[bytes]:
+        """Return all claims, serialized, in the order in which they were made."""
+        return self._claims.values()
 
     def find(self, claim_id: ClaimId) -> Claim | None:
-        """Return the claim of an id."""
-        return self._claims.get(_key(claim_id))
+        """Return a copy of the claim of an id."""
+        data = self._claims.get(_key(claim_id))
+        return Claim.FromString(data) if data is not None else None
 
     def open(self, command: ClaimOpen) -> CommandResult:
         """Give the claim to the attempt if no other attempt holds it."""
@@ -76,10 +79,11 @@
             return _expired()
         claim = self.find(command.id)
         if claim is None:
-            claim = self._add(Claim(id=command.id))
+            claim = self._add(command.id)
         elif not claim.abandoned or command.attempt_id in claim.abandoned_attempts:
             return _standing(claim, command.attempt_id)
         claim.attempt_id, claim.vm_id, claim.abandoned = command.attempt_id, command.vm_id, False
+        self._store(claim)
         return _result(ResultCode.RESULT_CODE_CLAIM_WON)
 
     def complete(self, command: ClaimComplete) -> CommandResult:
@@ -99,6 +103,7 @@
             if len(command.answer) <= MAX_ANSWER_BYTES:
                 claim.answer = command.answer
                 self.answer_bytes += len(command.answer)
+            self._store(claim)
         return _result(ResultCode.RESULT_CODE_OK)
 
     def abandon(self, command: ClaimAbandon) -> CommandResult:
@@ -113,14 +118,17 @@
             return _expired()
         claim = self.find(command.id)
         if claim is None:
-            claim = self._add(Claim(id=command.id, abandoned=True))
+            claim = self._add(command.id)
+            claim.abandoned = True
         if command.attempt_id not in claim.abandoned_attempts:
             claim.abandoned_attempts.append(command.attempt_id)
             del claim.abandoned_attempts[:-_REMEMBERED_ATTEMPTS]
         holds = claim.attempt_id == command.attempt_id
-        if claim.completed or not (holds or claim.abandoned):
+        free = not claim.completed and (holds or claim.abandoned)
+        claim.abandoned = free
+        self._store(claim)
+        if not free:
             return _standing(claim, command.attempt_id)
-        claim.abandoned = True
         return _result(ResultCode.RESULT_CODE_OK)
 
     def raise_floor(self, floor_ms: int) -> None:
@@ -129,9 +137,16 @@
             return
         self.floor_ms = floor_ms
         last = floor_ms // _BUCKET_MS
-        for bucket in [number for number in self._buckets if number <= last]:
-            for key in [key for key in self._buckets[bucket] if key[2] < floor_ms]:
-                self._drop(bucket, key)
+        for number in [number for number in self._buckets if number <= last]:
+            kept = []
+            for key in self._buckets.pop(number):
+                if number == last and _issued(key) >= floor_ms:
+                    kept.append(key)
+                else:
+                    self.answer_bytes -= self._answer_length(key)
+                    del self._claims[key]
+            if kept:
+                self._buckets[number] = kept
 
     def wanted_floor(self, now_ms: int) -> int | None:
         """Return the floor that retention and memory ask for; ``None`` if it should stay.
@@ -141,7 +156,7 @@
         """
         if not self._claims:
             return None
-        newest = max(key[2] for key in self._buckets[max(self._buckets)])
+        newest = max(self._buckets) * _BUCKET_MS
         for_memory = self._memory_floor()
         if for_memory > self.floor_ms:
             return for_memory
@@ -161,32 +176,41 @@
             if excess <= 0 and bytes_excess <= 0:
                 break
             excess -= 1
-            bytes_excess -= len(self._claims[key].answer)
-            floor = key[2] + 1
+            bytes_excess -= self._answer_length(key)
+            floor = _issued(key) + 1
         return floor
 
-    def _oldest_first(self) -> Iterable[_Key]:
+    def _oldest_first(self) -> Iterable[bytes]:
         numbers = list(self._buckets)
         heapq.heapify(numbers)
         while numbers:
-            yield from sorted(self._buckets[heapq.heappop(numbers)], key=lambda key: key[2])
+            yield from sorted(self._buckets[heapq.heappop(numbers)], key=_issued)
+
+    def _answer_length(self, key: bytes) -> int:
+        return len(Claim.FromString(self._claims[key]).answer)
+
+    def _add(self, claim_id: ClaimId) -> Claim:
+        """Return a new claim, which the caller stores."""
+        number = claim_id.issued_at_ms // _BUCKET_MS
+        self._buckets.setdefault(number, []).append(_key(claim_id))
+        return Claim(id=claim_id)
+
+    def _store(self, claim: Claim) -> None:
+        self._claims[_key(claim.id)] = claim.SerializeToString(deterministic=True)
 
-    def _add(self, claim: Claim) -> Claim:
-        key = _key(claim.id)
-        self._claims[key] = claim
-        self._buckets.setdefault(key[2] // _BUCKET_MS, set()).add(key)
-        self.answer_bytes += len(claim.answer)
-        return claim
 
-    def _drop(self, bucket: int, key: _Key) -> None:
-        self.answer_bytes -= len(self._claims.pop(key).answer)
-        self._buckets[bucket].discard(key)
-        if not self._buckets[bucket]:
-            del self._buckets[bucket]
+def _key(claim_id: ClaimId) -> bytes:
+    # A copy without the fields of later versions, which do not belong to the identity.
+    known = ClaimId(
+        service=claim_id.service,
+        request_key=claim_id.request_key,
+        issued_at_ms=claim_id.issued_at_ms,
+    )
+    return known.SerializeToString(deterministic=True)
 
 
-def _key(claim_id: ClaimId) -> _Key:
-    return claim_id.service, claim_id.request_key, claim_id.issued_at_ms
+def _issued(key: bytes) -> int:
+    return ClaimId.FromString(key).issued_at_ms
 
 
 def _standing(claim: Claim, attempt_id: str) -> CommandResult:
--- a/bramleycrank/state/replicated.py
+++ b/bramleycrank/state/replicated.py
@@ -21,6 +21,8 @@
 from bramleycrank.state.types import REMEMBERED_CHANGES
 from bramleycrank.state.validation import has_change_id
 
+_CLAIM_TAG = bytes([StateImage.CLAIMS_FIELD_NUMBER << 3 | 2])
+
 
 class ReplicatedState:
     """Configuration and claims.
@@ -46,16 +48,17 @@
 
     def image(self) -> bytes:
         """Return the serialized ``StateImage``."""
-        return StateImage(
+        rest = StateImage(
             config=self.config.image(),
             deltas=self.config.deltas(),
             changes=[
                 RememberedChange(change_id=change_id, result=result)
                 for change_id, result in self._changes.items()
             ],
-            claims=self.claims.all(),
             claims_floor_ms=self.claims.floor_ms,
         ).SerializeToString(deterministic=True)
+        # Serialized parts of a message may be joined; the claims are already serialized.
+        return b"".join((rest, *map(_claim_field, self.claims.serialized())))
 
     def apply(self, entry: Entry) -> CommandResult:
         """Apply a committed entry.
@@ -138,3 +141,13 @@
     copy = CommandResult()
     copy.CopyFrom(result)
     return copy
+
+
+def _claim_field(claim: bytes) -> bytes:
+    """Return a serialized claim as an element of ``StateImage.claims``: tag, varint, bytes."""
+    length, remaining = bytearray(), len(claim)
+    while remaining > 0x7F:
+        length.append(remaining & 0x7F | 0x80)
+        remaining >>= 7
+    length.append(remaining)
+    return _CLAIM_TAG + length + claim
--- a/tests/test_state_replicated.py
+++ b/tests/test_state_replicated.py
@@ -145,7 +145,10 @@
     def replicas_agree_and_nothing_ran_twice(self) -> None:
         assert self.first.image() == self.second.image()
         assert all(len(attempts) == 1 for attempts in self.runs.values())
-        assert all(c.id.issued_at_ms >= self.first.claims.floor_ms for c in self.first.claims.all())
+        assert all(
+            claim.id.issued_at_ms >= self.first.claims.floor_ms
+            for claim in pb.StateImage.FromString(self.first.image()).claims
+        )
 
 
 Replicas.TestCase.settings = bounded(100, 30)
@@ -226,7 +229,7 @@
     assert (len(image.changes), len(image.deltas)) == (50, 1024)
     assert state.config.deltas_since(1500 - 1025) is None
     assert len(state.config.deltas_since(1500 - 1024)) == 1024
-    assert state.claims.answer_bytes == sum(len(claim.answer) for claim in state.claims.all())
+    assert state.claims.answer_bytes == sum(len(claim.answer) for claim in image.claims)
 
 
 def test_the_floor_follows_the_retention_and_not_one_wrong_clock():
