Bound the concurrency limit of a target by its slots

Cause: limits grew to four times the slots, so work waited in the queues of the own domain while replicas in other domains had free slots. Limits now grow only on replies below 1.5 times the usual latency and never above the slots.

--- a/bramleycrank/query/limit.py
+++ b/bramleycrank/query/limit.py
@@ -54,8 +54,7 @@
     def _adjust(self) -> None:
         count, middle = len(self._latencies), median(self._latencies)
         share, long_s = self._overloaded / count, self._long_median_s
-        # A single request must not lower the limit of a VM with little traffic.
-        if share > OVERLOAD_SHARE and self._overloaded > 1:
+        if share > OVERLOAD_SHARE:
             self._lower(f"{share:.0%} of the requests in a period were overloaded")
         elif long_s and middle > _SLOW_FACTOR * long_s:
             self._lower("the median latency was above twice the long-term median")
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -26,7 +26,7 @@
 _LATENCY_WEIGHT = 0.1
 _SHED_FACTOR = 0.7
 _USED = 0.8  # part of the limit that must be in use before it grows
-_GOOD = 2.0  # latency, as a multiple of the usual one, up to which the limit grows
+_GOOD = 1.5  # latency, as a multiple of the usual one, up to which the limit grows
 _BASE_RISE, _BASE_FALL = 0.005, 0.05  # weights of a reply in the usual latency
 
 
@@ -111,9 +111,10 @@
         rising = latency_s > self.base_s
         self.base_s += (latency_s - self.base_s) * (_BASE_RISE if rising else _BASE_FALL)
         # A limit that is not used says nothing about the capacity behind it, and a slow reply
-        # may have waited in the target's queue.
+        # may have waited in the target's queue. More than the slots could only wait there, while
+        # replicas in other domains have free ones.
         if self.in_flight >= self.limit * _USED and latency_s < _GOOD * self.base_s:
-            self.limit = min(4.0 * self.slots, self.limit + 1.0 / self.limit)
+            self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
 
     def on_shed(self, now: float) -> None:
         """Lower the limit, once for all shed replies of one round trip."""
