--- /dev/null
+++ b/tests/membership_fleet.py
@@ -0,0 +1,369 @@
+"""Several membership cores on a simulated network with virtual time, and a simple oracle.
+
+The oracle knows which VMs and targets run and which targets have left. After faults of any kind the
+cores must agree with it within the bounds of the design.
+"""
+
+import heapq
+import itertools
+from random import Random
+
+import attrs
+
+from bramleycrank.connections import ConnectionBudget, ConnectionConfig
+from bramleycrank.exceptions import BramleycrankError
+from bramleycrank.membership import (
+    MembershipConfig,
+    PushRecords,
+    RelayProbe,
+    SendProbe,
+    SendSync,
+    TargetChanged,
+    TargetRegistry,
+    VmMembership,
+)
+from bramleycrank.proto import peer_pb2, target_pb2
+
+# Short retentions, so that forgetting happens within an example. A replayed announcement is never
+# older than the retention of LEAVING records.
+CFG = MembershipConfig(max_message_bytes=400, leaving_retention_s=150.0, expired_retention_s=40.0)
+TICK_S = 0.1
+LEAVE_BOUND_S = 3.0
+SETTLE_S = 60.0
+CONNECTION_LIMIT = 30
+LARGEST_RECORD = 80
+SERVING, LEAVING = target_pb2.TARGET_STATE_SERVING, target_pb2.TARGET_STATE_LEAVING
+
+
+@attrs.define(eq=False)
+class Vm:
+    """One VM: its cores while it runs, and what its current process has learned."""
+
+    vm_id: str
+    address: str
+    port: int
+    core: VmMembership | None = None
+    registry: TargetRegistry | None = None
+    budget: ConnectionBudget | None = None
+    paused_until: float = 0.0
+    known_left: set = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class Target:
+    """One target process."""
+
+    target_id: str
+    incarnation: int = 0
+    sequence: int = 0
+    running: bool = False
+    left_at: float | None = None
+    home: int = 0
+
+
+def check_size(message):
+    """Check the bound for the records in a message; the peer's own record may come on top."""
+    records = [*message.gossip.vms, *message.gossip.targets]
+    size = sum(record.ByteSize() for record in records)
+    assert size <= CFG.max_message_bytes + LARGEST_RECORD
+
+
+class Fleet:
+    """VMs and targets on a network with virtual time."""
+
+    def __init__(self, seed, vm_count=4, target_count=3):
+        self.rng = Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.loss = self.duplicates = 0.0
+        self.latency_s = 0.003
+        self.cut = frozenset()
+        self.calm_since = 0.0
+        self.replayable = []
+        names = [f"vm-{i}" for i in range(vm_count)]
+        self.vms = [Vm(name, f"h:{i + 1}", i + 1) for i, name in enumerate(names)]
+        self.targets = [Target(f"t-{i}", home=i % vm_count) for i in range(target_count)]
+        for vm in self.vms:
+            self.start_vm(vm, incarnation=1)
+            self.post(self.rng.uniform(0, TICK_S), lambda vm=vm: self.tick(vm))
+        for target in self.targets:
+            self.start_target(target)
+            self.post(self.rng.uniform(0, 2), lambda target=target: self.renew(target))
+
+    # Time and network.
+
+    def post(self, delay, function):
+        heapq.heappush(self.events, (self.now + delay, next(self.order), function))
+
+    def run_for(self, duration):
+        until = self.now + duration
+        while self.events and self.events[0][0] <= until:
+            self.now, _, function = heapq.heappop(self.events)
+            function()
+        self.now = until
+
+    def disturbed(self):
+        self.calm_since = self.now
+
+    @property
+    def calm(self):
+        """Whether every message arrives and every VM that is not stopped runs."""
+        quiet = not self.loss and not self.cut and self.latency_s < 0.1
+        return quiet and all(vm.paused_until <= self.now for vm in self.vms)
+
+    def passes(self, source, target):
+        if (source.vm_id in self.cut) != (target.vm_id in self.cut):
+            return False
+        return target.core is not None and self.rng.random() >= self.loss
+
+    def call(self, source, address, request, handle, timeout, on_reply, on_fail):
+        """Call a VM; exactly one of the last two functions is called within the timeout."""
+        check_size(request)
+        target = next(vm for vm in self.vms if vm.address == address)
+        done = []
+        process = source.core
+
+        def finish(function, *args):
+            if not done and source.core is process:
+                done.append(True)
+                function(*args)
+
+        self.post(timeout, lambda: finish(on_fail))
+        copy = type(request).FromString(request.SerializeToString())
+
+        def deliver():
+            if target.paused_until > self.now:
+                self.post(target.paused_until - self.now + 0.001, deliver)
+            elif target.core is not None:
+                handle(target, copy, answer)
+
+        def answer(reply):
+            check_size(reply)
+            if self.passes(target, source):
+                again = type(reply).FromString(reply.SerializeToString())
+                self.post(self.delay(), lambda: finish(on_reply, again))
+
+        if self.passes(source, target):
+            self.post(self.delay(), deliver)
+            if self.rng.random() < self.duplicates:
+                self.post(self.delay() + self.rng.uniform(0, 20), deliver)
+
+    def delay(self):
+        return self.rng.uniform(0.0005, self.latency_s)
+
+    # VMs.
+
+    def start_vm(self, vm, incarnation):
+        local = peer_pb2.VmRecord(
+            vm_id=vm.vm_id,
+            incarnation=incarnation,
+            state=peer_pb2.VM_STATE_ALIVE,
+            domain="a",
+            host="h",
+            port=vm.port,
+        )
+        seeds = tuple(other.address for other in self.vms[:2])
+        vm.registry = TargetRegistry.from_config(CFG, vm.vm_id, self.now)
+        rng = Random(self.rng.random())
+        vm.core = VmMembership.from_config(CFG, local, vm.registry, seeds, rng, self.now)
+        vm.budget = ConnectionBudget(ConnectionConfig(), self.now)
+        vm.known_left = set()
+
+    def tick(self, vm):
+        self.post(TICK_S, lambda: self.tick(vm))
+        if vm.core is None or vm.paused_until > self.now:
+            return
+        self.execute(vm, [*vm.core.tick(self.now), *vm.registry.tick(self.now)])
+        vm.budget.on_count(vm.core.budget_count(self.now), self.now)
+        self.check_left(vm)
+
+    def check_left(self, vm):
+        """Once a VM knows that a target left, it never uses this incarnation again."""
+        for record in vm.registry.usable("s", self.now):
+            assert (record.target_id, record.incarnation) not in vm.known_left
+
+    def execute(self, vm, actions):
+        for action in actions:
+            match action:
+                case SendProbe():
+                    self.probe(vm, action)
+                case SendSync():
+                    self.sync(vm, action)
+                case PushRecords():
+                    self.execute(vm, vm.core.push(action, self.now))
+                case TargetChanged(record=record) if record.state == LEAVING:
+                    vm.known_left.add((record.target_id, record.incarnation))
+        self.check_left(vm)
+
+    def probe(self, vm, action):
+        core = vm.core
+        self.call(
+            vm,
+            action.address,
+            action.request,
+            self.on_probe,
+            action.timeout_s,
+            lambda r: self.execute(vm, core.on_probe_reply(action.probe_id, r, self.now)),
+            lambda: self.execute(vm, core.on_probe_failed(action.probe_id, self.now)),
+        )
+
+    def on_probe(self, vm, request, answer):
+        reply, actions = vm.core.on_probe(request, self.now)
+        relays = [a for a in actions if isinstance(a, RelayProbe)]
+        self.execute(vm, [a for a in actions if not isinstance(a, RelayProbe)])
+        if not relays:
+            answer(reply)
+            return
+        core = vm.core
+
+        def relayed(third):
+            reply.indirect_ok = True
+            self.execute(vm, core.on_relay_reply(third, self.now))
+            answer(reply)
+
+        relay = relays[0]
+        self.call(
+            vm,
+            relay.address,
+            relay.request,
+            self.on_probe,
+            relay.timeout_s,
+            relayed,
+            lambda: answer(reply),
+        )
+
+    def sync(self, vm, action):
+        core = vm.core
+
+        def handle(target, request, answer):
+            reply, actions = target.core.on_sync(request, self.now)
+            self.execute(target, actions)
+            answer(reply)
+
+        self.call(
+            vm,
+            action.address,
+            action.request,
+            handle,
+            action.timeout_s,
+            lambda r: self.execute(vm, core.on_sync_reply(action.sync_id, r, self.now)),
+            lambda: self.execute(vm, core.on_sync_failed(action.sync_id, self.now)),
+        )
+
+    def running(self):
+        return [vm for vm in self.vms if vm.core is not None]
+
+    # Targets.
+
+    def start_target(self, target):
+        target.incarnation += 1
+        target.sequence = 1
+        target.running, target.left_at = True, None
+
+    def renew(self, target):
+        self.post(2.0, lambda: self.renew(target))
+        if target.running and target.left_at is None:
+            self.announce(target, attempts=2)
+
+    def announce(self, target, attempts):
+        """Announce to the home VM; on failure to the next one."""
+        vm = self.vms[target.home]
+        request = target_pb2.AnnounceRequest(
+            record=target_pb2.TargetRecord(
+                target_id=target.target_id,
+                incarnation=target.incarnation,
+                sequence=target.sequence,
+                state=SERVING,
+                service="s",
+                host="h",
+                port=9000,
+            )
+        )
+        self.replayable.append((self.now, request))
+        if vm.paused_until <= self.now and self.deliver_announcement(vm, request):
+            return
+        target.home = (target.home + 1) % len(self.vms)
+        if attempts > 1:
+            self.post(0.2, lambda: self.announce(target, attempts - 1))
+
+    def deliver_announcement(self, vm, request):
+        """Hand an announcement to a VM; return whether it was taken."""
+        if vm.core is None or not vm.core.joined or self.rng.random() < self.loss:
+            return False
+        try:
+            _, actions = vm.registry.announce(request, self.now)
+        except BramleycrankError:
+            return True  # too old: the real target would stop here
+        self.execute(vm, actions)
+        return True
+
+    def leave(self, target):
+        """Leave through the first VM that answers, as a target does."""
+        request = target_pb2.LeaveRequest(
+            target_id=target.target_id, incarnation=target.incarnation
+        )
+        order = self.vms[target.home :] + self.vms[: target.home]
+        for vm in order:
+            if vm.core is not None and vm.paused_until <= self.now:
+                target.left_at = self.now
+                self.execute(vm, vm.registry.leave(request, self.now))
+                return
+
+    # Oracle.
+
+    def known_to_have_left(self, target):
+        """Whether a running VM holds the record; if all that knew it died, it is lost."""
+        for vm in self.running():
+            record = vm.registry.get(target.target_id)
+            if record is not None and record.state == LEAVING:
+                return record.incarnation == target.incarnation
+        return False
+
+    def check_bounds(self):
+        """No VM that can be reached uses a target that left more than 3 s ago (G6)."""
+        if not self.calm:
+            return
+        for target in self.targets:
+            if target.left_at is None or not self.known_to_have_left(target):
+                continue
+            if self.now - max(target.left_at, self.calm_since) <= LEAVE_BOUND_S:
+                continue
+            for vm in self.running():
+                usable = {r.target_id: r.incarnation for r in vm.registry.usable("s", self.now)}
+                assert usable.get(target.target_id) != target.incarnation, (vm.vm_id, self.now)
+
+    def settle(self):
+        self.loss = self.duplicates = 0.0
+        self.latency_s = 0.003
+        self.cut = frozenset()
+        for vm in self.vms:
+            vm.paused_until = min(vm.paused_until, self.now)
+        self.disturbed()
+        for _ in range(int(SETTLE_S)):
+            self.run_for(1.0)
+            self.check_bounds()
+        self.check_agreement()
+
+    def check_agreement(self):
+        """All VMs hold the same records, and they are true."""
+        running = self.running()
+        names = {vm.vm_id for vm in running}
+        expected = {t.target_id for t in self.targets if t.running and t.left_at is None}
+        tables = []
+        for vm in running:
+            assert {r.vm_id for r in vm.core.live_vms(self.now)} == names
+            assert all(r.state == peer_pb2.VM_STATE_ALIVE for r in vm.core.live_vms(self.now))
+            assert {r.target_id for r in vm.registry.usable("s", self.now)} == expected
+            tables.append(
+                {
+                    r.target_id: vm.registry.key(r.target_id)
+                    for r in vm.registry.usable("s", self.now)
+                }
+            )
+        assert all(table == tables[0] for table in tables)
+        for target in self.targets:
+            keys = {vm.registry.key(target.target_id) for vm in running}
+            assert len(keys) == 1 or not self.known_to_have_left(target), target
+        shares = [min(2, vm.budget.share(CONNECTION_LIMIT, self.now)) for vm in running]
+        assert sum(shares) <= CONNECTION_LIMIT
--- a/tests/test_membership_bounds.py
+++ b/tests/test_membership_bounds.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from test_membership_fleet import CFG, LEAVE_BOUND_S, SERVING, TICK_S, Fleet
+from membership_fleet import CFG, LEAVE_BOUND_S, SERVING, TICK_S, Fleet
 
 from bramleycrank.exceptions import InvalidRequest
 from bramleycrank.membership import PushRecords, TargetRegistry
