--- a/tests/test_query_controller.py
+++ b/tests/test_query_controller.py
@@ -11,7 +11,7 @@
 import random
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 from query_fakes import (
     SERVICE,
@@ -126,7 +126,6 @@
         return self.execute("work_order", request_key=key, issued_at_ms=1_000_000, **fields)
 
 
-@settings(max_examples=25)
 @given(seed=st.integers(0, 2**32), policy=st.sampled_from(["adaptive", "adaptive", "plain"]))
 def test_every_caller_gets_its_own_whole_answer_in_time(seed: int, policy: str) -> None:
     async def scenario() -> None:
