Wait for operators' changes at a stop and keep serving when the cache fails

A stop now waits for changes of operators that this VM answers, up to 5 s. A data folder that cannot take a revision no longer ends the timer of the configuration follower: the revision is in force, the dump tells the error. Each fetch reports exactly one end to the follower, also after an unexpected failure. SIGTERM during the start is no failure of the start.

A new process test starts one VM alone after all were lost: it waits, then serves the revision of its data folder and says that it is stale.

--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -10,7 +10,12 @@
 
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.identity import format_address
-from bramleycrank.exceptions import BramleycrankError, ConfigurationUnavailable, UnknownService
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    ConfigurationUnavailable,
+    StorageError,
+    UnknownService,
+)
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.settings import ConfigSettings
 from bramleycrank.state import (
@@ -30,6 +35,7 @@
 CONFIRM_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 2.0
 PUSH_TIMEOUT_S = 1.0
+MIN_TICK_S = 0.02
 
 # VMs that the leader tells of a new revision at once; gossip reaches the others.
 PUSH_FANOUT = 8
@@ -90,6 +96,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._local_seen: tuple[object, ...] = ()
         self._in_force = asyncio.Event()
+        self._cache_error = ""
 
     async def start(self) -> None:
         """Start to follow the configuration."""
@@ -177,6 +184,7 @@
             "stale_ms": self.stale_ms(),
             "services": sorted(self._follower.config.services),
             "drained_vms": sorted(v.vm_id for v in self._follower.config.vms.values() if v.drained),
+            "cache_error": self._cache_error,
             "follower": self._follower.dump(),
         }
 
@@ -239,10 +247,12 @@
             if self._consensus.is_leader:
                 try:
                     await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+                    self._on_consensus()
+                    self._take_local()
                 except BramleycrankError as exc:
                     log.debug("config: not confirmed: %s", exc)
-                self._on_consensus()
-                self._take_local()
+                except Exception:
+                    log.exception("config: confirmation failed")
             await self._consensus.wait_role_change(CONFIRM_PERIOD_S)
 
     def _tick(self) -> None:
@@ -265,10 +275,19 @@
     def _put_in_force(self, revision: int) -> None:
         log.info("config: revision %d is in force", revision)
         if self._cache is not None:
-            self._cache.save(self._follower.config.image())
+            self._save()
         for callback in self._callbacks:
             callback()
 
+    def _save(self) -> None:
+        """Write the configuration to the data folder; the VM serves on if that fails."""
+        try:
+            self._cache.save(self._follower.config.image())
+            self._cache_error = ""
+        except (StorageError, OSError) as exc:
+            self._cache_error = str(exc)
+            log.error("config: revision %d was not saved: %s", self.revision, exc)
+
     async def _fetch(self, action: FetchConfig) -> None:
         request = peer_pb2.FetchConfigRequest(
             from_revision=action.from_revision, leader_confirmed=action.leader_confirmed
@@ -276,8 +295,9 @@
         try:
             stub = self._clients.stub(action.peer_address)
             reply = await stub.FetchConfig(request, timeout=FETCH_TIMEOUT_S)
-        except BramleycrankError as exc:
-            log.info("config: fetch from %s failed: %s", action.peer_address, exc)
+        except Exception as exc:
+            # The follower waits for one answer to each fetch, whatever went wrong.
+            log.debug("config: fetch from %s failed: %r", action.peer_address, exc)
             now = self._loop.time()
             self._execute(self._follower.on_fetch_failed(action.peer_address, now))
         else:
--- a/bramleycrank/daemon/life_cycle.py
+++ b/bramleycrank/daemon/life_cycle.py
@@ -218,6 +218,8 @@
         try:
             await self._steps.start_parts()
         except Exception as exc:
+            if self.state != "starting":
+                return  # The stop that came first closes what had started.
             log.error("life cycle: start failed: %s", exc)
             self.failure = exc
             self._machine.stop()
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -41,6 +41,9 @@
 
 GAUGE_PERIOD_S = 10.0
 
+# Longest wait of a stop for changes of operators; those that are cut can be sent again.
+CHANGES_WAIT_S = 5.0
+
 # Longest wait of a starting VM for sessions to the targets that it knows.
 SESSIONS_WAIT_S = 3.0
 
@@ -94,6 +97,7 @@
         self._cfg = cfg
         self._parts: Parts | None = None
         self._server: Server | None = None
+        self._operator: OperatorService | None = None
         self._http_port: Any = None
         self._in_gossip = False
         self._gauge_timer: asyncio.TimerHandle | None = None
@@ -178,6 +182,10 @@
         """Wait until no request is in flight."""
         if not await self._parts.query.drain(limit_s):
             log.warning("life cycle: requests are still in flight after %s s", limit_s)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + min(limit_s, CHANGES_WAIT_S)
+        while self._operator.in_flight and loop.time() < deadline:
+            await asyncio.sleep(0.02)
         await asyncio.sleep(FLUSH_S)
 
     async def transfer_leadership(self) -> None:
@@ -258,7 +266,7 @@
         return Parts(clients, membership, consensus, config, sessions, query, voters, metrics)
 
     def _services(self, parts: Parts) -> list[Any]:
-        operator = OperatorService(
+        self._operator = OperatorService(
             parts.config,
             parts.consensus,
             parts.membership,
@@ -267,7 +275,7 @@
             self.dump,
         )
         peer = PeerService(parts.membership, parts.config, parts.consensus)
-        return [operator, peer, RegistryService(parts.membership)]
+        return [self._operator, peer, RegistryService(parts.membership)]
 
     def _listen_http(self, parts: Parts) -> None:
         from twisted.internet import reactor
--- a/bramleycrank/transport/operator_service.py
+++ b/bramleycrank/transport/operator_service.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any, Protocol
 
 from bramleycrank.daemon.config_controller import ConfigController
@@ -88,6 +89,11 @@
         Connections to other VMs.
     dump : callable
         Returns the state of this VM in JSON form.
+
+    Attributes
+    ----------
+    in_flight : int
+        Changes that are not answered yet.
     """
 
     def __init__(
@@ -106,6 +112,7 @@
         self._clients = clients
         self._dump = dump
         self._own = consensus.identity
+        self.in_flight = 0
 
     # Configuration.
 
@@ -162,7 +169,17 @@
 
     async def _commit(self, change: log_pb2.Change, timeout_s: float) -> operator_pb2.ChangeReply:
         command = log_pb2.Command(change=change)
-        return reply_of(await self._consensus.propose(command, timeout_s))
+        with self._counted():
+            return reply_of(await self._consensus.propose(command, timeout_s))
+
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        """Count a change, so that a graceful stop can wait for it."""
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
 
     # Status.
 
@@ -305,9 +322,8 @@
         error: BramleycrankError = NoQuorum("no leader is known")
         while (left := deadline - loop.time()) > 0:
             try:
-                if self._consensus.is_leader or request.forwarded:
-                    return operator_pb2.MembershipReply(membership=await local(left))
-                return await self._forward(method, request, left)
+                with self._counted():
+                    return await self._once(method, request, local, left)
             except (NotLeader, NoQuorum) as exc:
                 if request.forwarded:
                     raise
@@ -315,6 +331,17 @@
             await asyncio.sleep(min(RETRY_PAUSE_S, left))
         raise error
 
+    async def _once(
+        self,
+        method: str,
+        request: operator_pb2.MemberRequest,
+        local: Callable[[float], Awaitable[log_pb2.Membership]],
+        timeout_s: float,
+    ) -> operator_pb2.MembershipReply:
+        if self._consensus.is_leader or request.forwarded:
+            return operator_pb2.MembershipReply(membership=await local(timeout_s))
+        return await self._forward(method, request, timeout_s)
+
     async def _forward(
         self, method: str, request: operator_pb2.MemberRequest, timeout_s: float
     ) -> operator_pb2.MembershipReply:
--- a/tests/test_daemon_config_controller.py
+++ b/tests/test_daemon_config_controller.py
@@ -7,7 +7,12 @@
 import pytest
 
 from bramleycrank.daemon.config_controller import PUSH_FANOUT, ConfigController
-from bramleycrank.exceptions import ConfigurationUnavailable, NotLeader, UnknownService
+from bramleycrank.exceptions import (
+    ConfigurationUnavailable,
+    NotLeader,
+    StorageError,
+    UnknownService,
+)
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.settings import ConfigSettings
 from bramleycrank.state import ReplicatedState
@@ -21,6 +26,7 @@
         self.confirmed = False
         self.is_leader = False
         self.saved = []
+        self.disk_fails = False
         self.pushed = {}
         self.callbacks = []
         self.index = 0
@@ -54,6 +60,8 @@
         return None
 
     def save(self, image):
+        if self.disk_fails:
+            raise StorageError("no space left")
         self.saved.append(image.revision)
 
     # Peers and clients.
@@ -149,6 +157,15 @@
     run(scenario)
 
 
+def test_full_disk_keeps_no_revision_from_being_in_force():
+    async def scenario(world, controller):
+        world.disk_fails = world.confirmed = True
+        world.put("a")
+        assert controller.revision == 1 and "no space left" in controller.dump()["cache_error"]
+
+    run(scenario)
+
+
 def test_confirmed_fetch_is_refused_by_a_vm_that_does_not_lead():
     async def scenario(world, controller):
         world.put("a")
--- a/tests/test_daemon_life_cycle.py
+++ b/tests/test_daemon_life_cycle.py
@@ -135,3 +135,15 @@
         assert isinstance(life.failure, OSError) and steps.calls[-1] == "close"
 
     run(scenario, fail=("start_parts",))
+
+
+def test_stop_during_the_start_is_no_failure():
+    async def scenario(life, steps):
+        life.start()
+        await until(lambda: "start_parts" in steps.calls)
+        life.stop()
+        steps.release.set()
+        await life.finished.wait()
+        assert life.failure is None and steps.calls[-1] == "close"
+
+    run(scenario, block=("start_parts",))
--- a/tests/test_process_whole_path.py
+++ b/tests/test_process_whole_path.py
@@ -7,7 +7,7 @@
 import uuid
 
 import pytest
-from processes import Fleet, until
+from processes import Fleet, run_fleet, until
 
 from bramleycrank.exceptions import InvalidChange, VersionConflict
 
@@ -132,6 +132,27 @@
     runner.run(scenario())
 
 
+def test_vm_that_starts_alone_serves_the_revision_of_its_folder(tmp_path):
+    # A cut-off VM must not come back on an older configuration, nor claim to be current.
+    async def scenario(fleet):
+        fleet.standin(shards=2, replicas=3, domains="a,b,c")
+        await fleet.vms[0].put_service("other")
+        reply = await fleet.vms[0].put_service("demo")
+        await fleet.in_force(reply.revision)
+        for vm in fleet.vms:
+            vm.kill()
+        alone = fleet.vms[1]
+        alone.start()
+        await until(lambda: alone.status(local=True), "the VM answers operators")
+        assert not await alone.ready()
+        await until(alone.ready, "the VM is ready without the others")
+        status, body = await alone.query()
+        assert status == 200 and body["config"]["revision"] == reply.revision
+        assert body["config"]["stale_ms"] > 0
+
+    run_fleet(tmp_path, scenario)
+
+
 def test_invalid_settings_exit_with_all_problems(tmp_path):
     path = tmp_path / "bad.toml"
     path.write_text('[vm]\nid = ""\n[listen]\nhttp = "nowhere"\n')
