End persistent connections while a VM is not ready

Cause: a caller with a persistent connection kept sending on it after readyz failed; its requests got 503 once the VM drained, and one was cut when the process exited (seen with a trial script: 503, then a broken pipe). Answers now carry Connection: close and the connection ends after them while the VM is not ready.

--- a/bramleycrank/transport/http_api.py
+++ b/bramleycrank/transport/http_api.py
@@ -130,6 +130,14 @@
     return _write_json(request, {"error": error.as_dict()}, error.http_status)
 
 
+def _end_connection(request: IRequest) -> None:
+    """Let the connection end with this answer, so that its caller moves to another VM."""
+    request.setHeader(b"connection", b"close")
+    channel = getattr(request, "channel", None)
+    if channel is not None:
+        channel.persistent = False
+
+
 def _deferred(coro: Coroutine[Any, Any, Any]) -> Deferred[Any]:
     return Deferred.fromFuture(asyncio.ensure_future(coro))
 
@@ -177,6 +185,8 @@
         try:
             req = parse_request(request.content.read())
             answer = await self._executor.execute(req)
+            if self._readyz():
+                _end_connection(request)
             return _write_json(request, answer.as_dict())
         except BramleycrankError as exc:
             return _write_error(request, exc)
