--- a/tests/test_process_requests.py
+++ b/tests/test_process_requests.py
@@ -1,6 +1,8 @@
 """Real daemons: planned stops cut no request, and a work order runs at most once."""
 
 import asyncio
+import http.client
+import json
 import time
 
 import pytest
@@ -107,6 +109,37 @@
     run_fleet(tmp_path, scenario)
 
 
+def test_persistent_connections_end_before_the_stop(tmp_path):
+    # A caller that keeps its connection would otherwise have a request cut when the VM exits.
+    async def scenario(fleet):
+        fleet.standin(shards=2, replicas=3, domains="a,b,c")
+        reply = await fleet.vms[0].put_service("demo")
+        await fleet.in_force(reply.revision)
+        vm = fleet.vms[1]
+        await until(lambda: complete(vm), "the VM answers in full")
+        caller = asyncio.ensure_future(asyncio.to_thread(ask_until_told_to_close, vm.http))
+        await asyncio.sleep(0.1)  # Some requests on the open connection.
+        await vm.stop()
+        statuses = await caller
+        assert len(statuses) > 1 and set(statuses) == {200}
+
+    run_fleet(tmp_path, scenario)
+
+
+def ask_until_told_to_close(port):
+    statuses = []
+    conn = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+    body = json.dumps({"service": "demo", "kind": "search", "query": "bell", "deadline_ms": 3000})
+    while True:
+        conn.request("POST", "/v1/query", body)
+        response = conn.getresponse()
+        response.read()
+        statuses.append(response.status)
+        if response.will_close:
+            return statuses
+        time.sleep(0.02)
+
+
 ISSUED_AT_MS = time.time_ns() // 1_000_000
 
 
