--- a/bramleycrank/membership/anti_entropy.py
+++ b/bramleycrank/membership/anti_entropy.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections.abc import Sequence
 from random import Random
 
 import attrs
@@ -29,6 +29,9 @@
 # A digest takes about 50 bytes, so a round stays near 25 KiB.
 MAX_DIGESTS = 512
 
+# Buckets compared at a time; bounds the work of a round for a VM that has no records yet.
+MAX_BUCKETS = 16
+
 # Bounds an exchange in which both sides keep changing.
 MAX_ROUNDS = 400
 
@@ -80,13 +83,12 @@
         self._next_id += 1
         self._open[self._next_id] = exchange
         exchange.rounds += 1
-        entries = self._entries(now)
-        request = SyncRequest(
-            gossip=Gossip(sender=self._view.vms.local),
-            digest_hash=_total(entries),
-            buckets=exchange.batch,
-            digests=_digests(entries, exchange.batch),
-        )
+        request = SyncRequest(gossip=Gossip(sender=self._view.vms.local), buckets=exchange.batch)
+        if exchange.batch:
+            # Records that are only kept are named too, or they would be offered in every round.
+            request.digests.extend(_digests(self._entries(now, exchange.batch, held=True)))
+        else:
+            request.digest_hash = _total(self._entries(now))
         waiting = self._view.add_records(request.gossip, exchange.wanted, now)
         exchange.sent.update(set(exchange.wanted).difference(waiting))
         exchange.wanted = waiting
@@ -95,14 +97,14 @@
     def on_request(self, request: SyncRequest, now: float) -> tuple[SyncReply, list[Action]]:
         """Answer one round of another VM's exchange."""
         actions = self._view.merge(request.gossip, now)
-        entries = self._entries(now)
         reply = SyncReply(gossip=Gossip(sender=self._view.vms.local))
         if not request.buckets:
+            entries = self._entries(now)
             reply.equal = request.digest_hash == _total(entries)
             if not reply.equal:
                 reply.bucket_hashes.extend(_bucket_hashes(entries))
             return reply, actions
-        offered, wanted = self._compare(request, entries)
+        offered, wanted = self._compare(request, self._entries(now, request.buckets))
         reply.wanted_ids.extend(wanted)
         self._view.add_records(reply.gossip, offered, now)
         return reply, actions
@@ -111,12 +113,10 @@
         """Return the ids of the records to send and of the records to ask for."""
         theirs = {item.id: digest_key(item) for item in request.digests}
         wanted = [i for i, key in theirs.items() if self._lacks(i, key)]
-        buckets = set(request.buckets)
         offered = [
             record_id
             for record_id, (_, key) in entries.items()
-            if bucket_of(record_id) in buckets
-            and (record_id not in theirs or theirs[record_id] < key)
+            if record_id not in theirs or theirs[record_id] < key
         ]
         # VM records first: the usability of a target depends on the record of its home VM.
         return sorted(offered, key=lambda i: i.startswith("target/")), wanted[:MAX_DIGESTS]
@@ -151,12 +151,15 @@
         A record that was sent once and is still asked for is one that the peer does not take.
         """
         wanted = {*exchange.wanted, *reply.wanted_ids} - exchange.sent
+        wanted.intersection_update(self._entries(now, exchange.batch) if wanted else ())
         exchange.wanted = sorted(wanted, key=lambda i: i.startswith("target/"))
         if not exchange.wanted and not progress:
             exchange.batch = []
         if not exchange.batch:
             exchange.sent.clear()
-            exchange.batch = self._next_batch(exchange, now)
+            exchange.batch = exchange.remaining[:MAX_BUCKETS]
+            del exchange.remaining[:MAX_BUCKETS]
+        self._trim(exchange, now)
 
     def _differing(self, reply: SyncReply, now: float) -> list[int]:
         own = _bucket_hashes(self._entries(now))
@@ -168,27 +171,33 @@
         self._rng.shuffle(buckets)
         return buckets
 
-    def _next_batch(self, exchange: _Exchange, now: float) -> list[int]:
-        """Take as many remaining buckets as fit into one message, at least one."""
-        sizes: dict[int, int] = defaultdict(int)
-        for record_id in self._entries(now):
-            sizes[bucket_of(record_id)] += 1
-        batch: list[int] = []
+    def _trim(self, exchange: _Exchange, now: float) -> None:
+        """Put buckets back whose digests do not fit into one message, but keep at least one."""
         count = 0
-        while exchange.remaining and (not batch or count < MAX_DIGESTS):
-            bucket = exchange.remaining.pop()
-            count += sizes[bucket]
-            batch.append(bucket)
-        return batch
+        for place, bucket in enumerate(exchange.batch):
+            count += len(self._entries(now, [bucket], held=True))
+            if count > MAX_DIGESTS and place:
+                exchange.remaining.extend(exchange.batch[place:])
+                del exchange.batch[place:]
+                return
 
     def on_failed(self, sync_id: int) -> None:
         """End an exchange whose peer did not answer."""
         self._open.pop(sync_id, None)
 
-    def _entries(self, now: float) -> Entries:
-        vms = ((i, (state, key)) for i, state, key in self._view.vms.entries(now))
-        targets = ((i, (state, key)) for i, state, key in self._view.registry.entries(now))
-        return {**dict(vms), **dict(targets)}
+    def _entries(
+        self, now: float, buckets: Sequence[int] | None = None, *, held: bool = False
+    ) -> Entries:
+        """Return state and key of the records in some buckets, or of all."""
+        chosen = None if buckets is None else set(buckets)
+        entries = {
+            record_id: (state, key)
+            for record_id, state, key in self._view.vms.entries(now, held=held)
+            if chosen is None or bucket_of(record_id) in chosen
+        }
+        for record_id, state, key in self._view.registry.entries(now, chosen, held=held):
+            entries[record_id] = state, key
+        return entries
 
     def dump(self) -> dict[str, object]:
         """Return the running exchanges."""
@@ -212,12 +221,5 @@
     return total
 
 
-def _digests(entries: Entries, buckets: list[int]) -> list[RecordDigest]:
-    if not buckets:
-        return []
-    chosen = set(buckets)
-    return [
-        digest(record_id, state, key)
-        for record_id, (state, key) in entries.items()
-        if bucket_of(record_id) in chosen
-    ]
+def _digests(entries: Entries) -> list[RecordDigest]:
+    return [digest(record_id, state, key) for record_id, (state, key) in entries.items()]
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -266,9 +266,21 @@
         """Return a record as it is sent to another VM, or None."""
         return self._table.outgoing(target_id, now)
 
-    def entries(self, now: float) -> Iterator[tuple[str, int, Key]]:
-        """Yield id, state and key of the records that take part in anti-entropy."""
-        return self._table.entries(now)
+    def entries(
+        self, now: float, buckets: Iterable[int] | None = None, *, held: bool = False
+    ) -> Iterator[tuple[str, int, Key]]:
+        """Yield id, state and key of the records that take part in anti-entropy.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        buckets : iterable of int, optional
+            Digest buckets; all by default.
+        held : bool, optional
+            Whether to yield also the records that are kept but not advertised.
+        """
+        return self._table.entries(now, buckets, held=held)
 
     def dump(self, now: float) -> dict[str, object]:
         """Return records, leases and the changes that are still being spread."""
--- a/bramleycrank/membership/target_table.py
+++ b/bramleycrank/membership/target_table.py
@@ -4,11 +4,17 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import attrs
 
-from bramleycrank.membership.records import ENDED_STATES, Key, target_key, with_age
+from bramleycrank.membership.records import (
+    ENDED_STATES,
+    Key,
+    bucket_of,
+    target_key,
+    with_age,
+)
 from bramleycrank.membership.types import MembershipConfig
 from bramleycrank.proto.target_pb2 import (
     TARGET_STATE_LEAVING,
@@ -57,6 +63,7 @@
         self._entries: dict[str, _Entry] = {}
         self._by_service: dict[str, set[str]] = defaultdict(set)
         self._by_home: dict[str, set[str]] = defaultdict(set)
+        self._by_bucket: dict[int, set[str]] = defaultdict(set)
         self._homes: dict[str, _Home] = {vm_id: _Home(live=True, known=True, since=0.0)}
         self._gone_homes: set[str] = set()
         self._ended: dict[str, None] = {}
@@ -114,6 +121,7 @@
         self._entries[record.target_id] = entry = _Entry(record, key, ended_at)
         self._by_service[record.service].add(record.target_id)
         self._by_home[record.home_vm].add(record.target_id)
+        self._by_bucket[bucket_of(f"target/{record.target_id}")].add(record.target_id)
         if record.home_vm not in self._homes:
             self._set_home(record.home_vm, _Home(live=False, known=False, since=now))
         if ended_at is not None:
@@ -125,6 +133,7 @@
         if entry is None:
             return
         self._ended.pop(target_id, None)
+        self._by_bucket[bucket_of(f"target/{target_id}")].discard(target_id)
         for index, name in (
             (self._by_service, entry.record.service),
             (self._by_home, entry.record.home_vm),
@@ -222,11 +231,30 @@
             return entry.record
         return with_age(entry.record, max(0, math.ceil(now - entry.ended_at)))
 
-    def entries(self, now: float) -> Iterator[tuple[str, int, Key]]:
-        """Yield id, state and key of the records that take part in anti-entropy."""
-        ok = {vm_id: self._home_ok(vm_id, now) for vm_id in self._by_home}
-        for target_id, entry in self._entries.items():
-            if entry.ended_at is not None or ok[entry.record.home_vm]:
+    def entries(
+        self, now: float, buckets: Iterable[int] | None = None, *, held: bool = False
+    ) -> Iterator[tuple[str, int, Key]]:
+        """Yield id, state and key of the records that take part in anti-entropy.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        buckets : iterable of int, optional
+            Digest buckets; all by default.
+        held : bool, optional
+            Whether to yield also the records that are kept but not advertised.
+        """
+        ids: Iterable[str] = self._entries
+        if buckets is not None:
+            ids = (i for bucket in buckets for i in self._by_bucket.get(bucket, ()))
+        ok: dict[str, bool] = {}
+        for target_id in ids:
+            entry = self._entries[target_id]
+            home = entry.record.home_vm
+            if home not in ok:
+                ok[home] = self._home_ok(home, now)
+            if held or entry.ended_at is not None or ok[home]:
                 yield f"target/{target_id}", entry.record.state, entry.key
 
     def dump(self, now: float) -> dict[str, object]:
--- a/bramleycrank/membership/vm_table.py
+++ b/bramleycrank/membership/vm_table.py
@@ -159,15 +159,15 @@
         found.update({address_of(r): r.vm_id for r in gone if r.state == VM_STATE_DEAD})
         return {a: vm_id for a, vm_id in found.items() if a not in self._live_addresses}
 
-    def entries(self, now: float) -> Iterator[tuple[str, int, Key]]:
+    def entries(self, now: float, *, held: bool = False) -> Iterator[tuple[str, int, Key]]:
         """Yield id, state and key of the records that take part in anti-entropy.
 
         Dead and left records take part for half of their retention only, so that a VM still knows
-        them when the last VM stops to advertise them.
+        them when the last VM stops to advertise them; `held` yields the others too.
         """
         limit = now - self._cfg.record_retention_s / 2
         for vm_id, record in self._records.items():
-            if self._gone_at.get(vm_id, now) > limit:
+            if held or self._gone_at.get(vm_id, now) > limit:
                 yield f"vm/{vm_id}", record.state, self._keys[vm_id]
 
     def dump(self, now: float) -> dict[str, object]:
