--- a/bramleycrank/state/follower.py
+++ b/bramleycrank/state/follower.py
@@ -52,7 +52,7 @@
         self._covered_at: float | None = None
         self._hints = PeerHints()
         self._fetches: dict[str, _Fetch] = {}
-        self._ask_leader_at = now
+        self._ask_leader_at = self._ask_any_at = now
 
     @classmethod
     def from_config(
@@ -260,8 +260,12 @@
         if stale <= lease * _ASK_PEER_SHARE:
             return []
         # A small gain is not worth a call.
-        wanted = now - stale + lease / 12
-        return self._start_fetch(self._hints.fresher(wanted, now), False, now)
+        address = self._hints.fresher(now - stale + lease / 12, now)
+        if not address and stale > lease * _ASK_LEADER_SHARE and now >= self._ask_any_at:
+            # What the peers last said is old, but they may have heard more since.
+            address = self._rng.choice(self._hints.askable(now) or [""])
+            self._ask_any_at = now + self._cfg.retry_s
+        return self._start_fetch(address, False, now)
 
     def _start_fetch(
         self, address: str, leader_confirmed: bool, now: float
--- a/bramleycrank/state/peer_hints.py
+++ b/bramleycrank/state/peer_hints.py
@@ -76,6 +76,10 @@
             if hint.revision > revision and hint.not_before <= now
         ]
 
+    def askable(self, now: float) -> list[str]:
+        """Return the peers that may be asked now."""
+        return [address for address, hint in self._peers.items() if hint.not_before <= now]
+
     def any_ahead(self, revision: int) -> bool:
         """Return whether a known peer has a higher revision."""
         return any(hint.revision > revision for hint in self._peers.values())
