--- a/bramleycrank/consensus/core.py
+++ b/bramleycrank/consensus/core.py
@@ -19,7 +19,7 @@
     RoleChanged,
     Send,
 )
-from bramleycrank.proto.log_pb2 import ConsensusMessage, Entry, HardState, LogSnapshot, Member
+from bramleycrank.proto.log_pb2 import ConsensusMessage, Entry, HardState, LogSnapshot, Membership
 
 
 class State(enum.Enum):
@@ -73,9 +73,18 @@
         return self.log.membership.cluster_id or self.joining_cluster
 
     @property
-    def member(self) -> Member | None:
-        """Own record in the membership."""
-        return quorum.find(self.log.membership, self.node_id)
+    def is_member(self) -> bool:
+        """Whether this node may vote: it is a member, or its removal is not known as committed.
+
+        A removal that only the removed node holds, because its leader was lost, could otherwise
+        never be committed or undone.
+        """
+        return any(quorum.find(item, self.node_id) for item in self._memberships())
+
+    @property
+    def may_campaign(self) -> bool:
+        """Whether this node may ask for votes; it counts its own only if it is still a voter."""
+        return any(quorum.is_voter(item, self.node_id) for item in self._memberships())
 
     @property
     def is_voter(self) -> bool:
@@ -168,5 +177,8 @@
         self._new_entries, self._actions = [], []
         return actions
 
+    def _memberships(self) -> tuple[Membership, Membership]:
+        return self.log.membership, self.log.membership_at(self.commit_index)
+
     def _role_state(self) -> tuple[Role, int, str]:
         return self.role, self.term, self.leader_id
--- a/bramleycrank/consensus/election.py
+++ b/bramleycrank/consensus/election.py
@@ -31,14 +31,14 @@
         core.leader_id = ""
         core.state = State.FOLLOWER
         core.reset_election()
-        if not core.is_voter:
+        if not core.may_campaign:
             return False
         core.state = State.PRE_CANDIDATE
         return self._request_votes(pre_vote=True, transfer=False)
 
     def start_transferred(self) -> bool:
         """Ask for votes at once because the leader hands over its leadership."""
-        return self._core.is_voter and self._campaign(transfer=True)
+        return self._core.may_campaign and self._campaign(transfer=True)
 
     def on_reply(self, msg: ConsensusMessage) -> bool:
         """Count a vote; returns whether the node won."""
@@ -64,7 +64,7 @@
         learner may not have heard of that yet.
         """
         core, req = self._core, msg.vote_request
-        if core.member is None or (self._hears_leader() and not req.leader_transfer):
+        if not core.is_member or (self._hears_leader() and not req.leader_transfer):
             return
         if req.pre_vote:
             granted = msg.term > core.term and self._is_up_to_date(req)
--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -523,3 +523,24 @@
     heartbeat = pb.AppendRequest(prev_index=1, prev_term=1, commit_index=3)
     node.receive(message(3, append_request=heartbeat), 0.1)
     assert node.commit_index == 1
+
+
+@pytest.mark.parametrize("removed_leads", [True, False])
+def test_a_removal_that_only_the_removed_node_holds_is_still_decided(removed_leads):
+    """Guards against a cluster that stops for good because a removed node refuses its vote."""
+    cluster = Cluster(4, seed=3)
+    cluster.run(3)
+    leader = cluster.leader()
+    others = [node for node in cluster.nodes.values() if node is not leader]
+    removed = leader if removed_leads else others[0]
+    cluster.dropped = lambda msg: msg.recipient not in (leader.node_id, removed.node_id)
+    cluster.change(leader, Remove(removed.node_id))
+    cluster.run(0.1)
+    cluster.lose_disk(others[-1] if removed_leads else leader)
+    cluster.run(3)
+    cluster.dropped = lambda msg: False
+    cluster.settle()
+    late = cluster.propose(cluster.leader(), put("late", 0, "late"))
+    cluster.run(1)
+    assert late in cluster.oracle.acknowledged
+    assert removed.node_id not in [m.node_id for m in cluster.oracle.membership.members]
