--- a/tests/test_daemon_life_cycle.py
+++ b/tests/test_daemon_life_cycle.py
@@ -10,9 +10,10 @@
 class Steps:
     """Records the steps and fails or blocks in chosen ones."""
 
-    def __init__(self, fail=(), block=()):
+    def __init__(self, fail=(), block=(), fail_late=()):
         self.calls = []
         self.fail = fail
+        self.fail_late = fail_late
         self.block = block
         self.release = asyncio.Event()
 
@@ -26,6 +27,8 @@
                 raise OSError(name)
             if name in self.block:
                 await self.release.wait()
+            if name in self.fail_late:
+                raise OSError(name)
 
         return step
 
@@ -144,6 +147,8 @@
         life.stop()
         steps.release.set()
         await life.finished.wait()
+        await asyncio.sleep(0)
         assert life.failure is None and steps.calls[-1] == "close"
 
-    run(scenario, block=("start_parts",))
+    # The start fails because the stop closes what it uses.
+    run(scenario, block=("start_parts",), fail_late=("start_parts",))
--- a/tests/test_daemon_proposal_router.py
+++ b/tests/test_daemon_proposal_router.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bramleycrank.daemon import proposal_router
 from bramleycrank.daemon.proposal_router import ProposalRouter
 from bramleycrank.exceptions import (
     InternalError,
@@ -19,6 +20,7 @@
 OK = log_pb2.CommandResult(code=log_pb2.RESULT_CODE_OK, revision=7)
 NOT_SENT = PeerUnreachable("refused", outcome=Outcome.NOT_RUN)
 LOST = PeerUnreachable("reset")
+FROZEN = object()
 UNRESOLVED = ProposalOutcomeUnknown("leadership was lost")
 
 
@@ -35,6 +37,10 @@
         return self
 
     async def Propose(self, request, *, timeout):  # noqa: N802
+        if self.script[self.address] == [FROZEN]:
+            self.leader = "b"  # Elected while the call waits.
+            await asyncio.sleep(timeout)
+            raise LOST
         return peer_pb2.ProposeReply(result=self.step(self.address, request.proposal_id))
 
     async def local(self, proposal_id, command, timeout_s):
@@ -100,6 +106,11 @@
         Cluster("a", a=[error, NOT_SENT]).propose()
 
 
+def test_frozen_leader_does_not_use_up_the_deadline(monkeypatch):
+    monkeypatch.setattr(proposal_router, "ATTEMPT_S", 0.1)
+    assert Cluster("a", a=[FROZEN], b=[OK]).propose(2.0).revision == 7
+
+
 def test_other_errors_are_not_retried():
     cluster = Cluster("a", a=[InternalError("broken")])
     with pytest.raises(InternalError):
