--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.daemon.explain import explain_age
 from bramleycrank.daemon.identity import format_address
 from bramleycrank.exceptions import (
     BramleycrankError,
@@ -178,14 +179,19 @@
 
     def dump(self) -> dict[str, object]:
         """Return why the configuration is in force and how old it is, in JSON form."""
+        follower = self._follower.dump()
+        now = self._loop.time()
+        stale_s = None if follower["covered_at"] is None else self._follower.stale_s(now)
+        current = self._follower.is_current(now)
         return {
             "revision": self.revision,
-            "current": self.is_current(),
+            "current": current,
+            "why": explain_age(follower["ready"], current, stale_s, self.leader_address()),
             "stale_ms": self.stale_ms(),
             "services": sorted(self._follower.config.services),
             "drained_vms": sorted(v.vm_id for v in self._follower.config.vms.values() if v.drained),
             "cache_error": self._cache_error,
-            "follower": self._follower.dump(),
+            "follower": follower,
         }
 
     # Events.
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -13,6 +13,7 @@
 import attrs
 
 from bramleycrank.consensus import RaftConfig, RaftNode, Role
+from bramleycrank.daemon.explain import explain_role, lagging_members
 from bramleycrank.daemon.identity import Directory, Identity, format_address
 from bramleycrank.daemon.proposal_router import ProposalRouter
 from bramleycrank.daemon.raft_runner import RaftRunner
@@ -191,8 +192,13 @@
 
     def dump(self) -> dict[str, object]:
         """Return the state of this VM's part in the log in JSON form."""
+        core = self._runner.node.dump() if self._runner else None
+        failure = self._runner.failure if self._runner else None
+        now = asyncio.get_running_loop().time()
         return {
             "role": self.role,
+            "why": explain_role(self.role, self.identity.vote, failure, core),
+            "lagging_members": lagging_members(core, now),
             "node_id": self.node_id,
             "may_vote": self.identity.vote,
             "leader_address": self.leader_address(),
--- a/bramleycrank/transport/peer_service.py
+++ b/bramleycrank/transport/peer_service.py
@@ -6,6 +6,7 @@
 
 from bramleycrank.daemon.config_controller import ConfigController
 from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.exceptions import InvalidRequest, Outcome
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.proto.peer_grpc import PeerBase
 from bramleycrank.transport.grpc_errors import unary
@@ -63,6 +64,9 @@
     @unary
     async def Propose(self, request: peer_pb2.ProposeRequest) -> peer_pb2.ProposeReply:  # noqa: N802
         """Commit a command as the leader; it is not forwarded again."""
+        if not request.proposal_id:
+            # Entries without an id would resolve it.
+            raise InvalidRequest("the proposal has no id", outcome=Outcome.NOT_RUN)
         timeout_s = request.timeout_ms / 1000 or DEFAULT_PROPOSE_TIMEOUT_S
         result = await self._consensus.propose_local(
             request.proposal_id, request.command, timeout_s
--- a/tests/test_process_links.py
+++ b/tests/test_process_links.py
@@ -66,6 +66,10 @@
         assert (await standin.effects()).get("cut", 0) == 0
         shown = {vm.record.vm_id: vm for vm in (await other.status()).vms}
         assert not shown[leader.vm_id].reachable
+        dump = await other.dump()
+        assert "silent" in dump["consensus"]["lagging_members"][await node_id(leader)]
+        assert "old" in (await leader.dump())["config"]["why"]
+        assert "no leader" in (await leader.dump())["consensus"]["why"]
 
         for relay in links.between(leader):
             relay.heal()
@@ -75,6 +79,10 @@
     with_links(tmp_path, scenario)
 
 
+async def node_id(vm):
+    return (await vm.dump())["consensus"]["node_id"]
+
+
 async def complete(vm):
     status, body = await vm.query()
     return status == 200 and body["outcome"] == "complete" and body
--- a/tests/test_process_whole_path.py
+++ b/tests/test_process_whole_path.py
@@ -36,6 +36,11 @@
         fleet.close()
 
 
+async def answered(vm):
+    status, body = await vm.query()
+    return status == 200 and body
+
+
 async def covered(vm):
     status, body = await vm.query()
     return status == 200 and body["coverage"]["answered"] == 4 and body
@@ -146,8 +151,9 @@
         await until(lambda: alone.status(local=True), "the VM answers operators")
         assert not await alone.ready()
         await until(alone.ready, "the VM is ready without the others")
-        status, body = await alone.query()
-        assert status == 200 and body["config"]["revision"] == reply.revision
+        # The targets still have to find the one VM that is left.
+        body = await until(lambda: answered(alone), "the VM answers")
+        assert body["config"]["revision"] == reply.revision
         assert body["config"]["stale_ms"] > 0
 
     run_fleet(tmp_path, scenario)
