Retry for free where no target worked, and never refuse a service for good

Cause 1: a service whose requests had all timed out was refused with DeadlineUnreachable for ever, because only a request that runs can lower the estimate; seen when a stand-in failed every search after its start. A service that runs nothing now gets one request as a probe, and the needed time is kept for each service instead of one for all. Ruled out: a shorter window, which does not move while nothing runs. Cause 2: the retry budget (10 tokens at the start) was drawn on for attempts that were never sent or were refused without work, so the loss of all replicas of a domain could leave shards missing while other replicas were idle. Cause 3: no hedges before 50 known latencies; a frozen replica gave partial answers after a start. The hedge delay is now 250 ms until then.

--- a/bramleycrank/query/admission.py
+++ b/bramleycrank/query/admission.py
@@ -29,6 +29,8 @@
 for them would be lost.
 """
 
+_WINDOW = 512  # samples after which older ones count half
+
 _RETRY_MIN_MS, _RETRY_MAX_MS = 20, 10_000
 
 _Action = Admit | Refuse
@@ -55,7 +57,8 @@
         self._deficit = dict.fromkeys(CLASSES, 0)
         self._running: set[Ticket] = set()
         self._by_service: Counter[str] = Counter()
-        self._service_time = LatencyEstimate(window=512)
+        self._service_time = LatencyEstimate(window=_WINDOW)
+        self._own_times: dict[str, LatencyEstimate] = {}
         self._next_check: float | None = None
         self._refusals: Counter[str] = Counter()
 
@@ -80,8 +83,8 @@
         """Admit, queue or refuse a request."""
         ticket.offered_at = now
         queue = self._queues[ticket.priority]
-        if self._refuse_late and now + self._service_time.quantile(0.5) > ticket.deadline:
-            return [self._refuse(ticket, self._too_late(0.0))]
+        if self._refuse_late and self._is_hopeless(ticket, now):
+            return [self._refuse(ticket, self._too_late(self._needed(ticket, 0.5)))]
         if not self._must_wait(ticket, queue):
             return [self._admit(ticket)]
         full = len(queue) >= self._queue_limit
@@ -97,6 +100,21 @@
             self._next_check = now + RECHECK_S
         return []
 
+    def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether the median of the service's own time passes the deadline.
+
+        A service that runs nothing gets the request all the same: only a request that runs can
+        show that the service has become fast again.
+        """
+        if not self._by_service[ticket.service]:
+            return False
+        return now + self._needed(ticket, 0.5) > ticket.deadline
+
+    def _needed(self, ticket: Ticket, share: float) -> float:
+        """Return a quantile in seconds of the service's own time."""
+        times = self._own_times.get(ticket.service)
+        return times.quantile(share) if times else 0.0
+
     def _must_wait(self, ticket: Ticket, queue: ClassQueue) -> bool:
         if not self._has_place() or not self._service_has_place(ticket):
             return True
@@ -134,8 +152,7 @@
         return turns * median
 
     def _in_time(self, ticket: Ticket, wait_s: float, now: float) -> bool:
-        needed = self._service_time.quantile(QUEUED_QUANTILE)
-        return now + wait_s + needed <= ticket.deadline
+        return now + wait_s + self._needed(ticket, QUEUED_QUANTILE) <= ticket.deadline
 
     def release(
         self, ticket: Ticket, latency_s: float, overloaded: bool, now: float
@@ -149,6 +166,7 @@
         if latency_s > 0.0:
             self.limit.on_end(latency_s, overloaded, len(self._running), now)
             self._service_time.record(latency_s)
+            self._own_times.setdefault(ticket.service, LatencyEstimate(_WINDOW)).record(latency_s)
         self._running.remove(ticket)
         ticket.state = "done"
         self._by_service[ticket.service] -= 1
@@ -225,6 +243,7 @@
             "queued": {name: len(queue) for name, queue in self._queues.items()},
             "refused": dict(self._refusals),
             "service_time": self._service_time.dump(),
+            "time_by_service": {name: times.dump() for name, times in self._own_times.items()},
         }
 
 
--- a/bramleycrank/query/execution.py
+++ b/bramleycrank/query/execution.py
@@ -231,7 +231,7 @@
             gone = self.snapshot if status == SUB_STATUS_SNAPSHOT_GONE else None
             self._policy.on_gone(service, target_id, gone, sub.shard.index, now)
             self._catalog.mark_gone(service, target_id, gone, sub.shard.index, now)
-            return self._retry(sub, MissingReason.NO_REPLICA, True, now)
+            return self._retry(sub, MissingReason.NO_REPLICA, True, now, free=True)
         self._policy.on_failure(service, target_id, now)
         timed_out = status == SUB_STATUS_DEADLINE
         reason = MissingReason.TIMEOUT if timed_out else MissingReason.FAILED
@@ -250,10 +250,17 @@
         if reason == FailureReason.CONNECTION_LOST and not sub.shard.retries:
             # The target itself may be well: it stays eligible for the resend.
             sub.shard.tried.remove(sub.target_id)
-        return self._retry(sub, MissingReason.FAILED, proved, now)
+        return self._retry(sub, MissingReason.FAILED, proved, now, free=proved)
 
-    def _retry(self, sub: Sub, reason: MissingReason, proved: bool, now: float) -> list[Action]:
-        """Send the shard's sub-request again, restart the query, or give the shard up."""
+    def _retry(
+        self, sub: Sub, reason: MissingReason, proved: bool, now: float, free: bool = False
+    ) -> list[Action]:
+        """Send the shard's sub-request again, restart the query, or give the shard up.
+
+        A retry is `free` where the first attempt cost no target any work. The budget bounds the
+        load on targets; without this exception the loss of many replicas at once used it up, and
+        shards were given up although other replicas were idle.
+        """
         shard, out = sub.shard, []
         shard.reason = reason
         if shard.open:
@@ -261,7 +268,7 @@
         service, choose = self.req.service, self._policy.choose
         if (self._idempotent or proved) and shard.retries < MAX_RETRIES and now < self.deadline:
             target_id = choose(service, self.snapshot, shard.index, shard.tried, now)
-            if target_id is not None and self._policy.take_retry(service):
+            if target_id is not None and (free or self._policy.take_retry(service)):
                 shard.retries += 1
                 self._retries += 1
                 self._send(shard, target_id, False, now, out)
--- a/bramleycrank/query/policy.py
+++ b/bramleycrank/query/policy.py
@@ -14,10 +14,19 @@
 from bramleycrank.query.types import QueryConfig, QueryPolicy, Snapshot
 
 MIN_SAMPLES = 50
-"""Latencies that must be known before the first hedge."""
+"""Latencies that must be known before the hedge delay follows them."""
 
-HEDGE_BURST, RETRY_BURST = 30.0, 10.0
-"""Tokens at the start and most tokens kept; a quiet service can retry its first failures."""
+UNKNOWN_HEDGE_DELAY_S = 0.25
+"""Hedge delay while too few latencies are known.
+
+Without any hedge, a frozen replica turned the first answers after a start into partial ones.
+"""
+
+HEDGE_BURST, RETRY_BURST = 30.0, 50.0
+"""Tokens at the start and most tokens kept.
+
+A target that dies takes all its open sub-requests along; the burst covers those of some queries.
+"""
 
 
 @attrs.define(eq=False)
@@ -55,10 +64,10 @@
         return stats
 
     def hedge_delay(self, service: str) -> float | None:
-        """Return the time in seconds after which to hedge; None while too little is known."""
+        """Return the time in seconds after which to hedge."""
         stats = self.stats(service)
         if stats.latency.samples < MIN_SAMPLES:
-            return None
+            return UNKNOWN_HEDGE_DELAY_S
         return stats.latency.quantile(self._quantile(stats.hedges))
 
     def _quantile(self, hedges: TokenBudget) -> float:
--- a/tests/test_query_admission.py
+++ b/tests/test_query_admission.py
@@ -10,6 +10,7 @@
 from collections import Counter
 
 import hypothesis.strategies as st
+import pytest
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from bramleycrank.exceptions import Outcome
@@ -191,3 +192,19 @@
         now += 0.005
         limit.on_end(0.03, False, 100, now)
     assert "long-term median" in limit.dump()["why"]
+
+
+def test_a_service_that_was_slow_is_tried_again() -> None:
+    """Guards against refusing a service for good because of the times of one bad moment."""
+    admission = Admission(AdaptiveLimit(10, 10), 10)
+    for _ in range(20):
+        ticket = Ticket(0, "archivio", "normal", 1e9)
+        admission.offer(ticket, 0.0)
+        admission.release(ticket, 5.0, False, 0.0)
+    probe, second = (Ticket(0, "archivio", "normal", 1.0) for _ in range(2))
+    assert admission.offer(probe, 0.0) == [Admit(probe)]
+    [refusal] = admission.offer(second, 0.0)
+    assert refusal.error.retry_after_ms == pytest.approx(5000, rel=0.1)
+    assert admission.offer(other := Ticket(0, "fonderia", "normal", 1.0), 0.0) == [Admit(other)]
+    admission.release(probe, 0.01, False, 0.0)
+    assert admission.offer(third := Ticket(0, "archivio", "normal", 1.0), 0.0) == [Admit(third)]
