--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -27,6 +27,9 @@
     VmRecord,
 )
 
+# Members that a VM exchanges with after it was out of contact; two of them may be down or new.
+CATCH_UP_PEERS = 3
+
 # How much longer a VM waits to join while an exchange makes progress. The records of 28,000 targets
 # take about 90 rounds.
 JOIN_EXTENSION_S = 30.0
@@ -96,9 +99,9 @@
         if self._view.refuted or self._prober.was_paused:
             # This VM was out of contact for a while, and missed what was pushed meanwhile.
             self._view.refuted = self._prober.was_paused = False
-            self._sync_at = now
-        if now >= self._sync_at:
-            actions += self._start_sync(now)
+            actions += self._start_sync(now, CATCH_UP_PEERS)
+        elif now >= self._sync_at:
+            actions += self._start_sync(now, 1)
         return actions
 
     def _has_joined(self, now: float) -> bool:
@@ -109,13 +112,13 @@
             return True
         return now >= self._join_until and not self._sync.progressing
 
-    def _start_sync(self, now: float) -> list[Action]:
-        """Start an exchange with a random member, or with all seeds while joining."""
+    def _start_sync(self, now: float, count: int) -> list[Action]:
+        """Start exchanges with random members, or with all seeds while joining."""
         if self._joined:
             jitter = self._rng.uniform(0.9, 1.1)
             self._sync_at = now + self._cfg.sync_period_s * jitter
             peers = [address_of(rec) for rec in self._view.vms.peers()]
-            addresses = [self._rng.choice(peers)] if peers else []
+            addresses = self._rng.sample(peers, min(count, len(peers)))
         else:
             self._sync_at = now + min(self._cfg.probe_period_s, self._cfg.sync_period_s) / 2
             addresses = list(self._seeds)
@@ -171,8 +174,9 @@
         return self._sync.on_reply(sync_id, reply, now)
 
     def on_sync_failed(self, sync_id: int, now: float) -> list[Action]:
-        """Note that a round of an exchange got no answer."""
+        """Note that a round of an exchange got no answer; another member is tried soon."""
         self._sync.on_failed(sync_id)
+        self._sync_at = min(self._sync_at, now + self._cfg.probe_period_s)
         return []
 
     def push(self, action: PushRecords, now: float) -> list[SendProbe]:
