Tell a removed node of its removal in one message, and send in a fixed order

test_a_node_outside_the_membership_never_votes[5-False] failed in one run and passed in others. Two causes: members were tracked in the order of a set, which differs from run to run, and the last message to a removed node was refused where it overtook the one with the removal. The last message now carries all that is unanswered. The test with one cut link is merged into that of the returning node, with more examples.

--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -33,9 +33,12 @@
     def update_members(self) -> None:
         """Track new members, and mark removed ones until their removal is committed."""
         core = self._core
-        members = {m.node_id for m in core.log.membership.members} - {core.node_id}
-        for node_id in members - self.progress.keys():
-            self.progress[node_id] = Progress(next_index=core.log.last_index + 1, heard_at=core.now)
+        members = [m.node_id for m in core.log.membership.members if m.node_id != core.node_id]
+        # In the order of the membership: that of a set would differ from run to run.
+        for node_id in members:
+            if node_id not in self.progress:
+                progress = Progress(next_index=core.log.last_index + 1, heard_at=core.now)
+                self.progress[node_id] = progress
         for node_id, progress in self.progress.items():
             gone = node_id not in members
             progress.removed_at = (progress.removed_at or core.log.last_index) if gone else 0
@@ -45,6 +48,8 @@
         commit = self._core.commit_index
         for node_id, progress in list(self.progress.items()):
             if progress.removed_at and progress.removed_at <= commit:
+                # One message with all that is unanswered, since its order is not certain.
+                progress.next_index, progress.probing = progress.match_index + 1, True
                 self.send_to(node_id, progress)
                 del self.progress[node_id]
 
--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -230,17 +230,26 @@
     cluster.cuts |= {(b, a) for a, b in cluster.cuts}
 
 
-@bounded(25)
-@given(seed=st.integers(0, 2**32), silent_s=st.floats(0.5, 100), restart=st.booleans())
-def test_a_returning_silent_node_does_not_depose_the_leader(seed, silent_s, restart):
-    """Guards against elections that a node forces by a term that it raised while cut off."""
+@bounded(40)
+@given(
+    seed=st.integers(0, 2**32),
+    silent_s=st.floats(0.5, 100),
+    restart=st.booleans(),
+    one_link=st.booleans(),
+)
+def test_a_returning_silent_node_does_not_depose_the_leader(seed, silent_s, restart, one_link):
+    """Guards against elections forced by a node that was cut off, wholly or from the leader."""
     cluster = Cluster(3, seed)
     cluster.run(3)
     leader = cluster.leader()
     term = leader.raft.term
     silent = next(node for node in cluster.nodes.values() if node is not leader)
-    isolate(cluster, silent.node_id)
+    if one_link:
+        cluster.cuts = {(leader.node_id, silent.node_id), (silent.node_id, leader.node_id)}
+    else:
+        isolate(cluster, silent.node_id)
     cluster.run(silent_s)
+    assert (cluster.leader(), leader.raft.term) == (leader, term)
     if restart:
         cluster.restart(silent)
     cluster.cuts = set()
@@ -251,20 +260,6 @@
     assert silent.raft.leader_id == leader.node_id
 
 
-@bounded(10)
-@given(seed=st.integers(0, 2**32))
-def test_one_cut_link_does_not_cause_elections(seed):
-    """Guards against a node that reaches voters but not the leader and so deposes it."""
-    cluster = Cluster(3, seed)
-    cluster.run(3)
-    leader = cluster.leader()
-    term = leader.raft.term
-    other = next(node for node in cluster.nodes.values() if node is not leader)
-    cluster.cuts = {(leader.node_id, other.node_id), (other.node_id, leader.node_id)}
-    cluster.run(10)
-    assert (cluster.leader(), leader.raft.term) == (leader, term)
-
-
 def test_a_cut_off_leader_stops_accepting_and_serving_reads(cluster):
     """Guards against a leader behind a partition that accepts what it cannot commit."""
     leader = cluster.leader()
