Send a few consensus messages at a time on each link

Cause: one message at a time allows one per round trip, so a round trip above the heartbeat of 150 ms fills the queue until messages are dropped. Ruled out: raising the queue limit, which only delays.

Breaks tried on a scratch copy, and what failed: one message at a time: test_slow_links_neither_unseat_the_leader_nor_hold_up_changes; old messages kept: test_daemon_consensus_links.

--- a/bramleycrank/transport/consensus_links.py
+++ b/bramleycrank/transport/consensus_links.py
@@ -27,6 +27,10 @@
 # before the peer calls an election.
 SEND_TIMEOUT_S = 0.4
 
+# With one message at a time, a round trip above the heartbeat of 150 ms would fill the queue. Calls
+# on one connection keep their order, except that a small message may pass a large snapshot.
+IN_FLIGHT = 4
+
 # Large snapshots get more time; the slowest link that a snapshot must pass, in bytes a second.
 MIN_RATE = 2_000_000
 
@@ -50,7 +54,7 @@
 
 
 class ConsensusLink:
-    """Sends the messages for one node, one at a time and in order.
+    """Sends the messages for one node in order, a few at a time.
 
     Parameters
     ----------
@@ -70,6 +74,8 @@
         self._wake = asyncio.Event()
         self._address: str | None = None
         self.stats = LinkStats()
+        self._slots = asyncio.Semaphore(IN_FLIGHT)
+        self._sends: set[asyncio.Task] = set()
         self._task = asyncio.ensure_future(self._run())
 
     def put(self, message: log_pb2.ConsensusMessage) -> None:
@@ -81,8 +87,9 @@
         self._wake.set()
 
     def close(self) -> None:
-        """End the task."""
-        self._task.cancel()
+        """End all sending."""
+        for task in (self._task, *self._sends):
+            task.cancel()
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the state of the link in JSON form."""
@@ -100,14 +107,22 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await self._wake.wait()
-            while self._queue:
-                queued_at, message = self._queue.popleft()
-                if loop.time() - queued_at > MAX_AGE_S:
-                    self.stats.dropped += 1
-                    continue
-                await self._send(message)
-            self._wake.clear()
+            await self._slots.acquire()
+            while not self._queue:
+                self._wake.clear()
+                await self._wake.wait()
+            queued_at, message = self._queue.popleft()
+            if loop.time() - queued_at > MAX_AGE_S:
+                self.stats.dropped += 1
+                self._slots.release()
+                continue
+            task = asyncio.ensure_future(self._send(message))
+            self._sends.add(task)
+            task.add_done_callback(self._on_sent)
+
+    def _on_sent(self, task: asyncio.Task) -> None:
+        self._sends.discard(task)
+        self._slots.release()
 
     async def _send(self, message: log_pb2.ConsensusMessage) -> None:
         self._address = self._address_of(self._node_id)
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -111,6 +111,11 @@
         names = {vm.vm_id for vm in side}
         return [r for (a, b), r in self._relays.items() if (a in names) != (b in names)]
 
+    def delay(self, delay_s: float) -> None:
+        """Delay what passes any link; data that arrives meanwhile goes on together."""
+        for relay in self._relays.values():
+            relay.delay_s = delay_s
+
     async def close(self) -> None:
         """Close all relays."""
         await asyncio.gather(*(relay.close() for relay in self._relays.values()))
--- a/tests/test_process_links.py
+++ b/tests/test_process_links.py
@@ -117,3 +117,23 @@
         await fleet.in_force(reply.revision)
 
     with_links(tmp_path, scenario)
+
+
+def test_slow_links_neither_unseat_the_leader_nor_hold_up_changes(tmp_path):
+    # The round trip is longer than the heartbeat: messages must not pile up.
+    async def scenario(fleet, links):
+        leader = await fleet.leader()
+        await leader.put_service("before")
+        term = (await leader.dump())["consensus"]["log"]["core"]["term"]
+        links.delay(0.1)
+        for number in range(8):
+            reply = await leader.put_service(f"s{number}")
+            await fleet.in_force(reply.revision, timeout_s=2.0)
+        assert await leader.role() == "leader"
+        assert (await leader.dump())["consensus"]["log"]["core"]["term"] == term
+        dropped = [
+            link["dropped"] for link in (await leader.dump())["consensus"]["log"]["links"].values()
+        ]
+        assert dropped == [0, 0]
+
+    with_links(tmp_path, scenario)
