--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -116,6 +116,7 @@
         self.shape = shape
         self.domain = domain
         self.cold_s = 0.0
+        self.stub_channel: Channel | None = None
         self._fleet = fleet
 
     async def start(self) -> None:
@@ -143,7 +144,8 @@
         addresses = json.loads(line)
         host, _, port = addresses["control"].rpartition(":")
         self.targets: dict[str, str] = addresses["targets"]
-        self.stub = StandInStub(Channel(host, int(port)))
+        self.stub_channel = Channel(host, int(port))
+        self.stub = StandInStub(self.stub_channel)
 
     async def fault(self, **fields: float) -> None:
         """Apply a fault to all targets of the process."""
@@ -272,6 +274,9 @@
     def close(self) -> None:
         """End every process."""
         self.clients.close()
+        for targets in self.targets:
+            if targets.stub_channel is not None:
+                targets.stub_channel.close()
         for process in self._processes:
             process.signal(signal.SIGCONT)
             process.reap()
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -73,6 +73,7 @@
     targets = fleet.of_search()[0]
     targets.process.signal(signal.SIGTERM)
     old = targets.process
+    targets.stub_channel.close()
     await until(lambda: old.exit_code is not None, "the targets exit", 30)
     targets.cold_s = 10.0
     await targets.start()
