Count only members that answered when a membership change is checked

A change is refused unless a majority of the voters after it answers. A new leader starts with the time of its election as the last answer of every member, so for 1.2 s after an election silent voters counted as answering. The removal of a leader reaches its successor within milliseconds of the election: with one of three voters lost, the leader's removal was appended with {successor, lost voter} as the voters. It could not be committed, and no candidate could win.

Ruled out: dropping the start time of the tracking altogether, because the quorum check of a new leader needs it. A change that comes before the answers is refused with MembershipChangeInProgress, which the daemon repeats, and with InvalidMembershipChange once the members had time to answer.

Before: the new test failed for 3 and 5 voters, since the removal was accepted. After: tests/test_consensus_node.py passes.

--- a/bramleycrank/consensus/leadership.py
+++ b/bramleycrank/consensus/leadership.py
@@ -44,6 +44,7 @@
 
     def __init__(self, core: NodeCore) -> None:
         self._core = core
+        self._started_at = core.now
         self.transfer_to = ""
         self._transfer_deadline = 0.0
         self._promotion: _PendingPromotion | None = None
@@ -230,6 +231,9 @@
         after = quorum.changed(core.log.membership, change)
         # A promotion waits for its learner, and is checked when it is appended.
         if not isinstance(change, Promote) and not self._answers(after):
+            if core.now < self._started_at + core.cfg.election_timeout_s[1]:
+                message = "the voters have not answered the new leader yet"
+                raise MembershipChangeInProgress(message, outcome=Outcome.NOT_RUN)
             message = "a majority of the voters after the change does not answer"
             raise InvalidMembershipChange(message, outcome=Outcome.NOT_RUN)
         return after
--- a/bramleycrank/consensus/progress.py
+++ b/bramleycrank/consensus/progress.py
@@ -14,7 +14,7 @@
     next_index : int
         First entry that has not been sent.
     heard_at : float
-        Time of the last reply in this term, in seconds.
+        Time of the last reply in this term, in seconds; before it the start of the tracking.
     match_index : int
         Last entry known to be synced on the member.
     probing : bool
--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -122,8 +122,16 @@
         return self._quorum_of(self._core.now, lambda progress: progress.heard_at)
 
     def heard_since(self, since: float) -> list[str]:
-        """Return this node and the members that answered at ``since`` or later."""
-        heard = [node for node, progress in self.progress.items() if progress.heard_at >= since]
+        """Return this node and the members that answered at ``since`` or later.
+
+        ``heard_at`` of a member that never answered is the start of its tracking, which gives it
+        time to answer and proves nothing.
+        """
+        heard = [
+            node_id
+            for node_id, progress in self.progress.items()
+            if progress.acked_round and progress.heard_at >= since
+        ]
         return [self._core.node_id, *heard]
 
     def update_confirmed(self) -> None:
--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -468,6 +468,32 @@
     assert isinstance(cluster.outcomes[refused], errors.InvalidMembershipChange)
 
 
+def test_removal_by_a_leader_that_has_just_been_elected_needs_answers(cluster):
+    """Guards against counting silent voters as answering after an election.
+
+    The removal of a leader reaches its successor at once. Accepted with a silent voter among those
+    that remain, it could neither be committed nor undone.
+    """
+    first = cluster.leader()
+    others = [node for node in cluster.nodes.values() if node is not first]
+    for node in others[: (len(cluster.nodes) - 1) // 2]:
+        cluster.crash(node)
+    cluster.run(0.7)
+    cluster.execute(first, first.raft.transfer_leadership(cluster.now))
+    while cluster.leader() in (None, first) or cluster.leader().raft.confirmed_at is None:
+        cluster.run(0.001)
+    leader = cluster.leader()
+    for wait, error in (0, errors.MembershipChangeInProgress), (2, errors.InvalidMembershipChange):
+        cluster.run(wait)
+        refused = cluster.change(leader, Remove(first.node_id))
+        assert isinstance(cluster.outcomes.get(refused), error)
+    assert cluster.leader() is leader
+    cluster.settle(2)
+    removal = cluster.change(leader, Remove(first.node_id))
+    cluster.run(1)
+    assert removal in cluster.oracle.acknowledged
+
+
 def test_a_membership_that_was_never_committed_is_rolled_back(cluster):
     """Guards against a node that counts majorities by a change that another leader undid."""
     leader = cluster.leader()
