Keep one link per target process and end its down state with it

Cause: a link that was retired while its target was down took that state along; the next link begins as up and never reports it, so the query core kept the target as a last choice for good. A target that crashed and came back met this each time. A retired link could also report "down" after its successor was up. A target that became usable again in the same incarnation got a second link beside the retiring one, and so a second connection above the VM's share. A session that was closed before the first step of its task never reported its end, and its link stayed in the set of retiring ones.

Ruled out: the registry (it reports each change of usability) and the monitor (it sends TargetUp only after its own TargetDown, as it should).

Now a link reports "up" when it is retired while down, a retired link reports nothing, a retiring link with work in flight is used again for the same process, and the end of a session is a callback of its task.

--- a/bramleycrank/daemon/session_controller.py
+++ b/bramleycrank/daemon/session_controller.py
@@ -198,10 +198,18 @@
         if not usable:
             return
         if link is None:
-            self._links[record.target_id] = link = TargetLink(record, self._context)
+            self._links[record.target_id] = link = self._link_for(record)
             link.tick(self._clock())
-        else:
-            link.update(record)
+        link.update(record)
+
+    def _link_for(self, record: TargetRecord) -> TargetLink:
+        """Return a new link, or the retiring one if it still has work in the same process."""
+        for link in self._links_of(record.target_id):
+            if link.busy and link.serves(record):
+                self._retiring.discard(link)
+                link.resume()
+                return link
+        return TargetLink(record, self._context)
 
     def _on_leaving(self, target_id: str, incarnation: int) -> None:
         """Take the target's own word that it leaves; this VM may be cut off from its home VM."""
--- a/bramleycrank/daemon/target_link.py
+++ b/bramleycrank/daemon/target_link.py
@@ -135,12 +135,30 @@
 
     def retire(self) -> bool:
         """Take no more work and drop what is not written; return whether something is open."""
+        if self.monitor.down:
+            # Nothing else would end this state: the next link of the target begins as up.
+            self._report(False)
         self._retired = True
         for sub_id in [i for i, sub in self._subs.items() if not sub.sent]:
             self._give_up(sub_id)
         self._close_if_idle()
         return not self.finished
 
+    def resume(self) -> None:
+        """Take new work again; a second link would need connections of its own."""
+        self._retired = False
+        if self.monitor.down:
+            self._report(True)
+
+    def _report(self, down: bool) -> None:
+        if not self._retired:
+            self._context.on_down(self.target_id, down)
+
+    @property
+    def busy(self) -> bool:
+        """Whether sub-requests have not ended."""
+        return bool(self._subs)
+
     @property
     def finished(self) -> bool:
         """Whether a retired link has nothing open any more."""
@@ -325,7 +343,7 @@
                 case TargetDown():
                     self._on_down()
                 case TargetUp():
-                    self._context.on_down(self.target_id, False)
+                    self._report(False)
         if self._held:
             self._flush()
 
@@ -348,7 +366,7 @@
         A non-idempotent request (one with a key) waits on: the target may only be frozen, and its
         reply is the only way to learn the outcome.
         """
-        self._context.on_down(self.target_id, True)
+        self._report(True)
         for sub_id, sub in list(self._subs.items()):
             if not sub.request.request_key:
                 self._give_up(sub_id)
--- a/bramleycrank/transport/target_session.py
+++ b/bramleycrank/transport/target_session.py
@@ -87,6 +87,8 @@
     def start(self, open_timeout_s: float) -> None:
         """Start to connect; ends with `on_open`, or with `on_closed` after `open_timeout_s`."""
         self._task = asyncio.ensure_future(self._run(open_timeout_s))
+        # A task that is cancelled before its first step never enters its own `finally`.
+        self._task.add_done_callback(self._end)
 
     def send(self, request: SubRequest) -> None:
         """Send a request with the next message."""
@@ -134,11 +136,12 @@
             log.debug("sessions: connection %d was not answered in time", self.conn_id)
         except Exception:
             log.exception("sessions: connection %d failed", self.conn_id)
-        finally:
-            self.closed = True
-            self._channel.close()
-            unsent, self._pending = list(self._pending.values()), {}
-            self._events.on_closed(self, unsent, refused=self._refused)
+
+    def _end(self, task: asyncio.Task[None]) -> None:
+        self.closed = True
+        self._channel.close()
+        unsent, self._pending = list(self._pending.values()), {}
+        self._events.on_closed(self, unsent, refused=self._refused)
 
     async def _serve(self, open_timeout_s: float) -> None:
         async with asyncio.timeout(open_timeout_s) as limit:
--- a/tests/test_session_controller.py
+++ b/tests/test_session_controller.py
@@ -150,6 +150,15 @@
     return sub_id
 
 
+def announce(env, usable, incarnation):
+    """Replace the record of the target."""
+    record = pb.TargetRecord()
+    record.CopyFrom(env.membership.record)
+    record.incarnation = incarnation
+    env.membership.record, env.membership.usable = record, usable
+    env.membership.callback(record)
+
+
 def test_requests_of_one_turn_share_a_message_and_replies_may_come_in_any_order():
     """Guards against a message per request, and replies that reach the wrong request."""
 
@@ -299,6 +308,54 @@
     run(scenario)
 
 
+def test_target_that_was_down_is_up_again_after_a_restart():
+    """Guards against a target that stays down for good, since only its old session could say up."""
+
+    async def scenario(env):
+        env.target.frozen.clear()
+        env.send()
+        await until(lambda: env.down == [True])
+        announce(env, False, 7)
+        env.target.frozen.set()
+        announce(env, True, 8)
+        await until(lambda: env.sessions.is_connected("t"))
+        assert env.down == [True, False]
+
+    run(scenario)
+
+
+def test_target_that_is_usable_again_keeps_its_connection():
+    """Guards against connections above the limit while work of the earlier time is in flight."""
+
+    async def scenario(env):
+        env.target.answer = lambda request: not request.key
+        slow = env.send(key="slow")
+        await until(lambda: env.target.received == [slow])
+        announce(env, False, 7)
+        announce(env, True, 7)
+        quick = env.send()
+        await until(lambda: quick in env.log.replies)
+        assert env.target.peak == 1 and not env.log.failures
+        reply = pb.SubReply(sub_id=slow)
+        await env.target.streams[0].send_message(pb.SessionReply(replies=[reply]))
+        await until(lambda: slow in env.log.replies)
+
+    run(scenario)
+
+
+def test_session_that_is_closed_before_it_connects_leaves_nothing_behind():
+    """Guards against a retired link that is kept for good."""
+
+    async def scenario(env):
+        announce(env, False, 7)
+        announce(env, True, 8)
+        announce(env, False, 8)
+        await until(lambda: not env.sessions.dump()["retiring"])
+        await until(lambda: env.target.open == 0)
+
+    run(scenario)
+
+
 def test_target_at_its_connection_limit_gets_its_silent_connection_replaced():
     """Guards against a silent connection that stays, since it uses the target's last place."""
 
