Leave a frozen leader during a change of voters, and say what may have run

A change of voters was forwarded to the known leader with the whole remaining time, 30 s by default. A leader that was frozen used it up, and the change ended with NoQuorum although another leader stood after 2 s.

The error of the last attempt was passed on with its outcome. It said not_run when an earlier attempt had no answer, and when an earlier step of the same change was committed, such as the learner of a promotion that was refused. The outcome is now unknown in both cases.

Ruled out: a short limit for each forwarded call as in the proposal router, because catching up a learner may take longer than any such limit.

After: tests/test_operator_service.py and tests/test_daemon_voter_changes.py pass.

--- a/bramleycrank/daemon/voter_changes.py
+++ b/bramleycrank/daemon/voter_changes.py
@@ -3,19 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import uuid
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from bramleycrank.consensus import MAX_VOTERS, AddLearner, Promote, Remove
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.exceptions import (
     AlreadyBootstrapped,
+    BramleycrankError,
     InvalidMembershipChange,
     LearnerNotCaughtUp,
     MembershipChangeInProgress,
     NotFound,
     NotLeader,
+    Outcome,
     PeerUnreachable,
 )
 from bramleycrank.proto import log_pb2, peer_pb2
@@ -149,7 +152,8 @@
             raise NotFound(f"{node_id!r} is not a member")
         await self._add(newcomer, deadline)
         left = deadline - asyncio.get_running_loop().time()
-        return await self.remove(node_id, max(left, 0.001))
+        with _ran_in_part():
+            return await self.remove(node_id, max(left, 0.001))
 
     async def _add(self, newcomer: peer_pb2.IdentityReply, deadline: float) -> log_pb2.Membership:
         node_id = newcomer.node_id
@@ -162,7 +166,8 @@
         if node_id not in members:
             await self._commit(AddLearner(_member(newcomer, voter=False)), deadline)
         log.info("consensus: %s is a learner", node_id)
-        return await self._commit(Promote(node_id), deadline)
+        with _ran_in_part():
+            return await self._commit(Promote(node_id), deadline)
 
     async def _commit(self, change: object, deadline: float) -> log_pb2.Membership:
         """Commit one change; one that has to wait is tried again until the deadline."""
@@ -211,6 +216,16 @@
             raise PeerUnreachable(f"{address}: {exc}; send the bootstrap again") from exc
 
 
+@contextlib.contextmanager
+def _ran_in_part() -> Iterator[None]:
+    """Let no error say that nothing ran: an earlier step of the change is committed."""
+    try:
+        yield
+    except BramleycrankError as exc:
+        exc.outcome = Outcome.UNKNOWN
+        raise
+
+
 def _member(identity: peer_pb2.IdentityReply, *, voter: bool) -> log_pb2.Member:
     return log_pb2.Member(
         node_id=identity.node_id,
--- a/bramleycrank/transport/operator_service.py
+++ b/bramleycrank/transport/operator_service.py
@@ -19,6 +19,7 @@
     NoQuorum,
     NotFound,
     NotLeader,
+    Outcome,
     PeerUnreachable,
     VersionConflict,
 )
@@ -38,6 +39,9 @@
 # Pause between attempts while no leader is known, in seconds.
 RETRY_PAUSE_S = 0.1
 
+# How often a forwarded change of members looks for another leader, in seconds.
+LEADER_CHECK_S = 0.5
+
 # A drain has no version of its own to compare; races with other changes of the VM are few.
 DRAIN_ATTEMPTS = 5
 
@@ -320,14 +324,18 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + (request.timeout_ms / 1000 or MEMBER_TIMEOUT_S)
         error: BramleycrankError = NoQuorum("no leader is known")
+        outcome = Outcome.NOT_RUN
         while (left := deadline - loop.time()) > 0:
             try:
                 with self._counted():
                     return await self._once(method, request, local, left)
-            except (NotLeader, NoQuorum) as exc:
-                if request.forwarded:
+            except BramleycrankError as exc:
+                # An earlier attempt may have run, whatever the last one says.
+                if exc.outcome is Outcome.UNKNOWN:
+                    outcome = Outcome.UNKNOWN
+                error, exc.outcome = exc, outcome
+                if request.forwarded or not isinstance(exc, NotLeader | NoQuorum):
                     raise
-                error = exc
             await asyncio.sleep(min(RETRY_PAUSE_S, left))
         raise error
 
@@ -347,15 +355,23 @@
     ) -> operator_pb2.MembershipReply:
         address = self._consensus.leader_address()
         if address in ("", self._own.address):
-            raise NoQuorum("no leader is known")
+            raise NoQuorum("no leader is known", outcome=Outcome.NOT_RUN)
         forwarded = operator_pb2.MemberRequest(
             address=request.address,
             node_id=request.node_id,
             timeout_ms=max(1, int(timeout_s * 1000)),
             forwarded=True,
         )
+        stub = self._clients.operator_stub(address)
+        call = asyncio.ensure_future(getattr(stub, method)(forwarded, timeout=timeout_s))
         try:
-            stub = self._clients.operator_stub(address)
-            return await getattr(stub, method)(forwarded, timeout=timeout_s)
+            while not (await asyncio.wait([call], timeout=LEADER_CHECK_S))[0]:
+                # A frozen leader would use up the whole time; a change may be sent again.
+                if self._consensus.leader_address() not in ("", address):
+                    raise NoQuorum("the leader changed before it answered")
+            return await call
         except PeerUnreachable as exc:
-            raise NoQuorum(f"the leader does not answer: {exc}") from exc
+            text = f"the leader does not answer: {exc}"
+            raise NoQuorum(text, outcome=exc.outcome) from exc
+        finally:
+            call.cancel()
--- a/tests/test_daemon_voter_changes.py
+++ b/tests/test_daemon_voter_changes.py
@@ -13,6 +13,7 @@
     LearnerNotCaughtUp,
     NotFound,
     NotLeader,
+    Outcome,
     PeerUnreachable,
 )
 from bramleycrank.proto import log_pb2, peer_pb2
@@ -157,6 +158,21 @@
     assert again == cluster.membership and len(cluster.changes) == 3
 
 
+@pytest.mark.parametrize("done", [1, 2])
+def test_change_that_ran_in_part_is_not_said_not_to_have_run(done):
+    # The learner is a member, or a voter beside the old one, although the last step was refused.
+    class PartlyRefusing(Cluster):
+        async def change_membership(self, change, timeout_s):
+            if len(self.changes) == done:
+                raise InvalidMembershipChange(outcome=Outcome.NOT_RUN)
+            return await super().change_membership(change, timeout_s)
+
+    cluster = PartlyRefusing(voters=(1, 2, 3))
+    with pytest.raises(InvalidMembershipChange) as caught:
+        cluster.run("replace", address(4), "vm3/disk", 5.0)
+    assert caught.value.outcome is Outcome.UNKNOWN and len(cluster.changes) == done
+
+
 @pytest.mark.parametrize(
     "voters, call, error",
     [
--- a/tests/test_operator_service.py
+++ b/tests/test_operator_service.py
@@ -14,6 +14,7 @@
     NoQuorum,
     NotFound,
     NotLeader,
+    Outcome,
     UnknownService,
     VersionConflict,
 )
@@ -201,6 +202,48 @@
         World().call("AddVoter", operator_pb2.MemberRequest(address="a", timeout_ms=300))
 
 
+def test_change_of_voters_moves_on_from_a_frozen_leader():
+    # One call to a leader that accepts connections and never answers used up the whole time.
+    world = World()
+
+    async def scenario(stub):
+        frozen = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        port = frozen.sockets[0].getsockname()[1]
+        world.consensus.leader_address = lambda: f"127.0.0.1:{port}"
+        request = operator_pb2.MemberRequest(node_id="n", timeout_ms=20_000)
+        call = asyncio.ensure_future(stub.RemoveVoter(request, timeout=21))
+        await asyncio.sleep(0.2)
+        assert not call.done()
+        world.consensus.leader_address = lambda: world.address
+        reply = await asyncio.wait_for(call, 5)
+        frozen.close()
+        return reply
+
+    assert world.run(scenario).membership == MEMBERS
+
+
+def test_change_of_voters_that_may_have_run_is_not_said_not_to_have_run():
+    # The first attempt may have been committed; only the last one is known to have been refused.
+    world = World()
+
+    async def scenario(stub):
+        frozen = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        port = frozen.sockets[0].getsockname()[1]
+        world.consensus.leader_address = lambda: f"127.0.0.1:{port}"
+        request = operator_pb2.MemberRequest(node_id="n", timeout_ms=1500)
+        call = asyncio.ensure_future(stub.RemoveVoter(request))
+        await asyncio.sleep(0.2)
+        world.voter_error = NotLeader()
+        world.consensus.is_leader = True
+        world.consensus.leader_address = lambda: world.address
+        frozen.close()
+        await call
+
+    with pytest.raises((NotLeader, NoQuorum)) as caught:
+        world.run(scenario)
+    assert caught.value.outcome is Outcome.UNKNOWN and world.calls
+
+
 def test_dump_of_this_vm_and_of_an_unknown_one():
     world = World()
     assert json.loads(world.call("Dump", operator_pb2.DumpRequest()).json) == {"a": 1}
