Try a service again that ran nothing while others fill the VM

Cause: a request that has to queue must fit the p95 of its service's own times. Only a run adds to these times, so a service whose p95 had passed its deadlines (a stall of its targets is enough) was refused with DeadlineUnreachable for as long as other services kept the VM full.

Ruled out: dropping the check for every service that runs nothing at the moment. Under overload most services run nothing at some time, and requests admitted too late would use up places without an answer in time.

Now a service that had no run for 1 s is judged by the wait alone, so it gets one probe a second at most while its times stay bad.

Before: the new test fails (the request 2 s after the last run is refused). After: it passes, with the other tests of admission.

--- a/bramleycrank/query/admission.py
+++ b/bramleycrank/query/admission.py
@@ -29,6 +29,13 @@
 for them would be lost.
 """
 
+PROBE_S = 1.0
+"""Time without a run after which a service is not judged by its earlier times.
+
+Only a run can show that the service has become fast again. While other services filled the VM, one
+whose times were above its deadlines was refused for as long as the load lasted.
+"""
+
 _WINDOW = 512  # samples after which older ones count half
 
 _RETRY_MIN_MS, _RETRY_MAX_MS = 20, 10_000
@@ -59,6 +66,7 @@
         self._by_service: Counter[str] = Counter()
         self._service_time = LatencyEstimate(window=_WINDOW)
         self._own_times: dict[str, LatencyEstimate] = {}
+        self._ran_at: dict[str, float] = {}
         self._next_check: float | None = None
         self._refusals: Counter[str] = Counter()
 
@@ -152,7 +160,13 @@
         return turns * median
 
     def _in_time(self, ticket: Ticket, wait_s: float, now: float) -> bool:
-        return now + wait_s + self._needed(ticket, QUEUED_QUANTILE) <= ticket.deadline
+        needed_s = 0.0 if self._is_unused(ticket, now) else self._needed(ticket, QUEUED_QUANTILE)
+        return now + wait_s + needed_s <= ticket.deadline
+
+    def _is_unused(self, ticket: Ticket, now: float) -> bool:
+        if self._by_service[ticket.service]:
+            return False
+        return now - self._ran_at.get(ticket.service, now) > PROBE_S
 
     def release(
         self, ticket: Ticket, latency_s: float, overloaded: bool, now: float
@@ -167,6 +181,7 @@
             self.limit.on_end(latency_s, overloaded, len(self._running), now)
             self._service_time.record(latency_s)
             self._own_times.setdefault(ticket.service, LatencyEstimate(_WINDOW)).record(latency_s)
+            self._ran_at[ticket.service] = now
         self._running.remove(ticket)
         ticket.state = "done"
         self._by_service[ticket.service] -= 1
--- a/tests/test_query_admission.py
+++ b/tests/test_query_admission.py
@@ -16,7 +16,7 @@
 from bramleycrank.exceptions import Outcome
 from bramleycrank.query.admission import RECHECK_S, WEIGHTS, Admission
 from bramleycrank.query.limit import MIN_LIMIT, AdaptiveLimit
-from bramleycrank.query.types import CLASSES, Admit, Ticket
+from bramleycrank.query.types import CLASSES, Admit, Refuse, Ticket
 
 QUEUE_LIMIT = 6
 LIMITS = {"archivio": (0, 0), "preventivi": (2, 0), "fonderia": (0, 2)}
@@ -208,3 +208,23 @@
     assert admission.offer(other := Ticket(0, "fonderia", "normal", 1.0), 0.0) == [Admit(other)]
     admission.release(probe, 0.01, False, 0.0)
     assert admission.offer(third := Ticket(0, "archivio", "normal", 1.0), 0.0) == [Admit(third)]
+
+
+def test_a_service_that_was_slow_is_tried_again_while_others_fill_the_vm() -> None:
+    """Guards against a service locked out while the VM is full, since only a run clears its times.
+
+    The times must still hold back a request that has to queue shortly after another one ran.
+    """
+    admission = Admission(AdaptiveLimit(1, 1), 10)
+    for service, latency_s in (("archivio", 5.0), ("fonderia", 0.01)) * 20:
+        ticket = Ticket(0, service, "normal", 1e9)
+        admission.offer(ticket, 0.0)
+        admission.release(ticket, latency_s, False, 0.0)
+    holder = Ticket(0, "fonderia", "normal", 1e9)
+    assert admission.offer(holder, 0.1) == [Admit(holder)]
+    [refusal] = admission.offer(Ticket(0, "archivio", "normal", 1.1), 0.1)
+    assert isinstance(refusal, Refuse)
+    probe = Ticket(0, "archivio", "normal", 3.0)
+    assert admission.offer(probe, 2.0) == []
+    assert admission.tick(2.05) == []
+    assert admission.release(holder, 0.01, False, 2.1) == [Admit(probe)]
