Answer what a stop has to cancel with a typed error

Cause: when the drain limit had passed, the stop cancelled the requests left. The HTTP interface took the cancellation for a caller that had gone and ended the response without a body and with status 200.

Ruled out: the cancellation by the caller, which cancels the outer task and still needs no answer.

Now such a request ends with Draining, whose outcome is settled like that of every other error: unknown once something was dispatched.

Before: the new test fails with CancelledError out of execute. After: it passes, with the other tests of the controller.

--- a/bramleycrank/daemon/query_controller.py
+++ b/bramleycrank/daemon/query_controller.py
@@ -161,6 +161,10 @@
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
+            if task.cancelled():  # by `stop`; the caller is still there
+                error = Draining(retry_after_ms=DRAIN_RETRY_MS)
+                settle_outcome(ctx, error)
+                raise error from None
             if ctx.idempotent or not ctx.dispatched:
                 task.cancel()
             raise
--- a/tests/test_query_controller.py
+++ b/tests/test_query_controller.py
@@ -280,6 +280,21 @@
     run_with(scenario)
 
 
+def test_a_stop_gives_what_is_left_in_flight_a_typed_error() -> None:
+    """Guards against callers that take the empty end of a cut request for an answer."""
+
+    async def scenario(system: System) -> None:
+        system.sessions.on_send = None
+        tasks = [asyncio.ensure_future(run()) for run in (system.execute, system.order)]
+        await asyncio.sleep(0.1)
+        assert not await system.controller.drain(0.1)
+        await system.controller.stop()
+        for error in await asyncio.wait_for(asyncio.gather(*tasks), 1.0):
+            assert (type(error), error.outcome) == (Draining, Outcome.UNKNOWN)
+
+    run_with(scenario)
+
+
 def test_without_targets_the_order_is_not_run_and_its_claim_abandoned() -> None:
     async def scenario(system: System) -> None:
         system.targets.records = []
