End a persistent connection after errors too while a VM is not ready

Cause: only answers ended the connection. A caller that got a refusal, such as Draining itself, kept its connection to the VM that stops, sent the next request on it, and could be cut off at the exit.

Before: the new test fails for refusals and unexpected failures. After: it passes for answers, refusals and failures, and the connection stays open while the VM is ready.

--- a/bramleycrank/transport/http_api.py
+++ b/bramleycrank/transport/http_api.py
@@ -185,8 +185,6 @@
         try:
             req = parse_request(request.content.read())
             answer = await self._executor.execute(req)
-            if self._readyz():
-                _end_connection(request)
             return _write_json(request, answer.as_dict())
         except BramleycrankError as exc:
             return _write_error(request, exc)
@@ -195,6 +193,9 @@
         except Exception:
             log.exception("http: a request failed unexpectedly")
             return _write_error(request, InternalError())
+        finally:
+            if self._readyz():
+                _end_connection(request)
 
     @app.route("/healthz", methods=["GET"])
     def health(self, request: IRequest) -> bytes:
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -245,6 +245,21 @@
     run_with(scenario)
 
 
+@pytest.mark.parametrize("query", ["crack", "refuse", "break"])
+def test_a_connection_ends_with_its_answer_while_the_vm_is_not_ready(query: str) -> None:
+    """Guards against callers that go on with a VM that stops, and are cut off at its exit."""
+
+    async def scenario(server: Server) -> None:
+        for server.reason, closed in (("", False), ("draining", True)):
+            channel, transport = server.connect()
+            channel.dataReceived(post({**GOOD, "query": query}))
+            await asyncio.sleep(0.001)
+            assert transport.disconnecting == closed
+            assert (b"connection: close" in transport.value().lower()) == closed
+
+    run_with(scenario)
+
+
 def test_the_other_paths() -> None:
     async def scenario(server: Server) -> None:
         assert (await server.send(get("/healthz")))[0] == 200
