Count opened and silent connections and targets found down

Operators saw these only in the log of each VM. The counters are connections.opened, connections.silent and connections.target_down; the session tests for a silent connection and a frozen target check them.

--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -248,7 +248,7 @@
         membership.subscribe_config_status(config.on_gossip)
         membership.subscribe_config_replies(config.on_gossip)
         config.subscribe(lambda: self._on_config(config))
-        sessions = SessionController.from_config(cfg, membership)
+        sessions = SessionController.from_config(cfg, membership, metrics)
         query = QueryController(
             vm_id=cfg.vm.id,
             domain=cfg.vm.domain,
--- a/bramleycrank/daemon/session_controller.py
+++ b/bramleycrank/daemon/session_controller.py
@@ -13,6 +13,7 @@
 from bramleycrank.connections import ConnectionBudget, ConnectionConfig, ReconnectBudget
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.daemon.target_link import LinkContext, Listener, TargetLink
+from bramleycrank.observability.metrics import Metrics, NullMetrics
 from bramleycrank.proto.target_pb2 import LoadReport, SubRequest, TargetRecord
 from bramleycrank.query.types import FailureReason
 
@@ -49,6 +50,8 @@
         Options.
     membership : MembershipController
         Source of targets and of the number of VMs.
+    metrics : Metrics, optional
+        Receiver of metrics.
     rng : random.Random, optional
         Source of jitter.
     clock : callable, optional
@@ -61,6 +64,7 @@
         cfg: ConnectionConfig,
         membership: MembershipController,
         *,
+        metrics: Metrics | None = None,
         rng: Random | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -78,6 +82,7 @@
             on_down=self._on_down,
             on_load=self._on_load,
             on_leaving=self._on_leaving,
+            metrics=metrics or NullMetrics(),
         )
         self._links: dict[str, TargetLink] = {}
         self._retiring: set[TargetLink] = set()
@@ -88,7 +93,9 @@
         self._task: asyncio.Task[None] | None = None
 
     @classmethod
-    def from_config(cls, cfg: _Settings, membership: MembershipController) -> SessionController:
+    def from_config(
+        cls, cfg: _Settings, membership: MembershipController, metrics: Metrics | None = None
+    ) -> SessionController:
         """Return a controller with the options of the settings."""
         options = cfg.connections
         return cls(
@@ -100,6 +107,7 @@
                 reconnect_burst=options.reconnect_burst,
             ),
             membership,
+            metrics=metrics,
         )
 
     async def start(self) -> None:
--- a/bramleycrank/daemon/target_link.py
+++ b/bramleycrank/daemon/target_link.py
@@ -22,6 +22,7 @@
     TargetDown,
     TargetUp,
 )
+from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto.target_pb2 import (
     SUB_STATUS_LEAVING,
     LoadReport,
@@ -70,6 +71,7 @@
     on_down: Callable[[str, bool], None]
     on_load: Callable[[str, LoadReport], None]
     on_leaving: Callable[[str, int], None]
+    metrics: Metrics
 
 
 @attrs.define
@@ -237,6 +239,7 @@
 
     def on_open(self, session: TargetSession) -> None:
         """Note that the target answered on a new connection."""
+        self._context.metrics.incr("connections.opened")
         self._execute(self.monitor.on_open(session.conn_id, self._clock()))
 
     def on_sent(self, session: TargetSession, requests: list[SubRequest]) -> None:
@@ -358,7 +361,10 @@
         session = self._sessions.pop(conn_id)
         log.info("sessions: connection %d to %s closed: %s", conn_id, self.target_id, reason)
         self._closing.add(session)
-        session.close(abort=reason is CloseReason.SILENT)
+        silent = reason is CloseReason.SILENT
+        if silent:
+            self._context.metrics.incr("connections.silent")
+        session.close(abort=silent)
 
     def _on_down(self) -> None:
         """Report reads in flight as failed, so that they run elsewhere.
@@ -366,6 +372,7 @@
         A non-idempotent request (one with a key) waits on: the target may only be frozen, and its
         reply is the only way to learn the outcome.
         """
+        self._context.metrics.incr("connections.target_down")
         self._report(True)
         for sub_id, sub in list(self._subs.items()):
             if not sub.request.request_key:
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -61,6 +61,21 @@
         "`unmatched_replies`: replies and failures that no open sub-request waited for.",
     ),
     _counter("query.late_replies", "sub-requests", "Replies that came after the answer was given."),
+    _counter(
+        "connections.opened",
+        "connections",
+        "Connections to targets that opened and were answered on.",
+    ),
+    _counter(
+        "connections.silent",
+        "connections",
+        "Connections closed as silent: a ping on them had no answer in time.",
+    ),
+    _counter(
+        "connections.target_down",
+        "changes",
+        "Times that a target was found down, because it answered on no connection.",
+    ),
     _gauge("config.revision", "revision", "Configuration revision in force."),
     _gauge("config.stale", "ms", "Age of the last confirmation by the leader; 0 while current."),
     _gauge("membership.vms", "VMs", "VMs known as alive."),
--- a/tests/test_session_controller.py
+++ b/tests/test_session_controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from types import SimpleNamespace
 
 import attrs
@@ -11,6 +12,7 @@
 
 from bramleycrank.connections import ConnectionConfig
 from bramleycrank.daemon.session_controller import SessionController
+from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.proto import target_pb2 as pb
 from bramleycrank.proto.target_grpc import TargetBase
 
@@ -102,6 +104,16 @@
         self.failures[sub_id] = str(reason)
 
 
+class Counts(NullMetrics):
+    """Keeps the counters."""
+
+    def __init__(self):
+        self.total = Counter()
+
+    def incr(self, name, count=1):
+        self.total[name] += count
+
+
 async def until(condition, limit_s=3.0):
     """Wait for a condition and return the time it took in seconds."""
     started = time.monotonic()
@@ -124,12 +136,14 @@
         )
         membership = FakeMembership(record)
         cfg = ConnectionConfig(join_s=0.0, **options)
-        sessions = SessionController("vm-0", cfg, membership)
+        counts = Counts()
+        sessions = SessionController("vm-0", cfg, membership, metrics=counts)
         await sessions.start()
         await until(lambda: sessions.is_connected("t"))
         env = SimpleNamespace(
             target=target, membership=membership, sessions=sessions, log=Recorder(), down=[]
         )
+        env.counts = counts
         sessions.subscribe_down(lambda target_id, down: env.down.append(down))
         env.send = lambda **fields: send(env, **fields)
         try:
@@ -211,6 +225,7 @@
         env.send()
         await until(lambda: env.log.replies)
         assert env.down == [] and env.target.peak == 2
+        assert env.counts.total == {"connections.opened": 2, "connections.silent": 1}
         await until(lambda: env.target.open == 1)
         assert not set(lost) & set(env.target.received), "nothing is sent twice by itself"
 
@@ -241,6 +256,7 @@
         read, write = env.send(), env.send(request_key="k")
         await until(lambda: env.down == [True])
         assert env.log.failures == {read: "target_down"}
+        assert env.counts.total == {"connections.opened": 1, "connections.target_down": 1}
         late = env.send()
         assert env.log.failures[late] == "not_sent"
         env.target.frozen.set()
