Serve no caller from the configuration file, and survive failures of subscribers

Three faults of the configuration controller:

- Lookups answered from the image in the data folder before it was in force.
A VM that was away for long served callers by its old revision until it reached the leader, for up to 10 s, although it was not ready.
It now refuses them with ConfigurationUnavailable until a configuration is in force.
- An exception of a subscriber reached the consensus core when the revision came from the own log, and the core never runs again after one.
It is logged now.
- An exception in a tick ended all ticks, so a VM that heard nothing no longer asked the leader.
The next tick is now set in every case.

Ruled out: catching all exceptions in the consensus runner, because a failure of the files must stop the core.

Before: the three new tests failed. After: tests/test_daemon_config_controller.py passes.

--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -38,6 +38,9 @@
 PUSH_TIMEOUT_S = 1.0
 MIN_TICK_S = 0.02
 
+# A tick that failed may fail each time; its traceback must not fill the log.
+FAILED_TICK_S = 1.0
+
 # VMs that the leader tells of a new revision at once; gossip reaches the others.
 PUSH_FANOUT = 8
 
@@ -132,12 +135,13 @@
         UnknownService
             No service has this name.
         """
-        service = self._follower.config.services.get(name)
-        if service is not None:
-            return service
         if not self._follower.is_ready:
+            # What the data folder held may be long out of date.
             raise ConfigurationUnavailable()
-        raise UnknownService(f"no service is named {name[:100]!r}")
+        service = self._follower.config.services.get(name)
+        if service is None:
+            raise UnknownService(f"no service is named {name[:100]!r}")
+        return service
 
     def services(self) -> list[log_pb2.ServiceConfig]:
         """Return all services by name."""
@@ -263,10 +267,13 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
-        self._execute(self._follower.tick(now))
-        self._timer = self._loop.call_at(
-            max(self._follower.next_deadline(), now + 0.02), self._tick
-        )
+        try:
+            self._execute(self._follower.tick(now))
+            due = max(self._follower.next_deadline(), now + MIN_TICK_S)
+        except Exception:
+            log.exception("config: tick failed")
+            due = now + FAILED_TICK_S
+        self._timer = self._loop.call_at(due, self._tick)
 
     def _execute(self, actions: Sequence[object]) -> None:
         for action in actions:
@@ -283,7 +290,11 @@
         if self._cache is not None:
             self._save()
         for callback in self._callbacks:
-            callback()
+            try:
+                callback()
+            except Exception:
+                # A change of the log may have led here, and its core stops after an exception.
+                log.exception("config: a subscriber failed")
 
     def _save(self) -> None:
         """Write the configuration to the data folder; the VM serves on if that fails."""
--- a/tests/test_daemon_config_controller.py
+++ b/tests/test_daemon_config_controller.py
@@ -21,7 +21,8 @@
 class World:
     """A voter with a real state; stands for the consensus, the peers, the clients and the cache."""
 
-    def __init__(self, peers=20):
+    def __init__(self, peers=20, cached=None):
+        self.cached = cached
         self.state = ReplicatedState()
         self.confirmed = False
         self.is_leader = False
@@ -57,7 +58,7 @@
 
     # Cache.
     def load(self):
-        return None
+        return self.cached
 
     def save(self, image):
         if self.disk_fails:
@@ -89,9 +90,9 @@
         self.apply(log_pb2.Command(change=log_pb2.Change(change_id=name, put_service=service)))
 
 
-def run(scenario):
+def run(scenario, **world_args):
     async def body():
-        world = World()
+        world = World(**world_args)
         await world.controller.start()
         try:
             await scenario(world, world.controller)
@@ -145,6 +146,55 @@
     run(scenario)
 
 
+def test_cached_configuration_serves_nobody_before_it_is_in_force():
+    # A VM that was away for long would answer by what the file held, although it hears the leader.
+    async def scenario(world, controller):
+        with pytest.raises(ConfigurationUnavailable):
+            controller.service("a")
+        world.confirmed = True
+        for name in "ab":
+            world.put(name)
+        assert controller.revision == 2
+        assert [controller.service(name).version for name in "ab"] == [1, 2]
+
+    cached = log_pb2.ConfigImage(revision=1, services=[log_pb2.ServiceConfig(name="a", version=1)])
+    run(scenario, cached=cached)
+
+
+def test_subscriber_that_fails_stops_neither_the_others_nor_the_ticks():
+    # The failure reached the consensus core, which then stopped for good, or ended the ticks.
+    async def scenario(world, controller):
+        def fail():
+            raise ValueError("subscriber")
+
+        told = []
+        controller.subscribe(fail)
+        controller.subscribe(lambda: told.append(controller.revision))
+        world.confirmed = True
+        world.put("a")
+        assert told == world.saved == [1]
+        await asyncio.wait_for(controller.wait_in_force(), 1.0)
+
+    run(scenario)
+
+
+def test_tick_that_fails_is_not_the_last_one(monkeypatch):
+    # Without ticks a VM that hears nothing never asks the leader, and its age only grows.
+    async def scenario(world, controller):
+        ticks = []
+
+        def tick(now):
+            ticks.append(now)
+            raise ValueError("tick")
+
+        monkeypatch.setattr(controller._follower, "tick", tick)
+        async with asyncio.timeout(3):
+            while len(ticks) < 2:
+                await asyncio.sleep(0.01)
+
+    run(scenario)
+
+
 def test_every_revision_in_force_is_saved_and_told():
     async def scenario(world, controller):
         told = []
