Finish requests when a VM is stopped while it joins

A VM joins until a configuration is in force and its sessions stand, the latter for up to 3 s. In this time it listens and serves what reaches it, for example when it restarted faster than the load balancer checks. SIGTERM then went straight to closing, which cancelled requests in flight and lost the completions of claims. It now goes through the same steps as a stop of a ready VM, without the notice.

Ruled out: refusing requests while joining, because that turns a quick restart into errors. The test of a stop without a configuration asserted that nothing is waited for; that encoded the fault. It now asserts that the stop ends within 1 s with a notice of 60 s, and a new test that requests hold up the stop.

Before: the new test failed. After: tests/test_daemon_life_cycle.py passes.

--- a/bramleycrank/daemon/life_cycle.py
+++ b/bramleycrank/daemon/life_cycle.py
@@ -109,7 +109,7 @@
     move("drained", Inputs.resume, "serving", LifeCycle._end_operator_drain)
     move("serving", Inputs.stop, "draining", LifeCycle._begin_stop)
     move("drained", Inputs.stop, "draining", LifeCycle._begin_stop)
-    move("joining", Inputs.stop, "stopping", LifeCycle._begin_close)
+    move("joining", Inputs.stop, "draining", LifeCycle._begin_stop_unannounced)
     move("starting", Inputs.stop, "stopping", LifeCycle._begin_close)
     move("draining", Inputs.drained, "stopping", LifeCycle._begin_close)
     move("stopping", Inputs.closed, "stopped")
@@ -246,11 +246,15 @@
         self._steps.set_draining(False)
 
     def _begin_stop(self) -> None:
-        self._spawn(self._drain())
+        self._spawn(self._drain(self._drain_notice_s))
 
-    async def _drain(self) -> None:
+    def _begin_stop_unannounced(self) -> None:
+        """Stop a VM that was never ready: the load balancer needs no notice."""
+        self._spawn(self._drain(0.0))
+
+    async def _drain(self, notice_s: float) -> None:
         self._steps.set_draining(True)
-        await asyncio.sleep(self._drain_notice_s)
+        await asyncio.sleep(notice_s)
         await self._guard("stop of listening", self._steps.stop_listening())
         await self._guard(
             "wait for requests", self._steps.finish_requests(self._drain_limit_s), None
--- a/tests/test_daemon_life_cycle.py
+++ b/tests/test_daemon_life_cycle.py
@@ -39,10 +39,10 @@
             await asyncio.sleep(0.001)
 
 
-def run(scenario, **steps_args):
+def run(scenario, notice_s=0.02, **steps_args):
     async def body():
         steps = Steps(**steps_args)
-        life = LifeCycle(steps, drain_notice_s=0.02, drain_limit_s=1.0)
+        life = LifeCycle(steps, drain_notice_s=notice_s, drain_limit_s=1.0)
         await scenario(life, steps)
 
     asyncio.run(body())
@@ -120,15 +120,33 @@
     run(scenario, block=("join",))
 
 
-def test_stop_before_a_configuration_is_in_force_ends():
+def test_stop_while_joining_finishes_requests_without_notice():
+    # A configuration may be in force while the VM waits for sessions, and callers that the load
+    # balancer still sends after a quick restart are served. The notice is for a ready VM.
     async def scenario(life, steps):
         life.start()
         await until(lambda: "join" in steps.calls)
+        steps.calls.clear()
         life.stop()
+        await until(lambda: "finish_requests" in steps.calls)
+        await asyncio.sleep(0.05)
+        assert life.state == "draining" and "close" not in steps.calls
+        steps.release.set()
         await life.finished.wait()
-        assert "finish_requests" not in steps.calls
+        assert steps.calls == ["draining=True", *STOP]
 
-    run(scenario, block=("join",))
+    run(scenario, block=("join", "finish_requests"), notice_s=60)
+
+
+def test_stop_before_a_configuration_is_in_force_ends():
+    async def scenario(life, steps):
+        life.start()
+        await until(lambda: "join" in steps.calls)
+        life.stop()
+        await asyncio.wait_for(life.finished.wait(), 1.0)
+        assert steps.calls[-1] == "close"
+
+    run(scenario, block=("join",), notice_s=60)
 
 
 def test_failed_start_closes_and_reports_the_failure():
