Keep the state of a target that moves to another service

Cause: the replica table keeps one state per target id for all services. When a target came back in another service and that service was updated first, the update of the old one dropped the state. Work on the target was no longer counted, and each later update of the new service raised KeyError, so its targets stayed as they were; the dump raised it too.

Before: the new test fails with KeyError. After: it passes.

--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -47,7 +47,10 @@
         """Replace the usable targets of a service."""
         known = self._records.get(service)
         fresh = {record.target_id: record for record in records}
+        others = [held for name, held in self._records.items() if name != service]
         for target_id in (known or {}).keys() - fresh.keys():
+            if any(target_id in held for held in others):
+                continue  # it moved, and the other service was updated first
             self._targets.pop(target_id, None)
             self._gone.pop(target_id, None)
         for target_id, record in fresh.items():
--- a/tests/test_query_replicas.py
+++ b/tests/test_query_replicas.py
@@ -127,6 +127,18 @@
     assert chosen(table, 1.0) == {"t0": 300}
 
 
+def test_a_target_that_moves_to_another_service_stays_known_there() -> None:
+    """Guards against a service that is never updated again, and work that is not counted."""
+    table = table_of(2)
+    moved = record("t0", [(SNAP, 0)], incarnation=2)
+    table.update("preventivi", [moved], 1.0)
+    table.update(SERVICE, [record("t1", [(SNAP, 0)])], 2.0)
+    table.on_sent("t0", 2.0)
+    assert table.dump(2.0)["preventivi"]["t0"]["in_flight"] == 1
+    table.update("preventivi", [moved, record("t2", [(SNAP, 0)])], 3.0)
+    assert [t.target_id for t in table.replicas("preventivi", SNAP, 0)] == ["t0", "t2"]
+
+
 def test_a_leaving_target_gets_no_work_until_it_starts_anew() -> None:
     table = table_of(2)
     table.on_sent("t0", 1.0)
