Keep the wait of a resent proposal when the first caller gives up

A resend of a proposal waits on the future of the first attempt. The time-out of the first attempt cancelled that future, so the resend ended with CancelledError: its remote caller got no typed error, and one more attempt of the short deadline was lost. Both attempts have the same time limit, so this happened when the resend arrived just before the end of the first wait.

Ruled out: a future for each caller, because the core resolves a proposal id once. A wait that nobody awaits any more ends when the entry is committed or the leadership is lost.

Before: the new test failed with the resend cancelled.

--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -357,7 +357,9 @@
         self, future: asyncio.Future, timeout_s: float, error: type[BramleycrankError]
     ) -> object:
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            # Resends share the future, so the end of one caller's wait must not cancel it. The core
+            # ends it in any case, at the latest when it loses the leadership.
+            return await asyncio.wait_for(asyncio.shield(future), timeout_s)
         except TimeoutError:
             raise error(f"no answer of a quorum within {timeout_s:.1f} s") from None
 
--- /dev/null
+++ b/tests/test_daemon_consensus_controller.py
@@ -0,0 +1,39 @@
+"""Waiting for the log as the leader: callers that share a proposal do not disturb each other."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from bramleycrank.consensus import Role
+from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.daemon.identity import Identity
+from bramleycrank.exceptions import ProposalOutcomeUnknown
+from bramleycrank.proto import log_pb2
+
+
+def test_caller_that_gives_up_does_not_end_the_wait_of_a_resend():
+    # A resend of a proposal shares the future of the first attempt. The time-out of the first one
+    # cancelled it, and the resend ended without any typed error.
+    async def body():
+        result = asyncio.get_running_loop().create_future()
+        controller = ConsensusController(
+            Identity(vm_id="own", domain="a", host="127.0.0.1", port=1),
+            SimpleNamespace(leader_address=str),
+            None,
+            random.Random(1),
+        )
+        controller._runner = SimpleNamespace(
+            node=SimpleNamespace(role=Role.LEADER), failure=None, propose=lambda *_: result
+        )
+        first = asyncio.ensure_future(controller.propose_local("p", log_pb2.Command(), 0.05))
+        resend = asyncio.ensure_future(controller.propose_local("p", log_pb2.Command(), 5.0))
+        with pytest.raises(ProposalOutcomeUnknown):
+            await first
+        await asyncio.sleep(0.05)
+        assert not resend.done()
+        result.set_result(log_pb2.CommandResult(revision=7))
+        assert (await resend).revision == 7
+
+    asyncio.run(body())
