Say unknown for a configuration change that found no quorum

A change that reached no log ended with NoQuorum and the outcome not_run. The operator resends with the change id of a call whose answer was lost; that call may have been committed, so not_run was not proved for this change id.

Ruled out: telling first calls from resends, because only the operator knows which one it is. Sending the same change id again is safe in both cases.

Before: the new test failed with not_run. After: tests/test_operator_service.py passes.

--- a/bramleycrank/transport/operator_service.py
+++ b/bramleycrank/transport/operator_service.py
@@ -174,7 +174,13 @@
     async def _commit(self, change: log_pb2.Change, timeout_s: float) -> operator_pb2.ChangeReply:
         command = log_pb2.Command(change=change)
         with self._counted():
-            return reply_of(await self._consensus.propose(command, timeout_s))
+            try:
+                result = await self._consensus.propose(command, timeout_s)
+            except BramleycrankError as exc:
+                # An earlier call with the same change id may have been committed.
+                exc.outcome = Outcome.UNKNOWN
+                raise
+        return reply_of(result)
 
     @contextlib.contextmanager
     def _counted(self) -> Iterator[None]:
--- a/tests/test_operator_service.py
+++ b/tests/test_operator_service.py
@@ -33,7 +33,7 @@
         self.proposed = []
         self.results = [OK]
         self.calls = []
-        self.voter_error = None
+        self.error = self.voter_error = None
         self.consensus = SimpleNamespace(
             identity=Identity(vm_id="own", domain="a", host="127.0.0.1", port=1),
             membership=None,
@@ -57,6 +57,8 @@
 
     async def propose(self, command, timeout_s):
         self.proposed.append(command.change)
+        if self.error:
+            raise self.error
         return self.results.pop(0) if len(self.results) > 1 else self.results[0]
 
     async def voter_call(self, *args):
@@ -145,6 +147,15 @@
     assert getattr(caught.value, "current_version", 9) == 9
 
 
+def test_change_without_quorum_says_unknown():
+    # A resend cannot tell what became of the first attempt with the same change id.
+    world = World()
+    world.error = NoQuorum(outcome=Outcome.NOT_RUN)
+    with pytest.raises(NoQuorum) as caught:
+        world.call("ApplyChange", put())
+    assert caught.value.outcome is Outcome.UNKNOWN
+
+
 def test_drain_tries_again_with_the_current_version_and_another_change_id():
     # The same change id would get the first answer, the conflict, for ever.
     world = World()
