Let targets that are down take turns at the reconnect budget

Cause: the monitors are run in a fixed order, and each takes a token if one is there. With more attempts due than tokens the first links took them all, and the targets at the end were not tried again while the others stayed down.

Ruled out: the reserve for targets that are not down, which works as it should and leaves half of the bucket to them.

Before: the new test fails (40 targets down, 40 tokens/s: some have at most two attempts after 8 s).

--- a/bramleycrank/daemon/session_controller.py
+++ b/bramleycrank/daemon/session_controller.py
@@ -238,7 +238,11 @@
             now = self._clock()
             if turn % COUNT_TURNS == 0:
                 self._budget.on_count(self._membership.vm_count(), now)
-            for link in [*self._links.values(), *self._retiring]:
+            links = [*self._links.values(), *self._retiring]
+            # Each turn begins with another link: with a fixed order the first ones would take
+            # every reconnect of the budget while many targets are down.
+            start = turn % max(1, len(links))
+            for link in [*links[start:], *links[:start]]:
                 try:
                     link.tick(now)
                 except Exception:
--- a/tests/test_session_controller.py
+++ b/tests/test_session_controller.py
@@ -12,6 +12,7 @@
 
 from bramleycrank.connections import ConnectionConfig
 from bramleycrank.daemon.session_controller import SessionController
+from bramleycrank.daemon.target_link import TargetLink
 from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.proto import target_pb2 as pb
 from bramleycrank.proto.target_grpc import TargetBase
@@ -402,3 +403,31 @@
         assert not env.log.failures
 
     run(scenario, silence_min_s=5.0, silence_max_s=5.0)
+
+
+def test_targets_that_are_down_take_turns_at_the_reconnect_budget(monkeypatch):
+    """Guards against targets that are never tried again while many others are down."""
+    tries = Counter()
+    monkeypatch.setattr(
+        TargetLink,
+        "_open",
+        lambda link: (
+            tries.update([link.target_id]),
+            link._execute(link.monitor.on_open_failed(time.monotonic())),
+        ),
+    )
+
+    async def scenario():
+        records = [pb.TargetRecord(target_id=f"t{n}", connections=20) for n in range(40)]
+        membership = FakeMembership(records[0])
+        cfg = ConnectionConfig(
+            reconnects_per_s=40.0, reconnect_burst=4, retry_min_s=0.05, retry_max_s=0.1
+        )
+        sessions = SessionController("vm-0", cfg, membership)
+        await sessions.start()
+        for record in records[1:]:
+            membership.callback(record)
+        await until(lambda: min(tries[record.target_id] for record in records) > 2, 8.0)
+        await sessions.stop()
+
+    asyncio.run(scenario())
