Take failures inside grpclib as an unreachable VM, and go on completing claims

grpclib raises AttributeError for the use of a connection that it has closed and AssertionError for a stream that ends within a message; the sessions to targets already handle both. A unary call let them through untyped. The proposal router then gave up at once, and the background task that commits the completion of a claim ended: a resend never got the answer. Calls now raise PeerUnreachable, with not_run only while the message was not sent, and the completion is tried again after any failure.

Ruled out: catching every exception in unary calls, which would present programming errors as an unreachable VM. The exceptions are injected in the tests; they were not seen in a run of VMs.

Before: the seven new cases failed. After: tests/test_grpc_errors.py and tests/test_filters_claim.py pass.

--- a/bramleycrank/filters/claim.py
+++ b/bramleycrank/filters/claim.py
@@ -134,9 +134,13 @@
             try:
                 await self._proposer.propose(command, PROPOSE_TIMEOUT_S)
                 return
-            except BramleycrankError as exc:
+            except Exception as exc:
+                # A resend would never get its answer if an untyped error ended the attempts.
+                if not isinstance(exc, BramleycrankError):
+                    log.exception("query: a proposal failed unexpectedly")
                 if self._clock() + pause >= until:
-                    log.warning("query: the %s of a claim was not committed: %s", what, exc.name)
+                    name = type(exc).__name__
+                    log.warning("query: the %s of a claim was not committed: %s", what, name)
                     return
             await self._sleep(pause)
             pause = min(2 * pause, _LONGEST_PAUSE_S)
--- a/bramleycrank/transport/grpc_errors.py
+++ b/bramleycrank/transport/grpc_errors.py
@@ -42,6 +42,15 @@
 # Trailers share HTTP/2's 64 KiB limit for a header list; percent encoding can triple the length.
 MAX_MESSAGE_CHARS = 2000
 
+_CONNECTION_ERRORS = (
+    OSError,
+    TimeoutError,
+    StreamTerminatedError,
+    h2.exceptions.ProtocolError,
+    AssertionError,  # grpclib's answer to a stream that ends within a message
+    AttributeError,  # grpclib's answer to the use of a connection that it has closed
+)
+
 _STATUS_BY_HTTP = {
     400: Status.INVALID_ARGUMENT,
     404: Status.NOT_FOUND,
@@ -252,7 +261,7 @@
             reply = await stream.recv_message()
     except GRPCError as exc:
         raise decode_error(exc, trailers_of(stream)) from exc
-    except (OSError, TimeoutError, StreamTerminatedError, h2.exceptions.ProtocolError) as exc:
+    except _CONNECTION_ERRORS as exc:
         outcome = Outcome.UNKNOWN if written else Outcome.NOT_RUN
         text = f"{method.name}: {type(exc).__name__} {exc}".rstrip()
         raise PeerUnreachable(text, outcome=outcome) from exc
--- a/tests/query_fakes.py
+++ b/tests/query_fakes.py
@@ -165,7 +165,7 @@
 
     Each item of `faults` is taken by one proposal: ``no_quorum`` fails without effect,
     ``lost`` fails as unknown without effect, ``unknown`` fails as unknown after taking effect,
-    ``slow`` takes effect late.
+    ``slow`` takes effect late, ``broken`` fails with an untyped error.
     """
 
     def __init__(self) -> None:
@@ -183,6 +183,8 @@
             raise NoQuorum
         if fault == "lost":
             raise ProposalOutcomeUnknown
+        if fault == "broken":
+            raise ValueError("broken")
         result = self.apply(command)
         if fault == "unknown":
             raise ProposalOutcomeUnknown
--- a/tests/test_filters_claim.py
+++ b/tests/test_filters_claim.py
@@ -223,3 +223,13 @@
     assert commands == ["claim_open"], "the answer must not wait for the completion"
     assert result.result == "xxxxx"
     assert [claim["completed"] for claim in world.log.claims.values()] == [True]
+
+
+def test_completion_is_repeated_after_an_unexpected_failure() -> None:
+    """Guards against an answer that is lost to resends since one proposal failed untyped."""
+
+    def prepare(log: FakeLog) -> None:
+        log.faults.extend(["", "broken"])
+
+    _, world, _ = attempt_after(prepare)
+    assert [claim["completed"] for claim in world.log.claims.values()] == [True]
--- a/tests/test_grpc_errors.py
+++ b/tests/test_grpc_errors.py
@@ -1,6 +1,7 @@
 """Tests of typed errors across remote procedure calls, over a real server on loopback."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from grpclib.server import Server
@@ -9,7 +10,7 @@
 from bramleycrank.exceptions import Outcome
 from bramleycrank.proto import peer_pb2
 from bramleycrank.proto.peer_grpc import PeerBase
-from bramleycrank.transport.grpc_errors import unary
+from bramleycrank.transport.grpc_errors import call, unary
 from bramleycrank.transport.peer_client import PeerClients
 
 
@@ -108,3 +109,40 @@
         clients.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "step, outcome",
+    [
+        ("send_request", Outcome.NOT_RUN),
+        ("send_message", Outcome.UNKNOWN),
+        ("recv_message", Outcome.UNKNOWN),
+    ],
+)
+@pytest.mark.parametrize("error", [AttributeError, AssertionError])
+def test_failures_inside_grpclib_are_typed(step, outcome, error):
+    """Guards against a proposal or the completion of a claim that is not tried again.
+
+    grpclib raises these where a connection ends at the wrong moment, as when a leader restarts.
+    """
+
+    class Stream:
+        trailing_metadata = None
+
+        async def __aenter__(self):
+            return self
+
+        async def __aexit__(self, *_):
+            return None
+
+        def __getattr__(self, name):
+            async def method(*_, **__):
+                if name == step:
+                    raise error("connection")
+
+            return method
+
+    method = SimpleNamespace(name="Propose", open=lambda timeout: Stream())
+    with pytest.raises(exceptions.PeerUnreachable) as caught:
+        asyncio.run(call(method, None, timeout_s=1.0))
+    assert caught.value.outcome is outcome
