Learn no latency from requests that failed without overload

Cause: a request whose targets could not be reached ends in less than a millisecond, and its time entered the long-term median of the concurrency limit and the service times of admission. After an outage the usual latency was above twice that median, and the VM lowered its limit to the smallest one.

Ruled out: requests refused before dispatch, which taught nothing already, and partial answers, whose time is that of a reply.

Before: the new test fails; after 2 s of failures the limit falls from 32 to 4 and is still 4 after 5 s of good answers. After: it stays at 32 or above.

--- a/bramleycrank/filters/admit.py
+++ b/bramleycrank/filters/admit.py
@@ -8,7 +8,7 @@
 from bramleycrank.filters.timer import SharedTimer
 from bramleycrank.filters.types import Metrics, Next, RequestContext
 from bramleycrank.query.admission import Admission
-from bramleycrank.query.types import Admit, Answer, Refuse, Ticket
+from bramleycrank.query.types import Admit, Answer, Fail, Refuse, Ticket
 
 
 class AdmitFilter:
@@ -55,12 +55,18 @@
             self._waiting.pop(ticket, None)
 
     def _leave(self, ctx: RequestContext, ticket: Ticket) -> None:
-        """Release the place; only the execution's own time counts as latency."""
+        """Release the place; only the execution's own time counts as latency.
+
+        A request that failed without overload teaches nothing: failures at once, in an outage,
+        lowered the long-term median, and the usual latency after it looked like overload.
+        """
         now, execution = self._clock(), ctx.execution
         latency_s, overloaded = 0.0, False
         if execution is not None and execution.dispatched:
             latency_s = now - execution.started_at
             overloaded = execution.shed > 0 or now >= execution.deadline
+            if isinstance(ctx.outcome, Fail) and not overloaded:
+                latency_s = 0.0
         self._perform(self._admission.release(ticket, latency_s, overloaded, now))
 
     def _perform(self, actions: Iterable[Admit | Refuse]) -> None:
--- a/tests/test_query_controller.py
+++ b/tests/test_query_controller.py
@@ -326,6 +326,32 @@
     run_with(scenario)
 
 
+def test_requests_that_fail_at_once_do_not_lower_the_limit_afterwards() -> None:
+    """Guards against a VM that throttles itself after an outage of its targets has ended."""
+
+    async def scenario(system: System) -> None:
+        limits = []
+
+        async def load(seconds: float) -> None:
+            until = system.loop.time() + seconds
+            while system.loop.time() < until:
+                await asyncio.gather(*(system.execute() for _ in range(10)))
+                limits.append(system.controller.dump()["admission"]["limit"])
+                await asyncio.sleep(0.01)
+
+        await load(2.0)
+        before = min(limits)
+        system.sessions.on_send = lambda target_id, request, listener: system.loop.call_later(
+            0.0005, listener.on_failure, request.sub_id, FailureReason.NOT_SENT
+        )
+        await load(2.0)
+        system.sessions.on_send = system.behave
+        await load(5.0)
+        assert min(limits) >= before
+
+    run_with(scenario)
+
+
 def test_an_overloaded_vm_refuses_at_once_instead_of_letting_requests_wait() -> None:
     async def scenario(system: System) -> None:
         system.configuration.config.max_concurrency = 2
