--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -24,6 +24,7 @@
 from bramleycrank.membership.records import address_of
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_ALIVE,
+    VM_STATE_DEAD,
     VM_STATE_DRAINING,
     ConfigStatus,
     Gossip,
@@ -51,6 +52,13 @@
 # How long Leave waits until the other VMs acknowledged the record before it answers the target.
 LEAVE_WAIT_S = 0.5
 
+# How long operators see a dead VM as unreachable. Gossip forgets it after a minute, but a cut
+# between regions lasts longer, and "in force everywhere" must not pass over the VMs behind it.
+LIST_DEAD_S = 24 * 3600.0
+
+# Most VMs in that list.
+LIST_DEAD_MAX = 1024
+
 # What a target that announces too early waits before it tries again.
 JOIN_RETRY_MS = 500
 
@@ -104,6 +112,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._loop_task: asyncio.Task[None] | None = None
         self._draining = False
+        self._dead: dict[str, tuple[VmRecord, float]] = {}
 
     @classmethod
     def from_config(
@@ -154,8 +163,12 @@
         return self.core.live_vms(self._clock())
 
     def all_vms(self) -> list[VmRecord]:
-        """Return all known VMs, dead and left ones within their retention included."""
-        return self.core.all_vms()
+        """Return all known VMs; left ones for their retention, dead ones for `LIST_DEAD_S`."""
+        known = self.core.all_vms()
+        ids = {record.vm_id for record in known}
+        since = self._clock() - LIST_DEAD_S
+        dead = (record for record, at in self._dead.values() if at >= since)
+        return [*known, *(record for record in dead if record.vm_id not in ids)]
 
     def targets(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may get new work."""
@@ -289,9 +302,21 @@
                     _notify(self._target_callbacks, record)
                 case VmChanged(record=record):
                     log.info("membership: %s is now in state %d", record.vm_id, record.state)
+                    self._note_dead(record)
                     _notify(self._vm_callbacks, record)
         return tasks
 
+    def _note_dead(self, record: VmRecord) -> None:
+        # A VM at the address of a dead one replaces it.
+        address = address_of(record)
+        gone = [vm_id for vm_id, (rec, _) in self._dead.items() if address_of(rec) == address]
+        for vm_id in {record.vm_id, *gone} & self._dead.keys():
+            del self._dead[vm_id]
+        if record.state == VM_STATE_DEAD:
+            self._dead[record.vm_id] = (record, self._clock())
+            if len(self._dead) > LIST_DEAD_MAX:
+                del self._dead[next(iter(self._dead))]
+
     def _spawn(self, coro: Awaitable[None]) -> asyncio.Task[Any]:
         task = asyncio.ensure_future(coro)
         self._tasks.add(task)
--- a/bramleycrank/transport/operator_service.py
+++ b/bramleycrank/transport/operator_service.py
@@ -233,9 +233,12 @@
         stub = self._clients.operator_stub(format_address(record.host, record.port))
         try:
             request = operator_pb2.StatusRequest(local=True)
-            return await stub.Status(request, timeout=STATUS_TIMEOUT_S)
+            answer = await stub.Status(request, timeout=STATUS_TIMEOUT_S)
         except BramleycrankError:
             return None
+        # Another VM may have taken the address.
+        same = any(status.record.vm_id == record.vm_id for status in answer.vms)
+        return answer if same else None
 
     def _own_status(self) -> operator_pb2.VmStatus:
         return operator_pb2.VmStatus(
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -7,9 +7,9 @@
 from grpclib.client import Channel
 from grpclib.server import Server
 
-from bramleycrank.daemon.membership_controller import MembershipController
+from bramleycrank.daemon.membership_controller import LIST_DEAD_S, MembershipController
 from bramleycrank.exceptions import Draining, InvalidRequest
-from bramleycrank.membership import MembershipConfig
+from bramleycrank.membership import MembershipConfig, VmChanged
 from bramleycrank.proto import peer_pb2, target_pb2
 from bramleycrank.proto.peer_grpc import PeerBase
 from bramleycrank.proto.target_grpc import RegistryStub
@@ -162,3 +162,29 @@
             await controller.stop()
 
     asyncio.run(scenario())
+
+
+def test_vms_that_are_dead_for_long_are_still_listed():
+    """Guards against a status that drops the VMs of a domain that is cut off for minutes."""
+    now = [1000.0]
+    local = peer_pb2.VmRecord(vm_id="own", host="127.0.0.1", port=7000)
+    controller = MembershipController(FAST, local, [], PeerClients(), clock=lambda: now[0])
+
+    def tell(vm_id, state, port):
+        record = peer_pb2.VmRecord(vm_id=vm_id, state=state, host="127.0.0.1", port=port)
+        controller._execute([VmChanged(record)])
+
+    def listed():
+        return {record.vm_id for record in controller.all_vms()}
+
+    # The core has forgotten all of them.
+    for port, vm_id in enumerate(("cut", "back", "left", "replaced")):
+        tell(vm_id, peer_pb2.VM_STATE_DEAD, port)
+    assert listed() == {"own", "cut", "back", "left", "replaced"}
+    tell("back", peer_pb2.VM_STATE_ALIVE, 1)
+    tell("left", peer_pb2.VM_STATE_LEFT, 2)
+    tell("new", peer_pb2.VM_STATE_ALIVE, 3)
+    now[0] += LIST_DEAD_S - 1
+    assert listed() == {"own", "cut"}
+    now[0] += 2
+    assert listed() == {"own"}
--- a/tests/test_operator_service.py
+++ b/tests/test_operator_service.py
@@ -183,6 +183,19 @@
     assert reply.leader_revision == 4
 
 
+def test_status_does_not_take_a_vm_for_another_one_at_its_address():
+    # A VM that was replaced at the same address looked reachable, with the state of the new one.
+    world = World()
+
+    async def scenario(stub):
+        host, _, port = world.address.rpartition(":")
+        world.records.append(peer_pb2.VmRecord(vm_id="replaced", host=host, port=int(port)))
+        return await stub.Status(operator_pb2.StatusRequest())
+
+    shown = {vm.record.vm_id: vm.reachable for vm in world.run(scenario).vms}
+    assert shown == {"own": True, "replaced": False}
+
+
 def test_change_of_voters_is_repeated_when_the_leader_moves():
     world = World()
     world.consensus.is_leader = True
