Find silent connections whose requests are cancelled early

Cause: a check starts after a silence with requests in flight. Where hedges on other targets always win, the requests on a silent connection are cancelled after tens of milliseconds, nothing stays in flight, and only the idle ping after 5 s found the connection. Meanwhile each query spent a hedge on it, and the lost races ejected a target that was well.

Ruled out: starting a check in this case. A check holds new work, and a slow target with a working connection would be held up again and again.

Now a connection with a request that was cancelled before any message came is pinged after the same silence; a check follows only if the ping has no answer.

Before: the new test finds no second connection within 0.6 s. After: it passes; a second test shows that a slow target gets no check by this.

--- a/bramleycrank/connections/monitor.py
+++ b/bramleycrank/connections/monitor.py
@@ -35,6 +35,7 @@
     last_bytes: float
     in_flight: int = 0
     waiting_since: float = 0.0
+    unanswered_since: float | None = None  # first request after the last message
     ping_id: int = 0
     pinged_at: float = 0.0
 
@@ -138,6 +139,8 @@
         if conn is not None:
             if conn.in_flight == 0:
                 conn.waiting_since = now
+            if conn.unanswered_since is None:
+                conn.unanswered_since = now
                 self._wake_at = min(self._wake_at, now + self.silence_s)
             conn.in_flight += count
         return []
@@ -158,6 +161,7 @@
         if conn is None:
             return []
         conn.last_bytes = now
+        conn.unanswered_since = None
         conn.ping_id = 0
         if self._check is None or self._check.conn_id != conn_id:
             return []
@@ -229,10 +233,21 @@
             return []
         if self._is_quiet(conn, now):
             return self._start_check(conn_id, now, ping=conn)
-        if now - conn.last_bytes >= self._cfg.idle_ping_s:
+        if now >= self._ping_due(conn):
             return [self._ping(conn_id, conn, now)]
         return []
 
+    def _ping_due(self, conn: _Conn) -> float:
+        """Return when to ping a connection without requests in flight.
+
+        It is not the idle time if requests were cancelled before any answer: where hedges on other
+        targets always win, nothing stays in flight for long enough to start a check.
+        """
+        idle_at = conn.last_bytes + self._cfg.idle_ping_s
+        if conn.unanswered_since is None:
+            return idle_at
+        return min(idle_at, conn.unanswered_since + self.silence_s)
+
     def _is_quiet(self, conn: _Conn, now: float) -> bool:
         if not conn.in_flight:
             return False
@@ -328,7 +343,7 @@
         """Return when `tick` has something to do."""
         times = [now + self._cfg.idle_ping_s]
         for conn in self._conns.values():
-            times.append(conn.last_bytes + self._cfg.idle_ping_s)
+            times.append(self._ping_due(conn))
             if conn.in_flight:
                 times.append(max(conn.last_bytes, conn.waiting_since) + self.silence_s)
             if conn.ping_id:
--- a/tests/test_connections_monitor.py
+++ b/tests/test_connections_monitor.py
@@ -312,3 +312,38 @@
     assert slot_share(9, 3, same_domain=True) == 3
     assert slot_share(2, 0, same_domain=True) == 2
     assert slot_share(9, 3, same_domain=False) == 1
+
+
+def test_a_silent_connection_is_found_although_its_requests_are_cancelled_early():
+    """Guards against a target ejected for its silent connection, since hedges always win there."""
+    budget = ReconnectBudget.from_config(CFG, 0.0)
+    monitor = ConnectionMonitor("t", CFG, budget, lambda: 2, Random(1), 0.0)
+    monitor.tick(0.0)
+    monitor.on_open(1, 0.0)
+    actions, now = [], 0.0
+    while OpenConnection("t") not in actions:
+        now += TICK_S
+        assert now < CFG.silence_min_s + 1.5 * CFG.ping_grace_s + 4 * TICK_S
+        monitor.on_sent(1, now)
+        monitor.on_done(1, now + 0.02)
+        actions += monitor.tick(now + 0.02)
+    assert actions == [SendPing(1, 1), OpenConnection("t")]
+
+
+def test_a_connection_whose_requests_are_cancelled_stays_ready_while_it_answers_pings():
+    """Guards against work that is held, and connections opened, for a target that is only slow."""
+    budget = ReconnectBudget.from_config(CFG, 0.0)
+    monitor = ConnectionMonitor("t", CFG, budget, lambda: 2, Random(1), 0.0)
+    monitor.tick(0.0)
+    monitor.on_open(1, 0.0)
+    pings = 0
+    for step in range(1, 200):
+        now = step * TICK_S
+        monitor.on_sent(1, now)
+        monitor.on_done(1, now + 0.02)
+        for action in monitor.tick(now + 0.02):
+            assert isinstance(action, SendPing)
+            pings += 1
+            monitor.on_pong(1, action.ping_id, now + 0.03)
+        assert monitor.ready_conn == 1
+    assert 0 < pings <= 200 * TICK_S / CFG.silence_min_s
