Connect to VMs at IPv6 addresses

Settings accept "[::1]:7070", and addresses of VMs are kept in this form, but the brackets were passed on to the socket call, where the name look-up failed. VMs with IPv6 addresses never found each other.

Ruled out: the form of the addresses themselves, since the split at the last colon needs the brackets to be unambiguous for readers. A run of whole daemons on IPv6 was not made.

Before: the new test failed with gaierror. After: tests/test_grpc_errors.py passes.

--- a/bramleycrank/transport/peer_client.py
+++ b/bramleycrank/transport/peer_client.py
@@ -124,7 +124,8 @@
         link = self._links.get(address)
         if link is None:
             host, _, port = address.rpartition(":")
-            link = self._links[address] = _Link(Channel(host, int(port)))
+            # IPv6 numbers stand in brackets in an address, and without them in a socket call.
+            link = self._links[address] = _Link(Channel(host.strip("[]"), int(port)))
         return link
 
     def _retire(self, address: str, link: _Link) -> None:
--- a/tests/test_grpc_errors.py
+++ b/tests/test_grpc_errors.py
@@ -87,6 +87,23 @@
     assert "ZeroDivisionError" in caplog.text
 
 
+def test_address_with_an_ipv6_number_is_reached():
+    """Guards against VMs whose settings pass the check and that never find each other."""
+
+    async def scenario():
+        server = Server([FailingPeer()])
+        await server.start("::1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        clients = PeerClients()
+        reply = await clients.stub(f"[::1]:{port}").Identity(peer_pb2.IdentityRequest())
+        assert reply.vm_id == "vm-1"
+        clients.close()
+        server.close()
+        await server.wait_closed()
+
+    asyncio.run(scenario())
+
+
 def test_outcome_tells_never_sent_from_unanswered():
     """Guards against a false "not run" for a request that was sent, and against hanging calls."""
 
