Pause before a VM is asked again on the word of another one

A proposal follows the address in a NotLeader answer at once. While no leader stands, two voters may name each other; a VM with a waiting proposal then called both as fast as they answered, for up to the whole deadline and just when they hold an election. A hint that was followed before now waits for the usual pause.

Ruled out: ignoring hints altogether, which would cost a random pause after each change of the leader.

Before: the new test failed, with more than 30 calls in 0.3 s. After: tests/test_daemon_proposal_router.py passes.

--- a/bramleycrank/daemon/proposal_router.py
+++ b/bramleycrank/daemon/proposal_router.py
@@ -58,6 +58,7 @@
     command: log_pb2.Command
     deadline: float
     hint: str = ""
+    hinted: set[str] = attrs.field(factory=set)
     may_be_logged: bool = False
     last_error: str = "no leader is known"
 
@@ -118,9 +119,11 @@
             result = await self._attempt(turn, min(left, ATTEMPT_S))
             if result is not None:
                 return result
-            if not turn.hint:
+            # VMs that name each other while no leader stands must not be asked without end.
+            if not turn.hint or turn.hint in turn.hinted:
                 pause = RETRY_PAUSE_S * (0.5 + 0.5 * self._rng.random())
                 await asyncio.sleep(min(pause, max(turn.deadline - loop.time(), 0)))
+            turn.hinted.add(turn.hint)
         raise self._final_error(turn, timeout_s)
 
     async def _attempt(self, turn: _Round, timeout_s: float) -> log_pb2.CommandResult | None:
--- a/tests/test_daemon_proposal_router.py
+++ b/tests/test_daemon_proposal_router.py
@@ -80,6 +80,16 @@
     assert [address for address, _ in cluster.calls] == ["a", "b"]
 
 
+def test_vms_that_name_each_other_are_not_asked_without_pause():
+    # While no leader stands, each may still take the other one for it; all VMs with a proposal
+    # would call both as fast as they answer.
+    a, b = NotLeader(leader_address="b"), NotLeader(leader_address="a")
+    cluster = Cluster("a", a=[a], b=[b])
+    with pytest.raises(NoQuorum):
+        cluster.propose()
+    assert 5 < len(cluster.calls) < 30
+
+
 def test_retries_keep_the_proposal_id():
     # Another id would let a second copy of a claim win against the first.
     cluster = Cluster("a", a=[LOST, UNRESOLVED, NOT_SENT, OK])
