Send the answers whole before a stop closes their connections

Cause: a request counts as ended when its answer is handed to the socket. The stop then waited 50 ms and exited, so a caller that reads slowly got a part of a large answer.

Ruled out: Twisted's own shutdown, which does not wait for buffers.

Now the site knows its connections, and the stop waits, at most 10 s, until those that end have sent everything. While a VM is not ready every answer ends its connection, so these are the ones to wait for.

Before: the new tests fail for want of the wait.

--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -27,7 +27,7 @@
 from bramleycrank.query.types import QueryConfig
 from bramleycrank.settings import Settings
 from bramleycrank.storage import ConfigCache
-from bramleycrank.transport.http_api import HttpApi
+from bramleycrank.transport.http_api import ApiSite, HttpApi
 from bramleycrank.transport.operator_service import OperatorService
 from bramleycrank.transport.peer_client import PeerClients
 from bramleycrank.transport.peer_service import PeerService
@@ -50,6 +50,9 @@
 # Answers that were written when the last request ended still have to leave the sockets.
 FLUSH_S = 0.05
 
+# Longest wait for callers that read their answers slowly; one that stopped reading ends it.
+FLUSH_LIMIT_S = 10.0
+
 
 @attrs.frozen
 class QueryMetrics:
@@ -99,6 +102,7 @@
         self._server: Server | None = None
         self._operator: OperatorService | None = None
         self._http_port: Any = None
+        self._site: ApiSite | None = None
         self._in_gossip = False
         self._gauge_timer: asyncio.TimerHandle | None = None
         self.life_cycle = LifeCycle(
@@ -187,6 +191,9 @@
         while self._operator.in_flight and loop.time() < deadline:
             await asyncio.sleep(0.02)
         await asyncio.sleep(FLUSH_S)
+        deadline = loop.time() + min(limit_s, FLUSH_LIMIT_S)
+        while self._site is not None and self._site.flushing and loop.time() < deadline:
+            await asyncio.sleep(0.02)
 
     async def transfer_leadership(self) -> None:
         """Hand the leadership over, if this VM leads."""
@@ -280,7 +287,7 @@
     def _listen_http(self, parts: Parts) -> None:
         from twisted.internet import reactor
 
-        site = HttpApi(parts.query, self.readiness, self.dump).site()
+        site = self._site = HttpApi(parts.query, self.readiness, self.dump).site()
         address = self._cfg.listen.http
         self._http_port = reactor.listenTCP(address.port, site, interface=address.host)
 
--- a/bramleycrank/transport/http_api.py
+++ b/bramleycrank/transport/http_api.py
@@ -13,6 +13,7 @@
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
+from twisted.web.http import HTTPChannel
 from twisted.web.iweb import IRequest
 from twisted.web.server import Request, Site
 from werkzeug.exceptions import HTTPException
@@ -142,6 +143,36 @@
     return Deferred.fromFuture(asyncio.ensure_future(coro))
 
 
+class ApiChannel(HTTPChannel):
+    """A connection that its site knows while it is open."""
+
+    def connectionMade(self) -> None:  # noqa: N802 - Twisted's name
+        """Add the connection to the site."""
+        super().connectionMade()
+        self.site.channels.add(self)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802 - Twisted's name
+        """Remove the connection from the site."""
+        self.site.channels.discard(self)
+        super().connectionLost(reason)
+
+
+class ApiSite(Site):
+    """The factory of the connections."""
+
+    protocol = ApiChannel
+    displayTracebacks = False  # noqa: N815 - Twisted's name
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.channels: set[ApiChannel] = set()
+
+    @property
+    def flushing(self) -> int:
+        """Number of connections that end but still have to send a part of their answer."""
+        return sum(bool(channel.transport.disconnecting) for channel in self.channels)
+
+
 class HttpApi:
     """The klein application.
 
@@ -164,16 +195,14 @@
         self._readyz = readyz
         self._dump = dump
 
-    def site(self, reactor: Any = None) -> Site:
+    def site(self, reactor: Any = None) -> ApiSite:
         """Return the factory to listen with; it limits bodies while it reads them."""
-        site = Site(
+        return ApiSite(
             self.app.resource(),
             requestFactory=LimitedRequest,
             timeout=IDLE_TIMEOUT_S,
             reactor=reactor,
         )
-        site.displayTracebacks = False
-        return site
 
     @app.route("/v1/query", methods=["POST"])
     def query(self, request: IRequest) -> Deferred[bytes]:
--- a/tests/test_daemon_node.py
+++ b/tests/test_daemon_node.py
@@ -48,3 +48,27 @@
         await asyncio.wait_for(node.join(), 1.0)
 
     asyncio.run(scenario())
+
+
+def test_stop_waits_for_answers_that_are_still_being_sent_for_a_bounded_time(monkeypatch):
+    # A caller that reads slowly would get a part of its answer; one that stopped reading must not
+    # hold the stop.
+    monkeypatch.setattr(node_module, "FLUSH_LIMIT_S", 0.5)
+
+    async def scenario():
+        async def drain(limit_s):
+            return True
+
+        node, _ = make_node(set())
+        node._parts.query = SimpleNamespace(drain=drain)
+        node._operator = SimpleNamespace(in_flight=0)
+        node._site = SimpleNamespace(flushing=1)
+        finishing = asyncio.ensure_future(node.finish_requests(10.0))
+        await asyncio.sleep(0.2)
+        assert not finishing.done()
+        node._site.flushing = 0
+        await asyncio.wait_for(finishing, 0.2)
+        node._site.flushing = 1
+        await asyncio.wait_for(node.finish_requests(10.0), 2.0)
+
+    asyncio.run(scenario())
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -260,6 +260,24 @@
     run_with(scenario)
 
 
+def test_an_answer_that_is_not_sent_yet_is_known_until_its_connection_ends() -> None:
+    """Guards against a stop that cuts the answers of callers that read slowly."""
+
+    async def scenario(server: Server) -> None:
+        idle, _ = server.connect()
+        channel, transport = server.connect()
+        server.reason = "draining"
+        channel.dataReceived(post(GOOD))
+        await asyncio.sleep(0.001)
+        assert transport.disconnecting and server.site.flushing == 1
+        channel.connectionLost(Failure(ConnectionDone()))
+        assert server.site.flushing == 0 and len(server.site.channels) == 1
+        idle.connectionLost(Failure(ConnectionDone()))
+        assert not server.site.channels
+
+    run_with(scenario)
+
+
 def test_the_other_paths() -> None:
     async def scenario(server: Server) -> None:
         assert (await server.send(get("/healthz")))[0] == 200
