Refuse a bootstrap that did not reach the disk

The runner handles a failing disk by stopping the core, and bootstrap returned as if nothing had happened: the operator was told that the cluster stands. The VM forgot the members with its next start. A resend was also taken for done, since the stopped core still held the members in memory. Both now raise StorageError.

Ruled out: unsafe votes by such a VM, because a node without members never votes.

Before: both new tests failed. After: tests/test_daemon_raft_runner.py, test_daemon_consensus_controller.py and test_daemon_voter_changes.py pass.

--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -298,11 +298,13 @@
             The log of this VM belongs to another cluster.
         InvalidMembershipChange
             The members are no valid first ones or lack this VM.
+        StorageError
+            The data folder failed.
         """
         if self._store is None or self._runner is None:
             raise InvalidMembershipChange(f"{self.identity.vm_id} may not vote")
-        node = self._runner.node
-        if node.membership.cluster_id == membership.cluster_id and membership.cluster_id:
+        known = self._runner.node.membership.cluster_id
+        if known and known == membership.cluster_id and not self._runner.failure:
             return  # A resend after a lost answer.
         self._runner.bootstrap(membership)
         log.info("consensus: bootstrapped cluster %s", membership.cluster_id)
--- a/bramleycrank/daemon/raft_runner.py
+++ b/bramleycrank/daemon/raft_runner.py
@@ -167,9 +167,20 @@
         return future
 
     def bootstrap(self, membership: log_pb2.Membership) -> None:
-        """Make the node a first voter of a new cluster; raises `AlreadyBootstrapped`."""
-        actions = self.node.bootstrap(membership, self._loop.time())
-        self._run(lambda now: actions)
+        """Make the node a first voter of a new cluster.
+
+        Raises
+        ------
+        AlreadyBootstrapped
+            The node has a log.
+        StorageError
+            The core stopped after a failure, now or earlier; nothing is promised.
+        """
+        if not self.failure:
+            actions = self.node.bootstrap(membership, self._loop.time())
+            self._run(lambda now: actions)
+        if self.failure:
+            raise StorageError(f"the consensus core is stopped: {self.failure}")
 
     def transfer_leadership(self) -> None:
         """Ask the most advanced follower to take over."""
--- a/tests/test_daemon_consensus_controller.py
+++ b/tests/test_daemon_consensus_controller.py
@@ -9,10 +9,27 @@
 from bramleycrank.consensus import Role
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.identity import Identity
-from bramleycrank.exceptions import ProposalOutcomeUnknown
+from bramleycrank.exceptions import ProposalOutcomeUnknown, StorageError
 from bramleycrank.proto import log_pb2
 
 
+def test_resent_bootstrap_is_refused_by_a_core_that_stopped():
+    # The core had taken over the members when its disk failed, and took the resend for done.
+    def bootstrap(membership):
+        raise StorageError("no space left")
+
+    controller = ConsensusController(
+        Identity(vm_id="own", domain="a", host="127.0.0.1", port=1), None, None, random.Random(1)
+    )
+    membership = log_pb2.Membership(cluster_id="c")
+    controller._store = SimpleNamespace()
+    controller._runner = SimpleNamespace(
+        node=SimpleNamespace(membership=membership), failure=OSError(), bootstrap=bootstrap
+    )
+    with pytest.raises(StorageError):
+        controller.on_bootstrap(membership)
+
+
 def test_caller_that_gives_up_does_not_end_the_wait_of_a_resend():
     # A resend of a proposal shares the future of the first attempt. The time-out of the first one
     # cancelled it, and the resend ended without any typed error.
--- a/tests/test_daemon_raft_runner.py
+++ b/tests/test_daemon_raft_runner.py
@@ -7,7 +7,7 @@
 
 from bramleycrank.consensus import types
 from bramleycrank.daemon.raft_runner import COMPACT_ENTRIES, RaftRunner
-from bramleycrank.exceptions import NoQuorum, ProposalOutcomeUnknown
+from bramleycrank.exceptions import NoQuorum, ProposalOutcomeUnknown, StorageError
 from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.proto import log_pb2
 from bramleycrank.state import ReplicatedState
@@ -107,6 +107,18 @@
     run(scenario)
 
 
+def test_bootstrap_that_reached_no_disk_is_not_acknowledged():
+    # The operator would take a VM for a voter that knows nothing of the cluster after a restart.
+    async def scenario(world):
+        world.disk_fails = True
+        world.node.bootstrap = lambda membership, now: [PERSIST]
+        for _ in range(2):
+            with pytest.raises(StorageError, match="no space left"):
+                world.runner.bootstrap(log_pb2.Membership())
+
+    run(scenario)
+
+
 def test_outcomes_reach_the_proposal_they_belong_to():
     async def scenario(world):
         futures = {name: world.runner.propose(name, log_pb2.Command()) for name in "abc"}
