--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -176,6 +176,9 @@
 
     def _send_snapshot(self, node_id: str, progress: Progress) -> bool:
         core = self._core
+        if core.now - progress.heard_at > core.cfg.election_timeout_s[1]:
+            # The image may be large; an empty append finds out whether the member answers again.
+            return False
         progress.snapshot_due = core.now + core.cfg.snapshot_retry_s
         req = InstallSnapshot(snapshot=core.log.snapshot, round=self.round)
         core.send(node_id, install_snapshot=req)
--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -494,6 +494,24 @@
     assert removal in cluster.oracle.acknowledged
 
 
+def test_a_member_that_does_not_answer_gets_no_snapshots(cluster):
+    """Guards against a leader that copies the whole image every few seconds for a dead member."""
+    silent = next(node for node in cluster.nodes.values() if node is not cluster.leader())
+    cluster.crash(silent)
+    for turn in range(3):
+        commands = [put(f"t{turn}-{i}", 0, f"t{turn}-{i}") for i in range(300)]
+        cluster.propose_all(cluster.leader(), commands)
+        cluster.run(5)
+        cluster.compact(cluster.leader())
+    sent = []
+    cluster.dropped = lambda msg: bool(sent.append(msg.WhichOneof("body")))
+    cluster.run(20)
+    assert "append_request" in sent and "install_snapshot" not in sent
+    cluster.restart(silent)
+    cluster.run(2)
+    assert silent.state.image() == cluster.leader().state.image()
+
+
 def test_a_membership_that_was_never_committed_is_rolled_back(cluster):
     """Guards against a node that counts majorities by a change that another leader undid."""
     leader = cluster.leader()
