Survive an unexpected failure beside the consensus core

A subscriber that raised while entries were applied stopped the consensus core for good, and one failed attempt to move the floor of the claims ended all later ones, so that claims were kept in memory without end. Both failures are logged now, and the work goes on.

Ruled out: catching exceptions in the runner, since a failure of the files must stop the core.

Before: both new tests failed. After: tests/test_daemon_consensus_controller.py passes.

--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -329,7 +329,11 @@
 
     def _notify(self) -> None:
         for callback in self._callbacks:
-            callback()
+            try:
+                callback()
+            except Exception:
+                # The runner calls this between actions and would stop the core for good.
+                log.exception("consensus: a subscriber failed")
 
     def _start_runner(self) -> None:
         durable = self._store.load()
@@ -375,11 +379,15 @@
         """Propose to drop old claims while this VM leads."""
         while True:
             await asyncio.sleep(FLOOR_PERIOD_S)
-            state = self.state
-            command = state.floor_proposal(int(time.time() * 1000)) if state else None
-            if command is None or not self.is_leader:
-                continue
             try:
-                await self.propose_local(uuid.uuid4().hex, command, FLOOR_PERIOD_S)
+                await self._propose_floor()
             except BramleycrankError as exc:
                 log.info("consensus: floor of claims not moved: %s", exc)
+            except Exception:
+                log.exception("consensus: floor of claims not moved")
+
+    async def _propose_floor(self) -> None:
+        state = self.state
+        command = state.floor_proposal(int(time.time() * 1000)) if state else None
+        if command is not None and self.is_leader:
+            await self.propose_local(uuid.uuid4().hex, command, FLOOR_PERIOD_S)
--- a/tests/test_daemon_consensus_controller.py
+++ b/tests/test_daemon_consensus_controller.py
@@ -7,20 +7,62 @@
 import pytest
 
 from bramleycrank.consensus import Role
+from bramleycrank.daemon import consensus_controller
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.identity import Identity
 from bramleycrank.exceptions import ProposalOutcomeUnknown, StorageError
 from bramleycrank.proto import log_pb2
 
 
+def member():
+    identity = Identity(vm_id="own", domain="a", host="127.0.0.1", port=1)
+    directory = SimpleNamespace(leader_address=str)
+    return ConsensusController(identity, directory, None, random.Random(1))
+
+
+def test_subscriber_that_fails_does_not_stop_the_core():
+    # The runner takes an exception while it executes actions for a failure of the core.
+    controller, told = member(), []
+
+    def fail():
+        raise ValueError("subscriber")
+
+    controller.subscribe(fail)
+    controller.subscribe(lambda: told.append(1))
+    controller.on_applied()
+    assert told == [1]
+
+
+def test_floor_of_claims_is_proposed_again_after_a_failure(monkeypatch):
+    # Without further proposals the claims of all coming days stay in memory.
+    monkeypatch.setattr(consensus_controller, "FLOOR_PERIOD_S", 0.01)
+    calls = []
+
+    def floor_proposal(now_ms):
+        calls.append(now_ms)
+        raise ValueError("floor")
+
+    async def body():
+        controller = member()
+        state = SimpleNamespace(floor_proposal=floor_proposal)
+        node = SimpleNamespace(membership=log_pb2.Membership(members=[log_pb2.Member()]))
+        controller._runner = SimpleNamespace(node=node, failure=None, state=state)
+        task = asyncio.ensure_future(controller._propose_floors())
+        async with asyncio.timeout(2):
+            while len(calls) < 2 and not task.done():
+                await asyncio.sleep(0.01)
+        assert not task.done()
+        task.cancel()
+
+    asyncio.run(body())
+
+
 def test_resent_bootstrap_is_refused_by_a_core_that_stopped():
     # The core had taken over the members when its disk failed, and took the resend for done.
     def bootstrap(membership):
         raise StorageError("no space left")
 
-    controller = ConsensusController(
-        Identity(vm_id="own", domain="a", host="127.0.0.1", port=1), None, None, random.Random(1)
-    )
+    controller = member()
     membership = log_pb2.Membership(cluster_id="c")
     controller._store = SimpleNamespace()
     controller._runner = SimpleNamespace(
@@ -35,12 +77,7 @@
     # cancelled it, and the resend ended without any typed error.
     async def body():
         result = asyncio.get_running_loop().create_future()
-        controller = ConsensusController(
-            Identity(vm_id="own", domain="a", host="127.0.0.1", port=1),
-            SimpleNamespace(leader_address=str),
-            None,
-            random.Random(1),
-        )
+        controller = member()
         controller._runner = SimpleNamespace(
             node=SimpleNamespace(role=Role.LEADER), failure=None, propose=lambda *_: result
         )
