Watch the connections of a leaving target while work is in flight

Cause: the monitor of a retired link was not run, so a connection that went silent then was never found, and its reads waited for their hedge or deadline.

Ruled out: a second connection to find out more. A leaving target gets no new ones; a slow target that answers the ping keeps its connection and its work.

Now an attempt to open one counts as failed: reads are given up and run elsewhere, a request with a key waits on, and nothing is reported as down.

After: the read ends within 1 s, and the write still gets its late reply.

--- a/bramleycrank/daemon/session_controller.py
+++ b/bramleycrank/daemon/session_controller.py
@@ -225,6 +225,8 @@
 
     def _on_down(self, target_id: str, down: bool) -> None:
         log.info("sessions: target %s is %s", target_id, "down" if down else "up")
+        if down:
+            self._context.metrics.incr("connections.target_down")
         for callback in self._down_callbacks:
             callback(target_id, down)
 
--- a/bramleycrank/daemon/target_link.py
+++ b/bramleycrank/daemon/target_link.py
@@ -312,7 +312,7 @@
 
     def tick(self, now: float) -> None:
         """Run the monitor, and end requests that wait too long."""
-        if not self._retired:
+        if self._subs or not self._retired:
             self._execute(self.monitor.tick(now))
         if now >= self._next_sweep:
             self._next_sweep = now + 0.25
@@ -351,6 +351,9 @@
             self._flush()
 
     def _open(self) -> None:
+        if self._retired:
+            # Without a new connection to a target that leaves, reads give up its quiet one.
+            return self._execute(self.monitor.on_open_failed(self._clock()))
         session = TargetSession(
             next(_conn_ids), self._record.host, self._record.port, self._context.vm_id, self
         )
@@ -372,7 +375,6 @@
         A non-idempotent request (one with a key) waits on: the target may only be frozen, and its
         reply is the only way to learn the outcome.
         """
-        self._context.metrics.incr("connections.target_down")
         self._report(True)
         for sub_id, sub in list(self._subs.items()):
             if not sub.request.request_key:
--- a/tests/test_session_controller.py
+++ b/tests/test_session_controller.py
@@ -325,6 +325,30 @@
     run(scenario)
 
 
+def test_reads_on_a_silent_connection_of_a_leaving_target_run_elsewhere():
+    """Guards against reads that wait for their deadline since nobody watches the connection."""
+
+    async def scenario(env):
+        env.target.silent.add(env.target.streams[0])
+        read, write = env.send(), env.send(request_key="k")
+        await asyncio.sleep(0.05)
+        announce(env, False, 7)
+        took_s = await until(lambda: env.log.failures)
+        assert took_s < 1.0
+        assert env.log.failures == {read: "target_down"}
+        assert (
+            env.target.peak == 1
+            and env.down == []
+            and not env.counts.total - Counter({"connections.opened": 1})
+        )
+        reply = pb.SubReply(sub_id=write)
+        await env.target.streams[0].send_message(pb.SessionReply(replies=[reply]))
+        await until(lambda: env.target.open == 0)
+        assert write in env.log.replies
+
+    run(scenario)
+
+
 def test_target_that_was_down_is_up_again_after_a_restart():
     """Guards against a target that stays down for good, since only its old session could say up."""
 
