--- a/bramleycrank/query/execution.py
+++ b/bramleycrank/query/execution.py
@@ -17,7 +17,7 @@
 )
 from bramleycrank.query.catalog import SnapshotCatalog
 from bramleycrank.query.result import build_answer, build_error
-from bramleycrank.query.subrequests import ShardState, Sub, shards_for, template
+from bramleycrank.query.subrequests import ShardState, Sub, dump_progress, shards_for, template
 from bramleycrank.query.types import (
     Action,
     CancelSub,
@@ -390,17 +390,5 @@
 
     def dump(self, now: float) -> dict[str, Any]:
         """Return the progress of the query."""
-        return {
-            "service": self.req.service,
-            "kind": self.req.kind,
-            "snapshot": {
-                "version": self.snapshot.version,
-                "shard_count": self.snapshot.shard_count,
-            },
-            "left_ms": round((self.deadline - now) * 1e3),
-            "waiting_for": [
-                {"shard": s.index, "targets": [sub.target_id for sub in s.open]}
-                for s in self._shards
-                if not s.ended
-            ],
-        }
+        left_ms = round((self.deadline - now) * 1e3)
+        return {**dump_progress(self.req, self.snapshot, self._shards), "left_ms": left_ms}
--- a/bramleycrank/query/subrequests.py
+++ b/bramleycrank/query/subrequests.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import Any
+
 import attrs
 import xxhash
 
@@ -59,3 +62,19 @@
         payload=req.payload.encode(),
         request_key=req.request_key,
     )
+
+
+def dump_progress(
+    req: QueryRequest, snapshot: Snapshot, shards: Iterable[ShardState]
+) -> dict[str, Any]:
+    """Return what a query runs on and which shards it waits for."""
+    return {
+        "service": req.service,
+        "kind": req.kind,
+        "snapshot": attrs.asdict(snapshot),
+        "waiting_for": [
+            {"shard": shard.index, "targets": [sub.target_id for sub in shard.open]}
+            for shard in shards
+            if not shard.ended
+        ],
+    }
