Limit a service that alone is overloaded, and not the whole VM

Cause: queries that end by deadline lower the concurrency limit of the VM, whatever their service. Where the targets of one service stalled but still answered pings, 5% of the load was enough to bring the limit to 4, and the requests of services that were well were refused.

Ruled out: leaving late queries of one service out of the signal without a limit of its own (they would fill the places), and blaming the service with the most late requests of one period (under overload of 25 services some period always has only one).

The new tests check both directions and the recovery.

--- a/bramleycrank/query/admission.py
+++ b/bramleycrank/query/admission.py
@@ -12,7 +12,7 @@
     QueueFull,
 )
 from bramleycrank.query.latency import LatencyEstimate
-from bramleycrank.query.limit import AdaptiveLimit
+from bramleycrank.query.limit import MIN_LIMIT, AdaptiveLimit
 from bramleycrank.query.queues import ClassQueue
 from bramleycrank.query.types import CLASSES, Admit, QueryConfig, Refuse, Ticket
 
@@ -67,6 +67,7 @@
         self._service_time = LatencyEstimate(window=_WINDOW)
         self._own_times: dict[str, LatencyEstimate] = {}
         self._ran_at: dict[str, float] = {}
+        self._own_limits: dict[str, AdaptiveLimit] = {}
         self._next_check: float | None = None
         self._refusals: Counter[str] = Counter()
 
@@ -132,9 +133,16 @@
         return len(self._running) < int(self.limit.value)
 
     def _service_has_place(self, ticket: Ticket) -> bool:
-        most = ticket.max_concurrency
+        most = self._most(ticket)
         return not most or self._by_service[ticket.service] < most
 
+    def _most(self, ticket: Ticket) -> int:
+        """Return how many requests of the service may run; 0 if only the VM's limit counts."""
+        most, own = ticket.max_concurrency, self._own_limits.get(ticket.service)
+        if own is None:
+            return most
+        return min(most, int(own.value)) if most else int(own.value)
+
     def _admit(self, ticket: Ticket) -> Admit:
         ticket.state = "running"
         self._running.add(ticket)
@@ -155,8 +163,8 @@
         waiting = [name for name in CLASSES if self._queues[name] or name == priority]
         share = WEIGHTS[priority] / sum(WEIGHTS[name] for name in waiting)
         turns = place / (max(1, int(self.limit.value)) * share)
-        if ticket.max_concurrency:
-            turns = max(turns, service_place / ticket.max_concurrency)
+        if most := self._most(ticket):
+            turns = max(turns, service_place / most)
         return turns * median
 
     def _in_time(self, ticket: Ticket, wait_s: float, now: float) -> bool:
@@ -178,7 +186,7 @@
         if ticket not in self._running:
             return []
         if latency_s > 0.0:
-            self.limit.on_end(latency_s, overloaded, len(self._running), now)
+            self._learn(ticket.service, latency_s, overloaded, now)
             self._service_time.record(latency_s)
             self._own_times.setdefault(ticket.service, LatencyEstimate(_WINDOW)).record(latency_s)
             self._ran_at[ticket.service] = now
@@ -189,6 +197,23 @@
             del self._by_service[ticket.service]
         return self._serve(now)
 
+    def _learn(self, service: str, latency_s: float, overloaded: bool, now: float) -> None:
+        """Adjust the limit of the VM, or of a service that alone is overloaded.
+
+        The targets of one service that stall say nothing about the others; without a limit of its
+        own, such a service lowered the limit for all.
+        """
+        own = self._own_limits.get(service)
+        if own is not None:
+            own.on_end(latency_s, overloaded, self._by_service[service], now)
+            if own.value >= self.limit.value:
+                del self._own_limits[service]
+            return
+        culprit = self.limit.on_end(latency_s, overloaded, len(self._running), now, service)
+        if culprit is not None:
+            # Its requests last until their deadline, so more of them would fill the VM.
+            self._own_limits[culprit] = AdaptiveLimit(MIN_LIMIT, int(self.limit.maximum))
+
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a queued request whose caller went away."""
         if ticket.state == "queued":
@@ -255,6 +280,7 @@
             **self.limit.dump(),
             "in_flight": len(self._running),
             "in_flight_by_service": dict(self._by_service),
+            "limit_by_service": {name: own.dump() for name, own in self._own_limits.items()},
             "queued": {name: len(queue) for name, queue in self._queues.items()},
             "refused": dict(self._refusals),
             "service_time": self._service_time.dump(),
--- a/tests/test_query_admission.py
+++ b/tests/test_query_admission.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import Counter
 
@@ -228,3 +229,46 @@
     assert admission.offer(probe, 2.0) == []
     assert admission.tick(2.05) == []
     assert admission.release(holder, 0.01, False, 2.1) == [Admit(probe)]
+
+
+def test_a_service_that_alone_is_overloaded_is_limited_alone() -> None:
+    """Guards against one service whose targets stall and take the places of all others."""
+    admission, now = Admission(AdaptiveLimit(32, 1024), 10), 0.0
+
+    def load(seconds: float, stalled: set[str], latency_s: float = 0.01) -> None:
+        nonlocal now
+        until, running = now + seconds, []
+        for count in itertools.count():
+            now += 0.002
+            if now >= until and not running:
+                break
+            service = "archivio" if count % 10 else "fonderia"
+            late = service in stalled
+            ticket = Ticket(0, service, "normal", 1e9)
+            if now < until and admission.offer(ticket, now) == [Admit(ticket)]:
+                running.append((now + (1.0 if late else latency_s), late, ticket))
+            for end in [end for end in running if end[0] <= now]:
+                running.remove(end)
+                left = admission.release(end[2], now - end[0] + latency_s, end[1], now)
+                running += [(now + latency_s, False, action.ticket) for action in left]
+
+    load(2.0, set())
+    load(10.0, {"fonderia"})
+    limits = admission.dump(now)
+    assert limits["limit"] >= 32
+    assert limits["limit_by_service"]["fonderia"]["limit"] < 10
+    load(10.0, set(), latency_s=0.1)
+    own = admission.dump(now)["limit_by_service"].get("fonderia", {"limit": 32})
+    assert own["limit"] > 5, "the own limit must not bind for good; 5 requests are in flight"
+    load(10.0, {"fonderia", "archivio"})
+    assert admission.limit.value < 32, "overload of all services must lower the limit of the VM"
+
+
+def test_overload_of_many_services_is_not_taken_for_that_of_one() -> None:
+    """Guards against a VM that blames one service after the other and never lowers its limit."""
+    limit, rng, now = AdaptiveLimit(100, 200), random.Random(1), 0.0
+    for _ in range(4000):
+        now += 0.005
+        blamed = limit.on_end(0.01, rng.random() < 0.1, 100, now, f"service-{rng.randrange(25)}")
+        assert blamed is None
+    assert limit.value < 40
