--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -151,6 +151,10 @@
         """Apply a fault to all targets of the process."""
         await self.stub.SetFault(standin_pb2.FaultRequest(**fields))
 
+    async def stats(self) -> list[standin_pb2.TargetStats]:
+        """Return the counters of all targets of the process."""
+        return list((await self.stub.Stats(standin_pb2.StatsRequest())).targets)
+
 
 class BenchFleet:
     """All processes of one measurement.
@@ -209,14 +213,16 @@
         for service in (self.shape.search, self.shape.records):
             await until(lambda s=service: self.put_service(s.name, 0), "a service is created")
 
-    async def put_service(self, name: str, expected: int, **fields: int) -> int:
-        """Create or change a service; return its new version."""
+    async def put_service(
+        self, name: str, expected: int, via: Vm | None = None, **fields: int
+    ) -> int:
+        """Create or change a service through a VM, by default the last; return its version."""
         kinds = [log_pb2.KindConfig(name=self.shape.order_kind, idempotent=False)]
         service = log_pb2.ServiceConfig(name=name, kinds=kinds, **fields)
         change = log_pb2.Change(
             change_id=uuid.uuid4().hex, expected_version=expected, put_service=service
         )
-        stub = self.clients.operator_stub(self.vms[-1].address)
+        stub = self.clients.operator_stub((via or self.vms[-1]).address)
         reply = await stub.ApplyChange(operator_pb2.ChangeRequest(change=change), timeout=6.0)
         return reply.version
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,7 @@
 import asyncio
 import gc
 import logging
+import math
 import os
 import statistics
 import tempfile
@@ -17,11 +18,12 @@
 from pathlib import Path
 from typing import Any
 
+from bench import control
 from bench.fleet import BenchFleet, resident_mb
 from bench.runner import WARMUP_S, Measurement
 from bench.shapes import ServiceShape, Shape
 from bramleycrank.membership import MembershipConfig, TargetRegistry
-from bramleycrank.proto import log_pb2, target_pb2
+from bramleycrank.proto import log_pb2, peer_pb2, target_pb2
 from bramleycrank.state import ReplicatedState
 
 log = logging.getLogger(__name__)
@@ -29,6 +31,8 @@
 SETTLE_S = 12.0
 IDLE_S = 20.0
 CLAIM_SIZES = (8000, 32000, 128000)
+CLAIMS, CLAIM_CLIENTS = 3000, 32
+SPREAD_CHANGES = 40
 QUERY_RATE = 25.0
 QUERY_SECONDS = 10.0
 
@@ -242,6 +246,49 @@
     }
 
 
+async def _claims(fleet: BenchFleet) -> dict[str, float]:
+    """Measure claims through the leader, many at a time."""
+    leader = await control.find_leader(fleet)
+    stub = fleet.clients.stub(leader.address)
+    numbers = iter(range(CLAIMS))
+    latencies = []
+
+    async def client() -> None:
+        for number in numbers:
+            start = time.perf_counter()
+            request = peer_pb2.ProposeRequest(
+                proposal_id=f"claim{number}", command=_claim(number), timeout_ms=5000
+            )
+            await stub.Propose(request, timeout=6.0)
+            latencies.append(time.perf_counter() - start)
+
+    before, start = fleet.processor_s(), time.perf_counter()
+    await asyncio.gather(*(client() for _ in range(CLAIM_CLIENTS)))
+    seconds, after = time.perf_counter() - start, fleet.processor_s()
+    used = {name: after[name] - before[name] for name in after}
+    return {
+        "claims_per_s": CLAIMS / seconds,
+        "leader_s_per_claim": used.pop(leader.vm_id) / CLAIMS,
+        "follower_s_per_claim": max(used.values()) / CLAIMS,
+        "p99_s": control.quantiles(latencies)["p99"],
+    }
+
+
+def spread_by_vms() -> dict[str, Any]:
+    """Measure how long a change takes to every VM, against the number of VMs."""
+    rows = {}
+    for vms in (9, 18, 36):
+        work = lambda fleet: control.in_force(fleet, SPREAD_CHANGES)  # noqa: E731
+        rows[vms] = asyncio.run(_with_fleet(_shape(vms, 1, 3), work))
+        log.warning("bench: in force on %d VMs: %s", vms, rows[vms]["everywhere_s"])
+    return {
+        f"{key}_s_by_ln_vms": line(
+            (math.log(n), row["everywhere_s"][key]) for n, row in rows.items()
+        )
+        for key in ("p50", "p99")
+    }
+
+
 def measure() -> dict[str, Any]:
     """Measure all slopes."""
     return {
@@ -250,4 +297,6 @@
         "idle_vms": idle_by("vms", {n: _shape(n, 1, 3) for n in (3, 9, 18, 36)}),
         "idle_targets": idle_by("targets", {n + 3: _shape(9, n // 3, 3) for n in (30, 120, 300)}),
         "queries": query_slopes(),
+        "spread": spread_by_vms(),
+        "claims": asyncio.run(_with_fleet(_shape(3, 1, 3), _claims)),
     }
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -9,13 +9,8 @@
 import contextlib
 import http.client
 import json
-import os
-import random
 import signal
-import socket
-import subprocess
 import sys
-import time
 import uuid
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -27,13 +22,10 @@
 from bramleycrank.proto import log_pb2, operator_pb2, standin_pb2
 from bramleycrank.proto.standin_grpc import StandInStub
 from bramleycrank.transport.peer_client import PeerClients
+from harness.processes import HOST, PATIENCE_S, Process, free_port, until
 
-HOST = "127.0.0.1"
 TESTS = Path(__file__).parent
 
-# Longest wait for a condition on a busy machine, in seconds.
-PATIENCE_S = 15.0
-
 SETTINGS = """
 [vm]
 id = "{vm_id}"
@@ -58,71 +50,6 @@
 """
 
 
-def free_port() -> int:
-    """Return a free port below the range that the kernel hands out for connections."""
-    while True:
-        port = random.SystemRandom().randrange(10_000, 30_000)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            return port
-
-
-async def until(
-    condition: Callable[[], Any], what: str, timeout_s: float = PATIENCE_S, pause_s: float = 0.03
-) -> Any:
-    """Return the first true value of a condition, which may be a coroutine function.
-
-    A `BramleycrankError` or `OSError` counts as not yet true and appears in the failure.
-    """
-    deadline = time.monotonic() + timeout_s
-    last: object = None
-    while time.monotonic() < deadline:
-        try:
-            value = condition()
-            last = await value if isinstance(value, Awaitable) else value
-            if last:
-                return last
-        except (BramleycrankError, OSError) as exc:
-            last = exc
-        await asyncio.sleep(pause_s)
-    raise AssertionError(f"not within {timeout_s} s: {what}; last: {last!r}")
-
-
-class Process:
-    """A child process with its output in a file."""
-
-    def __init__(self, command: list[str], log: Path, env: dict[str, str] | None = None) -> None:
-        self._log = log
-        with log.open("ab") as file:
-            self._popen = subprocess.Popen(
-                command, stdout=subprocess.PIPE, stderr=file, env={**os.environ, **(env or {})}
-            )
-
-    def read_line(self) -> bytes:
-        """Return one line of standard output."""
-        return self._popen.stdout.readline()
-
-    @property
-    def exit_code(self) -> int | None:
-        """Exit code, or None while the process runs."""
-        return self._popen.poll()
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to this process only."""
-        if self._popen.poll() is None:
-            os.kill(self._popen.pid, number)
-
-    def reap(self) -> None:
-        """End the process at once and collect it."""
-        self.signal(signal.SIGKILL)
-        self._popen.wait(10)
-        self._popen.stdout.close()
-
-    def log_tail(self, lines: int = 15) -> str:
-        """Return the end of the log."""
-        return "\n".join(self._log.read_text(errors="replace").splitlines()[-lines:])
-
-
 class Vm:
     """A daemon that can be killed, frozen, stopped and started again."""
 
--- /dev/null
+++ b/tests/test_guarantees.py
@@ -0,0 +1,19 @@
+"""Guards against a proof in docs/guarantees.md that no longer exists."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_each_named_proof_exists():
+    names = re.findall(r"`(tests/\w+\.py)::(\w+)`", (ROOT / "docs/guarantees.md").read_text())
+    missing = [
+        f"{path}::{name}"
+        for path, name in names
+        if not re.search(
+            rf"^(async )?(def|class) {name}\b|^{name} = ", (ROOT / path).read_text(), re.M
+        )
+    ]
+    assert names
+    assert missing == []
