Let each VM pass a fetched revision on to three others at once

Cause: only the leader pushed a new revision, to 8 VMs; the others learned of it from probes, so the time to reach every VM grew with the probe period times the logarithm of their number. Ruled out: a larger fan-out of the leader (its cost grows with the group) and faster probes (cost on every VM all the time). Costs 3 messages a VM and change. Broken by hand: without the push the new test of the configuration controller fails.

--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -41,9 +41,12 @@
 # A tick that failed may fail each time; its traceback must not fill the log.
 FAILED_TICK_S = 1.0
 
-# VMs that the leader tells of a new revision at once; gossip reaches the others.
+# VMs that the leader tells of a new revision at once.
 PUSH_FANOUT = 8
 
+# VMs that each VM tells at once of a revision that it fetched; gossip reaches those that are left.
+RELAY_FANOUT = 3
+
 
 class Peers(Protocol):
     """What the controller needs to reach other VMs."""
@@ -235,7 +238,7 @@
             previous, self._local_seen = self._local_seen, seen
             self._take_local()
             if confirmed and seen != previous:
-                self._push()
+                self._push(PUSH_FANOUT)
 
     def _take_local(self) -> None:
         state = self._consensus.state
@@ -319,15 +322,18 @@
             self._execute(self._follower.on_fetch_failed(action.peer_address, now))
         else:
             now = self._loop.time()
-            self._execute(self._follower.on_fetched(action.peer_address, reply, now))
+            actions = self._follower.on_fetched(action.peer_address, reply, now)
+            self._execute(actions)
+            if any(isinstance(item, ConfigInForce) for item in actions):
+                self._push(RELAY_FANOUT)
 
-    def _push(self) -> None:
-        """Tell a few VMs of a revision that a quorum confirmed."""
+    def _push(self, fanout: int) -> None:
+        """Tell a few VMs of the revision in force; they fetch it from this one."""
         addresses = list(self._peers.addresses())
         self._rng.shuffle(addresses)
         gossip = peer_pb2.Gossip(sender=self._peers.self_record(), config=self.status())
         request = peer_pb2.ProbeRequest(gossip=gossip)
-        for address in addresses[:PUSH_FANOUT]:
+        for address in addresses[:fanout]:
             self._spawn(self._push_to(address, request))
 
     async def _push_to(self, address: str, request: peer_pb2.ProbeRequest) -> None:
--- a/tests/test_daemon_config_controller.py
+++ b/tests/test_daemon_config_controller.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from bramleycrank.daemon.config_controller import PUSH_FANOUT, ConfigController
+from bramleycrank.daemon.config_controller import PUSH_FANOUT, RELAY_FANOUT, ConfigController
 from bramleycrank.exceptions import (
     ConfigurationUnavailable,
     NotLeader,
+    PeerUnreachable,
     StorageError,
     UnknownService,
 )
@@ -29,6 +30,7 @@
         self.saved = []
         self.disk_fails = False
         self.pushed = {}
+        self.fetch_reply = None
         self.callbacks = []
         self.index = 0
         self._peers = [f"127.0.0.1:{9000 + n}" for n in range(peers)]
@@ -76,7 +78,12 @@
         async def probe(request, *, timeout):
             self.pushed.setdefault(address, []).append(request.gossip.config.revision)
 
-        return SimpleNamespace(Probe=probe)
+        async def fetch(request, *, timeout):
+            if self.fetch_reply is None:
+                raise PeerUnreachable()
+            return self.fetch_reply
+
+        return SimpleNamespace(Probe=probe, FetchConfig=fetch)
 
     def apply(self, command):
         self.index += 1
@@ -114,6 +121,25 @@
     run(scenario)
 
 
+def test_a_fetched_revision_is_passed_on_at_once_and_only_once():
+    # Without it the time to reach every VM grows with the probe period times the logarithm of
+    # their number.
+    async def scenario(world, controller):
+        world.state = None  # a VM without a part in the log
+        change = log_pb2.Change(change_id="a", put_service=log_pb2.ServiceConfig(name="a"))
+        status = peer_pb2.ConfigStatus(revision=1, leader_revision=1, confirmed=True)
+        delta = log_pb2.ConfigDelta(revision=1, change=change)
+        world.fetch_reply = peer_pb2.FetchConfigReply(deltas=[delta], status=status)
+        for address in world.addresses()[:2]:
+            controller.on_gossip(address, status)
+        await asyncio.sleep(0.05)
+        assert controller.revision == 1
+        assert sum(map(len, world.pushed.values())) == RELAY_FANOUT
+        assert all(revisions == [1] for revisions in world.pushed.values())
+
+    run(scenario)
+
+
 def test_nothing_is_pushed_without_confirmation_or_for_a_claim():
     async def scenario(world, controller):
         world.put("a")
