--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -59,9 +59,21 @@
         figures = asyncio.run(control.measure(SHAPES["battaglio"], changes, recoveries))
         write(out, {"about": about(changes=changes, recoveries=recoveries), **figures})
 
-    def slopes(self, out: str = "slopes") -> None:
-        """Measure the slopes that the capacity page rests on."""
-        write(out, {"about": about(), **slopes.measure()})
+    def slopes(self, parts: str = ",".join(slopes.PARTS), out: str = "slopes") -> None:
+        """Measure the slopes that the capacity page rests on; other parts of the file stay.
+
+        Parameters
+        ----------
+        parts : str
+            Names, separated by commas. The idle parts count all bytes on loopback, so they need
+            a machine without other traffic.
+        out : str
+            Name of the result file.
+        """
+        logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(message)s")
+        path = RESULTS / f"{out}.json"
+        results = json.loads(path.read_text()) if path.exists() else {}
+        write(out, results | {"about": about()} | slopes.measure(words(parts)))
 
     def report(self) -> None:
         """Write docs/measurements.md from the result files."""
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -289,14 +289,19 @@
     }
 
 
-def measure() -> dict[str, Any]:
-    """Measure all slopes."""
-    return {
-        "state": state_slopes(),
-        "registry": registry_slopes(),
-        "idle_vms": idle_by("vms", {n: _shape(n, 1, 3) for n in (3, 9, 18, 36)}),
-        "idle_targets": idle_by("targets", {n + 3: _shape(9, n // 3, 3) for n in (30, 120, 300)}),
-        "queries": query_slopes(),
-        "spread": spread_by_vms(),
-        "claims": asyncio.run(_with_fleet(_shape(3, 1, 3), _claims)),
-    }
+PARTS: dict[str, Callable[[], dict[str, Any]]] = {
+    "state": state_slopes,
+    "registry": registry_slopes,
+    "idle_vms": lambda: idle_by("vms", {n: _shape(n, 1, 3) for n in (3, 9, 18, 36)}),
+    "idle_targets": lambda: idle_by(
+        "targets", {n + 3: _shape(9, n // 3, 3) for n in (30, 120, 300)}
+    ),
+    "queries": query_slopes,
+    "spread": spread_by_vms,
+    "claims": lambda: asyncio.run(_with_fleet(_shape(3, 1, 3), _claims)),
+}
+
+
+def measure(parts: list[str]) -> dict[str, Any]:
+    """Measure the named parts."""
+    return {name: PARTS[name]() for name in parts}
