Give each port of a fleet once

Cause: a fleet of 36 daemons failed to start because one port number was drawn twice; ports stay free until the daemons listen.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -73,7 +73,9 @@
         logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(message)s")
         path = RESULTS / f"{out}.json"
         results = json.loads(path.read_text()) if path.exists() else {}
-        write(out, results | {"about": about()} | slopes.measure(words(parts)))
+        for part in words(parts):
+            results |= {"about": about(), part: slopes.PARTS[part]()}
+            write(out, results)
 
     def report(self) -> None:
         """Write docs/measurements.md from the result files."""
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -300,8 +300,3 @@
     "spread": spread_by_vms,
     "claims": lambda: asyncio.run(_with_fleet(_shape(3, 1, 3), _claims)),
 }
-
-
-def measure(parts: list[str]) -> dict[str, Any]:
-    """Measure the named parts."""
-    return {name: PARTS[name]() for name in parts}
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -22,13 +22,22 @@
 PATIENCE_S = 15.0
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a free port below the range that the kernel hands out for connections."""
+    """Return a free port below the range that the kernel hands out for connections.
+
+    A port is given only once: it stays free until its daemon listens, and with 36 daemons the
+    same number was drawn twice in one of 30 fleets.
+    """
     while True:
         port = random.SystemRandom().randrange(10_000, 30_000)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
-            return port
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return port
 
 
 async def until(
