--- a/bench/load.py
+++ b/bench/load.py
@@ -89,7 +89,7 @@
         return json.loads(content)
 
 
-def find_lie(answer: dict[str, Any], exhaustive: bool) -> str:
+def find_untruth(answer: dict[str, Any], exhaustive: bool) -> str:
     """Return what is untrue in an answer, or an empty string.
 
     The stand-in targets write snapshot and shard into each hit, so that a mix of versions and an
@@ -159,7 +159,7 @@
         "failed_share": share(rows, "failed"),
         "cut": sum(row["kind"] == "cut" for row in rows),
         "load_factor": sum(row["sent"] for row in answered) / needed if needed else 0,
-        "lies": sum(bool(row["lie"]) for row in rows),
+        "untrue_answers": sum(bool(row["untrue"]) for row in rows),
         "errors": count_names(rows),
     }
 
@@ -220,7 +220,7 @@
             answer = await self.client.query(self.fleet.pick(), body, deadline_s + CLIENT_GRACE_S)
             row |= self.judge(answer, item.get("exhaustive", False))
         except Exception as exc:
-            row |= {"kind": "cut", "error": type(exc).__name__, "lie": ""}
+            row |= {"kind": "cut", "error": type(exc).__name__, "untrue": ""}
         row["latency_s"] = time.perf_counter() - due
         row["in_time"] = row["latency_s"] <= deadline_s
         if recorded:
@@ -231,12 +231,14 @@
         if "error" in answer:
             error = answer["error"]
             kind = "refused" if error["outcome"] == "not_run" else "failed"
-            return {"kind": kind, "error": error["name"], "lie": ""}
+            return {"kind": kind, "error": error["name"], "untrue": ""}
         coverage, attempts = answer["coverage"], answer["attempts"]
         return {
             "kind": "answer",
             "error": "",
-            "lie": find_lie(answer, exhaustive) if isinstance(answer["result"], list) else "",
+            "untrue": find_untruth(answer, exhaustive)
+            if isinstance(answer["result"], list)
+            else "",
             "coverage": coverage["answered"] / coverage["total"],
             "needed": attempts["needed"],
             "sent": attempts["sent"],
--- a/bench/report.py
+++ b/bench/report.py
@@ -21,7 +21,7 @@
     ("failed", "all", "failed_share", "{:.2%}"),
     ("cut", "all", "cut", "{}"),
     ("sent / needed", "all", "load_factor", "{:.3f}"),
-    ("untrue", "all", "lies", "{}"),
+    ("untrue", "all", "untrue_answers", "{}"),
 )
 
 
@@ -78,7 +78,7 @@
         rows += _straggler_goals(scenarios)
     if "overload" in scenarios:
         rows += _overload_goals(shape)
-    rows.append(["untrue answers, product", "0", _sum(scenarios, "lies")])
+    rows.append(["untrue answers, product", "0", _sum(scenarios, "untrue_answers")])
     rows.append(["requests cut, product, rolling restart", "0", _cut(scenarios)])
     return markdown_table(["goal", "wanted", "measured"], rows)
 
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -177,5 +177,5 @@
         f"urgent p99 {labels['urgent']['p99_ms']:.0f} ms, good {total['goodput_per_s']:.0f}/s, "
         f"coverage {total['coverage']:.4f}, refused {total['refused_share']:.3f}, "
         f"failed {total['failed_share']:.3f}, cut {total['cut']}, "
-        f"load x{total['load_factor']:.3f}, lies {total['lies']}, {total['errors']}"
+        f"load x{total['load_factor']:.3f}, untrue {total['untrue_answers']}, {total['errors']}"
     )
--- a/bramleycrank/query/admission.py
+++ b/bramleycrank/query/admission.py
@@ -92,7 +92,7 @@
         """Admit, queue or refuse a request."""
         ticket.offered_at = now
         queue = self._queues[ticket.priority]
-        if self._refuse_late and self._is_hopeless(ticket, now):
+        if self._refuse_late and self._median_passes_deadline(ticket, now):
             return [self._refuse(ticket, self._too_late(self._needed(ticket, 0.5)))]
         if not self._must_wait(ticket, queue):
             return [self._admit(ticket)]
@@ -109,7 +109,7 @@
             self._next_check = now + RECHECK_S
         return []
 
-    def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
+    def _median_passes_deadline(self, ticket: Ticket, now: float) -> bool:
         """Tell whether the median of the service's own time passes the deadline.
 
         A service that runs nothing gets the request all the same: only a request that runs can
@@ -209,10 +209,12 @@
             if own.value >= self.limit.value:
                 del self._own_limits[service]
             return
-        culprit = self.limit.on_end(latency_s, overloaded, len(self._running), now, service)
-        if culprit is not None:
+        overloaded_service = self.limit.on_end(
+            latency_s, overloaded, len(self._running), now, service
+        )
+        if overloaded_service is not None:
             # Its requests last until their deadline, so more of them would fill the VM.
-            self._own_limits[culprit] = AdaptiveLimit(MIN_LIMIT, int(self.limit.maximum))
+            self._own_limits[overloaded_service] = AdaptiveLimit(MIN_LIMIT, int(self.limit.maximum))
 
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a queued request whose caller went away."""
@@ -254,11 +256,11 @@
         out = self._serve(now)
         if self._refuse_late:
             for queue in self._queues.values():
-                out += self._refuse_hopeless(queue, now)
+                out += self._refuse_late_ones(queue, now)
         self._next_check = now + RECHECK_S if self.queued else None
         return out
 
-    def _refuse_hopeless(self, queue: ClassQueue, now: float) -> list[_Action]:
+    def _refuse_late_ones(self, queue: ClassQueue, now: float) -> list[_Action]:
         out: list[_Action] = []
         places: Counter[str] = Counter()
         for ticket in list(queue):
--- a/bramleycrank/query/limit.py
+++ b/bramleycrank/query/limit.py
@@ -73,9 +73,9 @@
     def _adjust(self) -> str | None:
         count, middle = len(self._latencies), median(self._latencies)
         share, long_s = self._overloaded.total() / count, self._long_median_s
-        culprit = self._culprit() if share > OVERLOAD_SHARE else None
-        if culprit is not None:
-            self._why = f"kept: only the service {culprit} was overloaded"
+        overloaded_service = self._overloaded_service() if share > OVERLOAD_SHARE else None
+        if overloaded_service is not None:
+            self._why = f"kept: only the service {overloaded_service} was overloaded"
         elif share > OVERLOAD_SHARE:
             self._lower(f"{share:.0%} of the requests in a period were overloaded")
         elif long_s and middle > _SLOW_FACTOR * long_s:
@@ -89,9 +89,9 @@
         self._ended.clear()
         self._overloaded.clear()
         self._used = 0
-        return culprit
+        return overloaded_service
 
-    def _culprit(self) -> str | None:
+    def _overloaded_service(self) -> str | None:
         """Return the service without which the period shows no overload."""
         [(service, late)] = self._overloaded.most_common(1)
         others = self._ended.total() - self._ended[service]
--- a/bramleycrank/standin/faults.py
+++ b/bramleycrank/standin/faults.py
@@ -12,7 +12,7 @@
 from bramleycrank.standin.settings import TimingSettings
 
 
-class Fate(enum.Enum):
+class Disposition(enum.Enum):
     """What happens to a sub-request."""
 
     RUN = "run"
@@ -55,7 +55,7 @@
 
 
 class ServiceTimes:
-    """Draws the fate and the service time of sub-requests.
+    """Draws the disposition and the service time of sub-requests.
 
     Parameters
     ----------
@@ -73,14 +73,14 @@
         self._rng = rng
         self._started_at = started_at
 
-    def fate(self) -> Fate:
+    def disposition(self) -> Disposition:
         """Draw what happens to the next sub-request."""
         faults = self.faults
         if faults.shed_share and self._rng.random() < faults.shed_share:
-            return Fate.SHED
+            return Disposition.SHED
         if faults.fail_share and self._rng.random() < faults.fail_share:
-            return Fate.FAIL
-        return Fate.RUN
+            return Disposition.FAIL
+        return Disposition.RUN
 
     def draw(self, now: float) -> float:
         """Draw a service time in seconds."""
--- a/bramleycrank/standin/target.py
+++ b/bramleycrank/standin/target.py
@@ -14,7 +14,7 @@
 from bramleycrank.proto import target_pb2 as pb
 from bramleycrank.proto.standin_pb2 import FaultRequest, TargetStats
 from bramleycrank.standin import data
-from bramleycrank.standin.faults import Fate, ServiceTimes
+from bramleycrank.standin.faults import Disposition, ServiceTimes
 from bramleycrank.standin.settings import CapacitySettings, TimingSettings
 
 log = logging.getLogger(__name__)
@@ -241,8 +241,8 @@
         if job.deadline <= now:
             job.sink.on_reply(self._reply(job.request, pb.SUB_STATUS_DEADLINE))
             return
-        fate = self._times.fate()
-        if fate is Fate.SHED:
+        disposition = self._times.disposition()
+        if disposition is Disposition.SHED:
             self._shed(job)
             return
         if job.request.kind not in data.READ_KINDS:
@@ -250,7 +250,7 @@
             self.effects[job.request.request_key] += 1
         end = now + self._times.draw(now)
         status = pb.SUB_STATUS_OK if end <= job.deadline else pb.SUB_STATUS_DEADLINE
-        if fate is Fate.FAIL:
+        if disposition is Disposition.FAIL:
             status = pb.SUB_STATUS_FAILED
         job.timer = self._loop.call_at(min(end, job.deadline), self._finish, job, status)
         self._running[job.key] = job
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -19,7 +19,7 @@
 HOST = "127.0.0.1"
 
 # Longest wait for a condition on a busy machine, in seconds.
-PATIENCE_S = 15.0
+WAIT_LIMIT_S = 15.0
 
 
 _given_ports: set[int] = set()
@@ -41,7 +41,7 @@
 
 
 async def until(
-    condition: Callable[[], Any], what: str, timeout_s: float = PATIENCE_S, pause_s: float = 0.03
+    condition: Callable[[], Any], what: str, timeout_s: float = WAIT_LIMIT_S, pause_s: float = 0.03
 ) -> Any:
     """Return the first true value of a condition, which may be a coroutine function.
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -22,7 +22,7 @@
 from bramleycrank.proto import log_pb2, operator_pb2, standin_pb2
 from bramleycrank.proto.standin_grpc import StandInStub
 from bramleycrank.transport.peer_client import PeerClients
-from harness.processes import HOST, PATIENCE_S, Process, free_port, until
+from harness.processes import HOST, WAIT_LIMIT_S, Process, free_port, until
 
 TESTS = Path(__file__).parent
 
@@ -245,7 +245,7 @@
         request = operator_pb2.BootstrapRequest(addresses=[vm.address for vm in self.voters])
         await self.voters[0].operator.Bootstrap(request)
 
-    async def leader(self, among: list[Vm] | None = None, timeout_s: float = PATIENCE_S) -> Vm:
+    async def leader(self, among: list[Vm] | None = None, timeout_s: float = WAIT_LIMIT_S) -> Vm:
         """Return the VM that leads in its own view."""
         candidates = self.vms if among is None else among
 
--- a/tests/standin_fakes.py
+++ b/tests/standin_fakes.py
@@ -20,7 +20,7 @@
 SNAPSHOT = pb.Snapshot(version=1, shard_count=1)
 
 # Longest wait of one step on a busy machine, in seconds.
-PATIENCE_S = 10.0
+WAIT_LIMIT_S = 10.0
 
 
 @contextlib.asynccontextmanager
@@ -79,7 +79,7 @@
         """Cancel sub-requests."""
         await self.stream.send_message(pb.SessionRequest(cancel_sub_ids=sub_ids))
 
-    async def receive(self, done, timeout_s=PATIENCE_S):
+    async def receive(self, done, timeout_s=WAIT_LIMIT_S):
         """Read messages until a condition on this client holds."""
         async with asyncio.timeout(timeout_s):
             while not done(self):
@@ -148,6 +148,6 @@
 
 async def until(condition):
     """Wait until a condition holds."""
-    async with asyncio.timeout(PATIENCE_S):
+    async with asyncio.timeout(WAIT_LIMIT_S):
         while not condition():
             await asyncio.sleep(0.01)
--- a/tests/test_query_admission.py
+++ b/tests/test_query_admission.py
@@ -269,6 +269,8 @@
     limit, rng, now = AdaptiveLimit(100, 200), random.Random(1), 0.0
     for _ in range(4000):
         now += 0.005
-        blamed = limit.on_end(0.01, rng.random() < 0.1, 100, now, f"service-{rng.randrange(25)}")
-        assert blamed is None
+        overloaded_service = limit.on_end(
+            0.01, rng.random() < 0.1, 100, now, f"service-{rng.randrange(25)}"
+        )
+        assert overloaded_service is None
     assert limit.value < 40
