Tell the caller when to come back in every refusal that did not run

It now answers NoTargets with a retry time; errors that are proved not to have run always name one. The oracle checks it.

--- a/bramleycrank/query/result.py
+++ b/bramleycrank/query/result.py
@@ -26,8 +26,8 @@
     Snapshot,
 )
 
-NO_REPLICA_RETRY_MS = 1000
-"""Retry time when replicas are missing; targets renew their announcements every 2 s."""
+RETRY_MS = 1000
+"""Retry time where no target named one; targets renew their announcements every 2 s."""
 
 
 def build_answer(
@@ -63,15 +63,17 @@
 ) -> BramleycrankError:
     """Return the error of a query whose replies are not enough for an answer."""
     reasons = Counter(shard.reason for shard in shards if shard.reply is None and shard.reason)
+    if outcome is Outcome.NOT_RUN:
+        retry_after_ms = retry_after_ms or RETRY_MS
     if late:
         return DeadlineExceeded(outcome=outcome, retry_after_ms=retry_after_ms)
     text = ", ".join(f"{count} {reason}" for reason, count in sorted(reasons.items()))
-    if set(reasons) == {MissingReason.NO_REPLICA}:
-        retry_after_ms = retry_after_ms or NO_REPLICA_RETRY_MS
-        if len(shards) == reasons.total() and outcome is Outcome.NOT_RUN:
+    if len(shards) == reasons.total() and MissingReason.SHED not in reasons:
+        # Targets that cannot be reached count as absent.
+        if outcome is Outcome.NOT_RUN:
             return NoTargets(outcome=outcome, retry_after_ms=retry_after_ms)
-    elif MissingReason.SHED not in reasons and reasons.total() == len(shards):
-        return TargetFailed(f"No shard answered: {text}.", outcome=outcome)
+        if set(reasons) != {MissingReason.NO_REPLICA}:
+            return TargetFailed(f"No shard answered: {text}.", outcome=outcome)
     return IncompleteCoverage(
         f"Shards without an answer: {text}.", outcome=outcome, retry_after_ms=retry_after_ms
     )
--- a/tests/test_query_execution.py
+++ b/tests/test_query_execution.py
@@ -15,7 +15,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 from query_fakes import SERVICE, record, reply_to
 
-from bramleycrank.exceptions import Outcome
+from bramleycrank.exceptions import Cancelled, Outcome
 from bramleycrank.proto.target_pb2 import (
     SUB_STATUS_DEADLINE,
     SUB_STATUS_FAILED,
@@ -119,6 +119,8 @@
             return
         proved = all(item.proved for item in self.sent.values())
         assert (end.error.outcome is Outcome.NOT_RUN) == proved
+        if proved and not isinstance(end.error, Cancelled):
+            assert end.error.retry_after_ms > 0, "the caller is not told when to come back"
 
     def _check_answer(self, answer, ending: MissingReason | None) -> None:
         req, coverage = self.execution.req, answer.coverage
