--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from bench import control
+from bench import control, messages
 from bench.fleet import BenchFleet, resident_mb
 from bench.runner import WARMUP_S, Measurement
 from bench.shapes import ServiceShape, Shape
@@ -297,6 +297,7 @@
         "targets", {n + 3: _shape(9, n // 3, 3) for n in (30, 120, 300)}
     ),
     "queries": query_slopes,
+    "messages": messages.measure,
     "spread": spread_by_vms,
     "claims": lambda: asyncio.run(_with_fleet(_shape(3, 1, 3), _claims)),
 }
