--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,9 @@
-"""Profiles of the property tests."""
+"""Profiles of the property tests and shared fixtures."""
 
 import os
 
+import pytest
+from consensus_cluster import Cluster, put
 from hypothesis import HealthCheck, settings
 
 _CHECKS = [HealthCheck.too_slow, HealthCheck.data_too_large, HealthCheck.filter_too_much]
@@ -16,3 +18,14 @@
     print_blob=True,
 )
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+
+@pytest.fixture(params=[3, 5])
+def cluster(request: pytest.FixtureRequest) -> Cluster:
+    """Return a calm cluster with a leader and some commits."""
+    cluster = Cluster(request.param, seed=7)
+    cluster.run(3)
+    cluster.propose_all(cluster.leader(), [put(f"s{i}", 0, f"c{i}") for i in range(5)])
+    cluster.run(1)
+    assert cluster.oracle.revision == 5
+    return cluster
--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -349,3 +349,16 @@
         cfg = raft.RaftConfig(node_id, max_entries_per_append=3, snapshot_retry_s=0.5)
         rng = random.Random(self.rng.getrandbits(32))
         return raft.RaftNode.from_config(cfg, disk.load(), rng, self.now)
+
+
+def put(name: str, expected: int, change_id: str) -> pb.Command:
+    change = pb.Change(
+        change_id=change_id, expected_version=expected, put_service=pb.ServiceConfig(name=name)
+    )
+    return pb.Command(change=change)
+
+
+def isolate(cluster: Cluster, *node_ids: str) -> None:
+    others = set(cluster.nodes) - set(node_ids)
+    cluster.cuts = {(a, b) for a in node_ids for b in others}
+    cluster.cuts |= {(b, a) for a, b in cluster.cuts}
