--- a/tests/test_process_whole_path.py
+++ b/tests/test_process_whole_path.py
@@ -64,6 +64,36 @@
     assert status == 404 and body["error"]["name"] == "UnknownService"
 
 
+FRAGMENTS = [
+    b"\x00" * 40,
+    b"GET / HTTP/1.1\r\nHost",
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\x00\xff\xff\x01\x05\x00\x00\x00\x01\x82",
+    b"POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{",
+]
+
+
+def test_truncated_frames_disturb_nobody_else(world):
+    # Guards against a listener or a loop that a broken peer can stop.
+    runner, fleet = world
+    vm = fleet.vms[3]
+
+    async def send(port, data):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    async def scenario():
+        pairs = [(port, data) for port in (vm.http, vm.grpc) for data in FRAGMENTS]
+        await asyncio.gather(*(send(port, data) for port, data in pairs))
+        assert (await until(lambda: covered(vm), "a complete answer"))["outcome"] == "complete"
+        assert await vm.revision() >= 1
+
+    runner.run(scenario())
+
+
 def test_changes_are_in_force_everywhere_within_two_seconds(world):
     # 20 changes through all VMs in turn, entry VM included. Guards against a change that waits
     # for the next gossip round or exchange.
