--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -21,7 +21,7 @@
     VmChanged,
     VmMembership,
 )
-from bramleycrank.membership.records import address_of
+from bramleycrank.membership.records import address_of, state_name
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_ALIVE,
     VM_STATE_DEAD,
@@ -301,7 +301,7 @@
                 case TargetChanged(record=record):
                     _notify(self._target_callbacks, record)
                 case VmChanged(record=record):
-                    log.info("membership: %s is now in state %d", record.vm_id, record.state)
+                    log.info("membership: %s is now %s", record.vm_id, state_name(record))
                     self._note_dead(record)
                     _notify(self._vm_callbacks, record)
         return tasks
--- a/bramleycrank/membership/records.py
+++ b/bramleycrank/membership/records.py
@@ -19,11 +19,13 @@
     VM_STATE_SUSPECT,
     RecordDigest,
     VmRecord,
+    VmState,
 )
 from bramleycrank.proto.target_pb2 import (
     TARGET_STATE_EXPIRED,
     TARGET_STATE_LEAVING,
     TargetRecord,
+    TargetState,
 )
 
 BUCKETS = 256
@@ -34,6 +36,18 @@
 Key = tuple[int, int, int, int]
 
 
+def state_name(record: VmRecord | TargetRecord) -> str:
+    """Return the state of a record in words, for logs and dumps.
+
+    A state that a newer version sent has no name here; its number is returned.
+    """
+    states, prefix = TargetState, "TARGET_STATE_"
+    if isinstance(record, VmRecord):
+        states, prefix = VmState, "VM_STATE_"
+    known = states.DESCRIPTOR.values_by_number.get(record.state)
+    return known.name.removeprefix(prefix).lower() if known else str(record.state)
+
+
 def address_of(record: VmRecord | TargetRecord) -> str:
     """Return the ``host:port`` of a record."""
     return f"{record.host}:{record.port}"
--- a/bramleycrank/membership/target_table.py
+++ b/bramleycrank/membership/target_table.py
@@ -12,6 +12,7 @@
     ENDED_STATES,
     Key,
     bucket_of,
+    state_name,
     target_key,
     with_age,
 )
@@ -262,7 +263,7 @@
         return {
             target_id: {
                 "service": entry.record.service,
-                "state": entry.record.state,
+                "state": state_name(entry.record),
                 "incarnation": entry.record.incarnation,
                 "sequence": entry.record.sequence,
                 "home_vm": entry.record.home_vm,
--- a/bramleycrank/membership/vm_table.py
+++ b/bramleycrank/membership/vm_table.py
@@ -5,7 +5,14 @@
 import math
 from collections.abc import Iterator
 
-from bramleycrank.membership.records import GONE_STATES, LIVE_STATES, Key, address_of, vm_key
+from bramleycrank.membership.records import (
+    GONE_STATES,
+    LIVE_STATES,
+    Key,
+    address_of,
+    state_name,
+    vm_key,
+)
 from bramleycrank.membership.types import MembershipConfig
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_DEAD,
@@ -174,7 +181,7 @@
         """Return each record with the reason of its state."""
         return {
             vm_id: {
-                "state": record.state,
+                "state": state_name(record),
                 "incarnation": record.incarnation,
                 "domain": record.domain,
                 "address": address_of(record),
--- a/tests/test_membership_bounds.py
+++ b/tests/test_membership_bounds.py
@@ -9,7 +9,7 @@
 
 from bramleycrank.exceptions import InvalidRequest
 from bramleycrank.membership import PushRecords, TargetRegistry
-from bramleycrank.membership.records import vm_key
+from bramleycrank.membership.records import state_name, vm_key
 from bramleycrank.membership.vm_table import VmTable
 from bramleycrank.proto import peer_pb2, target_pb2
 
@@ -262,3 +262,10 @@
             if (record := registry.outgoing("t", now)) is not None:
                 other.merge([record], now)
     assert [registry.get("t") for registry in registries] == [None, None]
+
+
+def test_dumps_name_states_and_survive_unknown_ones():
+    """Guards against a dump that a record of a newer version breaks."""
+    names = [state_name(peer_pb2.VmRecord(state=1)), state_name(target_pb2.TargetRecord(state=4))]
+    assert names == ["alive", "leaving"]
+    assert state_name(target_pb2.TargetRecord(state=99)) == "99"
