Read the known-red list once and drop what earlier changes left dead

The list was read again for each collected test. The hedge delay is never None under the adaptive policy since it has a value before latencies are known; its check is gone, and the dump shows the delay in use instead of nothing.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -6,7 +6,6 @@
 import json
 import signal
 import sys
-import time
 import urllib.error
 import urllib.request
 import uuid
@@ -297,8 +296,3 @@
     """Return the resident memory of a process in MB."""
     pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
     return pages * 4096 / 1e6
-
-
-def now_ms() -> int:
-    """Return Unix time in milliseconds."""
-    return int(time.time() * 1000)
--- a/bramleycrank/query/policy.py
+++ b/bramleycrank/query/policy.py
@@ -63,7 +63,7 @@
             stats = self._services[service] = ServiceStats.from_config(self._cfg)
         return stats
 
-    def hedge_delay(self, service: str) -> float | None:
+    def hedge_delay(self, service: str) -> float:
         """Return the time in seconds after which to hedge."""
         stats = self.stats(service)
         if stats.latency.samples < MIN_SAMPLES:
@@ -133,7 +133,7 @@
         delay = self.hedge_delay(service)
         if first:
             self.stats(service).latency.record(elapsed_s)
-        if delay is not None and elapsed_s < delay:
+        if elapsed_s < delay:
             self._table.on_cancelled(target_id, now)
         else:
             self._table.on_failure(target_id, now)
@@ -157,15 +157,15 @@
         why = f"budgets are at {scale:.0%} because {stats.shed.share:.1%} of the replies are shed"
     else:
         why = "budgets are full: no replies are shed"
-    delay = stats.latency.quantile(cfg.hedge_quantile)
     known = stats.latency.samples >= MIN_SAMPLES
+    delay = stats.latency.quantile(cfg.hedge_quantile) if known else UNKNOWN_HEDGE_DELAY_S
     return {
         "why": why,
         "shed_share": round(stats.shed.share, 4),
         "hedges": stats.hedges.dump(scale),
         "retries": stats.retries.dump(scale),
         "latency": stats.latency.dump(),
-        "hedge_delay_ms": round(delay * 1e3, 3) if known else None,
+        "hedge_delay_ms": round(delay * 1e3, 3),
     }
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -50,7 +50,8 @@
     """Pass over exactly the recorded tests."""
     if config.getoption("--known-red"):
         return
-    red = [item for item in items if item.nodeid in known_red()]
+    names = known_red()
+    red = [item for item in items if item.nodeid in names]
     config.hook.pytest_deselected(items=red)
     items[:] = [item for item in items if item not in red]
 
