Ask targets behind lost connections last when a retry is chosen

Cause of the known red test of a domain cut: targets of the own domain that still warmed up were passed over, so the first sub-request and its hedge went to other domains. The cut lost both connections at once, the lost targets became eligible again, and the one retry went back to one of them although the own domain's target had never been asked. Ruled out: used-up budgets (46 of 50 tokens left in the dump) and connections judged after a stall of the loop (all checks ended by their own time limits).

--- a/bramleycrank/query/execution.py
+++ b/bramleycrank/query/execution.py
@@ -248,8 +248,7 @@
         self._unproven -= proved
         self._policy.on_failure(self.req.service, sub.target_id, now)
         if reason == FailureReason.CONNECTION_LOST and not sub.shard.retries:
-            # The target itself may be well: it stays eligible for the resend.
-            sub.shard.tried.remove(sub.target_id)
+            sub.shard.lost.append(sub.target_id)
         return self._retry(sub, MissingReason.FAILED, proved, now, free=proved)
 
     def _retry(
@@ -267,7 +266,7 @@
             return out
         service, choose = self.req.service, self._policy.choose
         if (self._idempotent or proved) and shard.retries < MAX_RETRIES and now < self.deadline:
-            target_id = choose(service, self.snapshot, shard.index, shard.tried, now)
+            target_id = self._choose_retry(shard, now)
             if target_id is not None and (free or self._policy.take_retry(service)):
                 shard.retries += 1
                 self._retries += 1
@@ -284,6 +283,19 @@
             return out + self._end(now)
         return out
 
+    def _choose_retry(self, shard: ShardState, now: float) -> str | None:
+        """Return the target for a retry.
+
+        A target whose connection was lost may be well and is asked again, but after the others:
+        a cut loses the connections to all targets behind it at once.
+        """
+        service, choose = self.req.service, self._policy.choose
+        target_id = choose(service, self.snapshot, shard.index, shard.tried, now)
+        if target_id is None and shard.lost:
+            left_out = [tried for tried in shard.tried if tried not in shard.lost]
+            target_id = choose(service, self.snapshot, shard.index, left_out, now)
+        return target_id
+
     def _miss(self, shard: ShardState, reason: MissingReason) -> None:
         shard.ended, shard.reason = True, reason
         self._left -= 1
--- a/bramleycrank/query/subrequests.py
+++ b/bramleycrank/query/subrequests.py
@@ -31,6 +31,7 @@
     index: int
     open: list[Sub] = attrs.field(factory=list)
     tried: list[str] = attrs.field(factory=list)
+    lost: list[str] = attrs.field(factory=list)  # tried ones whose connection was lost
     reply: SubReply | None = None
     reason: MissingReason | None = None
     ended: bool = False
