--- /dev/null
+++ b/bramleycrank/connections/http_pool.py
@@ -0,0 +1,344 @@
+"""Connections of one VM to HTTP targets, with one request at a time on each."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+
+CONNECT_TIMEOUT_S = 0.5
+"""Limit for opening a connection; a target that drops packets at its limit resends after 1 s."""
+
+LINGER_S = 1.0
+"""How long a target may finish a sub-request that another target has answered, in seconds."""
+
+BACKOFF_S, BACKOFF_MAX_S = 0.25, 4.0
+"""First and longest pause after a failed attempt to connect; each further one doubles it."""
+
+
+class Connection(Protocol):
+    """A connection to a target; `transport.http1.TargetConnection`."""
+
+    closed: bool
+    idle_until: float | None
+
+    @property
+    def connected(self) -> bool:
+        """Whether the connection is open."""
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress."""
+
+    def send(self, data: bytes, *, head: bool = False) -> None:
+        """Send a request."""
+
+    def close(self) -> None:
+        """Close at once."""
+
+
+class Ending(enum.Enum):
+    """How a sub-request ended that was given up."""
+
+    ANSWERED = enum.auto()  # the target answered, too late to be used
+    CANCELLED = enum.auto()  # it was not sent, or its connection was closed at once
+    SILENT = enum.auto()  # the target had its time, or closed the connection
+
+
+class SubListener(Protocol):
+    """Hears how a sub-request ends; one of the calls comes once."""
+
+    def on_response(self, sub: PoolSub, response: Any) -> bool:
+        """Take the response; return whether it belongs to the request.
+
+        The connection is closed if not, because the next response would be another stray one.
+        """
+
+    def on_lost(self, sub: PoolSub, *, sent: bool, garbled: bool) -> None:
+        """Take note that there is no whole response."""
+
+    def on_given_up(self, sub: PoolSub, ending: Ending) -> None:
+        """Take note that a cancelled sub-request occupies its target no more."""
+
+
+@attrs.define(eq=False)
+class PoolSub:
+    """A sub-request on its way.
+
+    Parameters
+    ----------
+    sub_id : int
+        Identifier for the listener.
+    target_id : str
+        The target.
+    data : bytes
+        Bytes of the request.
+    head : bool
+        Whether it is a HEAD request.
+    listener : SubListener
+        Hears of the end.
+    started : float
+        When it was handed to the pool, in seconds.
+    """
+
+    sub_id: int
+    target_id: str
+    data: bytes
+    head: bool
+    listener: SubListener
+    started: float = 0.0
+    conn: Connection | None = None
+    sent: bool = False
+    linger_until: float | None = None
+
+
+@attrs.define(eq=False)
+class _Target:
+    """A target with its connections."""
+
+    target_id: str
+    host: str
+    port: int
+    limit: int
+    idle: list[Connection] = attrs.field(factory=list)
+    all: set[Connection] = attrs.field(factory=set)
+    opening: int = 0
+    failures: int = 0
+    retry_at: float = 0.0
+    retired: bool = False
+
+
+class HttpPool:
+    """Gives sub-requests to connections within each target's limit.
+
+    The last connection that became idle is used first, so that those beyond the need reach the idle
+    time of the target.
+
+    Parameters
+    ----------
+    open_connection : callable
+        Called with the target's host, port and a listener of the connection; starts to connect and
+        returns the connection. Failures are reported by ``on_closed``.
+    share : callable
+        Returns how many of a target's connections this VM may open.
+    on_room : callable
+        Called with a target's id when it can take one more sub-request.
+    clock : callable
+        Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        open_connection: Callable[[str, int, HttpPool], Connection],
+        share: Callable[[int], int],
+        on_room: Callable[[str], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._open_connection = open_connection
+        self._share = share
+        self._on_room = on_room
+        self._clock = clock
+        self._targets: dict[str, _Target] = {}
+        self._subs: dict[Connection, PoolSub] = {}
+        self._owners: dict[Connection, _Target] = {}
+        self._opened_at: dict[Connection, float] = {}
+        self._lingering: set[PoolSub] = set()
+        self.opened = 0
+
+    # Targets.
+
+    def update(self, target_id: str, host: str, port: int, limit: int) -> None:
+        """Add a target, or take its new address."""
+        known = self._targets.get(target_id)
+        if known is not None and (known.host, known.port) == (host, port):
+            known.limit = limit
+            return
+        if known is not None:
+            self.remove(target_id)
+        self._targets[target_id] = _Target(target_id, host, port, limit)
+
+    def remove(self, target_id: str) -> None:
+        """Send nothing more to a target; what is in flight may finish."""
+        target = self._targets.pop(target_id, None)
+        if target is None:
+            return
+        target.retired = True
+        for conn in list(target.idle):
+            conn.close()
+
+    def has_room(self, target_id: str) -> bool:
+        """Return whether a target can take one more sub-request now."""
+        target = self._targets.get(target_id)
+        if target is None:
+            return False
+        now = self._clock()
+        if any(_is_fresh(conn, now) for conn in target.idle):
+            return True
+        if now < target.retry_at:
+            return False
+        # Idle connections that may not be used again make room for new ones.
+        used = len(target.all) - len(target.idle)
+        return used < self._share(target.limit)
+
+    # Sub-requests.
+
+    def send(self, sub: PoolSub) -> None:
+        """Send on an idle connection, or on a new one."""
+        target = self._targets.get(sub.target_id)
+        if target is None:
+            sub.listener.on_lost(sub, sent=False, garbled=False)
+            return
+        conn = self._take_idle(target) or self._open(target)
+        sub.conn = conn
+        self._subs[conn] = sub
+        if conn.connected:
+            self._transmit(sub)
+
+    def cancel(self, sub: PoolSub, *, overtaken: bool) -> None:
+        """Give a sub-request up; its listener hears only `on_given_up`."""
+        conn = sub.conn
+        if conn is None or self._subs.get(conn) is not sub:
+            return
+        if not sub.sent:
+            del self._subs[conn]  # the connection becomes idle once it is open
+            sub.listener.on_given_up(sub, Ending.CANCELLED)
+        elif overtaken:
+            sub.linger_until = self._clock() + LINGER_S
+            self._lingering.add(sub)
+        else:
+            del self._subs[conn]
+            conn.close()
+            sub.listener.on_given_up(sub, Ending.CANCELLED)
+
+    def tick(self) -> None:
+        """End what takes too long, and report targets whose pause has ended."""
+        now = self._clock()
+        for sub in [s for s in self._lingering if now >= s.linger_until]:
+            self._lingering.discard(sub)
+            self._subs.pop(sub.conn, None)
+            sub.conn.close()
+            sub.listener.on_given_up(sub, Ending.SILENT)
+        for conn, opened_at in list(self._opened_at.items()):
+            if now - opened_at >= CONNECT_TIMEOUT_S:
+                conn.close()
+                self.on_closed(conn)
+        for target in list(self._targets.values()):
+            for conn in [c for c in target.idle if not _is_fresh(c, now)]:
+                conn.close()
+            if target.retry_at and now >= target.retry_at:
+                target.retry_at = 0.0
+                self._on_room(target.target_id)
+
+    def _take_idle(self, target: _Target) -> Connection | None:
+        now = self._clock()
+        while target.idle:
+            conn = target.idle.pop()
+            if _is_fresh(conn, now):
+                return conn
+            conn.close()
+        return None
+
+    def _open(self, target: _Target) -> Connection:
+        conn = self._open_connection(target.host, target.port, self)
+        self.opened += 1
+        target.all.add(conn)
+        self._owners[conn] = target
+        self._opened_at[conn] = self._clock()
+        return conn
+
+    def _transmit(self, sub: PoolSub) -> None:
+        sub.sent = True
+        sub.conn.send(sub.data, head=sub.head)
+
+    # Events of connections.
+
+    def on_connected(self, conn: Connection) -> None:
+        """Send what waits for the connection."""
+        if self._opened_at.pop(conn, None) is None:
+            conn.close()  # it took too long and was given up
+            return
+        target = self._owners[conn]
+        target.failures = 0
+        sub = self._subs.get(conn)
+        if sub is not None:
+            self._transmit(sub)
+        else:
+            self._release(conn)
+
+    def on_response(self, conn: Connection, response: Any) -> None:
+        """Pass a response on and use the connection again."""
+        sub = self._subs.pop(conn, None)
+        if sub is None:
+            conn.close()
+            return
+        if sub.linger_until is not None:
+            self._lingering.discard(sub)
+            sub.listener.on_given_up(sub, Ending.ANSWERED)
+            self._release(conn)
+            return
+        # Before the listener: what it sends next may use the connection.
+        self._release(conn)
+        if not sub.listener.on_response(sub, response):
+            conn.close()
+
+    def on_broken(self, conn: Connection, *, garbled: bool) -> None:
+        """Report the loss of a response."""
+        self._lose(conn, garbled=garbled)
+
+    def on_closed(self, conn: Connection) -> None:
+        """Forget a connection."""
+        target = self._owners.pop(conn, None)
+        if target is None:
+            return
+        target.all.discard(conn)
+        if conn in target.idle:
+            target.idle.remove(conn)
+        if self._opened_at.pop(conn, None) is not None:
+            self._back_off(target)
+        self._lose(conn, garbled=False)
+        if not target.retired:
+            self._on_room(target.target_id)
+
+    def _lose(self, conn: Connection, *, garbled: bool) -> None:
+        sub = self._subs.pop(conn, None)
+        if sub is None:
+            return
+        if sub.linger_until is not None:
+            self._lingering.discard(sub)
+            sub.listener.on_given_up(sub, Ending.SILENT)
+        else:
+            sub.listener.on_lost(sub, sent=sub.sent, garbled=garbled)
+
+    def _back_off(self, target: _Target) -> None:
+        pause_s = min(BACKOFF_MAX_S, BACKOFF_S * 2**target.failures)
+        target.failures = min(target.failures + 1, 10)
+        target.retry_at = self._clock() + pause_s
+
+    def _release(self, conn: Connection) -> None:
+        target = self._owners.get(conn)
+        if target is None or conn.closed:
+            return
+        if target.retired:
+            conn.close()
+        elif _is_fresh(conn, self._clock()):
+            target.idle.append(conn)
+            self._on_room(target.target_id)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the connections of each target."""
+        return {
+            target.target_id: {
+                "address": f"{target.host}:{target.port}",
+                "connections": len(target.all),
+                "idle": len(target.idle),
+                "share": self._share(target.limit),
+                "failures": target.failures,
+            }
+            for target in self._targets.values()
+        }
+
+
+def _is_fresh(conn: Connection, now: float) -> bool:
+    return conn.connected and (conn.idle_until is None or now < conn.idle_until)
--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -14,6 +14,8 @@
 from bramleycrank.exceptions import (
     BramleycrankError,
     ConfigurationUnavailable,
+    NoQuorum,
+    Outcome,
     StorageError,
     UnknownService,
 )
@@ -201,6 +203,32 @@
             "follower": follower,
         }
 
+    def routes(self) -> log_pb2.RouteTable | None:
+        """Return the route table in force, or None while this VM has none."""
+        table = self._follower.config.routes
+        return table if self._follower.is_ready and table.version else None
+
+    async def confirm(self) -> None:
+        """Bring this VM up to the newest revision, confirmed by a quorum after this call began.
+
+        Raises
+        ------
+        NotLeader, NoQuorum, PeerUnreachable
+            The newest revision cannot be known now.
+        """
+        if self._consensus.is_leader:
+            await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+            self._take_local()
+            return
+        address = self._consensus.leader_address() or self.leader_address()
+        if not address:
+            raise NoQuorum("no leader is known", outcome=Outcome.NOT_RUN)
+        request = peer_pb2.FetchConfigRequest(from_revision=self.revision, leader_confirmed=True)
+        reply = await self._clients.stub(address).FetchConfig(request, timeout=CONFIRM_TIMEOUT_S)
+        self._execute(self._follower.on_fetched(address, reply, self._loop.time()))
+        if self.revision < reply.status.revision:
+            raise NoQuorum("the leader's revision did not arrive", outcome=Outcome.NOT_RUN)
+
     # Events.
 
     def on_gossip(
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -210,6 +210,18 @@
         """Return the time before which the state holds every commit, or None if not leading."""
         return self._node.confirmed_at if self._node else None
 
+    def member_silence_s(self) -> dict[str, float]:
+        """Return the seconds since each other member answered this leader; empty elsewhere."""
+        leadership = self._node.dump()["leadership"] if self._node else None
+        if not leadership:
+            return {}
+        now = asyncio.get_running_loop().time()
+        return {
+            node_id: now - progress["heard_at"]
+            for node_id, progress in leadership["progress"].items()
+            if node_id != self.node_id
+        }
+
     # Commands and reads.
 
     async def propose(self, command: log_pb2.Command, timeout_s: float) -> log_pb2.CommandResult:
--- /dev/null
+++ b/bramleycrank/daemon/control_parts.py
@@ -0,0 +1,108 @@
+"""The control plane of a VM: gossip, replicated log and configuration."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import attrs
+
+from bramleycrank.daemon.config_controller import ConfigController
+from bramleycrank.daemon.consensus_controller import ConsensusController
+from bramleycrank.daemon.directory import PeerDirectory
+from bramleycrank.daemon.identity import Identity
+from bramleycrank.daemon.membership_controller import MembershipController
+from bramleycrank.daemon.voter_changes import VoterChanges
+from bramleycrank.exceptions import StorageError
+from bramleycrank.membership import MembershipConfig
+from bramleycrank.observability.metrics import Metrics
+from bramleycrank.proto import peer_pb2
+from bramleycrank.settings import Settings
+from bramleycrank.storage import ConfigCache
+from bramleycrank.transport.peer_client import PeerClients
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define
+class ControlParts:
+    """The parts that every VM has, whatever it serves."""
+
+    clients: PeerClients
+    peers: PeerDirectory
+    membership: MembershipController
+    consensus: ConsensusController
+    config: ConfigController
+    voters: VoterChanges
+    metrics: Metrics
+
+    @classmethod
+    def from_config(
+        cls,
+        cfg: Settings,
+        metrics: Metrics,
+        rng: random.Random,
+        membership_cfg: MembershipConfig | None = None,
+    ) -> ControlParts:
+        """Build and wire the parts; nothing is started.
+
+        Parameters
+        ----------
+        cfg : Settings
+            Settings of the VM.
+        metrics : Metrics
+            Receiver of metrics.
+        rng : random.Random
+            Source of all randomness.
+        membership_cfg : MembershipConfig, optional
+            Options of the membership; those of the settings by default.
+        """
+        clients = PeerClients()
+        seeds = [str(seed) for seed in cfg.peers.seeds]
+        membership = MembershipController(
+            membership_cfg or _membership_config(cfg), _record(cfg), seeds, clients, rng=rng
+        )
+        directory = PeerDirectory(membership, seeds, clients)
+        consensus = ConsensusController(_identity(cfg), directory, clients, rng, metrics)
+        config = ConfigController(cfg.config, consensus, directory, clients, _cache(cfg), rng)
+        directory.leader_address = config.leader_address
+        membership.set_config_status(config.status)
+        membership.subscribe_config_status(config.on_gossip)
+        membership.subscribe_config_replies(config.on_gossip)
+        voters = VoterChanges(consensus, clients)
+        return cls(clients, directory, membership, consensus, config, voters, metrics)
+
+
+def _identity(cfg: Settings) -> Identity:
+    return Identity(
+        vm_id=cfg.vm.id,
+        domain=cfg.vm.domain,
+        host=cfg.listen.grpc.host,
+        port=cfg.listen.grpc.port,
+        data_dir=cfg.storage.data_dir if cfg.storage else None,
+        vote=bool(cfg.storage and cfg.storage.vote),
+    )
+
+
+def _record(cfg: Settings) -> peer_pb2.VmRecord:
+    grpc = cfg.listen.grpc
+    return peer_pb2.VmRecord(vm_id=cfg.vm.id, domain=cfg.vm.domain, host=grpc.host, port=grpc.port)
+
+
+def _membership_config(cfg: Settings) -> MembershipConfig:
+    options = cfg.membership
+    return MembershipConfig(
+        probe_period_s=options.probe_period_s,
+        lease_s=options.lease_s,
+        renew_s=options.renew_s,
+        sync_period_s=options.sync_period_s,
+    )
+
+
+def _cache(cfg: Settings) -> ConfigCache | None:
+    if cfg.storage is None:
+        return None
+    try:
+        return ConfigCache.open(cfg.storage.data_dir)
+    except OSError as exc:
+        raise StorageError(f"{cfg.storage.data_dir}: {exc}") from exc
--- /dev/null
+++ b/bramleycrank/daemon/control_service.py
@@ -0,0 +1,160 @@
+"""Operators' route tables and reports of targets, as any VM of the replicated log takes them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from typing import Protocol
+
+from bramleycrank.daemon.config_controller import ConfigController
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    ConfigurationUnavailable,
+    InvalidChange,
+    Outcome,
+    VersionConflict,
+)
+from bramleycrank.proto import log_pb2, target_pb2
+from bramleycrank.routing import check_routes
+
+log = logging.getLogger(__name__)
+
+PROPOSE_TIMEOUT_S = 4.0
+"""Limit for committing a route table; operators resend to another VM after about a second."""
+
+READ_RETRIES = 2
+"""How often a read is tried again when the leader changes meanwhile."""
+
+READ_RETRY_S = 0.15
+"""Pause before a read is tried again, in seconds."""
+
+
+class Proposer(Protocol):
+    """Commits commands."""
+
+    async def propose(self, command: log_pb2.Command, timeout_s: float) -> log_pb2.CommandResult:
+        """Commit a command through the leader."""
+
+
+class Registry(Protocol):
+    """Takes reports of targets."""
+
+    async def announce(self, request: target_pb2.AnnounceRequest) -> target_pb2.AnnounceReply:
+        """Take an announcement or a renewal."""
+
+    async def leave_target(self, request: target_pb2.LeaveRequest) -> target_pb2.LeaveReply:
+        """Record that a target leaves, and tell the other VMs."""
+
+    def incarnation_of(self, target_id: str) -> int | None:
+        """Return the newest known incarnation of a target."""
+
+
+class ControlService:
+    """Calls of operators and targets.
+
+    Parameters
+    ----------
+    config : ConfigController
+        The configuration in force.
+    proposer : Proposer
+        The replicated log.
+    registry : Registry
+        The targets.
+    """
+
+    def __init__(self, config: ConfigController, proposer: Proposer, registry: Registry) -> None:
+        self._config = config
+        self._proposer = proposer
+        self._registry = registry
+        self.in_flight = 0
+
+    async def put_routes(self, table: log_pb2.RouteTable) -> None:
+        """Commit a route table.
+
+        Raises
+        ------
+        InvalidChange
+            The table is invalid.
+        VersionConflict
+            Another table has the same version.
+        NoQuorum, ProposalOutcomeUnknown
+            It is not known to be committed; the same table may be sent again.
+        """
+        check_routes(table)
+        change = log_pb2.Change(change_id=uuid.uuid4().hex, put_routes=table)
+        self.in_flight += 1
+        try:
+            result = await self._proposer.propose(log_pb2.Command(change=change), PROPOSE_TIMEOUT_S)
+        finally:
+            self.in_flight -= 1
+        log.info(
+            "control: route table decided",
+            extra={
+                "offered_version": table.version,
+                "held_version": result.version,
+                "result": log_pb2.ResultCode.Name(result.code),
+            },
+        )
+        if result.code == log_pb2.RESULT_CODE_VERSION_CONFLICT:
+            raise VersionConflict(result.message, current_version=result.version)
+        if result.code != log_pb2.RESULT_CODE_OK:
+            raise InvalidChange(result.message, outcome=Outcome.NOT_RUN)
+
+    async def routes(self) -> log_pb2.RouteTable:
+        """Return the newest route table, confirmed by a quorum after this call began.
+
+        Raises
+        ------
+        NotLeader, NoQuorum, PeerUnreachable
+            The newest table cannot be known now.
+        ConfigurationUnavailable
+            There is no table yet.
+        """
+        for retries_left in reversed(range(READ_RETRIES + 1)):
+            try:
+                await self._config.confirm()
+                break
+            except BramleycrankError as exc:
+                if not retries_left:
+                    raise
+                log.debug("control: read has to be tried again: %s", exc)
+                await asyncio.sleep(READ_RETRY_S)
+        table = self._config.routes()
+        if table is None:
+            raise ConfigurationUnavailable("there is no route table yet")
+        return table
+
+    async def announce(self, record: target_pb2.TargetRecord) -> None:
+        """Take a report of a target; one that is late changes nothing.
+
+        Raises
+        ------
+        InvalidRequest
+            The report is invalid or late.
+        Draining, Refused
+            Another VM has to take it.
+        """
+        if record.state == target_pb2.TARGET_STATE_LEAVING:
+            await self.leave(record.target_id, record.incarnation)
+            return
+        await self._registry.announce(target_pb2.AnnounceRequest(record=record))
+
+    async def leave(self, target_id: str, incarnation: int | None) -> None:
+        """Record that a target leaves; answers when the other VMs know, or after a short wait.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        incarnation : int or None
+            Its incarnation; the newest known one if it does not say.
+        """
+        known = self._registry.incarnation_of(target_id)
+        if incarnation is None:
+            incarnation = known
+        if incarnation is None:
+            return  # nobody sends to a target that was never announced
+        request = target_pb2.LeaveRequest(target_id=target_id, incarnation=incarnation)
+        await self._registry.leave_target(request)
+        log.info("control: target leaves", extra={"target": target_id, "incarnation": incarnation})
--- a/bramleycrank/daemon/directory.py
+++ b/bramleycrank/daemon/directory.py
@@ -41,6 +41,10 @@
         """Return the ``host:port`` of a VM, or an empty string."""
         return self._by_vm.get(vm_id, "")
 
+    def set_seeds(self, seeds: Sequence[str]) -> None:
+        """Take other first contacts."""
+        self._seeds = list(seeds)
+
     def addresses(self) -> Sequence[str]:
         """Return the addresses of VMs that may be alive, without this one."""
         records = self._membership.vms()
--- /dev/null
+++ b/bramleycrank/daemon/entry_controller.py
@@ -0,0 +1,509 @@
+"""Forwards the requests of callers to HTTP targets."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import random
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, Protocol
+
+import attrs
+
+from bramleycrank.connections import ConnectionBudget, ConnectionConfig
+from bramleycrank.connections.http_pool import Ending, HttpPool, PoolSub
+from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
+from bramleycrank.observability.metrics import Metrics
+from bramleycrank.observability.request_log import RequestLog
+from bramleycrank.proto.log_pb2 import RouteTable
+from bramleycrank.proto.target_pb2 import TargetRecord
+from bramleycrank.routing import Limits, RouteIndex
+from bramleycrank.scatter import (
+    Answer,
+    Cancel,
+    FailureKind,
+    Forward,
+    Merged,
+    Refusal,
+    ScatterExecution,
+    SubFailure,
+    TargetAnswer,
+    merge_records,
+)
+from bramleycrank.scatter.budget import ExtraConfig
+from bramleycrank.scatter.policy import TargetPolicy
+from bramleycrank.transport.http1 import Exchange, Response, TargetConnection, encode_request
+from bramleycrank.transport.http1.messages import Headers, end_to_end
+
+log = logging.getLogger(__name__)
+
+POOL_TICK_S = 0.05
+"""Time between two checks of the connections' time limits, in seconds."""
+
+COUNT_TICKS = 10
+"""Ticks between two counts of the VMs, which read all of their records."""
+
+DEFAULT_CONNECTIONS = 8
+"""Connections of a target in all while its service names no limit."""
+
+STARTING_RETRY_S = 0.5
+"""When a caller should come back to a VM that has no routes yet, in seconds."""
+
+MAX_WAIT_S = 60.0
+"""Longest deadline of a request whose caller names none, in seconds."""
+
+
+class Routes(Protocol):
+    """Source of the routes in force."""
+
+    def routes(self) -> RouteTable | None:
+        """Return the table in force, or None while there is none."""
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
+
+
+class Targets(Protocol):
+    """Source of the targets."""
+
+    def targets(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that may get new work."""
+
+    def subscribe_targets(self, callback: Callable[[TargetRecord], None]) -> None:
+        """Call back whenever a target's record or usability changes."""
+
+    def vm_count(self, domain: str | None = None) -> int:
+        """Return how many VMs share the budgets."""
+
+
+@attrs.define(eq=False)
+class _Call:
+    """A request in progress."""
+
+    exchange: Exchange
+    meta: CallerMeta
+    execution: ScatterExecution
+    subs: dict[int, PoolSub] = attrs.field(factory=dict)
+    timer: asyncio.TimerHandle | None = None
+    timer_at: float = 0.0
+    sends: int = 0
+    failures: list[str] = attrs.field(factory=list)
+
+
+class EntryController:
+    """Runs a `ScatterExecution` for each request and executes its actions.
+
+    Parameters
+    ----------
+    domain : str
+        Failure domain of this VM.
+    dialect : EntryDialect
+        Reads and writes headers.
+    routes : Routes
+        Source of the routes.
+    targets : Targets
+        Source of the targets.
+    extra : ExtraConfig
+        Bound for extra sub-requests.
+    metrics : Metrics
+        Receiver of metrics.
+    rng : random.Random
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        dialect: EntryDialect,
+        routes: Routes,
+        targets: Targets,
+        extra: ExtraConfig,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._clock = self._loop.time
+        self._dialect = dialect
+        self._routes = routes
+        self._targets = targets
+        self._metrics = metrics
+        self._requests = RequestLog(log, self._clock)
+        self._index: RouteIndex | None = None
+        self._budget = ConnectionBudget(ConnectionConfig(), self._clock())
+        self._vm_count = 1
+        self._pool = HttpPool(self._connect, self._share, self._on_room, self._clock)
+        self._policy = TargetPolicy(domain, extra, self._pool.has_room, lambda: self._vm_count, rng)
+        self._incarnations: dict[str, int] = {}
+        self._services_of: dict[str, str] = {}
+        self._served: set[str] = set()
+        self._calls: set[_Call] = set()
+        self._waiting: dict[str, list[_Call]] = defaultdict(list)
+        self._sub_ids = itertools.count(1)
+        self._opening: set[asyncio.Task[Any]] = set()
+        self._tick_task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Follow the routes and the targets."""
+        self._routes.subscribe(self._on_routes)
+        self._targets.subscribe_targets(self._on_target)
+        self._on_routes()
+        self._tick_task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Cancel what is in progress."""
+        if self._tick_task is not None:
+            self._tick_task.cancel()
+        for call in list(self._calls):
+            self._execute(call, call.execution.on_caller_gone(self._clock()))
+            self._forget(call)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in progress."""
+        return len(self._calls)
+
+    @property
+    def has_routes(self) -> bool:
+        """Whether a route table is in force."""
+        return self._index is not None
+
+    @property
+    def covers_routes(self) -> bool:
+        """Whether a target is known for each service of the routes."""
+        return self._index is not None and self._index.services <= self._served
+
+    def limits(self) -> Limits:
+        """Return the limits for callers."""
+        return self._index.limits if self._index is not None else Limits()
+
+    def dump(self) -> dict[str, Any]:
+        """Return routes, requests, targets and connections."""
+        now = self._clock()
+        return {
+            "routes": self._index and self._index.dump(),
+            "in_flight": len(self._calls),
+            "requests": [call.execution.dump(now) for call in list(self._calls)[:100]],
+            "policy": self._policy.dump(now),
+            "connections": self._pool.dump(),
+            "opened": self._pool.opened,
+        }
+
+    # Requests.
+
+    def on_request(self, exchange: Exchange) -> None:
+        """Forward a request."""
+        now = self._clock()
+        request = exchange.request
+        meta = self._dialect.caller_meta(request)
+        if self._index is None:
+            self._refuse(exchange, meta, 503, STARTING_RETRY_S, "no routes are known yet")
+            return
+        route = self._index.find(request.host.decode("latin-1"), request.path)
+        if route is None:
+            self._refuse(exchange, meta, 404, 0.0, "no route matches")
+            return
+        wait_s = route.timeout_s if meta.wait_s is None else meta.wait_s
+        execution = ScatterExecution(
+            route, self._policy, self._sub_ids, exchange.arrived, exchange.arrived + wait_s
+        )
+        call = _Call(exchange, meta, execution)
+        self._calls.add(call)
+        exchange.on_gone = lambda: self._on_gone(call)
+        self._execute(call, execution.start(now))
+
+    def _on_gone(self, call: _Call) -> None:
+        now = self._clock()
+        self._metrics.incr("entry.gone")
+        self._requests.note(
+            "caller gone", call.meta.request_id, now, failed=True, route=call.execution.route.name
+        )
+        self._execute(call, call.execution.on_caller_gone(now))
+        self._forget(call)
+
+    def _refuse(
+        self, exchange: Exchange, meta: CallerMeta, status: int, retry_s: float, reason: str
+    ) -> None:
+        version = self._index.version if self._index is not None else 0
+        self._metrics.incr(f"entry.answers.{status}")
+        self._requests.note(
+            reason,
+            meta.request_id,
+            self._clock(),
+            failed=True,
+            status=status,
+            host=exchange.request.host.decode("latin-1"),
+            path=exchange.request.path[:100],
+            routes_version=version,
+        )
+        exchange.respond(status, self._dialect.refusal_headers(meta, retry_s), b"")
+
+    def _execute(self, call: _Call, actions: Iterable[object]) -> None:
+        for action in actions:
+            match action:
+                case Forward():
+                    self._forward(call, action)
+                case Cancel():
+                    sub = call.subs.pop(action.sub_id, None)
+                    if sub is not None:
+                        self._pool.cancel(sub, overtaken=action.overtaken)
+                case Answer() | Merged() | Refusal():
+                    self._give(call, action)
+        if call.execution.ended:
+            self._forget(call)
+        else:
+            self._await(call)
+
+    def _await(self, call: _Call) -> None:
+        """Wait for room and for the next time limit."""
+        for service in call.execution.waiting:
+            if call not in self._waiting[service]:
+                self._waiting[service].append(call)
+        due = call.execution.next_deadline()
+        if call.timer is None or due != call.timer_at:
+            if call.timer is not None:
+                call.timer.cancel()
+            call.timer_at = due
+            call.timer = self._loop.call_at(due, self._on_timer, call)
+
+    def _on_timer(self, call: _Call) -> None:
+        call.timer = None
+        # Timers fire up to a clock tick early.
+        now = max(self._clock(), call.timer_at)
+        self._execute(call, call.execution.tick(now))
+
+    def _forget(self, call: _Call) -> None:
+        if call.timer is not None:
+            call.timer.cancel()
+            call.timer = None
+        self._calls.discard(call)
+
+    def _forward(self, call: _Call, action: Forward) -> None:
+        request = call.exchange.request
+        headers = self._dialect.target_headers(
+            request, action.target_id, self._incarnations.get(action.target_id, 0), action.timeout_s
+        )
+        sub = PoolSub(
+            action.sub_id,
+            action.target_id,
+            encode_request(request, headers),
+            request.method == b"HEAD",
+            _CallListener(self, call),
+            self._clock(),
+        )
+        call.subs[action.sub_id] = sub
+        call.sends += 1
+        self._metrics.incr("entry.sub_requests")
+        self._pool.send(sub)
+
+    # Ends of sub-requests.
+
+    def on_response(self, call: _Call, sub: PoolSub, response: Response) -> bool:
+        """Take a response; return whether it belongs to the request."""
+        call.subs.pop(sub.sub_id, None)
+        meta = self._dialect.target_meta(response)
+        execution, now = call.execution, self._clock()
+        stray = bool(meta.request_id) and meta.request_id != call.meta.request_id
+        if stray or (not meta.not_run and not self._is_sound(response, meta)):
+            self._note_failure(call, sub, FailureKind.GARBLED)
+            failure = SubFailure(FailureKind.GARBLED)
+            self._execute(call, execution.on_failure(sub.sub_id, failure, now))
+            return not stray
+        if meta.not_run:
+            kind = FailureKind.WRONG_TARGET if meta.wrong_target else FailureKind.REFUSED
+            self._note_failure(call, sub, kind)
+            self._execute(call, execution.on_failure(sub.sub_id, SubFailure(kind), now))
+            return True
+        answer = TargetAnswer(
+            response.status, end_to_end(response.headers), response.body, meta.receipt, meta.load
+        )
+        if not answer.ok:
+            self._note_failure(call, sub, f"status {answer.status}")
+        self._execute(call, execution.on_answer(sub.sub_id, answer, now))
+        return True
+
+    @staticmethod
+    def _is_sound(response: Response, meta: Any) -> bool:
+        """Return whether a response can be the target's own: a success needs its receipt."""
+        return not 200 <= response.status < 300 or (bool(meta.receipt) and not meta.encoded)
+
+    def on_lost(self, call: _Call, sub: PoolSub, *, sent: bool, garbled: bool) -> None:
+        """Take the loss of a response."""
+        call.subs.pop(sub.sub_id, None)
+        kind = FailureKind.NOT_SENT
+        if sent:
+            kind = FailureKind.GARBLED if garbled else FailureKind.LOST
+        self._note_failure(call, sub, kind)
+        actions = call.execution.on_failure(sub.sub_id, SubFailure(kind), self._clock())
+        self._execute(call, actions)
+
+    def on_given_up(self, sub: PoolSub, ending: Ending) -> None:
+        """Take note that a cancelled sub-request occupies its target no more."""
+        now = self._clock()
+        latency_s = now - sub.started if ending is Ending.ANSWERED else None
+        silent = ending is Ending.SILENT
+        self._policy.on_given_up(sub.target_id, latency_s, now, silent=silent)
+
+    def _note_failure(self, call: _Call, sub: PoolSub, reason: str) -> None:
+        self._metrics.incr("entry.sub_failures")
+        if len(call.failures) < 8:
+            call.failures.append(f"{sub.target_id}: {reason}")
+
+    # Answers.
+
+    def _give(self, call: _Call, action: Answer | Merged | Refusal) -> None:
+        status, headers, body, note = self._render(call, action)
+        now = self._clock()
+        latency_s = now - call.exchange.arrived
+        route = call.execution.route
+        self._metrics.incr(f"entry.answers.{status}")
+        self._metrics.timing("entry.latency", latency_s)
+        partial = isinstance(action, Merged) and action.missing > 0
+        self._requests.note(
+            note,
+            call.meta.request_id,
+            now,
+            failed=partial or not 200 <= status < 300,
+            status=status,
+            route=route.name,
+            routes_version=self._index.version,
+            latency_ms=round(latency_s * 1000, 1),
+            sends=call.sends,
+            missing=action.missing if isinstance(action, Merged) else 0,
+            target_failures=call.failures,
+        )
+        call.exchange.respond(status, headers, body)
+
+    def _render(
+        self, call: _Call, action: Answer | Merged | Refusal
+    ) -> tuple[int, Headers, bytes, str]:
+        match action:
+            case Answer(answer=answer):
+                return answer.status, answer.headers, answer.body, "answered"
+            case Merged():
+                receipts: Sequence[bytes] = [part.receipt for part in action.parts]
+                body = merge_records((part.body for part in action.parts), action.top_records)
+                headers = self._dialect.merged_headers(call.meta, receipts, action.missing)
+                return 200, headers, body, "merged"
+            case Refusal():
+                headers = self._dialect.refusal_headers(call.meta, action.retry_after_s)
+                return _refusal_status(action), headers, b"", action.reason
+
+    # Targets and connections.
+
+    def _on_routes(self) -> None:
+        table = self._routes.routes()
+        if table is None or (self._index is not None and self._index.version == table.version):
+            return
+        self._index = RouteIndex(table)
+        log.info("entry: routes in force", extra={"routes_version": table.version})
+        for service in self._index.services | self._served:
+            self._refresh(service)
+
+    def _on_target(self, record: TargetRecord) -> None:
+        service = record.service or self._services_of.get(record.target_id, "")
+        previous = self._services_of.get(record.target_id)
+        if previous is not None and previous != service:
+            self._refresh(previous)
+        self._refresh(service)
+
+    def _refresh(self, service: str) -> None:
+        """Take the targets of a service over into the policy and the pool."""
+        now = self._clock()
+        wanted = self._index is not None and service in self._index.services
+        records = self._targets.targets(service) if wanted else []
+        limit = self._index.connections.get(service, 0) if wanted else 0
+        current = {record.target_id for record in records}
+        gone = [i for i, name in self._services_of.items() if name == service and i not in current]
+        for target_id in gone:
+            del self._services_of[target_id]
+            self._pool.remove(target_id)
+        for record in records:
+            self._services_of[record.target_id] = service
+            self._incarnations[record.target_id] = record.incarnation
+            self._pool.update(
+                record.target_id, record.host, record.port, limit or DEFAULT_CONNECTIONS
+            )
+        self._policy.update(service, records, now)
+        if records:
+            self._served.add(service)
+        else:
+            self._served.discard(service)
+        self._wake(service)
+
+    def _share(self, limit: int) -> int:
+        return self._budget.share(limit, self._clock())
+
+    def _connect(self, host: str, port: int, pool: HttpPool) -> TargetConnection:
+        conn = TargetConnection(pool)
+        task = self._loop.create_task(self._open(conn, host, port))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+        return conn
+
+    async def _open(self, conn: TargetConnection, host: str, port: int) -> None:
+        self._metrics.incr("entry.connections_opened")
+        try:
+            await self._loop.create_connection(lambda: conn, host, port)
+        except OSError as exc:
+            log.debug("entry: no connection to %s:%d: %s", host, port, exc)
+            self._pool.on_closed(conn)
+
+    def _on_room(self, target_id: str) -> None:
+        service = self._services_of.get(target_id)
+        if service is not None and self._waiting.get(service):
+            self._loop.call_soon(self._wake, service)
+
+    def _wake(self, service: str) -> None:
+        """Let the most urgent request that waits for a service try again."""
+        waiting = self._waiting.get(service)
+        if not waiting:
+            return
+        waiting[:] = [c for c in waiting if service in c.execution.waiting]
+        waiting.sort(key=lambda c: (c.execution.route.rank, c.exchange.arrived))
+        now = self._clock()
+        while waiting:
+            call = waiting.pop(0)
+            self._execute(call, call.execution.on_room(service, now))
+            if service in call.execution.waiting:
+                break
+
+    async def _run(self) -> None:
+        for turn in itertools.count():
+            try:
+                self._pool.tick()
+                if turn % COUNT_TICKS == 0:
+                    self._vm_count = max(1, self._targets.vm_count())
+                    self._budget.on_count(self._vm_count, self._clock())
+            except Exception:
+                log.exception("entry: tick failed")
+            await asyncio.sleep(POOL_TICK_S)
+
+
+class _CallListener:
+    """Passes the ends of one request's sub-requests on."""
+
+    __slots__ = ("_call", "_controller")
+
+    def __init__(self, controller: EntryController, call: _Call) -> None:
+        self._controller = controller
+        self._call = call
+
+    def on_response(self, sub: PoolSub, response: Response) -> bool:
+        """Take a response."""
+        return self._controller.on_response(self._call, sub, response)
+
+    def on_lost(self, sub: PoolSub, *, sent: bool, garbled: bool) -> None:
+        """Take the loss of a response."""
+        self._controller.on_lost(self._call, sub, sent=sent, garbled=garbled)
+
+    def on_given_up(self, sub: PoolSub, ending: Ending) -> None:
+        """Take the end of a cancelled sub-request."""
+        self._controller.on_given_up(sub, ending)
+
+
+def _refusal_status(refusal: Refusal) -> int:
+    if refusal.not_run:
+        return 503
+    return 504 if refusal.reason == "timeout" else 502
--- /dev/null
+++ b/bramleycrank/daemon/http_process.py
@@ -0,0 +1,75 @@
+"""The process around an `HttpNode`: event loop, signals, logs and the settings file."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from collections.abc import Callable
+
+from bramleycrank.daemon.http_node import HttpAdapter, HttpNode, HttpNodeConfig
+from bramleycrank.exceptions import BramleycrankError
+from bramleycrank.observability import logs
+from bramleycrank.observability.exposition import ExposedMetrics
+
+log = logging.getLogger(__name__)
+
+
+def run(
+    cfg: HttpNodeConfig,
+    adapter: HttpAdapter,
+    metrics: ExposedMetrics,
+    reload: Callable[[], HttpNodeConfig],
+) -> int:
+    """Run a node until SIGTERM or SIGINT; return the exit code.
+
+    Parameters
+    ----------
+    cfg : HttpNodeConfig
+        What to serve.
+    adapter : HttpAdapter
+        Translates the protocol around the product.
+    metrics : ExposedMetrics
+        Receiver of metrics.
+    reload : callable
+        Reads the settings again after SIGHUP.
+    """
+    logs.configure_stdout(cfg.base.logging, cfg.base.vm.id)
+    return asyncio.run(_live(cfg, adapter, metrics, reload))
+
+
+async def _live(
+    cfg: HttpNodeConfig,
+    adapter: HttpAdapter,
+    metrics: ExposedMetrics,
+    reload: Callable[[], HttpNodeConfig],
+) -> int:
+    loop = asyncio.get_running_loop()
+    node = HttpNode(cfg, adapter, metrics, metrics.render)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _stop, node, number)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, reload)
+    log.info("process: start", extra={"domain": cfg.base.vm.domain, "entry": str(cfg.entry)})
+    node.life_cycle.start()
+    await node.life_cycle.finished.wait()
+    failure = node.life_cycle.failure
+    log.info("process: stop", extra={"failure": repr(failure) if failure else ""})
+    if failure is None:
+        return 0
+    return failure.exit_code if isinstance(failure, BramleycrankError) else 1
+
+
+def _stop(node: HttpNode, number: signal.Signals) -> None:
+    log.info("process: told to stop", extra={"signal": number.name})
+    node.life_cycle.stop()
+
+
+def _reload(node: HttpNode, reload: Callable[[], HttpNodeConfig]) -> None:
+    """Take over the seeds of a changed settings file; what else changes needs a restart."""
+    try:
+        cfg = reload()
+    except BramleycrankError as exc:
+        log.error("process: settings were not reloaded", extra={"reason": str(exc)})
+        return
+    node.set_seeds([str(seed) for seed in cfg.base.peers.seeds])
+    log.info("process: settings reloaded", extra={"seeds": len(cfg.base.peers.seeds)})
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -178,6 +178,11 @@
         """Return all known targets, the ended ones included."""
         return self.registry.all_records()
 
+    def incarnation_of(self, target_id: str) -> int | None:
+        """Return the newest known incarnation of a target."""
+        known = self.registry.get(target_id)
+        return known.incarnation if known is not None else None
+
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target may get new work."""
         return self.registry.is_usable(target_id)
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -13,20 +13,15 @@
 
 from bramleycrank.daemon.config_controller import ConfigController
 from bramleycrank.daemon.consensus_controller import ConsensusController
-from bramleycrank.daemon.directory import PeerDirectory
-from bramleycrank.daemon.identity import Identity
+from bramleycrank.daemon.control_parts import ControlParts
 from bramleycrank.daemon.life_cycle import LifeCycle
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.daemon.query_controller import QueryController
 from bramleycrank.daemon.session_controller import SessionController
 from bramleycrank.daemon.voter_changes import VoterChanges
-from bramleycrank.exceptions import StorageError
-from bramleycrank.membership import MembershipConfig
 from bramleycrank.observability import metrics as metrics_module
-from bramleycrank.proto import peer_pb2
 from bramleycrank.query.types import QueryConfig
 from bramleycrank.settings import Settings
-from bramleycrank.storage import ConfigCache
 from bramleycrank.transport.http_api import ApiSite, HttpApi
 from bramleycrank.transport.operator_service import OperatorService
 from bramleycrank.transport.peer_client import PeerClients
@@ -241,19 +236,9 @@
 
     def _build(self) -> Parts:
         cfg, rng = self._cfg, random.Random()
-        clients = PeerClients()
-        seeds = [str(seed) for seed in cfg.peers.seeds]
-        membership = MembershipController(
-            self._membership_config(), self._record(), seeds, clients, rng=rng
-        )
-        directory = PeerDirectory(membership, seeds, clients)
         metrics = metrics_module.create(cfg.metrics)
-        consensus = ConsensusController(self._identity(), directory, clients, rng, metrics)
-        config = ConfigController(cfg.config, consensus, directory, clients, self._cache(), rng)
-        directory.leader_address = config.leader_address
-        membership.set_config_status(config.status)
-        membership.subscribe_config_status(config.on_gossip)
-        membership.subscribe_config_replies(config.on_gossip)
+        control = ControlParts.from_config(cfg, metrics, rng)
+        membership, consensus, config = control.membership, control.consensus, control.config
         config.subscribe(lambda: self._on_config(config))
         sessions = SessionController.from_config(cfg, membership, metrics)
         query = QueryController(
@@ -269,8 +254,16 @@
         )
         sessions.subscribe_down(query.set_down)
         sessions.subscribe_load(query.on_load)
-        voters = VoterChanges(consensus, clients)
-        return Parts(clients, membership, consensus, config, sessions, query, voters, metrics)
+        return Parts(
+            control.clients,
+            membership,
+            consensus,
+            config,
+            sessions,
+            query,
+            control.voters,
+            metrics,
+        )
 
     def _services(self, parts: Parts) -> list[Any]:
         self._operator = OperatorService(
@@ -294,41 +287,6 @@
     def _on_config(self, config: ConfigController) -> None:
         self.life_cycle.set_operator_drain(config.is_drained(self._cfg.vm.id))
 
-    def _identity(self) -> Identity:
-        cfg = self._cfg
-        return Identity(
-            vm_id=cfg.vm.id,
-            domain=cfg.vm.domain,
-            host=cfg.listen.grpc.host,
-            port=cfg.listen.grpc.port,
-            data_dir=cfg.storage.data_dir if cfg.storage else None,
-            vote=bool(cfg.storage and cfg.storage.vote),
-        )
-
-    def _record(self) -> peer_pb2.VmRecord:
-        cfg = self._cfg
-        grpc = cfg.listen.grpc
-        return peer_pb2.VmRecord(
-            vm_id=cfg.vm.id, domain=cfg.vm.domain, host=grpc.host, port=grpc.port
-        )
-
-    def _membership_config(self) -> MembershipConfig:
-        cfg = self._cfg.membership
-        return MembershipConfig(
-            probe_period_s=cfg.probe_period_s,
-            lease_s=cfg.lease_s,
-            renew_s=cfg.renew_s,
-            sync_period_s=cfg.sync_period_s,
-        )
-
-    def _cache(self) -> ConfigCache | None:
-        if self._cfg.storage is None:
-            return None
-        try:
-            return ConfigCache.open(self._cfg.storage.data_dir)
-        except OSError as exc:
-            raise StorageError(f"{self._cfg.storage.data_dir}: {exc}") from exc
-
 
 async def _logged(step: Awaitable[Any]) -> None:
     """Run a step of closing; its failure does not keep the others from running."""
--- a/bramleycrank/membership/prober.py
+++ b/bramleycrank/membership/prober.py
@@ -55,6 +55,10 @@
         self.was_paused = False  # set after a pause of this process, reset by the reader
         self.next_at = now + rng.uniform(0, view.cfg.probe_period_s)
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other VMs that are tried while they are unreachable."""
+        self._seeds = seeds
+
     def tick(self, now: float) -> list[Action]:
         """Conclude the period that ends and start the next one."""
         if now < self.next_at:
--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -124,6 +124,11 @@
             addresses = list(self._seeds)
         return [action for address in addresses for action in self._sync.start(address, now)]
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other VMs to join through."""
+        self._seeds = tuple(seed for seed in seeds if seed != address_of(self.local))
+        self._prober.set_seeds(self._seeds)
+
     @property
     def joined(self) -> bool:
         """Whether an exchange with a seed was completed, or no seed answered in time."""
--- /dev/null
+++ b/bramleycrank/observability/exposition.py
@@ -0,0 +1,71 @@
+"""Metrics kept in the process and served as text."""
+
+from __future__ import annotations
+
+import re
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+LATENCY_BUCKETS_S = (
+    *(0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15),
+    *(0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0),
+)
+"""Upper bounds of the histograms, in seconds: fine around the latency objectives in use."""
+
+_UNSAFE = re.compile(r"[^a-zA-Z0-9_]")
+
+
+class ExposedMetrics:
+    """Counters, gauges and latency histograms in a registry of their own.
+
+    Parameters
+    ----------
+    prefix : str
+        First part of the names.
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self._prefix = prefix
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._counters: dict[str, Counter] = {}
+        self._histograms: dict[str, Histogram] = {}
+        self._gauges: dict[str, Gauge] = {}
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+        counter = self._counters.get(name)
+        if counter is None:
+            counter = Counter(self._name(name), name, registry=self._registry)
+            self._counters[name] = counter
+        counter.inc(count)
+
+    def timing(self, name: str, duration_s: float) -> None:
+        """Record a duration in seconds."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = Histogram(
+                f"{self._name(name)}_seconds",
+                name,
+                registry=self._registry,
+                buckets=LATENCY_BUCKETS_S,
+            )
+            self._histograms[name] = histogram
+        histogram.observe(duration_s)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(self._name(name), name, registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set(value)
+
+    def close(self) -> None:
+        """Do nothing: nothing is open."""
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
+
+    def _name(self, name: str) -> str:
+        return f"{self._prefix}_{_UNSAFE.sub('_', name)}"
--- a/bramleycrank/observability/logs.py
+++ b/bramleycrank/observability/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
 from typing import TextIO
 
@@ -35,6 +36,71 @@
         logging.getLogger(name).setLevel(max(root.level, logging.WARNING))
 
 
+def configure_stdout(cfg: LoggingSettings, vm_id: str) -> None:
+    """Send all log records to standard output without ever waiting for its reader.
+
+    Parameters
+    ----------
+    cfg : LoggingSettings
+        The section `[logging]`.
+    vm_id : str
+        Name of the VM, added to each record.
+    """
+    configure(cfg, vm_id)
+    handler = NonBlockingHandler(sys.stdout.fileno())
+    handler.setFormatter(json_formatter(vm_id))
+    logging.getLogger().handlers[:] = [handler]
+
+
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a descriptor, and counts those that it does not take at once.
+
+    Parameters
+    ----------
+    fd : int
+        The descriptor; it is switched to non-blocking.
+    """
+
+    def __init__(self, fd: int) -> None:
+        super().__init__()
+        self._fd = fd
+        self._rest = b""
+        self.dropped = 0
+        try:
+            os.set_blocking(fd, False)
+        except OSError as exc:
+            # Some streams cannot be switched; they are files, whose writes do not wait.
+            sys.stderr.write(f"logs: standard output stays blocking: {exc}\n")
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record; one is dropped while the reader is behind."""
+        try:
+            line = self.format(record).encode() + b"\n"
+        except Exception:
+            self.handleError(record)
+            return
+        if self._rest and not self._write(self._rest):
+            self.dropped += 1
+            return
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            line = b'{"message": "logs: lines were dropped", "count": %d}\n%b' % (dropped, line)
+        self._write(line)
+
+    def _write(self, data: bytes) -> bool:
+        """Write; keep the rest of a line that went out in part. Return whether all went out."""
+        try:
+            written = os.write(self._fd, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            self.dropped += 1
+            self._rest = b""
+            return True
+        self._rest = data[written:]
+        return not self._rest
+
+
 def json_formatter(vm_id: str) -> JsonFormatter:
     """Return the formatter: fields ``time`` (UTC), ``level``, ``logger``, ``message``, ``vm``."""
     return JsonFormatter(
--- /dev/null
+++ b/bramleycrank/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls."""
--- /dev/null
+++ b/bramleycrank/platform/adapter.py
@@ -0,0 +1,114 @@
+"""The platform's calls, passed on to the product."""
+
+from __future__ import annotations
+
+import json
+import logging
+from urllib.parse import unquote
+
+from bramleycrank.daemon.control_service import ControlService
+from bramleycrank.daemon.http_node import HttpAdapter
+from bramleycrank.exceptions import BramleycrankError, InvalidRequest, MalformedBody, NotFound
+from bramleycrank.platform import documents
+from bramleycrank.platform.fields import Fields
+from bramleycrank.platform.headers import RETRY_AFTER, PlatformHeaders
+from bramleycrank.transport.http1 import Exchange
+
+log = logging.getLogger(__name__)
+
+READY_PATH = "/-/ready"
+CONFIG_PATH = "/-/config"
+INSTANCES_PATH = "/-/instances/"
+
+JSON_TYPE = (b"Content-Type", b"application/json")
+
+
+class PlatformAdapter(HttpAdapter):
+    """Answers the platform's calls.
+
+    Parameters
+    ----------
+    control_address : str
+        ``host:port`` at which this VM takes reports; empty if it takes none.
+    """
+
+    def __init__(self, control_address: str) -> None:
+        super().__init__(PlatformHeaders())
+        self._report_answer = json.dumps({"HeartbeatAddr": control_address}).encode()
+
+    def readiness(self, exchange: Exchange, reason: str) -> None:
+        """Answer the load balancer."""
+        if exchange.request.path != READY_PATH:
+            exchange.respond(404, [], b"")
+            return
+        super().readiness(exchange, reason)
+
+    async def control(self, exchange: Exchange, service: ControlService) -> None:
+        """Answer a call of the operator or of a back end."""
+        try:
+            body = await self._call(exchange, service)
+        except BramleycrankError as exc:
+            _respond_error(exchange, exc)
+        except Exception:
+            log.exception("control: a call failed")
+            exchange.respond(500, [], b"")
+        else:
+            exchange.respond(200, [JSON_TYPE], body)
+
+    async def _call(self, exchange: Exchange, service: ControlService) -> bytes:
+        request = exchange.request
+        match request.method, request.path:
+            case b"PUT", path if path == CONFIG_PATH:
+                await service.put_routes(documents.decode_routes(request.body))
+                return b"{}"
+            case b"GET", path if path == CONFIG_PATH:
+                return (await service.routes()).document
+            case b"PUT", path if path.startswith(INSTANCES_PATH):
+                return await self._report(_instance(path), request.body, service)
+            case b"DELETE", path if path.startswith(INSTANCES_PATH):
+                await service.leave(_instance(path), _birth(request.body))
+                return b"{}"
+        raise NotFound(f"{request.method.decode('latin-1')} {request.path[:100]}")
+
+    async def _report(self, target_id: str, body: bytes, service: ControlService) -> bytes:
+        record = documents.decode_report(target_id, body)
+        try:
+            await service.announce(record)
+        except InvalidRequest as exc:
+            # A report that arrives late is no fault of its sender, who would send it elsewhere.
+            log.info(
+                "control: report changes nothing", extra={"target": target_id, "reason": str(exc)}
+            )
+        return self._report_answer
+
+
+def _instance(path: str) -> str:
+    target_id = unquote(path.removeprefix(INSTANCES_PATH))
+    if not target_id or "/" in target_id:
+        raise NotFound("the path names no instance")
+    return target_id
+
+
+def _birth(body: bytes) -> int | None:
+    if not body.strip():
+        return None
+    fields = Fields.from_json(body, "leave")
+    return documents.decode_birth(fields) if fields.has("born") else None
+
+
+def _respond_error(exchange: Exchange, exc: BramleycrankError) -> None:
+    status = 400 if isinstance(exc, MalformedBody) else exc.http_status
+    log.info(
+        "control: refused a call",
+        extra={
+            "method": exchange.request.method.decode("latin-1"),
+            "path": exchange.request.path[:100],
+            "status": status,
+            "error": exc.name,
+            "reason": exc.message[:300],
+        },
+    )
+    headers = [JSON_TYPE]
+    if exc.retry_after_ms:
+        headers.append((RETRY_AFTER, b"%.3f" % (exc.retry_after_ms / 1000)))
+    exchange.respond(status, headers, json.dumps({"Error": exc.as_dict()}).encode())
--- /dev/null
+++ b/bramleycrank/platform/documents.py
@@ -0,0 +1,107 @@
+"""The platform's documents, decoded into the project's messages."""
+
+from __future__ import annotations
+
+from bramleycrank.platform.fields import Fields, malformed
+from bramleycrank.proto import log_pb2, target_pb2
+from bramleycrank.scatter.policy import WHOLE_REPLICAS
+
+IDEMPOTENT, NON_IDEMPOTENT = "idempotent", "non_idempotent"
+READY, DRAINING = "ready", "draining"
+
+
+def decode_routes(body: bytes) -> log_pb2.RouteTable:
+    """Return the route table of a configuration document.
+
+    Raises
+    ------
+    MalformedBody
+        The document cannot be read in full.
+    """
+    fields = Fields.from_json(body, "config")
+    limits = fields.object("Limits")
+    return log_pb2.RouteTable(
+        version=fields.count("Version"),
+        routes=[_route(item) for item in fields.objects("Routes")],
+        services=[
+            log_pb2.HttpService(
+                # A limit for all callers of one back end together.
+                name=item.text("Name"),
+                connections=item.count("MaxConnections", 0),
+            )
+            for item in fields.objects("Services")
+        ],
+        limits=log_pb2.CallerLimits(
+            header_bytes=limits.count("MaxHeaderBytes", 0),
+            body_bytes=limits.count("MaxBodyBytes", 0),
+            header_timeout_ms=limits.count("HeaderTimeoutMs", 0),
+            idle_timeout_ms=limits.count("IdleTimeoutMs", 0),
+        ),
+        document=fields.canonical(),
+    )
+
+
+def _route(fields: Fields) -> log_pb2.Route:
+    kind = fields.text("Type", IDEMPOTENT)
+    if kind not in (IDEMPOTENT, NON_IDEMPOTENT):
+        raise malformed(f"route type {kind!r} is unknown")
+    split = [
+        log_pb2.WeightedService(name=part.text("Service"), weight=part.number("Weight"))
+        for part in fields.objects("Split")
+    ]
+    if fields.has("Service"):
+        split.append(log_pb2.WeightedService(name=fields.text("Service"), weight=1.0))
+    return log_pb2.Route(
+        name=fields.text("Name", ""),
+        host=fields.text("Host"),
+        path_prefix=fields.text("PathPrefix"),
+        idempotent=kind == IDEMPOTENT,
+        timeout_ms=_whole_ms(fields, "TimeoutMs"),
+        objective_ms=_whole_ms(fields, "TargetLatencyMs", 0),
+        rank=fields.count("Priority", 0),
+        # Counts the back ends of one service, the first one included.
+        max_targets=fields.count("MaxAttempts", 1),
+        split=split,
+        shards=fields.texts("Gather"),
+        top_records=fields.count("TopK", 0),
+        min_coverage=fields.number("MinCoverage", 0.0),
+    )
+
+
+def _whole_ms(fields: Fields, name: str, default: int | None = None) -> int:
+    return min(round(fields.number(name, default)), 2**32 - 1)
+
+
+def decode_report(target_id: str, body: bytes) -> target_pb2.TargetRecord:
+    """Return the record of a liveness report.
+
+    Raises
+    ------
+    MalformedBody
+        A field is missing, has another type or an unknown value.
+    """
+    fields = Fields.from_json(body, "report")
+    host, colon, port = fields.text("Address").rpartition(":")
+    if not (host and colon and port.isdigit()):
+        raise malformed("report.Address is no address")
+    state = fields.text("State")
+    if state not in (READY, DRAINING):
+        raise malformed(f"report.State {state!r} is unknown")
+    leaving = state == DRAINING
+    return target_pb2.TargetRecord(
+        target_id=target_id,
+        incarnation=decode_birth(fields),
+        sequence=fields.count("Sequence"),
+        state=target_pb2.TARGET_STATE_LEAVING if leaving else target_pb2.TARGET_STATE_SERVING,
+        service=fields.text("Service"),
+        host=host,
+        port=int(port),
+        domain=fields.text("Zone"),
+        slots=min(fields.count("Slots", 1), 2**31),
+        replicas=WHOLE_REPLICAS,
+    )
+
+
+def decode_birth(fields: Fields) -> int:
+    """Return the Unix millisecond of a back end's start, which orders its incarnations."""
+    return fields.count("born", 0)
--- /dev/null
+++ b/bramleycrank/platform/fields.py
@@ -0,0 +1,105 @@
+"""Typed reading of JSON objects."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+from bramleycrank.exceptions import MalformedBody, Outcome
+
+
+class Fields:
+    """The fields of a JSON object; a missing field or one of another type is an error.
+
+    Parameters
+    ----------
+    data : object
+        What the JSON parser returned.
+    where : str
+        Place of the object, for messages.
+    """
+
+    def __init__(self, data: object, where: str) -> None:
+        if not isinstance(data, dict):
+            raise malformed(f"{where} is no object")
+        self._data: dict[str, Any] = data
+        self._where = where
+
+    @classmethod
+    def from_json(cls, body: bytes, where: str) -> Fields:
+        """Parse a body.
+
+        Raises
+        ------
+        MalformedBody
+            It is not one JSON object, or an object in it has a key twice.
+        """
+        try:
+            return cls(json.loads(body, object_pairs_hook=_unique), where)
+        except (ValueError, RecursionError) as exc:
+            raise malformed(f"{where}: {exc}") from exc
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Return a string."""
+        return self._get(name, str, default)
+
+    def count(self, name: str, default: int | None = None) -> int:
+        """Return a whole number that is not negative."""
+        value = self._get(name, int, default)
+        if value < 0 or value >= 2**63:
+            raise malformed(f"{self._where}.{name} is out of range")
+        return value
+
+    def number(self, name: str, default: float | None = None) -> float:
+        """Return a finite number."""
+        value = float(self._get(name, (int, float), default))
+        if value - value != 0:
+            raise malformed(f"{self._where}.{name} is not finite")
+        return value
+
+    def has(self, name: str) -> bool:
+        """Return whether a field is there and not null."""
+        return self._data.get(name) is not None
+
+    def texts(self, name: str) -> list[str]:
+        """Return a list of strings."""
+        values = self._get(name, list, [])
+        if not all(isinstance(value, str) for value in values):
+            raise malformed(f"{self._where}.{name} must hold strings")
+        return values
+
+    def objects(self, name: str) -> Iterator[Fields]:
+        """Yield the objects of a list."""
+        for position, value in enumerate(self._get(name, list, [])):
+            yield Fields(value, f"{self._where}.{name}[{position}]")
+
+    def object(self, name: str) -> Fields:
+        """Return an object; an empty one if it is missing."""
+        return Fields(self._get(name, dict, {}), f"{self._where}.{name}")
+
+    def _get(self, name: str, kind: Any, default: Any) -> Any:
+        value = self._data.get(name)
+        if value is None:
+            if default is None:
+                raise malformed(f"{self._where}.{name} is missing")
+            return default
+        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+            raise malformed(f"{self._where}.{name} has another type")
+        return value
+
+    def canonical(self) -> bytes:
+        """Return the object as JSON in a fixed order without spaces."""
+        return json.dumps(self._data, sort_keys=True, separators=(",", ":")).encode()
+
+
+def malformed(message: str) -> MalformedBody:
+    """Return the error of a document that cannot be used; nothing of it ran."""
+    return MalformedBody(message[:300], outcome=Outcome.NOT_RUN)
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    data = dict(pairs)
+    if len(data) != len(pairs):
+        raise ValueError("an object has a key twice")
+    return data
--- /dev/null
+++ b/bramleycrank/platform/headers.py
@@ -0,0 +1,87 @@
+"""Headers of the platform's requests and responses."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from bramleycrank.daemon.entry_types import CallerMeta, TargetMeta
+from bramleycrank.proto.target_pb2 import LoadReport
+from bramleycrank.transport.http1.messages import Headers, Request, Response, end_to_end
+
+REQUEST_ID = b"X-Request-Id"
+DEADLINE_MS = b"X-Deadline-Ms"
+EXPECT_INSTANCE = b"X-Expect-Instance"
+STAMP = b"X-Server-Stamp"
+NOT_EXECUTED = b"X-Not-Executed"
+BACKEND_LOAD = b"X-Backend-Load"
+PART_STAMPS = b"X-Part-Stamps"
+MISSING_PARTS = b"X-Missing-Parts"
+RETRY_AFTER = b"Retry-After"
+
+MISDIRECTED = 421
+
+_SET_HERE = frozenset({DEADLINE_MS.lower(), EXPECT_INSTANCE.lower()})
+
+
+class PlatformHeaders:
+    """Implements `EntryDialect` for the platform."""
+
+    def caller_meta(self, request: Request) -> CallerMeta:
+        """Return what a caller says about its request."""
+        headers = _lowered(request.headers)
+        # The header holds how long the caller waits from now on, not a point in time.
+        wait_ms = headers.get(b"x-deadline-ms", b"")
+        wait_s = int(wait_ms) / 1000 if wait_ms.isdigit() else None
+        return CallerMeta(headers.get(b"x-request-id", b""), wait_s)
+
+    def target_headers(
+        self, request: Request, target_id: str, incarnation: int, timeout_s: float
+    ) -> Headers:
+        """Return the headers of a sub-request."""
+        return [
+            *end_to_end(request.headers, _SET_HERE),
+            (DEADLINE_MS, b"%d" % max(1, int(timeout_s * 1000))),
+            (EXPECT_INSTANCE, target_id.encode()),
+        ]
+
+    def target_meta(self, response: Response) -> TargetMeta:
+        """Return what a target says about its response."""
+        headers = _lowered(response.headers)
+        misdirected = response.status == MISDIRECTED
+        return TargetMeta(
+            request_id=headers.get(b"x-request-id", b""),
+            receipt=headers.get(b"x-server-stamp", b""),
+            not_run=misdirected or b"x-not-executed" in headers,
+            wrong_target=misdirected,
+            encoded=headers.get(b"content-encoding", b"identity") != b"identity",
+            load=_load(headers.get(b"x-backend-load")),
+        )
+
+    def merged_headers(self, meta: CallerMeta, receipts: Sequence[bytes], missing: int) -> Headers:
+        """Return the headers of a merged answer."""
+        return [
+            (REQUEST_ID, meta.request_id),
+            (PART_STAMPS, b", ".join(receipts)),
+            (MISSING_PARTS, b"%d" % missing),
+            (b"Content-Type", b"application/octet-stream"),
+        ]
+
+    def refusal_headers(self, meta: CallerMeta, retry_after_s: float) -> Headers:
+        """Return the headers of an error of this VM."""
+        headers = [(REQUEST_ID, meta.request_id)] if meta.request_id else []
+        if retry_after_s > 0:
+            headers.append((RETRY_AFTER, b"%.3f" % retry_after_s))
+        return headers
+
+
+def _lowered(headers: Headers) -> dict[bytes, bytes]:
+    return {name.lower(): value for name, value in headers}
+
+
+def _load(value: bytes | None) -> LoadReport | None:
+    """Return the load report of the figures "running,waiting,slots"; a fourth one may follow."""
+    figures = value.split(b",") if value else []
+    if len(figures) < 3 or not all(figure.strip().isdigit() for figure in figures[:3]):
+        return None
+    running, waiting, slots = (int(figure) for figure in figures[:3])
+    return LoadReport(in_flight=running, queued=waiting, slots=slots)
--- /dev/null
+++ b/bramleycrank/platform/node_file.py
@@ -0,0 +1,120 @@
+"""The platform's settings file, decoded into the settings of a VM."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+from bramleycrank.daemon.http_node import HttpNodeConfig
+from bramleycrank.daemon.voter_keeper import VotingConfig
+from bramleycrank.exceptions import InvalidSettings
+from bramleycrank.membership import MembershipConfig
+from bramleycrank.scatter.budget import ExtraConfig
+from bramleycrank.settings import Address, Settings
+
+METRICS_PORT = 9464
+"""Port of the metrics on every machine; `deploy/system.toml` names the same."""
+
+LEASE_HEARTBEATS = 4.5
+"""Heartbeats that may be missing before a back end counts as gone; one may be seconds late."""
+
+DRAIN_SHARE = 0.85
+"""Part of the grace time after SIGTERM that requests in flight may use."""
+
+NOTICE_S = 2.3
+"""Time in which a machine that was told to stop still accepts, in seconds.
+
+The platform asks once a second whether a machine is ready and goes by two misses.
+"""
+
+
+def read_lines(path: Path) -> dict[str, str]:
+    """Return the entries of a file of lines ``a.b=value``.
+
+    Raises
+    ------
+    InvalidSettings
+        The file cannot be read, or a line has no "=".
+    """
+    try:
+        lines = path.read_text().splitlines()
+    except OSError as exc:
+        raise InvalidSettings([f"{path}: {exc}"]) from exc
+    entries = [line.partition("=") for line in lines if line.strip()]
+    bad = [name for name, equals, _ in entries if not equals]
+    if bad:
+        raise InvalidSettings([f"{path}: {name!r} has no value" for name in bad])
+    return {name.strip(): value.strip() for name, _, value in entries}
+
+
+def load(path: Path) -> HttpNodeConfig:
+    """Read the platform's settings file.
+
+    Raises
+    ------
+    InvalidSettings
+        The file cannot be read, or an entry is missing or malformed.
+    """
+    entries = read_lines(path)
+    try:
+        return decode(entries)
+    except (KeyError, ValueError) as exc:
+        raise InvalidSettings([f"{path}: {exc!r}"]) from exc
+
+
+def decode(entries: dict[str, str]) -> HttpNodeConfig:
+    """Return the configuration for the entries of a settings file."""
+    ip = entries["Ip"]
+    # The ports between nodes are the same on all machines, so the first one serves for gRPC.
+    internal_port = int(entries["InternalPortRange"].partition(",")[0])
+    # Seeds are addresses for operators and back ends; only their hosts matter here.
+    seed_hosts = [_host(seed) for seed in entries.get("Seeds", "").split(",") if seed]
+    seeds = tuple(f"{host}:{internal_port}" for host in seed_hosts)
+    heartbeat_s = int(entries.get("HeartbeatMs") or 1000) / 1000
+    grace_s = float(entries.get("Bounds.GraceS") or 6)
+    serves_callers = bool(entries.get("BindAddrs.EdgeAddr"))
+    membership = MembershipConfig(
+        lease_s=LEASE_HEARTBEATS * heartbeat_s,
+        renew_s=heartbeat_s,
+        sync_period_s=4.0,
+        push_retries=8,
+        push_retry_s=0.3,
+    )
+    base: dict[str, Any] = {
+        "vm": {"id": entries["NodeName"], "domain": entries["Zone"], "region": entries["Region"]},
+        "listen": {"grpc": f"{ip}:{internal_port}"},
+        "peers": {"seeds": list(seeds)},
+        "life_cycle": {
+            "drain_notice_s": NOTICE_S if serves_callers else 0.0,
+            "drain_limit_s": grace_s * DRAIN_SHARE - (NOTICE_S if serves_callers else 0.0),
+        },
+    }
+    if entries.get("DataDir"):
+        base["storage"] = {"data_dir": entries["DataDir"]}
+    return HttpNodeConfig(
+        base=Settings.from_dict(base, source="node file"),
+        membership=membership,
+        entry=_address(entries.get("BindAddrs.EdgeAddr")),
+        readiness=_address(entries.get("BindAddrs.ReadinessAddr")),
+        control=_address(entries.get("BindAddrs.Control")),
+        metrics=Address(ip, METRICS_PORT),
+        extra=ExtraConfig(
+            ratio=float(entries.get("Bounds.RetryBudgetRatio") or 0.1),
+            window_s=float(entries.get("Bounds.RetryWindowS") or 10),
+            slack=float(entries.get("Bounds.RetrySlack") or 0),
+        ),
+        voting=VotingConfig(bootstrap=entries.get("Bootstrap") == "true", seeds=seeds),
+    )
+
+
+def _host(address: str) -> str:
+    return address.strip().rpartition(":")[0]
+
+
+def _address(value: str | None) -> Address | None:
+    if not value:
+        return None
+    address = Address.parse(value)
+    if address is None:
+        raise ValueError(f"{value!r} is no address")
+    return address
--- a/bramleycrank/proto/peer_grpc.py
+++ b/bramleycrank/proto/peer_grpc.py
@@ -44,6 +44,10 @@
     async def Bootstrap(self, stream: 'grpclib.server.Stream[bramleycrank.proto.peer_pb2.BootstrapRequest, bramleycrank.proto.peer_pb2.BootstrapReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Join(self, stream: 'grpclib.server.Stream[bramleycrank.proto.peer_pb2.JoinRequest, bramleycrank.proto.peer_pb2.Ack]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/bramleycrank.peer.Peer/Probe': grpclib.const.Handler(
@@ -88,6 +92,12 @@
                 bramleycrank.proto.peer_pb2.BootstrapRequest,
                 bramleycrank.proto.peer_pb2.BootstrapReply,
             ),
+            '/bramleycrank.peer.Peer/Join': grpclib.const.Handler(
+                self.Join,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                bramleycrank.proto.peer_pb2.JoinRequest,
+                bramleycrank.proto.peer_pb2.Ack,
+            ),
         }
 
 
@@ -136,3 +146,9 @@
             bramleycrank.proto.peer_pb2.BootstrapRequest,
             bramleycrank.proto.peer_pb2.BootstrapReply,
         )
+        self.Join = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/bramleycrank.peer.Peer/Join',
+            bramleycrank.proto.peer_pb2.JoinRequest,
+            bramleycrank.proto.peer_pb2.Ack,
+        )
--- /dev/null
+++ b/bramleycrank/routing/__init__.py
@@ -0,0 +1,6 @@
+"""Routes of the HTTP entry, without I/O."""
+
+from bramleycrank.routing.table import Limits, Route, RouteIndex
+from bramleycrank.routing.validation import check_routes
+
+__all__ = ["Limits", "Route", "RouteIndex", "check_routes"]
--- /dev/null
+++ b/bramleycrank/routing/validation.py
@@ -0,0 +1,71 @@
+"""Rules that a route table must meet as a whole."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from bramleycrank.exceptions import InvalidChange, Outcome
+from bramleycrank.proto.log_pb2 import Route, RouteTable
+
+MAX_ROUTES = 10_000
+"""Most routes of a table; a larger one would not fit into a message between VMs."""
+
+
+def check_routes(table: RouteTable) -> None:
+    """Check a table.
+
+    Raises
+    ------
+    InvalidChange
+        With the first few problems.
+    """
+    problems = list(_problems(table))
+    if problems:
+        raise InvalidChange("; ".join(problems[:5]), outcome=Outcome.NOT_RUN)
+
+
+def _problems(table: RouteTable) -> Iterable[str]:
+    if not table.version:
+        yield "the version is missing"
+    if len(table.routes) > MAX_ROUTES:
+        yield f"there are {len(table.routes)} routes, more than {MAX_ROUTES}"
+    services = Counter(service.name for service in table.services)
+    yield from (
+        f"service {name!r} is listed twice" for name, count in services.items() if count > 1
+    )
+    places = Counter((route.host.lower(), route.path_prefix) for route in table.routes)
+    yield from (
+        f"two routes have host {host!r} and prefix {prefix!r}"
+        for (host, prefix), count in places.items()
+        if count > 1
+    )
+    for route in table.routes:
+        yield from (f"route {route.name!r}: {text}" for text in _route_problems(route, services))
+
+
+def _route_problems(route: Route, services: Counter[str]) -> Iterable[str]:
+    prefix = route.path_prefix
+    if not route.host:
+        yield "the host is missing"
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        yield "the prefix must begin and end with a slash"
+    if not route.timeout_ms:
+        yield "the timeout is 0"
+    names = [*route.shards, *(part.name for part in route.split)]
+    if bool(route.shards) == bool(route.split):
+        yield "exactly one of a split and a list of shards must be given"
+    yield from (f"service {name!r} is unknown" for name in names if name not in services)
+    if len(set(names)) != len(names):
+        yield "a service is listed twice"
+    if route.split and not _is_positive(part.weight for part in route.split):
+        yield "the weights must not be negative and must not add up to 0"
+    if route.shards and not route.top_records:
+        yield "a route over shards needs the number of records of its answers"
+    if not 0 <= route.min_coverage <= 1:
+        yield "the minimum coverage must lie between 0 and 1"
+
+
+def _is_positive(weights: Iterable[float]) -> bool:
+    weights = list(weights)
+    return all(weight >= 0 for weight in weights) and sum(weights) > 0
--- /dev/null
+++ b/bramleycrank/scatter/__init__.py
@@ -0,0 +1,35 @@
+"""Execution of forwarded requests over one or many services, without I/O."""
+
+from bramleycrank.scatter.budget import ExtraBudget
+from bramleycrank.scatter.execution import ScatterExecution
+from bramleycrank.scatter.merge import merge_records
+from bramleycrank.scatter.policy import ScatterPolicy
+from bramleycrank.scatter.types import (
+    Answer,
+    Cancel,
+    FailureKind,
+    Forward,
+    Give,
+    Merged,
+    Part,
+    Refusal,
+    SubFailure,
+    TargetAnswer,
+)
+
+__all__ = [
+    "Answer",
+    "Cancel",
+    "ExtraBudget",
+    "FailureKind",
+    "Forward",
+    "Give",
+    "Merged",
+    "Part",
+    "Refusal",
+    "ScatterExecution",
+    "ScatterPolicy",
+    "SubFailure",
+    "TargetAnswer",
+    "merge_records",
+]
--- /dev/null
+++ b/bramleycrank/scatter/execution.py
@@ -0,0 +1,348 @@
+"""Execution of one forwarded request: which targets are asked, when, and what the caller gets."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from bramleycrank.routing import Route
+from bramleycrank.scatter.policy import ScatterPolicy
+from bramleycrank.scatter.types import (
+    NOT_RUN_KINDS,
+    Action,
+    Answer,
+    Cancel,
+    FailureKind,
+    Forward,
+    Give,
+    Merged,
+    Part,
+    Refusal,
+    SubFailure,
+    TargetAnswer,
+)
+
+DELIVERY_S = 0.008
+"""Time kept for the way to the caller before the latency objective, in seconds."""
+
+DELIVERY_SHARE = 0.05
+"""Part of the latency objective that is kept besides."""
+
+LATE_FACTOR = 2.0
+"""Multiple of the objective up to which an answer that is late already waits for missing parts."""
+
+RECHECK_S = 0.01
+"""Time until a hedge that found no budget or no target with room is tried again, in seconds."""
+
+RETRY_AFTER_S = 0.1
+"""When a caller should come back if no target was to be had, in seconds."""
+
+
+@attrs.define(eq=False)
+class _Sub:
+    """A sub-request without an end."""
+
+    sub_id: int
+    target_id: str
+    sent_at: float
+
+
+@attrs.define(eq=False)
+class _Shard:
+    """One service of the request."""
+
+    service: str
+    open: list[_Sub] = attrs.field(factory=list)
+    tried: list[str] = attrs.field(factory=list)
+    sends: int = 0
+    waiting: bool = False
+    hedge_at: float = math.inf
+    part: Part | None = None
+    failure: SubFailure | None = None
+    ended: bool = False
+
+
+class ScatterExecution:
+    """State of one forwarded request.
+
+    Each method that takes an event returns the actions to execute in order. The last action of a
+    request is what the caller gets; events after it change nothing.
+
+    Parameters
+    ----------
+    route : Route
+        The route of the request.
+    policy : ScatterPolicy
+        Chooses targets and keeps the budgets.
+    sub_ids : iterator of int
+        Identifiers of sub-requests.
+    arrived : float
+        When the caller sent the request as far as it is known, in seconds.
+    deadline : float
+        Time at which the caller stops waiting, in seconds.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        policy: ScatterPolicy,
+        sub_ids: Iterator[int],
+        arrived: float,
+        deadline: float,
+    ) -> None:
+        self.route = route
+        self.ended = False
+        self._policy = policy
+        self._sub_ids = sub_ids
+        self._arrived = arrived
+        self._timeout_at = arrived + route.timeout_s
+        self._deadline = min(deadline, self._timeout_at)
+        services = route.services if route.gather else (route.choose_service(),)
+        self._shards = [_Shard(service) for service in services]
+        self._subs: dict[int, tuple[_Shard, _Sub]] = {}
+        self._answered = 0
+        self._lost = 0
+        self._ran = False
+        needed = route.min_coverage * len(services) if route.gather else 1
+        self._needed = max(1, math.ceil(needed - 1e-9))
+        objective_s = route.objective_s
+        margin_s = DELIVERY_S + DELIVERY_SHARE * objective_s
+        # An answer that misses the objective by the way to the caller is as late as a later one.
+        self._give_at = arrived + max(objective_s - margin_s, objective_s / 2)
+        if not objective_s or not route.gather:
+            self._give_at = math.inf
+
+    @property
+    def services(self) -> list[str]:
+        """Services of the request."""
+        return [shard.service for shard in self._shards]
+
+    @property
+    def waiting(self) -> list[str]:
+        """Services whose sub-request waits for a target with room."""
+        return [shard.service for shard in self._shards if shard.waiting]
+
+    def start(self, now: float) -> list[Action]:
+        """Send the first sub-request of every service."""
+        if now >= self._deadline:
+            return self._refuse("the deadline had passed on arrival", now)
+        out: list[Action] = []
+        for shard in self._shards:
+            self._policy.on_request(shard.service, now)
+            self._send_first(shard, now, out)
+        return out if self.ended else [*out, *self._settle(now)]
+
+    def on_room(self, service: str, now: float) -> list[Action]:
+        """Send a sub-request that waits, because a target of its service may have room."""
+        out: list[Action] = []
+        for shard in self._shards:
+            if shard.waiting and shard.service == service:
+                shard.waiting = False
+                self._send_first(shard, now, out)
+        return out if self.ended else [*out, *self._settle(now)]
+
+    def on_answer(self, sub_id: int, answer: TargetAnswer, now: float) -> list[Action]:
+        """Take a whole answer of a target."""
+        found = self._subs.get(sub_id)
+        if found is None:
+            return []
+        shard, sub = found
+        if not answer.ok and (self.route.gather or answer.status >= 500):
+            return self.on_failure(sub_id, SubFailure(FailureKind.ERROR, answer), now)
+        self._close(shard, sub)
+        self._ran = True
+        self._policy.on_answer(self.route.name, sub.target_id, answer, now - sub.sent_at, now)
+        if not self.route.gather:
+            return self._give(Answer(answer), now)
+        shard.part = Part(shard.service, answer.receipt, answer.body)
+        out = self._cancel(shard, True, now)
+        self._end(shard)
+        self._answered += 1
+        return [*out, *self._settle(now)]
+
+    def on_failure(self, sub_id: int, failure: SubFailure, now: float) -> list[Action]:
+        """Take the failure of a sub-request."""
+        found = self._subs.get(sub_id)
+        if found is None:
+            return []
+        shard, sub = found
+        self._close(shard, sub)
+        shard.failure = failure
+        self._ran |= failure.kind not in NOT_RUN_KINDS
+        self._policy.on_failure(sub.target_id, failure, now)
+        if shard.open:
+            return []
+        out: list[Action] = []
+        if not self._retry(shard, failure, now, out):
+            self._lose(shard)
+        return [*out, *self._settle(now)]
+
+    def on_caller_gone(self, now: float) -> list[Action]:
+        """Cancel everything, because nobody waits for the answer any more."""
+        if self.ended:
+            return []
+        self.ended = True
+        return self._cancel_all(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Send due hedges, and give what there is when its time has come."""
+        if self.ended:
+            return []
+        if now >= self._deadline:
+            return self._on_deadline(now)
+        out: list[Action] = []
+        for shard in self._shards:
+            if not shard.ended and now >= shard.hedge_at:
+                self._hedge(shard, now, out)
+        return [*out, *self._settle(now)]
+
+    def next_deadline(self) -> float:
+        """Return when `tick` has something to do."""
+        hedge_at = min((s.hedge_at for s in self._shards if not s.ended), default=math.inf)
+        give_at = self._give_at if self._answered >= self._needed else math.inf
+        return min(self._deadline, hedge_at, give_at)
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the progress of the request."""
+        return {
+            "route": self.route.name,
+            "left_ms": round((self._deadline - now) * 1e3),
+            "answered": self._answered,
+            "lost": self._lost,
+            "needed": self._needed,
+            "waiting": self.waiting,
+            "open": [sub.target_id for _, sub in self._subs.values()],
+        }
+
+    # Sub-requests.
+
+    def _send_first(self, shard: _Shard, now: float, out: list[Action]) -> None:
+        target_id = self._policy.choose(shard.service, shard.tried, now)
+        if target_id is not None:
+            self._send(shard, target_id, now, out)
+        elif self._policy.has_targets(shard.service, shard.tried):
+            shard.waiting = True
+        else:
+            self._lose(shard)
+
+    def _send(self, shard: _Shard, target_id: str, now: float, out: list[Action]) -> None:
+        sub = _Sub(next(self._sub_ids), target_id, now)
+        shard.open.append(sub)
+        shard.tried.append(target_id)
+        shard.sends += 1
+        self._subs[sub.sub_id] = (shard, sub)
+        self._policy.on_sent(target_id, now)
+        if self._may_hedge(shard):
+            route = self.route
+            delay_s = self._policy.hedge_delay(route.name, route.objective_s, shard.service, now)
+            shard.hedge_at = now + delay_s
+        else:
+            shard.hedge_at = math.inf
+        out.append(Forward(sub.sub_id, target_id, shard.service, self._deadline - now))
+
+    def _may_hedge(self, shard: _Shard) -> bool:
+        return self.route.idempotent and shard.sends < self.route.max_targets
+
+    def _hedge(self, shard: _Shard, now: float, out: list[Action]) -> None:
+        """Ask a second target, if the budget and the targets allow it."""
+        target_id = self._policy.choose(shard.service, shard.tried, now)
+        if target_id is None or not self._policy.take_extra(shard.service, now):
+            shard.hedge_at = now + RECHECK_S
+            return
+        self._send(shard, target_id, now, out)
+
+    def _retry(self, shard: _Shard, failure: SubFailure, now: float, out: list[Action]) -> bool:
+        """Send to another target after a failure, if that is allowed and possible.
+
+        A sub-request that did not reach the target costs neither an attempt nor budget.
+        """
+        unsent = failure.kind is FailureKind.NOT_SENT
+        if unsent:
+            shard.sends -= 1
+        proved = failure.kind in NOT_RUN_KINDS
+        if shard.sends >= self.route.max_targets or not (self.route.idempotent or proved):
+            return False
+        target_id = self._policy.choose(shard.service, shard.tried, now)
+        if target_id is None:
+            if proved and self._policy.has_targets(shard.service, shard.tried):
+                shard.waiting = True
+                return True
+            return False
+        if not unsent and not self._policy.take_extra(shard.service, now):
+            return False
+        self._send(shard, target_id, now, out)
+        return True
+
+    def _close(self, shard: _Shard, sub: _Sub) -> None:
+        del self._subs[sub.sub_id]
+        shard.open.remove(sub)
+
+    def _end(self, shard: _Shard) -> None:
+        shard.ended, shard.waiting, shard.hedge_at = True, False, math.inf
+
+    def _lose(self, shard: _Shard) -> None:
+        self._end(shard)
+        self._lost += 1
+
+    def _cancel(self, shard: _Shard, overtaken: bool, now: float) -> list[Action]:
+        out: list[Action] = []
+        for sub in list(shard.open):
+            self._close(shard, sub)
+            if overtaken:
+                self._policy.on_overtaken(self.route.name, now - sub.sent_at)
+            out.append(Cancel(sub.sub_id, sub.target_id, overtaken))
+        return out
+
+    def _cancel_all(self, now: float, *, overtaken: bool = False) -> list[Action]:
+        return [a for shard in self._shards for a in self._cancel(shard, overtaken, now)]
+
+    # The end.
+
+    def _settle(self, now: float) -> list[Action]:
+        """End the request if nothing can or need be waited for."""
+        if self.ended:
+            return []
+        total = len(self._shards)
+        if total - self._lost < self._needed:
+            return self._give_up(now)
+        if self._answered + self._lost == total:
+            return self._merge(now)
+        if self._answered < self._needed or now < self._give_at:
+            return []
+        late = now > self._arrived + self.route.objective_s
+        if late and now < self._arrived + LATE_FACTOR * self.route.objective_s:
+            return []
+        return self._merge(now)
+
+    def _merge(self, now: float) -> list[Action]:
+        parts = tuple(shard.part for shard in self._shards if shard.part is not None)
+        missing = len(self._shards) - len(parts)
+        return self._give(Merged(parts, missing, self.route.top_records), now)
+
+    def _give_up(self, now: float) -> list[Action]:
+        failure = next((s.failure for s in self._shards if s.failure is not None), None)
+        answer = failure.answer if failure is not None else None
+        if not self.route.gather and answer is not None:
+            return self._give(Answer(answer), now)
+        reason = f"sub-request {failure.kind}" if failure else "no target is known"
+        return self._refuse(reason, now)
+
+    def _on_deadline(self, now: float) -> list[Action]:
+        if self.route.gather and self._answered >= self._needed:
+            return self._merge(now)
+        return self._refuse("timeout", now)
+
+    def _refuse(self, reason: str, now: float) -> list[Action]:
+        not_run = not self._ran and not self._subs
+        retry_after_s = RETRY_AFTER_S if not_run else 0.0
+        return self._give(Refusal(not_run, reason, retry_after_s), now)
+
+    def _give(self, action: Give, now: float) -> list[Action]:
+        self.ended = True
+        # Targets that work on an answer that nobody needs any more are let finish if the request
+        # ended well, which keeps their connections.
+        overtaken = not isinstance(action, Refusal)
+        return [*self._cancel_all(now, overtaken=overtaken), action]
--- a/bramleycrank/state/config_state.py
+++ b/bramleycrank/state/config_state.py
@@ -11,6 +11,7 @@
     ConfigDelta,
     ConfigImage,
     ResultCode,
+    RouteTable,
     ServiceConfig,
     VmConfig,
 )
@@ -28,6 +29,7 @@
         self.revision = 0
         self.services: dict[str, ServiceConfig] = {}
         self.vms: dict[str, VmConfig] = {}
+        self.routes = RouteTable()
         self._deltas: deque[ConfigDelta] = deque(maxlen=DELTA_RING)
 
     @classmethod
@@ -37,6 +39,7 @@
         config.revision = image.revision
         config.services = {service.name: service for service in image.services}
         config.vms = {vm.vm_id: vm for vm in image.vms}
+        config.routes = image.routes
         config._deltas.extend(deltas)
         return config
 
@@ -46,6 +49,7 @@
             revision=self.revision,
             services=[service for _, service in sorted(self.services.items())],
             vms=[vm for _, vm in sorted(self.vms.items())],
+            routes=self.routes,
         )
 
     def deltas(self) -> list[ConfigDelta]:
@@ -72,6 +76,8 @@
         if problem := change_problem(change):
             return self._result(ResultCode.RESULT_CODE_INVALID, 0, problem)
         body = change.WhichOneof("body")
+        if body == "put_routes":
+            return self._put_routes(change)
         version = self._version(change)
         if body == "delete_service" and not version:
             return self._result(ResultCode.RESULT_CODE_NOT_FOUND, 0, "there is no such service")
@@ -83,6 +89,21 @@
         self.apply_delta(ConfigDelta(revision=self.revision + 1, change=change))
         return self._result(ResultCode.RESULT_CODE_OK, self.revision)
 
+    def _put_routes(self, change: Change) -> CommandResult:
+        """Apply a route table if its version is higher than the one held.
+
+        An older version was overtaken and changes nothing, which is no error: the operator's resend
+        of a change that was accepted long ago is accepted again. Other content under the version
+        held is refused, so that one version never stands for two tables.
+        """
+        held, offered = self.routes, change.put_routes
+        if offered.version == held.version and offered.document != held.document:
+            message = f"version {held.version} is held with other content"
+            return self._result(ResultCode.RESULT_CODE_VERSION_CONFLICT, held.version, message)
+        if offered.version > held.version:
+            self.apply_delta(ConfigDelta(revision=self.revision + 1, change=change))
+        return self._result(ResultCode.RESULT_CODE_OK, self.routes.version)
+
     def apply_delta(self, delta: ConfigDelta) -> None:
         """Apply an accepted change; raises ``ValueError`` unless it is the next revision."""
         if delta.revision != self.revision + 1:
@@ -101,6 +122,8 @@
                 vm.CopyFrom(change.put_vm)
                 vm.version = delta.revision
                 self.vms[vm.vm_id] = vm
+            case "put_routes":
+                self.routes = change.put_routes
         self.revision = delta.revision
         self._deltas.append(delta)
 
@@ -122,6 +145,7 @@
         if image is not None and image.revision > self.revision:
             newer = ConfigState.from_image(image)
             self.revision, self.services, self.vms = newer.revision, newer.services, newer.vms
+            self.routes = newer.routes
             self._deltas.clear()
         return self.revision > before
 
--- a/bramleycrank/state/validation.py
+++ b/bramleycrank/state/validation.py
@@ -36,6 +36,8 @@
             return _name_problem("service", change.delete_service)
         case "put_vm":
             return _name_problem("VM", change.put_vm.vm_id)
+        case "put_routes":
+            return "" if change.put_routes.version else "the route table has no version"
         case _:
             return "the change says nothing"
 
--- /dev/null
+++ b/bramleycrank/transport/http1/__init__.py
@@ -0,0 +1,15 @@
+"""HTTP/1.1 on plain asyncio transports with a C parser, for the paths of forwarded requests."""
+
+from bramleycrank.transport.http1.client import ConnectionListener, TargetConnection
+from bramleycrank.transport.http1.messages import Request, Response, encode_request
+from bramleycrank.transport.http1.server import Exchange, Http1Server
+
+__all__ = [
+    "ConnectionListener",
+    "Exchange",
+    "Http1Server",
+    "Request",
+    "Response",
+    "TargetConnection",
+    "encode_request",
+]
--- /dev/null
+++ b/bramleycrank/transport/http1/messages.py
@@ -0,0 +1,118 @@
+"""Requests and responses, and which of their headers travel on."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+import attrs
+
+Headers = list[tuple[bytes, bytes]]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only; the length is written anew with each body."""
+
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, by its name in lower case, or None."""
+    return next((value for key, value in headers if key.lower() == name), None)
+
+
+def end_to_end(headers: Headers, dropped: frozenset[bytes] = frozenset()) -> Headers:
+    """Return the headers that travel on: without those of the connection and `dropped` ones."""
+    named = find_header(headers, b"connection")
+    skip = HOP_BY_HOP | dropped
+    if named is not None:
+        skip |= {name.strip().lower() for name in named.split(b",")}
+    return [item for item in headers if item[0].lower() not in skip]
+
+
+@attrs.frozen(eq=False)
+class Request:
+    """A whole request.
+
+    Parameters
+    ----------
+    method : bytes
+        Method in capitals.
+    target : bytes
+        Path and query as they came.
+    host : bytes
+        Value of the Host header.
+    headers : list of (bytes, bytes)
+        All headers in order, with their names as they came.
+    body : bytes
+        Whole body, decoded from chunks.
+    """
+
+    method: bytes
+    target: bytes
+    host: bytes
+    headers: Headers
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Path without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+@attrs.frozen(eq=False)
+class Response:
+    """A whole response of a target."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+def encode_request(request: Request, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return the bytes of a request with other headers than it came with."""
+    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+    lines += [b"%b: %b" % item for item in headers]
+    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def encode_response(
+    status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes, *, close: bool, head: bool
+) -> bytes:
+    """Return the bytes of a response.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : iterable of (bytes, bytes)
+        Headers besides those of the connection.
+    body : bytes
+        Whole body.
+    close : bool
+        Whether the connection ends after it.
+    head : bool
+        Whether the request was HEAD, whose response has no body.
+    """
+    lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b"Unknown"))]
+    lines += [b"%b: %b" % item for item in headers]
+    if status >= 200 and status != 204 and not (head and status == 304):
+        lines.append(b"Content-Length: %d" % len(body))
+    if close:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if head else body)
--- a/bramleycrank/transport/peer_service.py
+++ b/bramleycrank/transport/peer_service.py
@@ -6,7 +6,7 @@
 
 from bramleycrank.daemon.config_controller import ConfigController
 from bramleycrank.daemon.consensus_controller import ConsensusController
-from bramleycrank.exceptions import InvalidRequest, Outcome
+from bramleycrank.exceptions import InvalidMembershipChange, InvalidRequest, Outcome
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.proto.peer_grpc import PeerBase
 from bramleycrank.transport.grpc_errors import unary
@@ -24,6 +24,13 @@
         """Answer one round of an exchange."""
 
 
+class Admission(Protocol):
+    """Admits VMs to the replicated log."""
+
+    async def on_join(self, identity: peer_pb2.IdentityReply) -> None:
+        """Take a VM's wish to become a member."""
+
+
 class PeerService(PeerBase):
     """Delegates the calls of other VMs to the controllers.
 
@@ -35,11 +42,18 @@
         Serves the configuration.
     consensus : ConsensusController
         This VM's part in the replicated log.
+    admission : Admission, optional
+        Admits VMs to the log by themselves; without it only operators do.
     """
 
     def __init__(
-        self, gossip: Gossip, config: ConfigController, consensus: ConsensusController
+        self,
+        gossip: Gossip,
+        config: ConfigController,
+        consensus: ConsensusController,
+        admission: Admission | None = None,
     ) -> None:
+        self._admission = admission
         self._gossip = gossip
         self._config = config
         self._consensus = consensus
@@ -89,3 +103,11 @@
         """Make this VM a first voter of a new cluster."""
         self._consensus.on_bootstrap(request.membership)
         return peer_pb2.BootstrapReply()
+
+    @unary
+    async def Join(self, request: peer_pb2.JoinRequest) -> peer_pb2.Ack:  # noqa: N802
+        """Take a VM's wish to become a member of the replicated log."""
+        if self._admission is None:
+            raise InvalidMembershipChange("only operators change the voters of this system")
+        await self._admission.on_join(request.identity)
+        return peer_pb2.Ack()
--- a/scripts/pages.py
+++ b/scripts/pages.py
@@ -52,7 +52,9 @@
 
 With the section `[metrics]` a VM sends these metrics to a statsd server by UDP; without it, none.
 Sending never blocks: a packet that cannot be sent at once is lost. Names follow the prefix of the
-settings; a part in capitals varies. This page is written by `scripts/pages.py`.
+settings; a part in capitals varies. A VM of the HTTP entry serves the same metrics as text at its
+metrics address instead, with durations in seconds and with histograms. This page is written by
+`scripts/pages.py`.
 """
 
 ERRORS_INTRO = """\
