Test routes, forwarded requests and their budget, and drop deltas of overtaken tables

The ring of deltas kept every route table: 199 tables of 10 KB made an image of 2 MB. A table replaces the ones before it, so a follower that is behind takes the image.

--- a/bramleycrank/state/config_state.py
+++ b/bramleycrank/state/config_state.py
@@ -124,6 +124,8 @@
                 self.vms[vm.vm_id] = vm
             case "put_routes":
                 self.routes = change.put_routes
+                # A follower that is behind takes the image, which holds only the newest table.
+                self._deltas.clear()
         self.revision = delta.revision
         self._deltas.append(delta)
 
--- /dev/null
+++ b/tests/scatter_fakes.py
@@ -0,0 +1,101 @@
+"""A policy with scripted targets, and builders, for tests of forwarded requests."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Collection
+
+from bramleycrank.routing import Route
+from bramleycrank.scatter import Forward, ScatterExecution, TargetAnswer
+
+
+def gather_route(shards: int = 4, **fields: object) -> Route:
+    """Return a route over shards s0, s1 and so on."""
+    defaults = {
+        "name": "search",
+        "prefix": "/s/",
+        "idempotent": True,
+        "timeout_s": 2.0,
+        "objective_s": 0.1,
+        "rank": 1,
+        "max_targets": 2,
+        "services": tuple(f"s{number}" for number in range(shards)),
+        "top_records": 3,
+        "min_coverage": 0.75,
+    }
+    return Route(**{**defaults, **fields})
+
+
+def single_route(**fields: object) -> Route:
+    """Return a route to one service."""
+    defaults = {
+        "name": "record",
+        "prefix": "/r/",
+        "idempotent": True,
+        "timeout_s": 2.0,
+        "objective_s": 0.4,
+        "rank": 2,
+        "max_targets": 2,
+        "services": ("records",),
+        "weights": (1.0,),
+        "cumulative": (1.0,),
+    }
+    return Route(**{**defaults, **fields})
+
+
+def answer(status: int = 200, body: bytes = b"", receipt: bytes = b"r") -> TargetAnswer:
+    """Return an answer of a target."""
+    return TargetAnswer(status, [], body, receipt)
+
+
+class FakePolicy:
+    """Targets in a fixed order, with a budget and a hedge time that tests set."""
+
+    def __init__(self, targets: int = 3, hedge_s: float = 0.05, extra: int = 100) -> None:
+        self.targets = targets
+        self.hedge_s = hedge_s
+        self.extra = extra
+        self.busy: set[str] = set()
+        self.sent: list[str] = []
+        self.failures: list[tuple[str, str]] = []
+        self.overtaken: list[float] = []
+
+    def names(self, service: str) -> list[str]:
+        """Return the targets of a service."""
+        return [f"{service}-{number}" for number in range(self.targets)]
+
+    def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
+        left = [n for n in self.names(service) if n not in tried and n not in self.busy]
+        return left[0] if left else None
+
+    def has_targets(self, service: str, tried: Collection[str]) -> bool:
+        return any(name not in tried for name in self.names(service))
+
+    def hedge_delay(self, route: str, objective_s: float, service: str, now: float) -> float:
+        return self.hedge_s
+
+    def take_extra(self, service: str, now: float) -> bool:
+        self.extra -= 1
+        return self.extra >= 0
+
+    def on_request(self, service: str, now: float) -> None:
+        pass
+
+    def on_sent(self, target_id: str, now: float) -> None:
+        self.sent.append(target_id)
+
+    def on_answer(self, route, target_id, answer, latency_s, now) -> None:
+        pass
+
+    def on_failure(self, target_id, failure, now) -> None:
+        self.failures.append((target_id, failure.kind))
+
+    def on_overtaken(self, route: str, elapsed_s: float) -> None:
+        self.overtaken.append(elapsed_s)
+
+
+def begin(route: Route, policy: FakePolicy, deadline: float = 2.0):
+    """Start an execution at time 0; return it with its sub-requests by service."""
+    execution = ScatterExecution(route, policy, itertools.count(1), 0.0, deadline)
+    actions = execution.start(0.0)
+    return execution, {a.service: a for a in actions if isinstance(a, Forward)}, actions
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,81 @@
+"""Lookup of routes, weighted choice and the rules of a table."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from bramleycrank.exceptions import InvalidChange, Outcome
+from bramleycrank.proto.log_pb2 import HttpService, Route, RouteTable, WeightedService
+from bramleycrank.routing import RouteIndex, check_routes
+
+
+def table(*routes: Route, services: tuple[str, ...] = ("a", "b")) -> RouteTable:
+    """Return a valid table unless the routes break it."""
+    return RouteTable(version=3, routes=routes, services=[HttpService(name=n) for n in services])
+
+
+def route(prefix: str = "/x/", **fields: object) -> Route:
+    """Return a valid route."""
+    defaults = {
+        "name": prefix,
+        "host": "h.example",
+        "path_prefix": prefix,
+        "timeout_ms": 1000,
+        "split": [WeightedService(name="a", weight=1)],
+    }
+    return Route(**{**defaults, **fields})
+
+
+def test_the_longest_prefix_wins():
+    index = RouteIndex(table(route("/x/"), route("/x/y/"), route("/")))
+    assert index.find("h.example", "/x/y/z").name == "/x/y/"
+    assert index.find("H.Example:8080", "/x/yz").name == "/x/"
+    assert index.find("h.example", "/other").name == "/"
+    assert index.find("other.example", "/x/") is None
+
+
+def test_a_prefix_matches_whole_segments_only():
+    assert RouteIndex(table(route("/x/"))).find("h.example", "/xy/1") is None
+
+
+def test_weights_are_kept_over_short_spans():
+    split = [WeightedService(name="a", weight=3), WeightedService(name="b", weight=1)]
+    [chosen] = RouteIndex(table(route(split=split))).routes()
+    counts = Counter(chosen.choose_service() for _ in range(200))
+    assert abs(counts["a"] - 150) <= 4
+
+
+def test_a_service_without_weight_gets_nothing():
+    split = [WeightedService(name="a", weight=0), WeightedService(name="b", weight=1)]
+    [chosen] = RouteIndex(table(route(split=split))).routes()
+    assert {chosen.choose_service() for _ in range(100)} == {"b"}
+
+
+@pytest.mark.parametrize(
+    ("bad", "problem"),
+    [
+        (table(route(timeout_ms=0)), "the timeout is 0"),
+        (table(route(), route()), "two routes"),
+        (table(route(split=[WeightedService(name="c", weight=1)])), "service 'c' is unknown"),
+        (table(route(split=[WeightedService(name="a", weight=0)])), "weights"),
+        (table(route(split=[WeightedService(name="a", weight=-1)])), "weights"),
+        (table(route(split=[])), "exactly one"),
+        (table(route(shards=["a"], top_records=1)), "exactly one"),
+        (table(route(split=[], shards=["a", "a"], top_records=1)), "listed twice"),
+        (table(route(split=[], shards=["a"])), "number of records"),
+        (table(route("/x")), "begin and end with a slash"),
+        (table(route(host="")), "host is missing"),
+        (table(services=("a", "a")), "listed twice"),
+        (RouteTable(), "version is missing"),
+    ],
+)
+def test_an_invalid_table_is_refused_whole(bad, problem):
+    with pytest.raises(InvalidChange, match=problem) as caught:
+        check_routes(bad)
+    assert caught.value.outcome is Outcome.NOT_RUN
+
+
+def test_a_table_may_route_nothing():
+    check_routes(table())
--- /dev/null
+++ b/tests/test_state_routes.py
@@ -0,0 +1,64 @@
+"""Versions of the route table in the replicated state."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleycrank.proto.log_pb2 import (
+    RESULT_CODE_INVALID,
+    RESULT_CODE_OK,
+    RESULT_CODE_VERSION_CONFLICT,
+    Change,
+    Command,
+    Entry,
+    RouteTable,
+)
+from bramleycrank.state import ReplicatedState
+from bramleycrank.state.config_state import ConfigState
+
+
+def put(state: ReplicatedState, version: int, document: bytes, number: int):
+    """Apply a table as its own change."""
+    change = Change(
+        change_id=f"c{number}", put_routes=RouteTable(version=version, document=document)
+    )
+    command = Command(change=change).SerializeToString()
+    return state.apply(Entry(index=number, term=1, command=command))
+
+
+@given(st.lists(st.tuples(st.integers(0, 4), st.sampled_from([b"x", b"y"])), max_size=30))
+def test_the_highest_version_wins_and_stands_for_one_table(sends):
+    """Operators race with equal versions, resend, and send old versions again."""
+    state, held = ReplicatedState(), (0, b"")
+    for number, (version, document) in enumerate(sends, 1):
+        result = put(state, version, document, number)
+        if version == 0:
+            assert result.code == RESULT_CODE_INVALID
+        elif version == held[0] and document != held[1]:
+            assert result.code == RESULT_CODE_VERSION_CONFLICT
+        else:
+            assert result.code == RESULT_CODE_OK
+            held = max(held, (version, document), key=lambda item: item[0])
+        routes = state.config.routes
+        assert (routes.version, routes.document) == held
+    copy = ReplicatedState.from_image(state.image())
+    assert copy.config.routes == state.config.routes
+
+
+def test_a_follower_gets_the_table_by_deltas_and_by_image():
+    state = ReplicatedState()
+    for version in range(1, 4):
+        put(state, version, b"d%d" % version, version)
+    by_delta, by_image = ConfigState(), ConfigState()
+    assert by_delta.advance(state.config.deltas_since(0) or (), state.config.image())
+    assert by_image.advance((), state.config.image())
+    assert by_delta.routes == by_image.routes == state.config.routes
+
+
+def test_overtaken_tables_are_not_kept():
+    """Guards against a state that grows with each change of a large table."""
+    state = ReplicatedState()
+    for version in range(1, 200):
+        put(state, version, b"z" * 10_000, version)
+    assert len(state.image()) < 100_000
