--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -28,8 +28,11 @@
 SCARCE_QUANTILE = 0.98
 """The same while less than half of the budget is left, so that the rest goes to stragglers."""
 
-UNKNOWN_HEDGE_SHARE = 0.4
-"""Part of the latency objective after which to hedge while latencies are unknown."""
+LATEST_HEDGE_SHARE = 0.4
+"""Part of the latency objective after which to hedge at the latest, or while nothing is known.
+
+The second target needs the rest of the time to answer within the objective.
+"""
 
 UNKNOWN_HEDGE_S = 0.1
 """Time after which to hedge while nothing is known, in seconds."""
@@ -114,17 +117,26 @@
         return self.table.choose(service, WHOLE, 0, {*tried, *full}, now)
 
     def has_targets(self, service: str, tried: Collection[str]) -> bool:
-        """Return whether the service has a target that was not tried, busy or not."""
-        return any(t.target_id not in tried for t in self.table.replicas(service, WHOLE, 0))
+        """Return whether a target that can be reached was not tried, busy or not."""
+        return any(
+            t.target_id not in tried and not t.down for t in self.table.replicas(service, WHOLE, 0)
+        )
+
+    def is_served(self, service: str) -> bool:
+        """Return whether a target of the service can be reached."""
+        return self.has_targets(service, ())
 
     def hedge_delay(self, route: str, objective_s: float, service: str, now: float) -> float:
         """Return the time in seconds after which to ask a second target."""
         latency = self._latencies.get(route)
         if latency is None or latency.samples < MIN_SAMPLES:
-            return objective_s * UNKNOWN_HEDGE_SHARE or UNKNOWN_HEDGE_S
+            return objective_s * LATEST_HEDGE_SHARE or UNKNOWN_HEDGE_S
         budget = self._budget(service)
-        scarce = budget.available(self._vm_count(), now) * 2 < budget.used
-        return latency.quantile(SCARCE_QUANTILE if scarce else HEDGE_QUANTILE)
+        if budget.available(self._vm_count(), now) * 2 < budget.used:
+            return latency.quantile(SCARCE_QUANTILE)
+        delay_s = latency.quantile(HEDGE_QUANTILE)
+        # Slow targets raise the quantile just when a second one is needed in time.
+        return min(delay_s, objective_s * LATEST_HEDGE_SHARE) if objective_s else delay_s
 
     def take_extra(self, service: str, now: float) -> bool:
         """Take one extra sub-request from the budget."""
