--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -14,8 +14,14 @@
 LINGER_S = 1.0
 """How long a target may finish a sub-request that another target has answered, in seconds."""
 
-BACKOFF_S, BACKOFF_MAX_S = 0.25, 4.0
-"""First and longest pause after a failed attempt to connect; each further one doubles it."""
+BACKOFF_S, BACKOFF_MAX_S = 0.25, 1.0
+"""First and longest pause between attempts to connect to a target that is down, in seconds."""
+
+SILENCE_S = 0.25
+"""Silence of a target with sub-requests in flight after which a new connection is tried."""
+
+PROBE_PAUSE_S = 1.0
+"""Time after such an attempt until the next one to a target that is silent but reachable."""
 
 
 class Connection(Protocol):
@@ -91,6 +97,7 @@
     started: float = 0.0
     conn: Connection | None = None
     sent: bool = False
+    sent_at: float = 0.0
     linger_until: float | None = None
 
 
@@ -104,15 +111,21 @@
     limit: int
     idle: list[Connection] = attrs.field(factory=list)
     all: set[Connection] = attrs.field(factory=set)
-    opening: int = 0
     failures: int = 0
+    down: bool = False
     retry_at: float = 0.0
+    answered_at: float = 0.0
+    probed_at: float = 0.0
     retired: bool = False
 
 
 class HttpPool:
     """Gives sub-requests to connections within each target's limit.
 
+    A target to which no connection can be opened is down: what is in flight there is lost, and it
+    gets nothing more until a connection opens. A target that is silent with sub-requests in flight
+    is tried with a new connection, which tells a slow target from one that is cut off.
+
     The last connection that became idle is used first, so that those beyond the need reach the idle
     time of the target.
 
@@ -125,6 +138,8 @@
         Returns how many of a target's connections this VM may open.
     on_room : callable
         Called with a target's id when it can take one more sub-request.
+    on_down : callable
+        Called with a target's id and whether it is down, after each change.
     clock : callable
         Monotonic time in seconds.
     """
@@ -134,11 +149,13 @@
         open_connection: Callable[[str, int, HttpPool], Connection],
         share: Callable[[int], int],
         on_room: Callable[[str], None],
+        on_down: Callable[[str, bool], None],
         clock: Callable[[], float],
     ) -> None:
         self._open_connection = open_connection
         self._share = share
         self._on_room = on_room
+        self._on_down = on_down
         self._clock = clock
         self._targets: dict[str, _Target] = {}
         self._subs: dict[Connection, PoolSub] = {}
@@ -165,19 +182,19 @@
         if target is None:
             return
         target.retired = True
+        if target.down:
+            self._on_down(target_id, False)  # the next target of this name begins as up
         for conn in list(target.idle):
             conn.close()
 
     def has_room(self, target_id: str) -> bool:
         """Return whether a target can take one more sub-request now."""
         target = self._targets.get(target_id)
-        if target is None:
+        if target is None or target.down:
             return False
         now = self._clock()
         if any(_is_fresh(conn, now) for conn in target.idle):
             return True
-        if now < target.retry_at:
-            return False
         # Idle connections that may not be used again make room for new ones.
         used = len(target.all) - len(target.idle)
         return used < self._share(target.limit)
@@ -227,9 +244,25 @@
         for target in list(self._targets.values()):
             for conn in [c for c in target.idle if not _is_fresh(c, now)]:
                 conn.close()
-            if target.retry_at and now >= target.retry_at:
-                target.retry_at = 0.0
-                self._on_room(target.target_id)
+            if target.down and now >= target.retry_at:
+                target.retry_at = now + BACKOFF_MAX_S
+                self._open(target)
+        self._probe_silent(now)
+
+    def _probe_silent(self, now: float) -> None:
+        """Try a new connection to each target that owes an answer and says nothing."""
+        silent = {
+            sub.target_id
+            for sub in self._subs.values()
+            if sub.sent and now - sub.sent_at > SILENCE_S
+        }
+        for target_id in silent:
+            target = self._targets.get(target_id)
+            if target is None or target.down or now - target.answered_at <= SILENCE_S:
+                continue
+            if now - target.probed_at > PROBE_PAUSE_S:
+                target.probed_at = now
+                self._open(target)
 
     def _take_idle(self, target: _Target) -> Connection | None:
         now = self._clock()
@@ -250,6 +283,7 @@
 
     def _transmit(self, sub: PoolSub) -> None:
         sub.sent = True
+        sub.sent_at = self._clock()
         sub.conn.send(sub.data, head=sub.head)
 
     # Events of connections.
@@ -260,7 +294,7 @@
             conn.close()  # it took too long and was given up
             return
         target = self._owners[conn]
-        target.failures = 0
+        self._set_up(target)
         sub = self._subs.get(conn)
         if sub is not None:
             self._transmit(sub)
@@ -273,6 +307,8 @@
         if sub is None:
             conn.close()
             return
+        if conn in self._owners:
+            self._owners[conn].answered_at = self._clock()
         if sub.linger_until is not None:
             self._lingering.discard(sub)
             sub.listener.on_given_up(sub, Ending.ANSWERED)
@@ -295,9 +331,10 @@
         target.all.discard(conn)
         if conn in target.idle:
             target.idle.remove(conn)
-        if self._opened_at.pop(conn, None) is not None:
-            self._back_off(target)
+        refused = self._opened_at.pop(conn, None) is not None
         self._lose(conn, garbled=False)
+        if refused:
+            self._set_down(target)
         if not target.retired:
             self._on_room(target.target_id)
 
@@ -311,10 +348,23 @@
         else:
             sub.listener.on_lost(sub, sent=sub.sent, garbled=garbled)
 
-    def _back_off(self, target: _Target) -> None:
+    def _set_down(self, target: _Target) -> None:
         pause_s = min(BACKOFF_MAX_S, BACKOFF_S * 2**target.failures)
         target.failures = min(target.failures + 1, 10)
         target.retry_at = self._clock() + pause_s
+        if target.down or target.retired:
+            return
+        target.down = True
+        self._on_down(target.target_id, True)
+        for conn in list(target.all):
+            conn.close()
+            self.on_closed(conn)
+
+    def _set_up(self, target: _Target) -> None:
+        target.failures = 0
+        if target.down:
+            target.down = False
+            self._on_down(target.target_id, False)
 
     def _release(self, conn: Connection) -> None:
         target = self._owners.get(conn)
@@ -334,7 +384,7 @@
                 "connections": len(target.all),
                 "idle": len(target.idle),
                 "share": self._share(target.limit),
-                "failures": target.failures,
+                "down": target.down,
             }
             for target in self._targets.values()
         }
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -111,6 +111,8 @@
         Receiver of metrics.
     rng : random.Random
         Source of random choices.
+    is_cut_off : callable, optional
+        Returns whether callers should connect to another VM.
     """
 
     def __init__(
@@ -122,7 +124,9 @@
         extra: ExtraConfig,
         metrics: Metrics,
         rng: random.Random,
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_cut_off = is_cut_off
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
         self._dialect = dialect
@@ -133,7 +137,7 @@
         self._index: RouteIndex | None = None
         self._budget = ConnectionBudget(ConnectionConfig(), self._clock())
         self._vm_count = 1
-        self._pool = HttpPool(self._connect, self._share, self._on_room, self._clock)
+        self._pool = HttpPool(self._connect, self._share, self._on_room, self._on_down, self._clock)
         self._policy = TargetPolicy(domain, extra, self._pool.has_room, lambda: self._vm_count, rng)
         self._incarnations: dict[str, int] = {}
         self._services_of: dict[str, str] = {}
@@ -174,6 +178,17 @@
         """Whether a target is known for each service of the routes."""
         return self._index is not None and self._index.services <= self._served
 
+    @property
+    def can_serve(self) -> bool:
+        """Whether each route reaches enough of its services for a success."""
+        if self._index is None:
+            return False
+        return all(
+            sum(map(self._policy.is_served, route.services)) >= route.needed
+            for route in self._index.routes()
+            if any(service in self._served for service in route.services)
+        )
+
     def limits(self) -> Limits:
         """Return the limits for callers."""
         return self._index.limits if self._index is not None else Limits()
@@ -373,7 +388,9 @@
             missing=action.missing if isinstance(action, Merged) else 0,
             target_failures=call.failures,
         )
-        call.exchange.respond(status, headers, body)
+        # An open connection would bring the caller's next request here again.
+        close = isinstance(action, Refusal) and self._is_cut_off()
+        call.exchange.respond(status, headers, body, close=close)
 
     def _render(
         self, call: _Call, action: Answer | Merged | Refusal
@@ -455,6 +472,17 @@
         if service is not None and self._waiting.get(service):
             self._loop.call_soon(self._wake, service)
 
+    def _on_down(self, target_id: str, down: bool) -> None:
+        log.info(
+            "entry: target is %s",
+            "down" if down else "up",
+            extra={"target": target_id, "service": self._services_of.get(target_id, "")},
+        )
+        self._policy.table.set_down(target_id, down, self._clock())
+        service = self._services_of.get(target_id)
+        if service is not None:
+            self._loop.call_soon(self._wake, service)
+
     def _wake(self, service: str) -> None:
         """Let the most urgent request that waits for a service try again."""
         waiting = self._waiting.get(service)
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -15,6 +15,7 @@
 from bramleycrank.daemon.control_service import ControlService
 from bramleycrank.daemon.entry_controller import EntryController
 from bramleycrank.daemon.entry_types import EntryDialect
+from bramleycrank.daemon.far_contact import FarContact
 from bramleycrank.daemon.life_cycle import LifeCycle
 from bramleycrank.daemon.voter_keeper import VoterKeeper, VotingConfig
 from bramleycrank.membership import MembershipConfig
@@ -133,6 +134,7 @@
         self._metrics = metrics
         self._render_metrics = render_metrics
         self._parts: ControlParts | None = None
+        self._contact: FarContact | None = None
         self._keeper: VoterKeeper | None = None
         self._entry: EntryController | None = None
         self._control: ControlService | None = None
@@ -167,9 +169,18 @@
         """Return an empty string while the VM is ready, otherwise the reason why not."""
         if not self.life_cycle.ready():
             return f"the VM is {self.life_cycle.state}"
-        if self._entry is not None and not self._entry.has_routes:
+        if self._entry is None:
+            return ""
+        if not self._entry.has_routes:
             return "no routes are known yet"
-        return ""
+        return "cut off from the targets of some routes" if self._is_cut_off() else ""
+
+    def _is_cut_off(self) -> bool:
+        """Whether callers are better served by VMs of other failure domains.
+
+        A service whose targets are all gone is no reason: then no VM can do better.
+        """
+        return self._contact.cut_off and not self._entry.can_serve
 
     # Steps of the life cycle.
 
@@ -178,6 +189,9 @@
         rng = random.Random()
         cfg = self._cfg
         parts = self._parts = ControlParts.from_config(cfg.base, self._metrics, rng, cfg.membership)
+        loop = asyncio.get_running_loop()
+        self._contact = FarContact(cfg.base.vm.domain, parts.membership, loop.time)
+        parts.membership.subscribe_config_status(self._contact.on_gossip)
         await self._listen(cfg.metrics, Handler(self._on_metrics))
         await self._listen(cfg.readiness, Handler(self._on_readiness))
         await parts.consensus.start()
@@ -206,6 +220,7 @@
             self._cfg.extra,
             self._metrics,
             rng,
+            self._is_cut_off,
         )
         await entry.start()
         self._callers = Http1Server(entry, entry.limits)
--- a/bramleycrank/routing/table.py
+++ b/bramleycrank/routing/table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from itertools import accumulate
 from typing import Any
@@ -109,6 +110,14 @@
             cumulative=() if gather else tuple(accumulate(weights)),
         )
 
+    @property
+    def needed(self) -> int:
+        """How many services must answer for a success."""
+        if not self.gather:
+            return 1
+        # The product of a share and a count may lie just above a whole number.
+        return max(1, math.ceil(self.min_coverage * len(self.services) - 1e-9))
+
     @property
     def gather(self) -> bool:
         """Whether a request is sent to all services and the answers are merged."""
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -106,8 +106,7 @@
         self._answered = 0
         self._lost = 0
         self._ran = False
-        needed = route.min_coverage * len(services) if route.gather else 1
-        self._needed = max(1, math.ceil(needed - 1e-9))
+        self._needed = route.needed
         objective_s = route.objective_s
         margin_s = DELIVERY_S + DELIVERY_SHARE * objective_s
         # An answer that misses the objective by the way to the caller is as late as a later one.
