--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -30,6 +30,10 @@
 # the home VM it bounds the spread when that push misses VMs, for example through an uneven cut.
 FORWARD_FANOUT = 2
 
+# Number of VMs that a home VM tells at once of targets that are new to it. Gossip alone takes a few
+# probe periods, in which VMs that have just started could serve nothing.
+NEW_FANOUT = 8
+
 
 @attrs.define
 class _Lease:
@@ -64,6 +68,7 @@
         self._table = TargetTable(cfg, vm_id)
         self._leases: dict[str, _Lease] = {}
         self._last_tick = now
+        self._new: dict[str, TargetRecord] = {}
 
     @classmethod
     def from_config(cls, cfg: MembershipConfig, vm_id: str, now: float) -> TargetRegistry:
@@ -106,7 +111,20 @@
             record.incarnation, record.sequence, now + self._cfg.lease_s
         )
         new = self._next_record(record, known)
-        return self._reply(), self._store(new, now) if new is not None else []
+        if new is None:
+            return self._reply(), []
+        actions = self._store(new, now)
+        if actions and not self._was_usable(known, record.incarnation):
+            self._new[record.target_id] = new
+        return self._reply(), actions
+
+    @staticmethod
+    def _was_usable(known: TargetRecord | None, incarnation: int) -> bool:
+        return (
+            known is not None
+            and known.incarnation == incarnation
+            and known.state == TARGET_STATE_SERVING
+        )
 
     def _is_late(self, record: TargetRecord) -> bool:
         lease = self._leases.get(record.target_id)
@@ -240,7 +258,12 @@
             known = self._table.get(target_id)
             if known is not None:
                 actions += self._store(_ended(known, TARGET_STATE_EXPIRED, self._vm_id), now)
-        return [*actions, *(TargetChanged(rec) for rec in self._table.tick(now))]
+        actions += (TargetChanged(rec) for rec in self._table.tick(now))
+        if self._new:
+            # All that came since the last tick travels together.
+            actions.append(PushRecords(tuple(self._new.values()), fanout=NEW_FANOUT))
+            self._new.clear()
+        return actions
 
     def usable(self, service: str, now: float) -> list[TargetRecord]:
         """Return the targets of a service that may get new work."""
--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -30,6 +30,10 @@
 # Members that a VM exchanges with after it was out of contact; two of them may be down or new.
 CATCH_UP_PEERS = 3
 
+# Time between two exchanges with the seeds while joining, in seconds. After a loss of power all VMs
+# start together, and what holds up the first exchange is only a seed that does not listen yet.
+JOIN_RETRY_S = 0.15
+
 # How much longer a VM waits to join while an exchange makes progress. The records of 28,000 targets
 # take about 90 rounds.
 JOIN_EXTENSION_S = 30.0
@@ -120,7 +124,9 @@
             peers = [address_of(rec) for rec in self._view.vms.peers()]
             addresses = self._rng.sample(peers, min(count, len(peers)))
         else:
-            self._sync_at = now + min(self._cfg.probe_period_s, self._cfg.sync_period_s) / 2
+            self._sync_at = now + min(
+                JOIN_RETRY_S, self._cfg.probe_period_s / 2, self._cfg.sync_period_s / 2
+            )
             addresses = list(self._seeds)
         return [action for address in addresses for action in self._sync.start(address, now)]
 
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -4,11 +4,13 @@
 
 import json
 import logging
+import time
 from urllib.parse import unquote
 
 from bramleycrank.daemon.control_service import ControlService
 from bramleycrank.daemon.http_node import HttpAdapter
 from bramleycrank.exceptions import BramleycrankError, InvalidRequest, MalformedBody, NotFound
+from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.platform import documents
 from bramleycrank.platform.fields import Fields
 from bramleycrank.platform.headers import RETRY_AFTER, PlatformHeaders
@@ -34,6 +36,7 @@
 
     def __init__(self, control_address: str) -> None:
         super().__init__(PlatformHeaders())
+        self._refusals = RequestLog(log, time.monotonic)
         self._report_answer = json.dumps({"HeartbeatAddr": control_address}).encode()
 
     def readiness(self, exchange: Exchange, reason: str) -> None:
@@ -48,13 +51,31 @@
         try:
             body = await self._call(exchange, service)
         except BramleycrankError as exc:
-            _respond_error(exchange, exc)
+            self._respond_error(exchange, exc)
         except Exception:
             log.exception("control: a call failed")
             exchange.respond(500, [], b"")
         else:
             exchange.respond(200, [JSON_TYPE], body)
 
+    def _respond_error(self, exchange: Exchange, exc: BramleycrankError) -> None:
+        status = 400 if isinstance(exc, MalformedBody) else exc.http_status
+        self._refusals.note(
+            "control call refused",
+            b"",
+            time.monotonic(),
+            failed=True,
+            method=exchange.request.method.decode("latin-1"),
+            path=exchange.request.path[:100],
+            status=status,
+            error=exc.name,
+            reason=exc.message[:300],
+        )
+        headers = [JSON_TYPE]
+        if exc.retry_after_ms:
+            headers.append((RETRY_AFTER, b"%.3f" % (exc.retry_after_ms / 1000)))
+        exchange.respond(status, headers, json.dumps({"Error": exc.as_dict()}).encode())
+
     async def _call(self, exchange: Exchange, service: ControlService) -> bytes:
         request = exchange.request
         match request.method, request.path:
@@ -94,21 +115,3 @@
         return None
     fields = Fields.from_json(body, "leave")
     return documents.decode_birth(fields) if fields.has("born") else None
-
-
-def _respond_error(exchange: Exchange, exc: BramleycrankError) -> None:
-    status = 400 if isinstance(exc, MalformedBody) else exc.http_status
-    log.info(
-        "control: refused a call",
-        extra={
-            "method": exchange.request.method.decode("latin-1"),
-            "path": exchange.request.path[:100],
-            "status": status,
-            "error": exc.name,
-            "reason": exc.message[:300],
-        },
-    )
-    headers = [JSON_TYPE]
-    if exc.retry_after_ms:
-        headers.append((RETRY_AFTER, b"%.3f" % (exc.retry_after_ms / 1000)))
-    exchange.respond(status, headers, json.dumps({"Error": exc.as_dict()}).encode())
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -18,6 +18,9 @@
 LEASE_HEARTBEATS = 4.5
 """Heartbeats that may be missing before a back end counts as gone; one may be seconds late."""
 
+PROBE_PERIOD_S = 0.5
+"""Time between two probes of another machine; gossip passes changes on with them."""
+
 DRAIN_SHARE = 0.85
 """Part of the grace time after SIGTERM that requests in flight may use."""
 
@@ -76,6 +79,7 @@
     membership = MembershipConfig(
         lease_s=LEASE_HEARTBEATS * heartbeat_s,
         renew_s=heartbeat_s,
+        probe_period_s=PROBE_PERIOD_S,
         sync_period_s=4.0,
         push_retries=8,
         push_retry_s=0.3,
