--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -23,7 +23,11 @@
 REPROBE_S = 1.0
 """Time without a sub-request after which a target is tried again whatever its score was."""
 
+FAILED_COST = 8.0
+"""Cost of a certain failure, in times of a good answer: it takes an attempt and budget as well."""
+
 _LATENCY_WEIGHT = 0.1
+_FAILED_WEIGHT = 0.1  # weight of one end in the share of failed ones
 _SHED_FACTOR = 0.7
 _USED = 0.8  # part of the limit that must be in use before it grows
 _GOOD = 1.5  # latency, as a multiple of the usual one, up to which the limit grows
@@ -55,6 +59,7 @@
     latency_s: float = 0.0
     base_s: float = 0.0
     failures: int = 0
+    failed_share: float = 0.0  # of the recent sub-requests, refused ones included
     ejections: int = 0
     ejected_at: float = 0.0
     ejected_until: float = 0.0
@@ -90,7 +95,8 @@
 
     def cost(self) -> float:
         """Return the expected time of one more sub-request as observed, however long ago."""
-        return (self.in_flight + 1) * (self.latency_s or 1e-4) * (1 + self.failures)
+        usual = (self.in_flight + 1) * (self.latency_s or 1e-4) * (1 + self.failures)
+        return usual * (1 + FAILED_COST * self.failed_share)
 
     def score(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
@@ -103,6 +109,7 @@
         """Count an accepted reply."""
         self.replies += 1
         self.failures = 0
+        self._count_end(failed=False)
         if self.ejections and now - self.ejected_until > CALM_S:
             self.ejections = 0
         known = self.latency_s
@@ -118,9 +125,13 @@
         if self.in_flight >= self.limit * _USED and latency_s < _GOOD * self.base_s:
             self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
 
+    def _count_end(self, *, failed: bool) -> None:
+        self.failed_share += (failed - self.failed_share) * _FAILED_WEIGHT
+
     def on_shed(self, now: float) -> None:
         """Lower the limit, once for all shed replies of one round trip."""
         self.sheds += 1
+        self._count_end(failed=True)
         if now - self.limit_cut_at >= self.latency_s:
             self.limit = max(1.0, self.limit * _SHED_FACTOR)
             self.limit_cut_at = now
@@ -129,6 +140,7 @@
         """Count a failure; eject after too many in a row."""
         self.losses += 1
         self.failures += 1
+        self._count_end(failed=True)
         if self.failures >= FAILURES_TO_EJECT and now >= self.ejected_until:
             wait = min(EJECT_MAX_S, EJECT_BASE_S * 2**self.ejections)
             self.ejections = min(self.ejections + 1, 10)
@@ -147,6 +159,7 @@
             "consecutive_failures": self.failures,
             "replies": self.replies,
             "shed": self.sheds,
+            "failed_share": round(self.failed_share, 3),
             "failed": self.losses,
             "reported_load": round(self.reported, 3),
         }
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -219,13 +219,17 @@
     # Sub-requests.
 
     def _send_first(self, shard: _Shard, now: float, out: list[Action]) -> None:
+        """Send, wait for a target with room, or give the shard up.
+
+        A shard that waited behind a refusal has sent before, so its next one is an extra one.
+        """
         target_id = self._policy.choose(shard.service, shard.tried, now)
-        if target_id is not None:
-            self._send(shard, target_id, now, out)
-        elif self._policy.has_targets(shard.service, shard.tried):
+        if target_id is None and self._policy.has_targets(shard.service, shard.tried):
             shard.waiting = True
-        else:
+        elif target_id is None or (shard.sends and not self._policy.take_extra(shard.service, now)):
             self._lose(shard)
+        else:
+            self._send(shard, target_id, now, out)
 
     def _send(self, shard: _Shard, target_id: str, now: float, out: list[Action]) -> None:
         sub = _Sub(next(self._sub_ids), target_id, now)
--- a/tests/test_query_slow_local.py
+++ b/tests/test_query_slow_local.py
@@ -1,4 +1,4 @@
-"""A slow target of the own failure domain, replayed on the replica choice."""
+"""A slow or half-failing target of the own failure domain, replayed on the replica choice."""
 
 from __future__ import annotations
 
@@ -46,3 +46,25 @@
     """Bytes between failure domains cost, so ordinary differences do not leave the domain."""
     _, remote = replay(USUAL_S)
     assert remote == 0.0
+
+
+def test_a_local_target_that_sheds_half_of_its_requests_is_passed_over():
+    """Load pattern: a target refuses part of its requests while its health is good."""
+    rng = random.Random(7)
+    table = ReplicaTable("a", random.Random(5), warmup_s=0.0)
+    records = [record(f"t{d}", [(ONE_SHARD, 0)], domain=d, slots=3) for d in "abc"]
+    table.update(SERVICE, records, 0.0)
+    shed = 0
+    for number in range(400):
+        now = number / 10
+        target = table.choose(SERVICE, ONE_SHARD, 0, (), now)
+        table.on_sent(target, now)
+        if target == "ta" and rng.random() < 0.5:
+            shed += 1
+            table.on_shed(target, now)
+            other = table.choose(SERVICE, ONE_SHARD, 0, (target,), now)
+            table.on_sent(other, now)
+            table.on_reply(other, USUAL_S, now)
+        else:
+            table.on_reply(target, USUAL_S, now)
+    assert shed / 400 < 0.1
--- a/tests/test_scatter_execution.py
+++ b/tests/test_scatter_execution.py
@@ -131,6 +131,17 @@
     assert sub.target_id == "records-0" and not execution.waiting
 
 
+def test_a_refused_request_that_waited_for_room_needs_budget():
+    """Load pattern: targets shed and all others are busy, so that refused requests queue up."""
+    policy = FakePolicy(targets=3, extra=0)
+    execution, subs, _ = begin(single_route(max_targets=3), policy)
+    policy.busy = {"records-1", "records-2"}
+    assert execution.on_failure(subs["records"].sub_id, REFUSED, 0.01) == []
+    policy.busy.clear()
+    [refusal] = execution.on_room("records", 0.1)
+    assert isinstance(refusal, Refusal) and refusal.not_run
+
+
 def test_a_request_that_still_waits_at_its_deadline_has_not_run():
     policy = FakePolicy(targets=1)
     policy.busy = {"records-0"}
