--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -489,8 +489,8 @@
         if not waiting:
             return
         waiting[:] = [c for c in waiting if service in c.execution.waiting]
-        waiting.sort(key=lambda c: (c.execution.route.rank, c.exchange.arrived))
         now = self._clock()
+        waiting.sort(key=lambda c: c.execution.wait_order(now))
         while waiting:
             call = waiting.pop(0)
             self._execute(call, call.execution.on_room(service, now))
--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -209,6 +209,12 @@
         if state is not None:
             state.reported = (report.in_flight + report.queued) / max(1, report.slots)
 
+    def on_queued(self, target_id: str, now: float) -> None:
+        """Record that requests wait at a target, as its answer said."""
+        state = self._targets.get(target_id)
+        if state is not None:
+            state.on_queued(now)
+
     def dump(self, now: float) -> dict[str, Any]:
         """Return the state of every target with its explanation, by service."""
         out: dict[str, dict[str, Any]] = defaultdict(dict)
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -29,6 +29,7 @@
 _LATENCY_WEIGHT = 0.1
 _FAILED_WEIGHT = 0.1  # weight of one end in the share of failed ones
 _SHED_FACTOR = 0.7
+_QUEUED_FACTOR = 0.85
 _USED = 0.8  # part of the limit that must be in use before it grows
 _GOOD = 1.5  # latency, as a multiple of the usual one, up to which the limit grows
 _BASE_RISE, _BASE_FALL = 0.005, 0.05  # weights of a reply in the usual latency
@@ -136,6 +137,12 @@
             self.limit = max(1.0, self.limit * _SHED_FACTOR)
             self.limit_cut_at = now
 
+    def on_queued(self, now: float) -> None:
+        """Lower the limit because requests wait at the target, once for each round trip."""
+        if now - self.limit_cut_at >= self.latency_s:
+            self.limit = max(1.0, self.limit * _QUEUED_FACTOR)
+            self.limit_cut_at = now
+
     def on_failure(self, now: float) -> None:
         """Count a failure; eject after too many in a row."""
         self.losses += 1
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -111,7 +111,7 @@
         margin_s = DELIVERY_S + DELIVERY_SHARE * objective_s
         # An answer that misses the objective by the way to the caller is as late as a later one.
         self._give_at = arrived + max(objective_s - margin_s, objective_s / 2)
-        if not objective_s or not route.gather:
+        if not objective_s:
             self._give_at = math.inf
 
     @property
@@ -124,6 +124,15 @@
         """Services whose sub-request waits for a target with room."""
         return [shard.service for shard in self._shards if shard.waiting]
 
+    def wait_order(self, now: float) -> tuple[bool, int, float]:
+        """Return the place among requests that wait for the same service; the lowest goes first.
+
+        Load pattern: demand above capacity for some time. Those that can still be on time go before
+        those that are late already, urgent ones before others, and the newest first: with the
+        oldest first all of them would be served, but late.
+        """
+        return now >= self._give_at, self.route.rank, -self._arrived
+
     def start(self, now: float) -> list[Action]:
         """Send the first sub-request of every service."""
         if now >= self._deadline:
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -108,11 +108,15 @@
         self.table.update(service, records, now)
 
     def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
-        """Return the target for a sub-request, or None if none has room."""
+        """Return the target for a sub-request, or None if none has room.
+
+        Load pattern: demand above capacity. The concurrency limits keep the queues at the targets
+        short; what waits does so here, where the order can be chosen and nothing has run yet.
+        """
         full = [
             target.target_id
             for target in self.table.replicas(service, WHOLE, 0)
-            if not self._has_room(target.target_id)
+            if target.in_flight >= target.limit or not self._has_room(target.target_id)
         ]
         return self.table.choose(service, WHOLE, 0, {*tried, *full}, now)
 
@@ -158,6 +162,8 @@
         self.table.on_reply(target_id, latency_s, now)
         if answer.load is not None:
             self.table.on_load(target_id, answer.load, now)
+            if answer.load.queued:
+                self.table.on_queued(target_id, now)
 
     def on_failure(self, target_id: str, failure: SubFailure, now: float) -> None:
         """Count a failure."""
