--- a/bramleycrank/consensus/node.py
+++ b/bramleycrank/consensus/node.py
@@ -204,6 +204,11 @@
         """Current role."""
         return self._core.role
 
+    @property
+    def heard_at(self) -> float:
+        """Time at which a leader was last heard, or the start."""
+        return self._core.heard_at
+
     @property
     def term(self) -> int:
         """Current term."""
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -222,6 +222,12 @@
             if node_id != self.node_id
         }
 
+    def leader_silence_s(self) -> float:
+        """Return the seconds since this VM heard a leader; 0 where no core runs."""
+        if self._node is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._node.heard_at
+
     # Commands and reads.
 
     async def propose(self, command: log_pb2.Command, timeout_s: float) -> log_pb2.CommandResult:
--- a/bramleycrank/daemon/voter_keeper.py
+++ b/bramleycrank/daemon/voter_keeper.py
@@ -41,6 +41,14 @@
 """
 
 
+LOST_LEADER_S = 2.0
+"""Silence of the leader after which a member asks whether it still is one, in seconds.
+
+A VM that was cut off while it was removed never hears of its removal: the leader no longer sends to
+it, and its own log says that it is a member.
+"""
+
+
 class Peers(Protocol):
     """Other VMs."""
 
@@ -216,6 +224,8 @@
             await self._join()
         elif consensus.is_leader:
             await self._change(membership)
+        elif consensus.leader_silence_s() > LOST_LEADER_S:
+            await self._join()
 
     def _may_bootstrap(self) -> bool:
         """Whether this VM is one of the first voters, and the seeds before it had their time."""
@@ -236,10 +246,12 @@
     async def _join(self) -> None:
         request = peer_pb2.JoinRequest(identity=self._consensus.on_identity())
         leader = self._consensus.leader_address()
-        others = [leader] if leader else list(self._peers.addresses())
-        if not others:
+        others = list(self._peers.addresses())
+        # The own log may name a leader that is gone, so others are asked too.
+        known = bool(leader) and (not others or self._rng.random() < 0.5)
+        if not known and not others:
             return
-        address = self._rng.choice(others)
+        address = leader if known else self._rng.choice(others)
         try:
             await self._clients.stub(address).Join(request, timeout=CALL_TIMEOUT_S)
         except NotLeader as exc:
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,235 @@
+"""The platform's settings file, documents and calls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from bramleycrank.exceptions import (
+    InvalidRequest,
+    InvalidSettings,
+    MalformedBody,
+    NoQuorum,
+    VersionConflict,
+)
+from bramleycrank.platform import documents, node_file
+from bramleycrank.platform.adapter import PlatformAdapter
+from bramleycrank.platform.headers import PlatformHeaders
+from bramleycrank.proto.target_pb2 import TARGET_STATE_LEAVING, TARGET_STATE_SERVING
+from bramleycrank.transport.http1 import Request, Response
+
+EDGE = {
+    "NodeName": "edge-1",
+    "Ip": "10.1.0.39",
+    "Zone": "north",
+    "Region": "r",
+    "BindAddrs.EdgeAddr": "10.1.0.39:8226",
+    "BindAddrs.ReadinessAddr": "10.1.0.39:8227",
+    "InternalPortRange": "7740,7755",
+    "Seeds": "10.1.0.42:8224,10.2.0.35:8224",
+    "Bootstrap": "true",
+    "HeartbeatMs": "1200",
+    "Bounds.GraceS": "6",
+    "Bounds.RetryBudgetRatio": "0.2",
+    "Bounds.RetryWindowS": "10",
+    "Bounds.RetrySlack": "58",
+    "Some.NewField": "is ignored",
+}
+
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "all",
+            "Host": "h.example",
+            "PathPrefix": "/a/",
+            "Type": "idempotent",
+            "TimeoutMs": 1500,
+            "TargetLatencyMs": 118,
+            "Priority": 1,
+            "Gather": ["s1", "s2"],
+            "MaxAttempts": 2,
+            "TopK": 50,
+            "MinCoverage": 0.89,
+        },
+        {
+            "Name": "one",
+            "Host": "h.example",
+            "PathPrefix": "/b/",
+            "Type": "non_idempotent",
+            "TimeoutMs": 6000,
+            "Split": [{"Service": "s1", "Weight": 3}, {"Service": "s2", "Weight": 1}],
+        },
+    ],
+    "Services": [
+        {"Name": "s1", "HealthPath": "/health", "MaxConnections": 26},
+        {"Name": "s2", "HealthPath": "/health", "MaxConnections": 26},
+    ],
+    "Limits": {"MaxHeaderBytes": 16384, "IdleTimeoutMs": 15000},
+    "Unknown": {"kept": True},
+}
+
+REPORT = {
+    "Service": "s1",
+    "Address": "10.128.0.9:8080",
+    "Zone": "north",
+    "Version": "v1",
+    "Slots": 2,
+    "State": "ready",
+    "WarmupLeftMs": 0,
+    "Sequence": 4,
+    "born": 1_700_000_000_000,
+}
+
+
+def dumped(data: object) -> bytes:
+    return json.dumps(data).encode()
+
+
+def test_the_settings_of_an_edge_machine():
+    cfg = node_file.decode(EDGE)
+    assert str(cfg.entry) == "10.1.0.39:8226" and cfg.control is None
+    assert str(cfg.base.listen.grpc) == "10.1.0.39:7740"
+    assert cfg.voting.seeds == ("10.1.0.42:7740", "10.2.0.35:7740")
+    assert cfg.voting.bootstrap and cfg.base.storage is None
+    assert (cfg.extra.ratio, cfg.extra.window_s, cfg.extra.slack) == (0.2, 10.0, 58.0)
+    life = cfg.base.life_cycle
+    assert life.drain_notice_s + life.drain_limit_s < 6.0
+
+
+def test_a_settings_file_without_its_place_is_refused(tmp_path):
+    path = tmp_path / "node.conf"
+    path.write_text("\n".join(f"{k}={v}" for k, v in EDGE.items() if k != "Ip"))
+    with pytest.raises(InvalidSettings, match="Ip"):
+        node_file.load(path)
+    with pytest.raises(InvalidSettings, match="absent"):
+        node_file.load(tmp_path / "absent")
+
+
+def test_a_configuration_document_becomes_a_route_table():
+    table = documents.decode_routes(dumped(CONFIG))
+    gather, split = table.routes
+    assert (table.version, gather.top_records, list(gather.shards)) == (7, 50, ["s1", "s2"])
+    assert gather.idempotent and not split.idempotent
+    assert [part.weight for part in split.split] == [3, 1]
+    assert table.services[0].connections == 26
+    assert json.loads(table.document) == CONFIG
+
+
+def test_the_order_of_keys_does_not_make_another_document():
+    turned = dict(reversed(CONFIG.items()))
+    first, second = (documents.decode_routes(dumped(item)) for item in (CONFIG, turned))
+    assert first.document == second.document
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        dumped(CONFIG)[:-20],
+        b"",
+        b"[]",
+        b"\xff\xfe",
+        b'{"Version": 1, "Version": 2}',
+        dumped({**CONFIG, "Version": "7"}),
+        dumped({**CONFIG, "Version": -1}),
+        dumped({**CONFIG, "Version": True}),
+        dumped({**CONFIG, "Routes": [1]}),
+        dumped({**CONFIG, "Routes": [{**CONFIG["Routes"][0], "Type": "other"}]}),
+        dumped({**CONFIG, "Routes": [{**CONFIG["Routes"][0], "Gather": [1]}]}),
+        b'{"Version": 1, "Routes": [{"Host": "h", "PathPrefix": "/", "TimeoutMs": NaN}]}',
+        b"[" * 100_000,
+    ],
+)
+def test_a_document_that_cannot_be_read_in_full_is_refused(body):
+    with pytest.raises(MalformedBody):
+        documents.decode_routes(body)
+
+
+def test_a_report_becomes_a_record():
+    record = documents.decode_report("i-1", dumped(REPORT))
+    assert (record.host, record.port, record.incarnation) == ("10.128.0.9", 8080, REPORT["born"])
+    assert record.state == TARGET_STATE_SERVING
+    leaving = documents.decode_report("i-1", dumped({**REPORT, "State": "draining"}))
+    assert leaving.state == TARGET_STATE_LEAVING
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"State": "odd"}, {"Address": "x"}, {"Sequence": "4"}, {"Service": None}, {"Slots": 1.5}],
+)
+def test_a_report_of_another_form_names_no_target(change):
+    with pytest.raises(MalformedBody):
+        documents.decode_report("i-1", dumped({**REPORT, **change}))
+
+
+def respond(adapter: PlatformAdapter, method: bytes, target: bytes, body: bytes, **service):
+    """Return status and body of a control call to a service with the given methods."""
+    answers = []
+    exchange = SimpleNamespace(
+        request=Request(method, target, b"h", [], body),
+        respond=lambda status, headers, body: answers.append((status, body)),
+    )
+    asyncio.run(adapter.control(exchange, SimpleNamespace(**service)))
+    return answers[0]
+
+
+def raising(error: Exception):
+    async def call(*args: object) -> None:
+        raise error
+
+    return call
+
+
+async def accept(*args: object) -> None:
+    """Take anything."""
+
+
+ADAPTER = PlatformAdapter("10.1.0.42:8224")
+
+
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [(VersionConflict(), 409), (NoQuorum(), 503), (MalformedBody(), 400)],
+)
+def test_errors_reach_the_operator_with_their_status(error, status):
+    got, body = respond(ADAPTER, b"PUT", b"/-/config", dumped(CONFIG), put_routes=raising(error))
+    assert got == status and json.loads(body)["Error"]["name"] == error.name
+
+
+def test_a_report_names_where_the_next_one_goes_even_if_it_came_too_late():
+    for announce in (accept, raising(InvalidRequest("late"))):
+        status, body = respond(
+            ADAPTER, b"PUT", b"/-/instances/i-1", dumped(REPORT), announce=announce
+        )
+        assert status == 200 and json.loads(body) == {"HeartbeatAddr": "10.1.0.42:8224"}
+
+
+def test_a_malformed_report_is_refused():
+    status, _ = respond(ADAPTER, b"PUT", b"/-/instances/i-1", b"{", announce=accept)
+    assert status == 400
+
+
+def test_a_leave_without_a_body_is_for_the_newest_incarnation():
+    left = []
+
+    async def leave(*args: object) -> None:
+        left.append(args)
+
+    assert respond(ADAPTER, b"DELETE", b"/-/instances/i-1", b"", leave=leave)[0] == 200
+    respond(ADAPTER, b"DELETE", b"/-/instances/i-1", b'{"born": 5}', leave=leave)
+    assert left == [("i-1", None), ("i-1", 5)]
+
+
+def test_an_unknown_call_is_not_found():
+    assert respond(ADAPTER, b"GET", b"/-/other", b"")[0] == 404
+
+
+def test_the_headers_of_a_target_are_decoded():
+    headers = [(b"x-backend-load", b"3, 1,8,120"), (b"X-Not-Executed", b"1")]
+    meta = PlatformHeaders().target_meta(Response(503, headers, b""))
+    assert meta.not_run and (meta.load.in_flight, meta.load.queued, meta.load.slots) == (3, 1, 8)
+    odd = PlatformHeaders().target_meta(Response(200, [(b"X-Backend-Load", b"a,b")], b""))
+    assert odd.load is None and not odd.not_run
