Open the log again after a failed write, and replace a damaged one where voters join by themselves

A voter whose disk was full for a moment took no part in the log until its process was restarted, and one with a damaged log ended again and again.

--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -13,18 +13,21 @@
 import attrs
 
 from bramleycrank.consensus import RaftConfig, RaftNode, Role
+from bramleycrank.daemon.claim_floors import ClaimFloors
 from bramleycrank.daemon.explain import explain_role, lagging_members
 from bramleycrank.daemon.identity import Directory, Identity, format_address
 from bramleycrank.daemon.proposal_router import ProposalRouter
 from bramleycrank.daemon.raft_runner import RaftRunner
 from bramleycrank.exceptions import (
     BramleycrankError,
+    CorruptLog,
     InvalidMembershipChange,
     NoQuorum,
     NotBootstrapped,
     NotLeader,
     Outcome,
     ProposalOutcomeUnknown,
+    StorageError,
 )
 from bramleycrank.observability.metrics import Metrics, NullMetrics
 from bramleycrank.proto import log_pb2, peer_pb2
@@ -35,8 +38,8 @@
 
 log = logging.getLogger(__name__)
 
-# How often the leader checks whether claims can be dropped, in seconds.
-FLOOR_PERIOD_S = 10.0
+# Pause before a log whose write failed is opened again, in seconds.
+REOPEN_PAUSE_S = 0.5
 
 
 class ConsensusController:
@@ -72,7 +75,8 @@
         self._runner: RaftRunner | None = None
         self._links: ConsensusLinks | None = None
         self._callbacks: list[Callable[[], None]] = []
-        self._floor_task: asyncio.Task | None = None
+        self._floors = ClaimFloors(self)
+        self._reopen_task: asyncio.Task | None = None
         self._role_changed = asyncio.Event()
         self._router = ProposalRouter(
             identity.address,
@@ -87,14 +91,17 @@
         """Open the log and start the core, if this VM may vote."""
         if self.identity.data_dir is None or not self.identity.vote:
             return
-        self._store = LogStore.open(self.identity.data_dir, self.identity.vm_id)
-        self._start_runner()
-        self._floor_task = asyncio.ensure_future(self._propose_floors())
+        self._open_log()
+        self._floors.start()
 
     async def stop(self) -> None:
         """Stop the core and close the log."""
-        if self._floor_task is not None:
-            self._floor_task.cancel()
+        self._floors.stop()
+        if self._reopen_task is not None:
+            self._reopen_task.cancel()
+        self._close_log()
+
+    def _close_log(self) -> None:
         if self._runner is not None:
             self._runner.close()
         if self._links is not None:
@@ -337,6 +344,9 @@
     def on_role(self) -> None:
         """Tell subscribers that the role or the leader changed."""
         self._role_changed.set()
+        failure = self._runner.failure if self._runner else None
+        if isinstance(failure, StorageError | OSError) and self._reopen_task is None:
+            self._reopen_task = asyncio.ensure_future(self._reopen())
         self._notify()
 
     async def wait_role_change(self, timeout_s: float) -> None:
@@ -353,6 +363,36 @@
                 # The runner calls this between actions and would stop the core for good.
                 log.exception("consensus: a subscriber failed")
 
+    async def _reopen(self) -> None:
+        """Go on with what the disk holds, as after a restart, once it can be written again.
+
+        A full disk is a passing fault, and a stopped voter would be missing at the next one.
+        """
+        while True:
+            await asyncio.sleep(REOPEN_PAUSE_S)
+            self._close_log()
+            try:
+                self._open_log()
+            except (StorageError, OSError) as exc:
+                log.warning("consensus: the log cannot be opened yet: %s", exc)
+                continue
+            self._reopen_task = None
+            log.info("consensus: opened the log again")
+            self._notify()
+            return
+
+    def _open_log(self) -> None:
+        folder, vm_id = self.identity.data_dir, self.identity.vm_id
+        try:
+            self._store = LogStore.open(folder, vm_id)
+        except CorruptLog as exc:
+            if not self.identity.replace_damaged:
+                raise
+            log.error("consensus: the log is damaged and replaced by an empty one: %s", exc)
+            LogStore.discard(folder)
+            self._store = LogStore.open(folder, vm_id)
+        self._start_runner()
+
     def _start_runner(self) -> None:
         durable = self._store.load()
         snapshot = durable.snapshot
@@ -392,20 +432,3 @@
         members = membership.members if membership else ()
         addresses = [self.address_of(m.node_id) for m in members if m.node_id != self.node_id]
         return [a for a in addresses if a] or self._directory.addresses()
-
-    async def _propose_floors(self) -> None:
-        """Propose to drop old claims while this VM leads."""
-        while True:
-            await asyncio.sleep(FLOOR_PERIOD_S)
-            try:
-                await self._propose_floor()
-            except BramleycrankError as exc:
-                log.info("consensus: floor of claims not moved: %s", exc)
-            except Exception:
-                log.exception("consensus: floor of claims not moved")
-
-    async def _propose_floor(self) -> None:
-        state = self.state
-        command = state.floor_proposal(int(time.time() * 1000)) if state else None
-        if command is not None and self.is_leader:
-            await self.propose_local(uuid.uuid4().hex, command, FLOOR_PERIOD_S)
--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -43,6 +43,8 @@
         metrics: Metrics,
         rng: random.Random,
         membership_cfg: MembershipConfig | None = None,
+        *,
+        replace_damaged: bool = False,
     ) -> ControlParts:
         """Build and wire the parts; nothing is started.
 
@@ -56,6 +58,8 @@
             Source of all randomness.
         membership_cfg : MembershipConfig, optional
             Options of the membership; those of the settings by default.
+        replace_damaged : bool, optional
+            Whether a damaged log is replaced by an empty one.
         """
         clients = PeerClients()
         seeds = [str(seed) for seed in cfg.peers.seeds]
@@ -63,7 +67,9 @@
             membership_cfg or _membership_config(cfg), _record(cfg), seeds, clients, rng=rng
         )
         directory = PeerDirectory(membership, seeds, clients)
-        consensus = ConsensusController(_identity(cfg), directory, clients, rng, metrics)
+        consensus = ConsensusController(
+            _identity(cfg, replace_damaged), directory, clients, rng, metrics
+        )
         config = ConfigController(cfg.config, consensus, directory, clients, _cache(cfg), rng)
         directory.leader_address = config.leader_address
         membership.set_config_status(config.status)
@@ -73,7 +79,7 @@
         return cls(clients, directory, membership, consensus, config, voters, metrics)
 
 
-def _identity(cfg: Settings) -> Identity:
+def _identity(cfg: Settings, replace_damaged: bool) -> Identity:
     return Identity(
         vm_id=cfg.vm.id,
         domain=cfg.vm.domain,
@@ -81,6 +87,7 @@
         port=cfg.listen.grpc.port,
         data_dir=cfg.storage.data_dir if cfg.storage else None,
         vote=bool(cfg.storage and cfg.storage.vote),
+        replace_damaged=replace_damaged,
     )
 
 
--- a/bramleycrank/daemon/identity.py
+++ b/bramleycrank/daemon/identity.py
@@ -24,7 +24,14 @@
 
 @attrs.frozen(kw_only=True)
 class Identity:
-    """Who and where this VM is."""
+    """Who and where this VM is.
+
+    Parameters
+    ----------
+    replace_damaged : bool
+        Whether a damaged log is replaced by an empty one, under a new node id. Only where voters
+        are admitted without an operator: the VM then comes back as a learner.
+    """
 
     vm_id: str
     domain: str
@@ -32,6 +39,7 @@
     port: int
     data_dir: Path | None = None
     vote: bool = False
+    replace_damaged: bool = False
 
     @property
     def address(self) -> str:
--- a/bramleycrank/storage/log_store.py
+++ b/bramleycrank/storage/log_store.py
@@ -19,7 +19,7 @@
 from bramleycrank.exceptions import BramleycrankError, CorruptLog, StorageError
 from bramleycrank.proto.log_pb2 import LogSnapshot
 from bramleycrank.storage.files import encode_frame, read_single_frame, sync_folder, write_synced
-from bramleycrank.storage.identity import DiskIdentity, FolderLock
+from bramleycrank.storage.identity import IDENTITY_FILE, DiskIdentity, FolderLock
 from bramleycrank.storage.segment import Segment, SegmentContent
 
 log = logging.getLogger(__name__)
@@ -82,6 +82,27 @@
             lock.release()
             raise
 
+    @staticmethod
+    def discard(folder: Path) -> None:
+        """Remove a damaged log with its identity, so that the next open makes a new one.
+
+        The identity goes last: as long as it is there, the folder is not taken for an empty one.
+
+        Raises
+        ------
+        StorageError
+            A file could not be removed.
+        """
+        try:
+            for path in folder.iterdir():
+                if _GENERATION_FILE.fullmatch(path.name):
+                    path.unlink()
+            sync_folder(folder)
+            (folder / IDENTITY_FILE).unlink(missing_ok=True)
+            sync_folder(folder)
+        except OSError as exc:
+            raise StorageError(f"{folder} cannot be cleared: {exc}") from exc
+
     @property
     def node_id(self) -> str:
         """Node id in the replicated log: ``vm_id/disk_id``."""
--- a/bramleycrank/storage/segment.py
+++ b/bramleycrank/storage/segment.py
@@ -107,10 +107,11 @@
             intact = end
         if intact == 0 or has_frame_after(data, intact, seed):
             raise CorruptLog(f"{path} is damaged at byte {intact}")
-        if intact < len(data):
-            with open(path, "r+b") as file:
+        with open(path, "r+b") as file:
+            if intact < len(data):
                 file.truncate(intact)
-                os.fsync(file.fileno())
+            # After a failed sync, what was read may be in memory only.
+            os.fsync(file.fileno())
         return cls(path, seed, content)
 
     def append(self, action: Persist) -> None:
--- a/tests/test_daemon_consensus_controller.py
+++ b/tests/test_daemon_consensus_controller.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bramleycrank.consensus import Role
-from bramleycrank.daemon import consensus_controller
+from bramleycrank.daemon import claim_floors
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.identity import Identity
 from bramleycrank.exceptions import ProposalOutcomeUnknown, StorageError
@@ -35,7 +35,7 @@
 
 def test_floor_of_claims_is_proposed_again_after_a_failure(monkeypatch):
     # Without further proposals the claims of all coming days stay in memory.
-    monkeypatch.setattr(consensus_controller, "FLOOR_PERIOD_S", 0.01)
+    monkeypatch.setattr(claim_floors, "FLOOR_PERIOD_S", 0.01)
     calls = []
 
     def floor_proposal(now_ms):
@@ -47,7 +47,7 @@
         state = SimpleNamespace(floor_proposal=floor_proposal)
         node = SimpleNamespace(membership=log_pb2.Membership(members=[log_pb2.Member()]))
         controller._runner = SimpleNamespace(node=node, failure=None, state=state)
-        task = asyncio.ensure_future(controller._propose_floors())
+        task = asyncio.ensure_future(controller._floors._run())
         async with asyncio.timeout(2):
             while len(calls) < 2 and not task.done():
                 await asyncio.sleep(0.01)
