--- a/bramleycrank/cli/main.py
+++ b/bramleycrank/cli/main.py
@@ -10,7 +10,7 @@
 
 import fire
 
-from bramleycrank.cli import check_settings, dump, errors
+from bramleycrank.cli import check_settings, dump, errors, explain
 from bramleycrank.cli.arguments import command, invalid, quoted
 from bramleycrank.cli.config import ConfigCommands
 from bramleycrank.cli.context import DEFAULT_HTTP, DEFAULT_SERVER, Context, Pending
@@ -64,6 +64,19 @@
         """
         return check_settings.check_settings(self._context, path, standin)
 
+    @command
+    def explain(self, request_id: str, files: str) -> Pending:
+        """Print what the log files say of a request, in the order of time.
+
+        Parameters
+        ----------
+        request_id : str
+            Identifier of the request; that of a target or a VM serves too.
+        files : str
+            Log files, joined by commas.
+        """
+        return explain.explain(self._context, request_id, files.split(","))
+
     @command
     def errors(self) -> Pending:
         """List all error codes."""
