--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -19,7 +19,7 @@
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.proto.target_pb2 import TargetRecord
-from bramleycrank.routing import Limits, RouteIndex
+from bramleycrank.routing import Limits, Route, RouteIndex
 from bramleycrank.scatter import (
     Answer,
     Cancel,
@@ -385,7 +385,7 @@
             routes_version=self._index.version,
             latency_ms=round(latency_s * 1000, 1),
             sends=call.sends,
-            missing=action.missing if isinstance(action, Merged) else 0,
+            missing=_missing_services(route, action),
             target_failures=call.failures,
         )
         # An open connection would bring the caller's next request here again.
@@ -531,6 +531,12 @@
         self._controller.on_given_up(sub, ending)
 
 
+def _missing_services(route: Route, action: Answer | Merged | Refusal) -> list[str]:
+    if not isinstance(action, Merged):
+        return []
+    return sorted(set(route.services) - {part.service for part in action.parts})
+
+
 def _refusal_status(refusal: Refusal) -> int:
     if refusal.not_run:
         return 503
