--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -12,13 +12,12 @@
 
 import attrs
 
-from bramleycrank.connections import ConnectionBudget, ConnectionConfig
-from bramleycrank.connections.http_pool import Ending, HttpPool, PoolSub
+from bramleycrank.connections.http_pool import Ending, PoolSub
+from bramleycrank.daemon.entry_targets import EntryTargets, Targets
 from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.proto.log_pb2 import RouteTable
-from bramleycrank.proto.target_pb2 import TargetRecord
 from bramleycrank.routing import Limits, Route, RouteIndex
 from bramleycrank.scatter import (
     Answer,
@@ -33,27 +32,15 @@
     merge_records,
 )
 from bramleycrank.scatter.budget import ExtraConfig
-from bramleycrank.scatter.policy import TargetPolicy
-from bramleycrank.transport.http1 import Exchange, Response, TargetConnection, encode_request
+from bramleycrank.transport.http1 import Exchange, Response, encode_request
 from bramleycrank.transport.http1.messages import Headers, end_to_end
 
 log = logging.getLogger(__name__)
 
-POOL_TICK_S = 0.05
-"""Time between two checks of the connections' time limits, in seconds."""
-
-COUNT_TICKS = 10
-"""Ticks between two counts of the VMs, which read all of their records."""
-
-DEFAULT_CONNECTIONS = 8
-"""Connections of a target in all while its service names no limit."""
 
 STARTING_RETRY_S = 0.5
 """When a caller should come back to a VM that has no routes yet, in seconds."""
 
-MAX_WAIT_S = 60.0
-"""Longest deadline of a request whose caller names none, in seconds."""
-
 
 class Routes(Protocol):
     """Source of the routes in force."""
@@ -65,19 +52,6 @@
         """Call back after each change."""
 
 
-class Targets(Protocol):
-    """Source of the targets."""
-
-    def targets(self, service: str) -> list[TargetRecord]:
-        """Return the targets of a service that may get new work."""
-
-    def subscribe_targets(self, callback: Callable[[TargetRecord], None]) -> None:
-        """Call back whenever a target's record or usability changes."""
-
-    def vm_count(self, domain: str | None = None) -> int:
-        """Return how many VMs share the budgets."""
-
-
 @attrs.define(eq=False)
 class _Call:
     """A request in progress."""
@@ -131,34 +105,23 @@
         self._clock = self._loop.time
         self._dialect = dialect
         self._routes = routes
-        self._targets = targets
         self._metrics = metrics
         self._requests = RequestLog(log, self._clock)
         self._index: RouteIndex | None = None
-        self._budget = ConnectionBudget(ConnectionConfig(), self._clock())
-        self._vm_count = 1
-        self._pool = HttpPool(self._connect, self._share, self._on_room, self._on_down, self._clock)
-        self._policy = TargetPolicy(domain, extra, self._pool.has_room, lambda: self._vm_count, rng)
-        self._incarnations: dict[str, int] = {}
-        self._services_of: dict[str, str] = {}
-        self._served: set[str] = set()
+        self._targets = EntryTargets(domain, targets, extra, metrics, rng, self._wake)
         self._calls: set[_Call] = set()
         self._waiting: dict[str, list[_Call]] = defaultdict(list)
         self._sub_ids = itertools.count(1)
-        self._opening: set[asyncio.Task[Any]] = set()
-        self._tick_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Follow the routes and the targets."""
         self._routes.subscribe(self._on_routes)
-        self._targets.subscribe_targets(self._on_target)
         self._on_routes()
-        self._tick_task = asyncio.create_task(self._run())
+        self._targets.start()
 
     async def stop(self) -> None:
         """Cancel what is in progress."""
-        if self._tick_task is not None:
-            self._tick_task.cancel()
+        self._targets.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.on_caller_gone(self._clock()))
             self._forget(call)
@@ -176,18 +139,12 @@
     @property
     def covers_routes(self) -> bool:
         """Whether a target is known for each service of the routes."""
-        return self._index is not None and self._index.services <= self._served
+        return self._index is not None and self._targets.covers(self._index)
 
     @property
     def can_serve(self) -> bool:
         """Whether each route reaches enough of its services for a success."""
-        if self._index is None:
-            return False
-        return all(
-            sum(map(self._policy.is_served, route.services)) >= route.needed
-            for route in self._index.routes()
-            if any(service in self._served for service in route.services)
-        )
+        return self._index is not None and self._targets.can_serve(self._index)
 
     def limits(self) -> Limits:
         """Return the limits for callers."""
@@ -200,9 +157,7 @@
             "routes": self._index and self._index.dump(),
             "in_flight": len(self._calls),
             "requests": [call.execution.dump(now) for call in list(self._calls)[:100]],
-            "policy": self._policy.dump(now),
-            "connections": self._pool.dump(),
-            "opened": self._pool.opened,
+            "targets": self._targets.dump(now),
         }
 
     # Requests.
@@ -221,7 +176,7 @@
             return
         wait_s = route.timeout_s if meta.wait_s is None else meta.wait_s
         execution = ScatterExecution(
-            route, self._policy, self._sub_ids, exchange.arrived, exchange.arrived + wait_s
+            route, self._targets.policy, self._sub_ids, exchange.arrived, exchange.arrived + wait_s
         )
         call = _Call(exchange, meta, execution)
         self._calls.add(call)
@@ -262,7 +217,7 @@
                 case Cancel():
                     sub = call.subs.pop(action.sub_id, None)
                     if sub is not None:
-                        self._pool.cancel(sub, overtaken=action.overtaken)
+                        self._targets.pool.cancel(sub, overtaken=action.overtaken)
                 case Answer() | Merged() | Refusal():
                     self._give(call, action)
         if call.execution.ended:
@@ -296,9 +251,7 @@
 
     def _forward(self, call: _Call, action: Forward) -> None:
         request = call.exchange.request
-        headers = self._dialect.target_headers(
-            request, action.target_id, self._incarnations.get(action.target_id, 0), action.timeout_s
-        )
+        headers = self._dialect.target_headers(request, action.target_id, action.timeout_s)
         sub = PoolSub(
             action.sub_id,
             action.target_id,
@@ -310,7 +263,7 @@
         call.subs[action.sub_id] = sub
         call.sends += 1
         self._metrics.incr("entry.sub_requests")
-        self._pool.send(sub)
+        self._targets.pool.send(sub)
 
     # Ends of sub-requests.
 
@@ -358,7 +311,7 @@
         now = self._clock()
         latency_s = now - sub.started if ending is Ending.ANSWERED else None
         silent = ending is Ending.SILENT
-        self._policy.on_given_up(sub.target_id, latency_s, now, silent=silent)
+        self._targets.policy.on_given_up(sub.target_id, latency_s, now, silent=silent)
 
     def _note_failure(self, call: _Call, sub: PoolSub, reason: str) -> None:
         self._metrics.incr("entry.sub_failures")
@@ -415,73 +368,7 @@
             return
         self._index = RouteIndex(table)
         log.info("entry: routes in force", extra={"routes_version": table.version})
-        for service in self._index.services | self._served:
-            self._refresh(service)
-
-    def _on_target(self, record: TargetRecord) -> None:
-        service = record.service or self._services_of.get(record.target_id, "")
-        previous = self._services_of.get(record.target_id)
-        if previous is not None and previous != service:
-            self._refresh(previous)
-        self._refresh(service)
-
-    def _refresh(self, service: str) -> None:
-        """Take the targets of a service over into the policy and the pool."""
-        now = self._clock()
-        wanted = self._index is not None and service in self._index.services
-        records = self._targets.targets(service) if wanted else []
-        limit = self._index.connections.get(service, 0) if wanted else 0
-        current = {record.target_id for record in records}
-        gone = [i for i, name in self._services_of.items() if name == service and i not in current]
-        for target_id in gone:
-            del self._services_of[target_id]
-            self._pool.remove(target_id)
-        for record in records:
-            self._services_of[record.target_id] = service
-            self._incarnations[record.target_id] = record.incarnation
-            self._pool.update(
-                record.target_id, record.host, record.port, limit or DEFAULT_CONNECTIONS
-            )
-        self._policy.update(service, records, now)
-        if records:
-            self._served.add(service)
-        else:
-            self._served.discard(service)
-        self._wake(service)
-
-    def _share(self, limit: int) -> int:
-        return self._budget.share(limit, self._clock())
-
-    def _connect(self, host: str, port: int, pool: HttpPool) -> TargetConnection:
-        conn = TargetConnection(pool)
-        task = self._loop.create_task(self._open(conn, host, port))
-        self._opening.add(task)
-        task.add_done_callback(self._opening.discard)
-        return conn
-
-    async def _open(self, conn: TargetConnection, host: str, port: int) -> None:
-        self._metrics.incr("entry.connections_opened")
-        try:
-            await self._loop.create_connection(lambda: conn, host, port)
-        except OSError as exc:
-            log.debug("entry: no connection to %s:%d: %s", host, port, exc)
-            self._pool.on_closed(conn)
-
-    def _on_room(self, target_id: str) -> None:
-        service = self._services_of.get(target_id)
-        if service is not None and self._waiting.get(service):
-            self._loop.call_soon(self._wake, service)
-
-    def _on_down(self, target_id: str, down: bool) -> None:
-        log.info(
-            "entry: target is %s",
-            "down" if down else "up",
-            extra={"target": target_id, "service": self._services_of.get(target_id, "")},
-        )
-        self._policy.table.set_down(target_id, down, self._clock())
-        service = self._services_of.get(target_id)
-        if service is not None:
-            self._loop.call_soon(self._wake, service)
+        self._targets.use(self._index)
 
     def _wake(self, service: str) -> None:
         """Let the most urgent request that waits for a service try again."""
@@ -497,17 +384,6 @@
             if service in call.execution.waiting:
                 break
 
-    async def _run(self) -> None:
-        for turn in itertools.count():
-            try:
-                self._pool.tick()
-                if turn % COUNT_TICKS == 0:
-                    self._vm_count = max(1, self._targets.vm_count())
-                    self._budget.on_count(self._vm_count, self._clock())
-            except Exception:
-                log.exception("entry: tick failed")
-            await asyncio.sleep(POOL_TICK_S)
-
 
 class _CallListener:
     """Passes the ends of one request's sub-requests on."""
--- a/bramleycrank/daemon/entry_types.py
+++ b/bramleycrank/daemon/entry_types.py
@@ -61,9 +61,7 @@
     def caller_meta(self, request: Request) -> CallerMeta:
         """Return what a caller says about its request."""
 
-    def target_headers(
-        self, request: Request, target_id: str, incarnation: int, timeout_s: float
-    ) -> Headers:
+    def target_headers(self, request: Request, target_id: str, timeout_s: float) -> Headers:
         """Return the headers of a sub-request."""
 
     def target_meta(self, response: Response) -> TargetMeta:
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -34,9 +34,7 @@
         wait_s = int(wait_ms) / 1000 if wait_ms.isdigit() else None
         return CallerMeta(headers.get(b"x-request-id", b""), wait_s)
 
-    def target_headers(
-        self, request: Request, target_id: str, incarnation: int, timeout_s: float
-    ) -> Headers:
+    def target_headers(self, request: Request, target_id: str, timeout_s: float) -> Headers:
         """Return the headers of a sub-request."""
         return [
             *end_to_end(request.headers, _SET_HERE),
