--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -7,18 +7,19 @@
 import logging
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 import attrs
 
 from bramleycrank.connections.http_pool import Ending, PoolSub
+from bramleycrank.daemon.entry_answers import missing_services, render
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
 from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.proto.log_pb2 import RouteTable
-from bramleycrank.routing import Limits, Route, RouteIndex
+from bramleycrank.routing import Limits, RouteIndex
 from bramleycrank.scatter import (
     Answer,
     Cancel,
@@ -29,11 +30,10 @@
     ScatterExecution,
     SubFailure,
     TargetAnswer,
-    merge_records,
 )
 from bramleycrank.scatter.budget import ExtraConfig
 from bramleycrank.transport.http1 import Exchange, Response, encode_request
-from bramleycrank.transport.http1.messages import Headers, end_to_end
+from bramleycrank.transport.http1.messages import end_to_end
 
 log = logging.getLogger(__name__)
 
@@ -321,7 +321,7 @@
     # Answers.
 
     def _give(self, call: _Call, action: Answer | Merged | Refusal) -> None:
-        status, headers, body, note = self._render(call, action)
+        status, headers, body, note = render(self._dialect, call.meta, action)
         now = self._clock()
         latency_s = now - call.exchange.arrived
         route = call.execution.route
@@ -338,29 +338,14 @@
             routes_version=self._index.version,
             latency_ms=round(latency_s * 1000, 1),
             sends=call.sends,
-            missing=_missing_services(route, action),
+            missing=missing_services(route, action),
             target_failures=call.failures,
         )
         # An open connection would bring the caller's next request here again.
         close = isinstance(action, Refusal) and self._is_cut_off()
         call.exchange.respond(status, headers, body, close=close)
 
-    def _render(
-        self, call: _Call, action: Answer | Merged | Refusal
-    ) -> tuple[int, Headers, bytes, str]:
-        match action:
-            case Answer(answer=answer):
-                return answer.status, answer.headers, answer.body, "answered"
-            case Merged():
-                receipts: Sequence[bytes] = [part.receipt for part in action.parts]
-                body = merge_records((part.body for part in action.parts), action.top_records)
-                headers = self._dialect.merged_headers(call.meta, receipts, action.missing)
-                return 200, headers, body, "merged"
-            case Refusal():
-                headers = self._dialect.refusal_headers(call.meta, action.retry_after_s)
-                return _refusal_status(action), headers, b"", action.reason
-
-    # Targets and connections.
+    # Routes, and room at targets.
 
     def _on_routes(self) -> None:
         table = self._routes.routes()
@@ -405,15 +390,3 @@
     def on_given_up(self, sub: PoolSub, ending: Ending) -> None:
         """Take the end of a cancelled sub-request."""
         self._controller.on_given_up(sub, ending)
-
-
-def _missing_services(route: Route, action: Answer | Merged | Refusal) -> list[str]:
-    if not isinstance(action, Merged):
-        return []
-    return sorted(set(route.services) - {part.service for part in action.parts})
-
-
-def _refusal_status(refusal: Refusal) -> int:
-    if refusal.not_run:
-        return 503
-    return 504 if refusal.reason == "timeout" else 502
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -6,7 +6,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 from grpclib.server import Server
@@ -86,25 +86,16 @@
     voting: VotingConfig = attrs.field(factory=VotingConfig)
 
 
-class HttpAdapter:
-    """Translates between the product and the protocol around it; a base for adapters.
+class HttpAdapter(Protocol):
+    """Translates between the product and the protocol around it."""
 
-    Parameters
-    ----------
-    dialect : EntryDialect
-        Headers of forwarded requests.
-    """
-
-    def __init__(self, dialect: EntryDialect) -> None:
-        self.dialect = dialect
+    dialect: EntryDialect
 
     def readiness(self, exchange: Exchange, reason: str) -> None:
         """Answer the load balancer; `reason` says why the VM is not ready, or is empty."""
-        exchange.respond(503 if reason else 200, [], reason.encode())
 
     def control(self, exchange: Exchange, service: ControlService) -> Awaitable[None]:
         """Answer a call of an operator or a target."""
-        raise AttributeError("this adapter has no control calls")
 
 
 class HttpNode:
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -8,7 +8,6 @@
 from urllib.parse import unquote
 
 from bramleycrank.daemon.control_service import ControlService
-from bramleycrank.daemon.http_node import HttpAdapter
 from bramleycrank.exceptions import BramleycrankError, InvalidRequest, MalformedBody, NotFound
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.platform import documents
@@ -25,8 +24,8 @@
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
-class PlatformAdapter(HttpAdapter):
-    """Answers the platform's calls.
+class PlatformAdapter:
+    """Answers the platform's calls; implements `HttpAdapter`.
 
     Parameters
     ----------
@@ -35,7 +34,7 @@
     """
 
     def __init__(self, control_address: str) -> None:
-        super().__init__(PlatformHeaders())
+        self.dialect = PlatformHeaders()
         self._refusals = RequestLog(log, time.monotonic)
         self._report_answer = json.dumps({"HeartbeatAddr": control_address}).encode()
 
@@ -44,7 +43,7 @@
         if exchange.request.path != READY_PATH:
             exchange.respond(404, [], b"")
             return
-        super().readiness(exchange, reason)
+        exchange.respond(503 if reason else 200, [], reason.encode())
 
     async def control(self, exchange: Exchange, service: ControlService) -> None:
         """Answer a call of the operator or of a back end."""
--- a/bramleycrank/query/execution.py
+++ b/bramleycrank/query/execution.py
@@ -17,7 +17,14 @@
 )
 from bramleycrank.query.catalog import SnapshotCatalog
 from bramleycrank.query.result import build_answer, build_error
-from bramleycrank.query.subrequests import ShardState, Sub, dump_progress, shards_for, template
+from bramleycrank.query.subrequests import (
+    ShardState,
+    Sub,
+    choose_retry,
+    dump_progress,
+    shards_for,
+    template,
+)
 from bramleycrank.query.types import (
     Action,
     CancelSub,
@@ -266,7 +273,9 @@
             return out
         service, choose = self.req.service, self._policy.choose
         if (self._idempotent or proved) and shard.retries < MAX_RETRIES and now < self.deadline:
-            target_id = self._choose_retry(shard, now)
+            target_id = choose_retry(
+                shard, lambda tried: choose(service, self.snapshot, shard.index, tried, now)
+            )
             if target_id is not None and (free or self._policy.take_retry(service)):
                 shard.retries += 1
                 self._retries += 1
@@ -283,19 +292,6 @@
             return out + self._end(now)
         return out
 
-    def _choose_retry(self, shard: ShardState, now: float) -> str | None:
-        """Return the target for a retry.
-
-        A target whose connection was lost may be well and is asked again, but after the others:
-        a cut loses the connections to all targets behind it at once.
-        """
-        service, choose = self.req.service, self._policy.choose
-        target_id = choose(service, self.snapshot, shard.index, shard.tried, now)
-        if target_id is None and shard.lost:
-            left_out = [tried for tried in shard.tried if tried not in shard.lost]
-            target_id = choose(service, self.snapshot, shard.index, left_out, now)
-        return target_id
-
     def _miss(self, shard: ShardState, reason: MissingReason) -> None:
         shard.ended, shard.reason = True, reason
         self._left -= 1
--- a/bramleycrank/query/subrequests.py
+++ b/bramleycrank/query/subrequests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import attrs
@@ -39,6 +39,25 @@
     retries: int = 0
 
 
+def choose_retry(shard: ShardState, choose: Callable[[Sequence[str]], str | None]) -> str | None:
+    """Return the target for a retry.
+
+    A target whose connection was lost may be well and is asked again, but after the others: a cut
+    loses the connections to all targets behind it at once.
+
+    Parameters
+    ----------
+    shard : ShardState
+        The shard whose sub-request failed.
+    choose : callable
+        Returns a target that is not among the given ones.
+    """
+    target_id = choose(shard.tried)
+    if target_id is None and shard.lost:
+        target_id = choose([tried for tried in shard.tried if tried not in shard.lost])
+    return target_id
+
+
 def shard_of(key: str, shard_count: int) -> int:
     """Return the shard that holds `key`."""
     return xxhash.xxh64_intdigest(key.encode()) % shard_count
--- a/bramleycrank/transport/http1/server.py
+++ b/bramleycrank/transport/http1/server.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import logging
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import httptools
 
+from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.routing import Limits
 from bramleycrank.transport.http1.messages import Headers, Request, encode_response
 
@@ -245,7 +247,8 @@
         if self._ending:
             return
         status, reason = self._problem
-        log.info("http: refused a request", extra={"status": status, "reason": reason})
+        now = self._loop.time()
+        self._server.refusals.note(reason, b"", now, failed=True, status=status)
         self._write(
             encode_response(
                 status, [(b"Content-Type", b"text/plain")], reason.encode(), close=True, head=False
@@ -323,6 +326,7 @@
         self.limits = limits
         self.draining = False
         self.connections: set[ServerConnection] = set()
+        self.refusals = RequestLog(log, time.monotonic)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
 
