--- a/bramleycrank/daemon/http_process.py
+++ b/bramleycrank/daemon/http_process.py
@@ -5,9 +5,9 @@
 import asyncio
 import logging
 import signal
-from collections.abc import Callable
 
 from bramleycrank.daemon.http_node import HttpAdapter, HttpNode, HttpNodeConfig
+from bramleycrank.daemon.settings_file import SettingsFile
 from bramleycrank.exceptions import BramleycrankError
 from bramleycrank.observability import logs
 from bramleycrank.observability.exposition import ExposedMetrics
@@ -19,7 +19,7 @@
     cfg: HttpNodeConfig,
     adapter: HttpAdapter,
     metrics: ExposedMetrics,
-    reload: Callable[[], HttpNodeConfig],
+    settings: SettingsFile,
 ) -> int:
     """Run a node until SIGTERM or SIGINT; return the exit code.
 
@@ -31,27 +31,29 @@
         Translates the protocol around the product.
     metrics : ExposedMetrics
         Receiver of metrics.
-    reload : callable
-        Reads the settings again after SIGHUP.
+    settings : SettingsFile
+        Read again after SIGHUP, and when it changes without one.
     """
     logs.configure_stdout(cfg.base.logging, cfg.base.vm.id)
-    return asyncio.run(_live(cfg, adapter, metrics, reload))
+    return asyncio.run(_live(cfg, adapter, metrics, settings))
 
 
 async def _live(
     cfg: HttpNodeConfig,
     adapter: HttpAdapter,
     metrics: ExposedMetrics,
-    reload: Callable[[], HttpNodeConfig],
+    settings: SettingsFile,
 ) -> int:
     loop = asyncio.get_running_loop()
     node = HttpNode(cfg, adapter, metrics, metrics.render)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _stop, node, number)
-    loop.add_signal_handler(signal.SIGHUP, _reload, node, reload)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, settings)
     log.info("process: start", extra={"domain": cfg.base.vm.domain, "entry": str(cfg.entry)})
     node.life_cycle.start()
+    watch = asyncio.ensure_future(settings.watch(lambda: _reload(node, settings)))
     await node.life_cycle.finished.wait()
+    watch.cancel()
     failure = node.life_cycle.failure
     log.info("process: stop", extra={"failure": repr(failure) if failure else ""})
     if failure is None:
@@ -64,12 +66,10 @@
     node.life_cycle.stop()
 
 
-def _reload(node: HttpNode, reload: Callable[[], HttpNodeConfig]) -> None:
+def _reload(node: HttpNode, settings: SettingsFile) -> None:
     """Take over the seeds of a changed settings file; what else changes needs a restart."""
-    try:
-        cfg = reload()
-    except BramleycrankError as exc:
-        log.error("process: settings were not reloaded", extra={"reason": str(exc)})
+    cfg = settings.reload()
+    if cfg is None:
         return
     node.set_seeds([str(seed) for seed in cfg.base.peers.seeds])
     log.info("process: settings reloaded", extra={"seeds": len(cfg.base.peers.seeds)})
--- a/bramleycrank/platform/__main__.py
+++ b/bramleycrank/platform/__main__.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from bramleycrank.daemon.http_process import run
+from bramleycrank.daemon.settings_file import SettingsFile
 from bramleycrank.exceptions import BramleycrankError
 from bramleycrank.observability.exposition import ExposedMetrics
 from bramleycrank.platform import node_file
@@ -19,13 +20,14 @@
 def main() -> int:
     """Run the process until SIGTERM; return the exit code."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
+    settings = SettingsFile(path, node_file.load)
     try:
-        cfg = node_file.load(path)
+        cfg = settings.load()
     except BramleycrankError as exc:
         print(f"error {exc.code} {exc.name}: {exc.message}", file=sys.stderr)
         return exc.exit_code
     adapter = PlatformAdapter(str(cfg.control) if cfg.control else "")
-    return run(cfg, adapter, ExposedMetrics("bramleycrank"), lambda: node_file.load(path))
+    return run(cfg, adapter, ExposedMetrics("bramleycrank"), settings)
 
 
 if __name__ == "__main__":
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -8,6 +8,7 @@
 import shutil
 import signal
 import sys
+from pathlib import Path
 
 import pytest
 from http_fakes import FakeTarget, ok
@@ -61,7 +62,12 @@
         self.data = fleet.folder / f"{name}-data"
         self.process: Process | None = None
 
-    def start(self, *, bootstrap: bool = False) -> None:
+    @property
+    def settings(self) -> Path:
+        """The settings file."""
+        return self.fleet.folder / f"{self.name}.conf"
+
+    def write_settings(self, seeds: list[str], *, bootstrap: bool = False) -> None:
         if self.voter:
             listen = f"BindAddrs.Control={self.ip}:{CONTROL_PORT}\nDataDir={self.data}"
         else:
@@ -69,21 +75,23 @@
                 f"BindAddrs.EdgeAddr={self.ip}:{ENTRY_PORT}\n"
                 f"BindAddrs.ReadinessAddr={self.ip}:{READY_PORT}"
             )
-        path = self.fleet.folder / f"{self.name}.conf"
-        path.write_text(
+        self.settings.write_text(
             NODE.format(
                 name=self.name,
                 ip=self.ip,
                 zone=self.zone,
-                seeds=",".join(f"{ip}:{CONTROL_PORT}" for ip in self.fleet.seeds),
+                seeds=",".join(f"{ip}:{CONTROL_PORT}" for ip in seeds),
                 bootstrap=str(bootstrap).lower(),
                 listen=listen,
             )
         )
+
+    def start(self, *, bootstrap: bool = False, seeds: list[str] | None = None) -> None:
+        self.write_settings(seeds or self.fleet.seeds, bootstrap=bootstrap)
         self.process = Process(
             [sys.executable, "-m", "bramleycrank.platform"],
             self.fleet.folder / f"{self.name}.err",
-            {"BRAMLEYCRANK_NODE_FILE": str(path)},
+            {"BRAMLEYCRANK_NODE_FILE": str(self.settings)},
         )
         self.fleet.processes.append(self.process)
 
@@ -96,6 +104,7 @@
         self.processes: list[Process] = []
         net = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
         self.seeds = [f"{net}.{number}" for number in (11, 12, 13)]
+        self.unused_ip = f"{net}.99"
         zones = "xyz"
         self.voters = [
             Machine(self, f"core-{zone}", ip, zone, True)
@@ -162,17 +171,21 @@
         await asyncio.sleep(0.3)
 
 
-async def scenario(fleet: Fleet, targets: dict[str, FakeTarget]) -> None:
-    for machine in [*fleet.voters, *fleet.entries]:
+async def scenario(fleet: Fleet) -> None:
+    early, late = fleet.entries
+    for machine in [*fleet.voters, early]:
         machine.start(bootstrap=True)
+    late.start(bootstrap=True, seeds=[fleet.unused_ip])
     await fleet.put(config(1, 1))
 
     async def served(entry: Machine, body: bytes) -> bool:
         reply = await fleet.search(entry)
         return b" 200 " in reply[:20] and reply.endswith(b"\r\n\r\n" + body)
 
-    for entry in fleet.entries:
-        await until(lambda e=entry: served(e, b"b" * 16), f"{entry.name} serves", 20)
+    await until(lambda: served(early, b"b" * 16), f"{early.name} serves", 20)
+    assert b" 200 " not in (await fleet.search(late))[:20], "it knows no VM"
+    late.write_settings(fleet.seeds)  # and no signal
+    await until(lambda: served(late, b"b" * 16), f"{late.name} serves", 10)
 
     lost = fleet.voters[0]
     lost.process.signal(signal.SIGKILL)
@@ -210,7 +223,7 @@
                 for name, target in targets.items():
                     await target.start()
                     reports.append(asyncio.ensure_future(report(fleet, name, target.port)))
-                await scenario(fleet, targets)
+                await scenario(fleet)
         finally:
             for task in reports:
                 task.cancel()
