Split the host of the log off the consensus controller, and tidy the entry

LogHost opens, closes and reopens the log; the silence of members no longer goes through the dump five times a second; a VM leaves gossip only if it was part of it.

--- a/bramleycrank/consensus/node.py
+++ b/bramleycrank/consensus/node.py
@@ -209,6 +209,12 @@
         """Time at which a leader was last heard, or the start."""
         return self._core.heard_at
 
+    @property
+    def members_heard_at(self) -> dict[str, float]:
+        """Time at which each other member answered this leader last; empty elsewhere."""
+        progress = self._leadership.replication.progress if self._leadership else {}
+        return {i: item.heard_at for i, item in progress.items() if i != self._core.node_id}
+
     @property
     def term(self) -> int:
         """Current term."""
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -12,15 +12,15 @@
 
 import attrs
 
-from bramleycrank.consensus import RaftConfig, RaftNode, Role
+from bramleycrank.consensus import RaftNode, Role
 from bramleycrank.daemon.claim_floors import ClaimFloors
 from bramleycrank.daemon.explain import explain_role, lagging_members
 from bramleycrank.daemon.identity import Directory, Identity, format_address
+from bramleycrank.daemon.log_host import LogHost
 from bramleycrank.daemon.proposal_router import ProposalRouter
 from bramleycrank.daemon.raft_runner import RaftRunner
 from bramleycrank.exceptions import (
     BramleycrankError,
-    CorruptLog,
     InvalidMembershipChange,
     NoQuorum,
     NotBootstrapped,
@@ -32,15 +32,10 @@
 from bramleycrank.observability.metrics import Metrics, NullMetrics
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.state import ReplicatedState
-from bramleycrank.storage import LogStore
-from bramleycrank.transport.consensus_links import ConsensusLinks
 from bramleycrank.transport.peer_client import PeerClients
 
 log = logging.getLogger(__name__)
 
-# Pause before a log whose write failed is opened again, in seconds.
-REOPEN_PAUSE_S = 0.5
-
 
 class ConsensusController:
     """Runs the consensus core where this VM may vote, and forwards proposals everywhere.
@@ -70,13 +65,11 @@
         self._metrics = metrics or NullMetrics()
         self.identity = identity
         self._directory = directory
-        self._rng = rng
-        self._store: LogStore | None = None
-        self._runner: RaftRunner | None = None
-        self._links: ConsensusLinks | None = None
+        self._host = LogHost(
+            identity, self.address_of, rng, self._metrics, self, on_reopened=self._notify
+        )
         self._callbacks: list[Callable[[], None]] = []
         self._floors = ClaimFloors(self)
-        self._reopen_task: asyncio.Task | None = None
         self._role_changed = asyncio.Event()
         self._router = ProposalRouter(
             identity.address,
@@ -91,23 +84,13 @@
         """Open the log and start the core, if this VM may vote."""
         if self.identity.data_dir is None or not self.identity.vote:
             return
-        self._open_log()
+        self._host.open()
         self._floors.start()
 
     async def stop(self) -> None:
         """Stop the core and close the log."""
         self._floors.stop()
-        if self._reopen_task is not None:
-            self._reopen_task.cancel()
-        self._close_log()
-
-    def _close_log(self) -> None:
-        if self._runner is not None:
-            self._runner.close()
-        if self._links is not None:
-            self._links.close()
-        if self._store is not None:
-            self._store.close()
+        self._host.stop()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the applied state, the role or the known leader."""
@@ -118,7 +101,12 @@
     @property
     def node_id(self) -> str:
         """Identity of this node in the log; empty if the VM may not vote."""
-        return self._store.node_id if self._store else ""
+        return self._host.node_id
+
+    @property
+    def _runner(self) -> RaftRunner | None:
+        """Driver of the core, on a VM that may vote."""
+        return self._host.runner
 
     @property
     def state(self) -> ReplicatedState | None:
@@ -219,15 +207,9 @@
 
     def member_silence_s(self) -> dict[str, float]:
         """Return the seconds since each other member answered this leader; empty elsewhere."""
-        leadership = self._node.dump()["leadership"] if self._node else None
-        if not leadership:
-            return {}
         now = asyncio.get_running_loop().time()
-        return {
-            node_id: now - progress["heard_at"]
-            for node_id, progress in leadership["progress"].items()
-            if node_id != self.node_id
-        }
+        heard_at = self._node.members_heard_at if self._node else {}
+        return {node_id: now - at for node_id, at in heard_at.items()}
 
     def leader_silence_s(self) -> float:
         """Return the seconds since this VM heard a leader; 0 where no core runs."""
@@ -326,7 +308,7 @@
         StorageError
             The data folder failed.
         """
-        if self._store is None or self._runner is None:
+        if self._runner is None:
             raise InvalidMembershipChange(f"{self.identity.vm_id} may not vote")
         known = self._runner.node.membership.cluster_id
         if known and known == membership.cluster_id and not self._runner.failure:
@@ -345,8 +327,8 @@
         """Tell subscribers that the role or the leader changed."""
         self._role_changed.set()
         failure = self._runner.failure if self._runner else None
-        if isinstance(failure, StorageError | OSError) and self._reopen_task is None:
-            self._reopen_task = asyncio.ensure_future(self._reopen())
+        if isinstance(failure, StorageError | OSError):
+            self._host.reopen()
         self._notify()
 
     async def wait_role_change(self, timeout_s: float) -> None:
@@ -363,52 +345,6 @@
                 # The runner calls this between actions and would stop the core for good.
                 log.exception("consensus: a subscriber failed")
 
-    async def _reopen(self) -> None:
-        """Go on with what the disk holds, as after a restart, once it can be written again.
-
-        A full disk is a passing fault, and a stopped voter would be missing at the next one.
-        """
-        while True:
-            await asyncio.sleep(REOPEN_PAUSE_S)
-            self._close_log()
-            try:
-                self._open_log()
-            except (StorageError, OSError) as exc:
-                log.warning("consensus: the log cannot be opened yet: %s", exc)
-                continue
-            self._reopen_task = None
-            log.info("consensus: opened the log again")
-            self._notify()
-            return
-
-    def _open_log(self) -> None:
-        folder, vm_id = self.identity.data_dir, self.identity.vm_id
-        try:
-            self._store = LogStore.open(folder, vm_id)
-        except CorruptLog as exc:
-            if not self.identity.replace_damaged:
-                raise
-            log.error("consensus: the log is damaged and replaced by an empty one: %s", exc)
-            LogStore.discard(folder)
-            self._store = LogStore.open(folder, vm_id)
-        self._start_runner()
-
-    def _start_runner(self) -> None:
-        durable = self._store.load()
-        snapshot = durable.snapshot
-        now = asyncio.get_running_loop().time()
-        self._links = ConsensusLinks(self.address_of)
-        self._runner = RaftRunner(
-            RaftNode.from_config(RaftConfig(self.node_id), durable, self._rng, now),
-            self._store,
-            ReplicatedState.from_image(snapshot.image if snapshot else b""),
-            self._links,
-            self,
-            self._metrics,
-            snapshot.index if snapshot else 0,
-        )
-        self._runner.start()
-
     def _leading_runner(self) -> RaftRunner:
         if self.is_leader:
             return self._runner
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -15,7 +15,7 @@
 from bramleycrank.connections.http_pool import Ending, PoolSub
 from bramleycrank.daemon.entry_answers import missing_services, render
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
-from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
+from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, TargetMeta
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.proto.log_pb2 import RouteTable
@@ -41,6 +41,9 @@
 STARTING_RETRY_S = 0.5
 """When a caller should come back to a VM that has no routes yet, in seconds."""
 
+LOGGED_FAILURES = 8
+"""Failed sub-requests that the log line of a request names; it has to stay one short line."""
+
 
 class Routes(Protocol):
     """Source of the routes in force."""
@@ -124,7 +127,6 @@
         self._targets.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.on_caller_gone(self._clock()))
-            self._forget(call)
 
     @property
     def in_flight(self) -> int:
@@ -190,7 +192,6 @@
             "caller gone", call.meta.request_id, now, failed=True, route=call.execution.route.name
         )
         self._execute(call, call.execution.on_caller_gone(now))
-        self._forget(call)
 
     def _refuse(
         self, exchange: Exchange, meta: CallerMeta, status: int, retry_s: float, reason: str
@@ -292,7 +293,7 @@
         return True
 
     @staticmethod
-    def _is_sound(response: Response, meta: Any) -> bool:
+    def _is_sound(response: Response, meta: TargetMeta) -> bool:
         """Return whether a response can be the target's own: a success needs its receipt."""
         return not 200 <= response.status < 300 or (bool(meta.receipt) and not meta.encoded)
 
@@ -315,7 +316,7 @@
 
     def _note_failure(self, call: _Call, sub: PoolSub, reason: str) -> None:
         self._metrics.incr("entry.sub_failures")
-        if len(call.failures) < 8:
+        if len(call.failures) < LOGGED_FAILURES:
             call.failures.append(f"{sub.target_id}: {reason}")
 
     # Answers.
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -133,6 +133,7 @@
         self._servers: list[Http1Server] = []
         self._callers: Http1Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._in_gossip = False
         life = cfg.base.life_cycle
         self.life_cycle = LifeCycle(self, life.drain_notice_s, life.drain_limit_s)
 
@@ -200,6 +201,7 @@
             self._control = ControlService(parts.config, parts.consensus, parts.membership)
             handler = Handler(self._on_control)
             await self._listen(cfg.control, handler, CONTROL_LIMITS)
+        self._in_gossip = True
         await parts.membership.start()
 
     async def _start_entry(self, parts: ControlParts, rng: random.Random, address: Address) -> None:
@@ -270,8 +272,11 @@
             await self._parts.consensus.transfer_leadership()
 
     async def leave(self) -> None:
-        """Tell the other VMs that this VM has left."""
-        if self._parts is not None:
+        """Tell the other VMs that this VM has left.
+
+        A second process that was started with the same settings by mistake must not say so.
+        """
+        if self._in_gossip:
             await self._parts.membership.leave()
 
     async def close(self) -> None:
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -98,8 +98,7 @@
         self._policy = policy
         self._sub_ids = sub_ids
         self._arrived = arrived
-        self._timeout_at = arrived + route.timeout_s
-        self._deadline = min(deadline, self._timeout_at)
+        self._deadline = min(deadline, arrived + route.timeout_s)
         services = route.services if route.gather else (route.choose_service(),)
         self._shards = [_Shard(service) for service in services]
         self._subs: dict[int, tuple[_Shard, _Sub]] = {}
@@ -114,11 +113,6 @@
         if not objective_s:
             self._give_at = math.inf
 
-    @property
-    def services(self) -> list[str]:
-        """Services of the request."""
-        return [shard.service for shard in self._shards]
-
     @property
     def waiting(self) -> list[str]:
         """Services whose sub-request waits for a target with room."""
--- a/tests/test_daemon_consensus_controller.py
+++ b/tests/test_daemon_consensus_controller.py
@@ -46,7 +46,7 @@
         controller = member()
         state = SimpleNamespace(floor_proposal=floor_proposal)
         node = SimpleNamespace(membership=log_pb2.Membership(members=[log_pb2.Member()]))
-        controller._runner = SimpleNamespace(node=node, failure=None, state=state)
+        controller._host.runner = SimpleNamespace(node=node, failure=None, state=state)
         task = asyncio.ensure_future(controller._floors._run())
         async with asyncio.timeout(2):
             while len(calls) < 2 and not task.done():
@@ -64,8 +64,7 @@
 
     controller = member()
     membership = log_pb2.Membership(cluster_id="c")
-    controller._store = SimpleNamespace()
-    controller._runner = SimpleNamespace(
+    controller._host.runner = SimpleNamespace(
         node=SimpleNamespace(membership=membership), failure=OSError(), bootstrap=bootstrap
     )
     with pytest.raises(StorageError):
@@ -78,7 +77,7 @@
     async def body():
         result = asyncio.get_running_loop().create_future()
         controller = member()
-        controller._runner = SimpleNamespace(
+        controller._host.runner = SimpleNamespace(
             node=SimpleNamespace(role=Role.LEADER), failure=None, propose=lambda *_: result
         )
         first = asyncio.ensure_future(controller.propose_local("p", log_pb2.Command(), 0.05))
--- a/tests/test_daemon_log_recovery.py
+++ b/tests/test_daemon_log_recovery.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bramleycrank.daemon import consensus_controller
+from bramleycrank.daemon import log_host
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.identity import Identity
 from bramleycrank.exceptions import BramleycrankError, CorruptLog
@@ -63,7 +63,7 @@
 
 def test_a_voter_goes_on_when_its_disk_takes_bytes_again(tmp_path, monkeypatch):
     """Guards against a voter that is missing for good after a disk was full for a moment."""
-    monkeypatch.setattr(consensus_controller, "REOPEN_PAUSE_S", 0.05)
+    monkeypatch.setattr(log_host, "REOPEN_PAUSE_S", 0.05)
     full = [False]
     append = Segment.append
 
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -194,9 +194,6 @@
     return b"\x00\x01 this is no response\r\n\r\n"
 
 
-BAD = {"a1": torn, "a2": torn}
-
-
 @pytest.mark.parametrize("bad", [misdirected, full, stray, torn, unproven, noise])
 def test_an_idempotent_request_is_answered_by_the_other_target(bad):
     """Guards against bytes of a broken target in a caller's answer."""
