Let a platform voter with a damaged log begin again with an empty one

Cause: the replacement was built and tested in the consensus controller, but the HTTP node never asked for it, so the process ended with code 8 at each start. Found by reading. tests/test_process_platform.py damages the log of a real voter; it failed before.

--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -180,7 +180,10 @@
         """Build and start everything."""
         rng = random.Random()
         cfg = self._cfg
-        parts = self._parts = ControlParts.from_config(cfg.base, self._metrics, rng, cfg.membership)
+        # Voters join by themselves here, so one whose log is damaged can begin with an empty one.
+        parts = self._parts = ControlParts.from_config(
+            cfg.base, self._metrics, rng, cfg.membership, replace_damaged=True
+        )
         loop = asyncio.get_running_loop()
         self._contact = FarContact(cfg.base.vm.domain, parts.membership, loop.time)
         parts.membership.subscribe_config_status(self._contact.on_gossip)
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -249,3 +249,34 @@
         assert "InvalidSettings" in (tmp_path / "err").read_text()
     finally:
         process.reap()
+
+
+def test_a_voter_with_a_damaged_log_comes_back_by_itself(tmp_path):
+    """Guards against a VM that ends at each start, for good, after its disk was damaged."""
+
+    async def body() -> None:
+        fleet = Fleet(tmp_path)
+        try:
+            async with asyncio.timeout(60):
+                for voter in fleet.voters:
+                    voter.start(bootstrap=True)
+                await fleet.put(config(1, 1))
+                damaged = fleet.voters[2]
+                damaged.process.signal(signal.SIGKILL)
+                await until(lambda: damaged.process.exit_code is not None, "the VM is killed", 5)
+                [path] = damaged.data.glob("log-*")
+                data = bytearray(path.read_bytes())
+                data[12] ^= 0xFF
+                path.write_bytes(data)
+                damaged.start()
+                await fleet.put(config(2, 2))
+
+                async def reads_newest() -> bool:
+                    return await fleet.read(damaged) == config(2, 2)
+
+                await until(reads_newest, "the damaged VM reads the newest table", 10)
+        finally:
+            for process in fleet.processes:
+                process.reap()
+
+    asyncio.run(body())
