--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -45,6 +45,7 @@
         membership_cfg: MembershipConfig | None = None,
         *,
         replace_damaged: bool = False,
+        control_only: bool = False,
     ) -> ControlParts:
         """Build and wire the parts; nothing is started.
 
@@ -60,11 +61,17 @@
             Options of the membership; those of the settings by default.
         replace_damaged : bool, optional
             Whether a damaged log is replaced by an empty one.
+        control_only : bool, optional
+            Whether the VM sends nothing to targets.
         """
         clients = PeerClients()
         seeds = [str(seed) for seed in cfg.peers.seeds]
         membership = MembershipController(
-            membership_cfg or _membership_config(cfg), _record(cfg), seeds, clients, rng=rng
+            membership_cfg or _membership_config(cfg),
+            _record(cfg, control_only),
+            seeds,
+            clients,
+            rng=rng,
         )
         directory = PeerDirectory(membership, seeds, clients)
         consensus = ConsensusController(
@@ -91,9 +98,15 @@
     )
 
 
-def _record(cfg: Settings) -> peer_pb2.VmRecord:
+def _record(cfg: Settings, control_only: bool) -> peer_pb2.VmRecord:
     grpc = cfg.listen.grpc
-    return peer_pb2.VmRecord(vm_id=cfg.vm.id, domain=cfg.vm.domain, host=grpc.host, port=grpc.port)
+    return peer_pb2.VmRecord(
+        vm_id=cfg.vm.id,
+        domain=cfg.vm.domain,
+        host=grpc.host,
+        port=grpc.port,
+        control_only=control_only,
+    )
 
 
 def _membership_config(cfg: Settings) -> MembershipConfig:
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -182,7 +182,12 @@
         cfg = self._cfg
         # Voters join by themselves here, so one whose log is damaged can begin with an empty one.
         parts = self._parts = ControlParts.from_config(
-            cfg.base, self._metrics, rng, cfg.membership, replace_damaged=True
+            cfg.base,
+            self._metrics,
+            rng,
+            cfg.membership,
+            replace_damaged=True,
+            control_only=cfg.entry is None,
         )
         loop = asyncio.get_running_loop()
         self._contact = FarContact(cfg.base.vm.domain, parts.membership, loop.time)
--- a/bramleycrank/membership/vm_table.py
+++ b/bramleycrank/membership/vm_table.py
@@ -77,7 +77,7 @@
         return [rec for rec in self.live() if rec.vm_id != self.local_id]
 
     def budget_count(self, now: float, domain: str | None = None) -> int:
-        """Return how many VMs count for connection budgets."""
+        """Return how many VMs share the connections and budgets of targets."""
         return sum(
             1
             for rec in self._records.values()
@@ -85,6 +85,8 @@
         )
 
     def _counts(self, rec: VmRecord, now: float) -> bool:
+        if rec.control_only:
+            return False
         gone_at = self._gone_at.get(rec.vm_id)
         return gone_at is None or now - gone_at < self._cfg.budget_retention_s
 
--- a/tests/membership_fleet.py
+++ b/tests/membership_fleet.py
@@ -44,6 +44,7 @@
     vm_id: str
     address: str
     port: int
+    control_only: bool = False
     core: VmMembership | None = None
     registry: TargetRegistry | None = None
     budget: ConnectionBudget | None = None
@@ -73,7 +74,7 @@
 class Fleet:
     """VMs and targets on a network with virtual time."""
 
-    def __init__(self, seed, vm_count=4, target_count=3):
+    def __init__(self, seed, vm_count=4, target_count=3, control_only=0):
         self.rng = Random(seed)
         self.now = 0.0
         self.events = []
@@ -84,7 +85,10 @@
         self.calm_since = 0.0
         self.replayable = []
         names = [f"vm-{i}" for i in range(vm_count)]
-        self.vms = [Vm(name, f"h:{i + 1}", i + 1) for i, name in enumerate(names)]
+        self.vms = [
+            Vm(name, f"h:{i + 1}", i + 1, control_only=i < control_only)
+            for i, name in enumerate(names)
+        ]
         self.targets = [Target(f"t-{i}", home=i % vm_count) for i in range(target_count)]
         for vm in self.vms:
             self.start_vm(vm, incarnation=1)
@@ -164,6 +168,7 @@
             domain="a",
             host="h",
             port=vm.port,
+            control_only=vm.control_only,
         )
         seeds = tuple(other.address for other in self.vms[:SEEDS])
         vm.registry = TargetRegistry.from_config(CFG, vm.vm_id, self.now)
--- a/tests/test_membership_bounds.py
+++ b/tests/test_membership_bounds.py
@@ -127,6 +127,16 @@
     assert not any("t-0" in usable_on(vm, fleet.now) for vm in fleet.vms)
 
 
+@few
+@given(SEEDS)
+def test_vms_that_send_nothing_to_targets_take_no_share_of_their_budgets(seed):
+    """Guards against budgets that shrink with each VM set aside for control."""
+    fleet = Fleet(seed, vm_count=5, control_only=2)
+    fleet.run_for(8.0)
+    assert all(vm.core.budget_count(fleet.now) == 3 for vm in fleet.vms)
+    assert all(len(vm.core.live_vms(fleet.now)) == 5 for vm in fleet.vms)
+
+
 @few
 @given(SEEDS)
 def test_dead_vm_counts_for_budgets_and_is_then_forgotten_by_all(seed):
