Spend less processor time on each part of a gathered request

Cause: on the grown sites one request over 36 shards took 3.2 ms of processor time here, which delays every part on half a core; most went into headers that were read several times, requests encoded anew for each shard, time limits sought among all shards at each answer, and a new receive buffer for each answer. Ruled out: the parser and the log, which do not show in the profile.

--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -32,8 +32,7 @@
     TargetAnswer,
 )
 from bramleycrank.scatter.budget import ExtraConfig
-from bramleycrank.transport.http1 import Exchange, Response, encode_request
-from bramleycrank.transport.http1.messages import end_to_end
+from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
 
 log = logging.getLogger(__name__)
 
@@ -62,6 +61,7 @@
     exchange: Exchange
     meta: CallerMeta
     execution: ScatterExecution
+    template: RequestTemplate | None = None
     subs: dict[int, PoolSub] = attrs.field(factory=dict)
     timer: asyncio.TimerHandle | None = None
     timer_at: float = 0.0
@@ -252,11 +252,13 @@
 
     def _forward(self, call: _Call, action: Forward) -> None:
         request = call.exchange.request
-        headers = self._dialect.target_headers(request, action.target_id, action.timeout_s)
+        if call.template is None:
+            call.template = RequestTemplate(request, self._dialect.forwarded_headers(request))
+        headers = self._dialect.target_headers(action.target_id, action.timeout_s)
         sub = PoolSub(
             action.sub_id,
             action.target_id,
-            encode_request(request, headers),
+            call.template.encode(headers),
             request.method == b"HEAD",
             _CallListener(self, call),
             self._clock(),
@@ -285,7 +287,7 @@
             self._execute(call, execution.on_failure(sub.sub_id, SubFailure(kind), now))
             return True
         answer = TargetAnswer(
-            response.status, end_to_end(response.headers), response.body, meta.receipt, meta.load
+            response.status, response.headers, response.body, meta.receipt, meta.load
         )
         if not answer.ok:
             self._note_failure(call, sub, f"status {answer.status}")
--- a/bramleycrank/daemon/entry_types.py
+++ b/bramleycrank/daemon/entry_types.py
@@ -61,8 +61,11 @@
     def caller_meta(self, request: Request) -> CallerMeta:
         """Return what a caller says about its request."""
 
-    def target_headers(self, request: Request, target_id: str, timeout_s: float) -> Headers:
-        """Return the headers of a sub-request."""
+    def forwarded_headers(self, request: Request) -> Headers:
+        """Return the headers that all sub-requests have."""
+
+    def target_headers(self, target_id: str, timeout_s: float) -> Headers:
+        """Return the headers that each sub-request has of its own."""
 
     def target_meta(self, response: Response) -> TargetMeta:
         """Return what a target says about its response."""
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -6,7 +6,13 @@
 
 from bramleycrank.daemon.entry_types import CallerMeta, TargetMeta
 from bramleycrank.proto.target_pb2 import LoadReport
-from bramleycrank.transport.http1.messages import Headers, Request, Response, end_to_end
+from bramleycrank.transport.http1.messages import (
+    Headers,
+    Request,
+    Response,
+    end_to_end,
+    fields_of,
+)
 
 REQUEST_ID = b"X-Request-Id"
 DEADLINE_MS = b"X-Deadline-Ms"
@@ -28,23 +34,26 @@
 
     def caller_meta(self, request: Request) -> CallerMeta:
         """Return what a caller says about its request."""
-        headers = _lowered(request.headers)
+        headers = fields_of(request.headers)
         # The header holds how long the caller waits from now on, not a point in time.
         wait_ms = headers.get(b"x-deadline-ms", b"")
         wait_s = int(wait_ms) / 1000 if wait_ms.isdigit() else None
         return CallerMeta(headers.get(b"x-request-id", b""), wait_s)
 
-    def target_headers(self, request: Request, target_id: str, timeout_s: float) -> Headers:
-        """Return the headers of a sub-request."""
+    def forwarded_headers(self, request: Request) -> Headers:
+        """Return the headers that all sub-requests have."""
+        return end_to_end(request.headers, _SET_HERE)
+
+    def target_headers(self, target_id: str, timeout_s: float) -> Headers:
+        """Return the headers that each sub-request has of its own."""
         return [
-            *end_to_end(request.headers, _SET_HERE),
             (DEADLINE_MS, b"%d" % max(1, int(timeout_s * 1000))),
             (EXPECT_INSTANCE, target_id.encode()),
         ]
 
     def target_meta(self, response: Response) -> TargetMeta:
         """Return what a target says about its response."""
-        headers = _lowered(response.headers)
+        headers = response.fields
         misdirected = response.status == MISDIRECTED
         return TargetMeta(
             request_id=headers.get(b"x-request-id", b""),
@@ -72,10 +81,6 @@
         return headers
 
 
-def _lowered(headers: Headers) -> dict[bytes, bytes]:
-    return {name.lower(): value for name, value in headers}
-
-
 def _load(value: bytes | None) -> LoadReport | None:
     """Return the load report of the figures "running,waiting,slots"; a fourth one may follow."""
     figures = value.split(b",") if value else []
--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -104,6 +104,11 @@
         shards = self._index.get(service, {}).get(snapshot)
         return shards[shard] if shards is not None else []
 
+    def has_room(self, target_id: str) -> bool:
+        """Return whether this VM's limit for a target allows one more sub-request."""
+        state = self._targets[target_id]
+        return state.in_flight < state.limit
+
     def choose(
         self, service: str, snapshot: Snapshot, shard: int, exclude: Collection[str], now: float
     ) -> str | None:
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -58,7 +58,6 @@
     open: list[_Sub] = attrs.field(factory=list)
     tried: list[str] = attrs.field(factory=list)
     sends: int = 0
-    waiting: bool = False
     hedge_at: float = math.inf
     part: Part | None = None
     failure: SubFailure | None = None
@@ -95,6 +94,7 @@
     ) -> None:
         self.route = route
         self.ended = False
+        self.waiting: set[str] = set()  # services whose sub-request waits for a target with room
         self._policy = policy
         self._sub_ids = sub_ids
         self._arrived = arrived
@@ -104,6 +104,8 @@
         self._subs: dict[int, tuple[_Shard, _Sub]] = {}
         self._answered = 0
         self._lost = 0
+        # No hedge is due before; a later time of a single shard shows at the next tick.
+        self._next_hedge_at = math.inf
         self._ran = False
         self._needed = route.needed
         objective_s = route.objective_s
@@ -113,11 +115,6 @@
         if not objective_s:
             self._give_at = math.inf
 
-    @property
-    def waiting(self) -> list[str]:
-        """Services whose sub-request waits for a target with room."""
-        return [shard.service for shard in self._shards if shard.waiting]
-
     def wait_order(self, now: float) -> tuple[bool, int, float]:
         """Return the place among requests that wait for the same service; the lowest goes first.
 
@@ -141,8 +138,8 @@
         """Send a sub-request that waits, because a target of its service may have room."""
         out: list[Action] = []
         for shard in self._shards:
-            if shard.waiting and shard.service == service:
-                shard.waiting = False
+            if shard.service == service and service in self.waiting:
+                self.waiting.discard(service)
                 self._send_first(shard, now, out)
         return out if self.ended else [*out, *self._settle(now)]
 
@@ -199,13 +196,15 @@
         for shard in self._shards:
             if not shard.ended and now >= shard.hedge_at:
                 self._hedge(shard, now, out)
+        self._next_hedge_at = min(
+            (s.hedge_at for s in self._shards if not s.ended), default=math.inf
+        )
         return [*out, *self._settle(now)]
 
     def next_deadline(self) -> float:
         """Return when `tick` has something to do."""
-        hedge_at = min((s.hedge_at for s in self._shards if not s.ended), default=math.inf)
         give_at = self._give_at if self._answered >= self._needed else math.inf
-        return min(self._deadline, hedge_at, give_at)
+        return min(self._deadline, self._next_hedge_at, give_at)
 
     def dump(self, now: float) -> dict[str, Any]:
         """Return the progress of the request."""
@@ -215,7 +214,7 @@
             "answered": self._answered,
             "lost": self._lost,
             "needed": self._needed,
-            "waiting": self.waiting,
+            "waiting": sorted(self.waiting),
             "open": [sub.target_id for _, sub in self._subs.values()],
         }
 
@@ -228,7 +227,7 @@
         """
         target_id = self._policy.choose(shard.service, shard.tried, now)
         if target_id is None and self._policy.has_targets(shard.service, shard.tried):
-            shard.waiting = True
+            self.waiting.add(shard.service)
         elif target_id is None or (shard.sends and not self._policy.take_extra(shard.service, now)):
             self._lose(shard)
         else:
@@ -245,6 +244,7 @@
             route = self.route
             delay_s = self._policy.hedge_delay(route.name, route.objective_s, shard.service, now)
             shard.hedge_at = now + delay_s
+            self._next_hedge_at = min(self._next_hedge_at, shard.hedge_at)
         else:
             shard.hedge_at = math.inf
         out.append(Forward(sub.sub_id, target_id, shard.service, self._deadline - now))
@@ -274,7 +274,7 @@
         target_id = self._policy.choose(shard.service, shard.tried, now)
         if target_id is None:
             if proved and self._policy.has_targets(shard.service, shard.tried):
-                shard.waiting = True
+                self.waiting.add(shard.service)
                 return True
             return False
         if not unsent and not self._policy.take_extra(shard.service, now):
@@ -287,7 +287,8 @@
         shard.open.remove(sub)
 
     def _end(self, shard: _Shard) -> None:
-        shard.ended, shard.waiting, shard.hedge_at = True, False, math.inf
+        shard.ended, shard.hedge_at = True, math.inf
+        self.waiting.discard(shard.service)
 
     def _lose(self, shard: _Shard) -> None:
         self._end(shard)
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -113,12 +113,12 @@
         Load pattern: demand above capacity. The concurrency limits keep the queues at the targets
         short; what waits does so here, where the order can be chosen and nothing has run yet.
         """
-        full = [
-            target.target_id
-            for target in self.table.replicas(service, WHOLE, 0)
-            if target.in_flight >= target.limit or not self._has_room(target.target_id)
-        ]
-        return self.table.choose(service, WHOLE, 0, {*tried, *full}, now)
+        exclude = set(tried)
+        while (target_id := self.table.choose(service, WHOLE, 0, exclude, now)) is not None:
+            if self.table.has_room(target_id) and self._has_room(target_id):
+                return target_id
+            exclude.add(target_id)
+        return None
 
     def has_targets(self, service: str, tried: Collection[str]) -> bool:
         """Return whether a target that can be reached was not tried, busy or not."""
--- a/bramleycrank/scatter/types.py
+++ b/bramleycrank/scatter/types.py
@@ -34,7 +34,7 @@
     status : int
         HTTP status.
     headers : list of (bytes, bytes)
-        Headers for the caller, without those of the connection.
+        All headers, those of the connection included.
     body : bytes
         Whole body.
     receipt : bytes
--- a/bramleycrank/transport/http1/__init__.py
+++ b/bramleycrank/transport/http1/__init__.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 on plain asyncio transports with a C parser, for the paths of forwarded requests."""
 
 from bramleycrank.transport.http1.client import ConnectionListener, TargetConnection
-from bramleycrank.transport.http1.messages import Request, Response, encode_request
+from bramleycrank.transport.http1.messages import Request, RequestTemplate, Response
 from bramleycrank.transport.http1.server import Exchange, Http1Server
 
 __all__ = [
@@ -9,7 +9,7 @@
     "Exchange",
     "Http1Server",
     "Request",
+    "RequestTemplate",
     "Response",
     "TargetConnection",
-    "encode_request",
 ]
--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from bramleycrank.transport.http1.messages import Headers, Response, find_header
+from bramleycrank.transport.http1.messages import Headers, Response, fields_of
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """Largest response that is taken from a target."""
@@ -17,6 +17,12 @@
 IDLE_SHARE = 0.8
 """Part of the target's stated idle time after which a connection is not used again."""
 
+RECEIVE_BYTES = 64 * 1024
+"""Most bytes taken from a connection at once; an answer of a shard has a few hundred."""
+
+_received = bytearray(RECEIVE_BYTES)
+"""Where all connections receive: what arrives is parsed before the next one is read."""
+
 _TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -44,7 +50,7 @@
         """Take note that the connection is closed; comes once, after `on_broken` if that comes."""
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.BufferedProtocol):
     """A connection to a target.
 
     Bytes that arrive while no request is in progress belong to no request: the connection is closed
@@ -69,6 +75,7 @@
 
     def _reset(self) -> None:
         self._headers: Headers = []
+        self._fields: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
         self._size = 0
         self._head_done = False
@@ -111,13 +118,17 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.on_connected(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return where to put bytes of the target."""
+        return _received
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes of the target."""
         if self._parser is None:
             self._transport.abort()
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(memoryview(_received)[:nbytes])
         except httptools.HttpParserUpgrade:
             self._garbled = True
         except httptools.HttpParserError:
@@ -161,16 +172,17 @@
         """Find out where the body ends."""
         if self._done:
             return
-        if self._parser.get_status_code() < 200:
+        status = self._parser.get_status_code()
+        if status < 200:
             return
         self._head_done = True
+        fields = self._fields = fields_of(self._headers)
         if self._head:
             self._done = self._garbled = True
             return
-        chunked = find_header(self._headers, b"transfer-encoding") is not None
-        sized = find_header(self._headers, b"content-length") is not None
-        bodiless = self._parser.get_status_code() in (204, 304)
-        self._until_eof = not (chunked or sized or bodiless)
+        sized = b"content-length" in fields or b"transfer-encoding" in fields
+        bodiless = status in (204, 304)
+        self._until_eof = not (sized or bodiless)
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
@@ -192,7 +204,8 @@
 
     def _finish(self) -> None:
         parser, self._parser = self._parser, None
-        response = Response(parser.get_status_code(), self._headers, b"".join(self._body))
+        body = b"".join(self._body)
+        response = Response(parser.get_status_code(), self._headers, body, self._fields)
         # A request of which a part is still unsent would be followed by the next one's bytes.
         unsent = self._transport.get_write_buffer_size() > 0
         if self._garbled or unsent or not self._keep_alive:
@@ -203,7 +216,7 @@
         self._listener.on_response(self, response)
 
     def _idle_limit(self) -> float | None:
-        stated = find_header(self._headers, b"keep-alive")
+        stated = self._fields.get(b"keep-alive")
         match = _TIMEOUT.search(stated) if stated else None
         return self._loop.time() + IDLE_SHARE * int(match[1]) if match else None
 
--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -34,6 +34,11 @@
     return next((value for key, value in headers if key.lower() == name), None)
 
 
+def fields_of(headers: Headers) -> dict[bytes, bytes]:
+    """Return the values of headers by their names in lower case."""
+    return {name.lower(): value for name, value in headers}
+
+
 def end_to_end(headers: Headers, dropped: frozenset[bytes] = frozenset()) -> Headers:
     """Return the headers that travel on: without those of the connection and `dropped` ones."""
     named = find_header(headers, b"connection")
@@ -75,20 +80,50 @@
 
 @attrs.frozen(eq=False)
 class Response:
-    """A whole response of a target."""
+    """A whole response of a target.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of (bytes, bytes)
+        All headers in order, with their names as they came.
+    body : bytes
+        Whole body.
+    fields : dict
+        Values by name in lower case; the last one of a name that comes twice.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    fields: dict[bytes, bytes] = attrs.field(
+        default=attrs.Factory(lambda self: fields_of(self.headers), takes_self=True)
+    )
 
 
-def encode_request(request: Request, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
-    """Return the bytes of a request with other headers than it came with."""
-    lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
-    lines += [b"%b: %b" % item for item in headers]
-    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d" % len(request.body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+class RequestTemplate:
+    """A request of which copies that differ in a few headers are sent.
+
+    Parameters
+    ----------
+    request : Request
+        The request as it came.
+    headers : list of (bytes, bytes)
+        Headers that all copies have.
+    """
+
+    def __init__(self, request: Request, headers: Headers) -> None:
+        lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+        lines += [b"%b: %b" % item for item in headers]
+        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+            lines.append(b"Content-Length: %d" % len(request.body))
+        self._start = b"\r\n".join(lines)
+        self._end = b"\r\n\r\n" + request.body
+
+    def encode(self, headers: Headers) -> bytes:
+        """Return the bytes of a copy with further headers."""
+        return self._start + b"".join(b"\r\n%b: %b" % item for item in headers) + self._end
 
 
 def encode_response(
--- a/tests/test_scatter_execution.py
+++ b/tests/test_scatter_execution.py
@@ -125,7 +125,7 @@
     policy = FakePolicy(targets=2)
     policy.busy = {"records-0", "records-1"}
     execution, subs, _ = begin(single_route(), policy)
-    assert not subs and execution.waiting == ["records"]
+    assert not subs and execution.waiting == {"records"}
     policy.busy.clear()
     [sub] = of(Forward, execution.on_room("records", 0.1))
     assert sub.target_id == "records-0" and not execution.waiting
