--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -35,7 +35,16 @@
 """Multiple of the objective up to which an answer that is late already waits for missing parts."""
 
 RECHECK_S = 0.01
-"""Time until a hedge that found no budget or no target with room is tried again, in seconds."""
+"""Time until a hedge that was not sent is considered again, in seconds."""
+
+STRAGGLER_SHARE = 0.25
+"""Part of the shards up to which those without an answer are stragglers, not a stream."""
+
+STREAM_GAP = 4.0
+"""Time without an answer after which a stream of them has stopped, in times of their spacing."""
+
+LATEST_STREAM_SHARE = 0.5
+"""Part of the latency objective after which a stream is not waited for; hedges need the rest."""
 
 RETRY_AFTER_S = 0.1
 """When a caller should come back if no target was to be had, in seconds."""
@@ -103,6 +112,7 @@
         self._shards = [_Shard(service) for service in services]
         self._subs: dict[int, tuple[_Shard, _Sub]] = {}
         self._answered = 0
+        self._first_answer_at = self._last_answer_at = arrived
         self._lost = 0
         # No hedge is due before; a later time of a single shard shows at the next tick.
         self._next_hedge_at = math.inf
@@ -160,6 +170,9 @@
         out = self._cancel(shard, True, now)
         self._end(shard)
         self._answered += 1
+        self._last_answer_at = now
+        if self._answered == 1:
+            self._first_answer_at = now
         return [*out, *self._settle(now)]
 
     def on_failure(self, sub_id: int, failure: SubFailure, now: float) -> list[Action]:
@@ -242,7 +255,8 @@
         self._policy.on_sent(target_id, now)
         if self._may_hedge(shard):
             route = self.route
-            delay_s = self._policy.hedge_delay(route.name, route.objective_s, shard.service, now)
+            scarce = not route.gather and self._policy.is_scarce(shard.service, now)
+            delay_s = self._policy.hedge_delay(route.name, route.objective_s, scarce=scarce)
             shard.hedge_at = now + delay_s
             self._next_hedge_at = min(self._next_hedge_at, shard.hedge_at)
         else:
@@ -254,12 +268,41 @@
 
     def _hedge(self, shard: _Shard, now: float, out: list[Action]) -> None:
         """Ask a second target, if the budget and the targets allow it."""
+        if self._is_streaming(now) or not self._is_worth_extra(shard, now):
+            shard.hedge_at = now + RECHECK_S
+            return
         target_id = self._policy.choose(shard.service, shard.tried, now)
         if target_id is None or not self._policy.take_extra(shard.service, now):
             shard.hedge_at = now + RECHECK_S
             return
         self._send(shard, target_id, now, out)
 
+    def _is_streaming(self, now: float) -> bool:
+        """Whether the answers of many shards are still coming in, one after the other.
+
+        Load pattern: many shards behind a thin link or a slow processor. The parts that have not
+        come yet are on their way; second ones would queue behind them and make all of them later.
+        """
+        count = self._answered
+        open_shards = len(self._shards) - count - self._lost
+        if count < 2 or open_shards <= STRAGGLER_SHARE * len(self._shards):
+            return False
+        if now >= self._arrived + LATEST_STREAM_SHARE * self.route.objective_s:
+            return False
+        spacing_s = (self._last_answer_at - self._first_answer_at) / (count - 1)
+        return now < self._last_answer_at + STREAM_GAP * spacing_s
+
+    def _is_worth_extra(self, shard: _Shard, now: float) -> bool:
+        """Whether a second target is worth its part of the budget.
+
+        Load pattern: many targets are slow, and their services' budgets run low. What is left goes
+        to the shards without which there is no answer; the others may be left out of it.
+        """
+        if not self.route.gather or not self._policy.is_scarce(shard.service, now):
+            return True
+        unaided = sum(not s.ended and len(s.open) < 2 for s in self._shards)
+        return unaided > len(self._shards) - self._lost - self._needed
+
     def _retry(self, shard: _Shard, failure: SubFailure, now: float, out: list[Action]) -> bool:
         """Send to another target after a failure, if that is allowed and possible.
 
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -26,7 +26,7 @@
 """Quantile of a route's sub-request latency after which a second target is asked."""
 
 SCARCE_QUANTILE = 0.98
-"""The same while less than half of the budget is left, so that the rest goes to stragglers."""
+"""The same for a single target while the budget is scarce, so that the rest goes to stragglers."""
 
 LATEST_HEDGE_SHARE = 0.4
 """Part of the latency objective after which to hedge at the latest, or while nothing is known.
@@ -47,9 +47,12 @@
     def has_targets(self, service: str, tried: Collection[str]) -> bool:
         """Return whether the service has a target that was not tried, busy or not."""
 
-    def hedge_delay(self, route: str, objective_s: float, service: str, now: float) -> float:
+    def hedge_delay(self, route: str, objective_s: float, *, scarce: bool) -> float:
         """Return the time in seconds after which to ask a second target."""
 
+    def is_scarce(self, service: str, now: float) -> bool:
+        """Return whether less than half of the budget of a service is left."""
+
     def take_extra(self, service: str, now: float) -> bool:
         """Take one extra sub-request from the budget."""
 
@@ -130,18 +133,32 @@
         """Return whether a target of the service can be reached."""
         return self.has_targets(service, ())
 
-    def hedge_delay(self, route: str, objective_s: float, service: str, now: float) -> float:
-        """Return the time in seconds after which to ask a second target."""
+    def hedge_delay(self, route: str, objective_s: float, *, scarce: bool) -> float:
+        """Return the time in seconds after which to ask a second target.
+
+        Parameters
+        ----------
+        route : str
+            Name of the route.
+        objective_s : float
+            Latency objective in seconds; 0 if there is none.
+        scarce : bool
+            Whether the budget is to be kept for the slowest.
+        """
         latency = self._latencies.get(route)
         if latency is None or latency.samples < MIN_SAMPLES:
             return objective_s * LATEST_HEDGE_SHARE or UNKNOWN_HEDGE_S
-        budget = self._budget(service)
-        if budget.available(self._vm_count(), now) * 2 < budget.used:
+        if scarce:
             return latency.quantile(SCARCE_QUANTILE)
         delay_s = latency.quantile(HEDGE_QUANTILE)
         # Slow targets raise the quantile just when a second one is needed in time.
         return min(delay_s, objective_s * LATEST_HEDGE_SHARE) if objective_s else delay_s
 
+    def is_scarce(self, service: str, now: float) -> bool:
+        """Return whether less than half of the budget of a service is left."""
+        budget = self._budget(service)
+        return budget.available(self._vm_count(), now) * 2 < budget.used
+
     def take_extra(self, service: str, now: float) -> bool:
         """Take one extra sub-request from the budget."""
         return self._budget(service).take(self._vm_count(), now)
--- a/tests/scatter_fakes.py
+++ b/tests/scatter_fakes.py
@@ -55,6 +55,7 @@
         self.targets = targets
         self.hedge_s = hedge_s
         self.extra = extra
+        self.scarce = False
         self.busy: set[str] = set()
         self.sent: list[str] = []
         self.failures: list[tuple[str, str]] = []
@@ -71,9 +72,12 @@
     def has_targets(self, service: str, tried: Collection[str]) -> bool:
         return any(name not in tried for name in self.names(service))
 
-    def hedge_delay(self, route: str, objective_s: float, service: str, now: float) -> float:
+    def hedge_delay(self, route: str, objective_s: float, *, scarce: bool) -> float:
         return self.hedge_s
 
+    def is_scarce(self, service: str, now: float) -> bool:
+        return self.scarce
+
     def take_extra(self, service: str, now: float) -> bool:
         self.extra -= 1
         return self.extra >= 0
--- a/tests/test_scatter_execution.py
+++ b/tests/test_scatter_execution.py
@@ -94,6 +94,48 @@
     assert len(of(Forward, execution.tick(0.05))) == 1
 
 
+def answered(route, policy, count: int, spacing_s: float, last_s: float):
+    """Return an execution with its first parts in, evenly spaced until a time."""
+    execution, subs, _ = begin(route, policy)
+    for number in range(count):
+        at = last_s - (count - 1 - number) * spacing_s
+        execution.on_answer(subs[f"s{number}"].sub_id, answer(), at)
+    return execution
+
+
+@pytest.mark.parametrize(("parts_in", "hedges"), [(9, 0), (8, 0), (7, 1), (6, 2)])
+def test_a_scarce_budget_goes_to_the_parts_without_which_there_is_no_answer(parts_in, hedges):
+    """Load pattern: many targets are slow, and their service's budget is half used."""
+    policy = FakePolicy()
+    policy.scarce = True
+    route = gather_route(shards=10, min_coverage=0.8)
+    execution = answered(route, policy, parts_in, spacing_s=0.001, last_s=0.02)
+    assert len(of(Forward, execution.tick(0.05))) == hedges
+    assert of(Forward, execution.tick(0.07)) == [], "the hedged ones count as under way"
+
+
+def test_no_hedge_is_sent_while_the_answers_of_many_shards_still_stream_in():
+    """Load pattern: answers of many shards arrive one after the other over a thin link."""
+    route = gather_route(shards=20, objective_s=0.2)
+    execution = answered(route, FakePolicy(), 10, spacing_s=0.002, last_s=0.049)
+    assert of(Forward, execution.tick(0.05)) == []
+    due = execution.next_deadline()
+    assert 0.05 < due < 0.061
+    assert len(of(Forward, execution.tick(due))) == 10, "the stream has stopped"
+
+
+def test_stragglers_are_hedged_although_another_answer_has_just_come():
+    route = gather_route(shards=20, objective_s=0.2)
+    execution = answered(route, FakePolicy(), 17, spacing_s=0.002, last_s=0.049)
+    assert len(of(Forward, execution.tick(0.05))) == 3
+
+
+def test_a_stream_that_is_too_slow_for_the_objective_is_hedged():
+    route = gather_route(shards=20, objective_s=0.2)
+    execution = answered(route, FakePolicy(), 10, spacing_s=0.005, last_s=0.099)
+    assert len(of(Forward, execution.tick(0.1))) == 10
+
+
 @pytest.mark.parametrize("kind", [FailureKind.LOST, FailureKind.GARBLED])
 def test_a_request_that_may_have_run_is_not_repeated_unless_idempotent(kind):
     execution, subs, _ = begin(single_route(idempotent=False), FakePolicy())
--- a/tests/test_scatter_policy.py
+++ b/tests/test_scatter_policy.py
@@ -35,25 +35,27 @@
 
 
 def test_ordinary_answers_are_not_hedged():
-    delay_s = policy_after(0.02).hedge_delay("route", OBJECTIVE_S, "s", 5.0)
+    delay_s = policy_after(0.02).hedge_delay("route", OBJECTIVE_S, scarce=False)
     assert 0.02 <= delay_s < 0.025
 
 
 def test_with_a_fifth_of_slow_targets_the_hedge_still_comes_in_time():
     """Load pattern: 6 of 30 targets become 8 times slower, so the quantile lies among them."""
-    delay_s = policy_after(0.2).hedge_delay("route", OBJECTIVE_S, "s", 5.0)
+    delay_s = policy_after(0.2).hedge_delay("route", OBJECTIVE_S, scarce=False)
     assert delay_s <= OBJECTIVE_S / 2
 
 
 def test_without_budget_hedges_wait_for_the_slowest():
     policy = policy_after(0.2)
+    assert not policy.is_scarce("s", 5.0)
     while policy.take_extra("s", 5.0):
         pass
-    assert policy.hedge_delay("route", OBJECTIVE_S, "s", 5.0) > OBJECTIVE_S
+    assert policy.is_scarce("s", 5.0)
+    assert policy.hedge_delay("route", OBJECTIVE_S, scarce=True) > OBJECTIVE_S
 
 
 def test_a_route_without_objective_hedges_at_the_quantile():
-    assert policy_after(0.2).hedge_delay("route", 0.0, "s", 5.0) > 0.25
+    assert policy_after(0.2).hedge_delay("route", 0.0, scarce=False) > 0.25
 
 
 def test_queues_at_a_target_lower_the_limit_until_requests_wait_here():
