Learn of slow targets also where a VM asks a shard about once a second

Cause: with many VMs each asks a shard once a second; what it observed was always older than REPROBE_S, so a slow local target was tried at every request, and its estimate moved by a tenth with each reply. A target is now tried again only after it was passed over four times, and the estimate follows within 2 s however few replies come, while a single pause counts for little. Ruled out: forgetting by age alone, which is the cause; a larger weight for every reply, which lets single pauses send requests to other domains. tests/test_query_slow_local.py replays one request a second; the first failed before.

--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -126,7 +126,11 @@
         local = self._warm([t for t in free if t.local], now)
         if local:
             chosen = self._better_of_two(local, now)
-            return (_much_better(free, chosen, now) or chosen).target_id
+            better = _much_better(free, chosen, now)
+            if better is None:
+                return chosen.target_id
+            chosen.passed_over += 1
+            return better.target_id
         ready = self._warm(free, now)
         if not ready:
             return min(pool, key=lambda t: (t.in_flight + 1) / t.limit).target_id
@@ -145,7 +149,10 @@
         first = int(self._random() * count)
         second = int(self._random() * (count - 1))
         left, right = ready[first], ready[second if second < first else second + 1]
-        return left if left.score(now) <= right.score(now) else right
+        if left.score(now) > right.score(now):
+            left, right = right, left
+        right.passed_over += 1
+        return left
 
     def on_sent(self, target_id: str, now: float) -> None:
         """Count a sub-request in flight."""
@@ -153,6 +160,7 @@
         if state is not None:
             state.in_flight += 1
             state.sent_at = now
+            state.passed_over = 0
 
     def _ended(self, target_id: str) -> TargetState | None:
         state = self._targets.get(target_id)
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import attrs
@@ -23,10 +24,25 @@
 REPROBE_S = 1.0
 """Time without a sub-request after which a target is tried again whatever its score was."""
 
+REPROBE_PASSES = 4
+"""Choices that must have passed the target over besides; a VM with few requests asks others first.
+
+Without it a VM that asks a shard once a second would find every observation too old.
+"""
+
 FAILED_COST = 8.0
 """Cost of a certain failure, in times of a good answer: it takes an attempt and budget as well."""
 
-_LATENCY_WEIGHT = 0.1
+LATENCY_MEMORY_S = 2.0
+"""Time over which the observed latency follows a change, however few replies come."""
+
+LATENCY_RISE = 3.0
+"""Most that one reply counts for beyond the least weight, in times of the observed latency.
+
+A single pause says little, also where replies are so few that each has a great weight.
+"""
+
+_LATENCY_WEIGHT = 0.1  # least weight of one reply in the observed latency
 _FAILED_WEIGHT = 0.1  # weight of one end in the share of failed ones
 _SHED_FACTOR = 0.7
 _QUEUED_FACTOR = 0.85
@@ -57,6 +73,8 @@
     warm_until: float
     in_flight: int = 0
     sent_at: float = -1e9
+    passed_over: int = 0  # choices since then that preferred another target
+    replied_at: float = 0.0
     latency_s: float = 0.0
     base_s: float = 0.0
     failures: int = 0
@@ -101,7 +119,7 @@
 
     def score(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
-        if now - self.sent_at > REPROBE_S:
+        if now - self.sent_at > REPROBE_S and self.passed_over >= REPROBE_PASSES:
             return 0.0  # what was observed is too old; without a new sample it would never change
         # The reported load only decides between otherwise equal targets; it can lag or mislead.
         return self.cost() + 1e-9 * self.reported
@@ -113,11 +131,16 @@
         self._count_end(failed=False)
         if self.ejections and now - self.ejected_until > CALM_S:
             self.ejections = 0
-        known = self.latency_s
+        known, since_s = self.latency_s, now - self.replied_at
+        self.replied_at = now
         if not known:
             self.latency_s = self.base_s = latency_s
             return
-        self.latency_s = known + (latency_s - known) * _LATENCY_WEIGHT
+        weight = max(_LATENCY_WEIGHT, 1.0 - math.exp(-since_s / LATENCY_MEMORY_S))
+        step = (min(latency_s, LATENCY_RISE * known) - known) * weight
+        if latency_s > known:
+            step = max(step, (latency_s - known) * _LATENCY_WEIGHT)
+        self.latency_s = known + step
         rising = latency_s > self.base_s
         self.base_s += (latency_s - self.base_s) * (_BASE_RISE if rising else _BASE_FALL)
         # A limit that is not used says nothing about the capacity behind it, and a slow reply
--- a/tests/test_query_slow_local.py
+++ b/tests/test_query_slow_local.py
@@ -42,6 +42,30 @@
     assert 0.02 < slow < 0.2
 
 
+def test_a_slow_local_target_is_passed_over_by_a_vm_with_few_requests():
+    """Load pattern: many VMs share the load, so that each asks a shard about once a second."""
+    slow, _ = replay(SLOW_S, requests=60, rate=0.8)
+    assert 0.02 < slow < 0.35
+
+
+def test_single_pauses_do_not_send_a_vm_with_few_requests_elsewhere():
+    """Load pattern: each target pauses for 0.2 s now and then, at about one request a second."""
+    table = ReplicaTable("a", random.Random(5), warmup_s=0.0)
+    records = [record(f"t{d}", [(ONE_SHARD, 0)], domain=d, slots=3) for d in "abc"]
+    table.update(SERVICE, records, 0.0)
+    remote = 0
+    for number in range(200):
+        now = number / 0.9
+        for target in ("tb", "tc") if number % 5 == 0 else ():
+            table.on_sent(target, now)
+            table.on_reply(target, USUAL_S, now)
+        target = table.choose(SERVICE, ONE_SHARD, 0, (), now)
+        remote += target != "ta"
+        table.on_sent(target, now)
+        table.on_reply(target, 0.2 if number % 23 == 7 else USUAL_S, now)
+    assert remote / 200 < 0.05
+
+
 def test_equal_targets_are_chosen_in_the_own_domain():
     """Bytes between failure domains cost, so ordinary differences do not leave the domain."""
     _, remote = replay(USUAL_S)
