Tell targets the time that is left when the bytes leave

The header was encoded for all shards at once with the time of the decision, before connections were open and before a VM short of processor time got to send. It is now encoded when the bytes leave. Ruled out: a wrong deadline in the execution; the first sub-requests of the same request left in time.

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -79,8 +79,8 @@
         Identifier for the listener.
     target_id : str
         The target.
-    data : bytes
-        Bytes of the request.
+    encode : callable
+        Returns the bytes of the request; called when they are sent, since they tell the time left.
     head : bool
         Whether it is a HEAD request.
     listener : SubListener
@@ -91,7 +91,7 @@
 
     sub_id: int
     target_id: str
-    data: bytes
+    encode: Callable[[], bytes]
     head: bool
     listener: SubListener
     started: float = 0.0
@@ -284,7 +284,7 @@
     def _transmit(self, sub: PoolSub) -> None:
         sub.sent = True
         sub.sent_at = self._clock()
-        sub.conn.send(sub.data, head=sub.head)
+        sub.conn.send(sub.encode(), head=sub.head)
 
     # Events of connections.
 
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -248,11 +248,15 @@
         request = call.exchange.request
         if call.template is None:
             call.template = RequestTemplate(request, self._dialect.forwarded_headers(request))
-        headers = self._dialect.target_headers(action.target_id, action.timeout_s)
+
+        def encode() -> bytes:
+            left_s = action.deadline - self._clock()
+            return call.template.encode(self._dialect.target_headers(action.target_id, left_s))
+
         sub = PoolSub(
             action.sub_id,
             action.target_id,
-            call.template.encode(headers),
+            encode,
             request.method == b"HEAD",
             CallListener(self, call),
             self._clock(),
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -262,7 +262,7 @@
             self._next_hedge_at = min(self._next_hedge_at, shard.hedge_at)
         else:
             shard.hedge_at = math.inf
-        out.append(Forward(sub.sub_id, target_id, shard.service, self._deadline - now))
+        out.append(Forward(sub.sub_id, target_id, shard.service, self._deadline))
 
     def _may_hedge(self, shard: _Shard) -> bool:
         return self.route.idempotent and shard.sends < self.route.max_targets
--- a/bramleycrank/scatter/types.py
+++ b/bramleycrank/scatter/types.py
@@ -74,12 +74,18 @@
 
 @attrs.frozen
 class Forward:
-    """Send the request to a target; answer with `on_answer` or `on_failure`."""
+    """Send the request to a target; answer with `on_answer` or `on_failure`.
+
+    Parameters
+    ----------
+    deadline : float
+        When the caller stops waiting, in seconds.
+    """
 
     sub_id: int
     target_id: str
     service: str
-    timeout_s: float
+    deadline: float
 
 
 @attrs.frozen
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -379,3 +379,23 @@
 
     round_trip_s = asyncio.run(body())
     assert round_trip_s is None or 0 <= round_trip_s < 1.0
+
+
+def test_a_target_is_told_the_time_that_is_left_when_the_request_leaves():
+    """Load pattern: a VM short of processor time, or a connection that is slow to open."""
+
+    async def body() -> int:
+        async with World(a1=ok) as world:
+            pool = world.entry._targets.pool
+            connected = pool.on_connected
+
+            def late(conn: object) -> None:
+                asyncio.get_running_loop().call_later(0.2, connected, conn)
+
+            pool.on_connected = late
+            raw = b"GET /one/q HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Deadline-Ms: 800\r\n\r\n"
+            await call(world.port, raw)
+            [request] = world.fakes["a1"].requests
+            return int(header(request, b"X-Deadline-Ms"))
+
+    assert asyncio.run(body()) <= 600
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -59,7 +59,7 @@
         return self.conns[-1]
 
     def send(self, number=1):
-        sub = PoolSub(number, "t", b"data", False, self)
+        sub = PoolSub(number, "t", lambda: b"data", False, self)
         self.pool.send(sub)
         return sub
 
