--- a/bramleycrank/daemon/life_cycle.py
+++ b/bramleycrank/daemon/life_cycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -215,6 +216,7 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _start(self) -> None:
+        _freeze_long_lived()
         try:
             await self._steps.start_parts()
         except Exception as exc:
@@ -231,6 +233,7 @@
 
     async def _join(self) -> None:
         await self._steps.join()
+        _freeze_long_lived()
         self._machine.joined()
 
     def _begin_serving(self) -> None:
@@ -268,6 +271,7 @@
         await self._guard("leadership transfer", self._steps.transfer_leadership())
         await self._guard("leave", self._steps.leave())
         await self._guard("close", self._steps.close())
+        gc.unfreeze()
         self._machine.closed()
         self.finished.set()
 
@@ -283,4 +287,13 @@
             log.exception("life cycle: %s failed", what)
 
 
+def _freeze_long_lived() -> None:
+    """Keep the garbage collector away from what lives as long as the process.
+
+    Modules, routes and connections are some 50,000 objects. A full collection over them stops the
+    process for longer than a latency objective, at a moment when requests come.
+    """
+    gc.freeze()
+
+
 _MACHINE = _build()
--- a/tests/test_daemon_life_cycle.py
+++ b/tests/test_daemon_life_cycle.py
@@ -1,6 +1,7 @@
 """The order of a stop, and what an operator's drain may and may not do."""
 
 import asyncio
+import gc
 
 import pytest
 
@@ -170,3 +171,20 @@
 
     # The start fails because the stop closes what it uses.
     run(scenario, block=("start_parts",), fail_late=("start_parts",))
+
+
+def test_no_full_collection_visits_what_was_there_before_the_vm_was_ready():
+    """Load pattern: the first requests, whose garbage starts a full collection.
+
+    Over the 50,000 objects of a VM it took 150 to 330 ms on half a core.
+    """
+
+    async def scenario(life, steps):
+        life.start()
+        await until(life.ready)
+        assert len(gc.get_objects()) < 1000 < gc.get_freeze_count()
+        life.stop()
+        await until(life.finished.is_set)
+        assert gc.get_freeze_count() == 0
+
+    run(scenario)
