Consider hedges that found no budget less and less often

Ruled out: taking over new targets and routes, closing connections to targets that are gone (a few milliseconds each for all of them, measured alone).

--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -11,6 +11,7 @@
 from bramleycrank.routing import Route
 from bramleycrank.scatter.delivery import ROUND_TRIP_S
 from bramleycrank.scatter.policy import ScatterPolicy
+from bramleycrank.scatter.stream import LATEST_STREAM_SHARE, AnswerStream
 from bramleycrank.scatter.types import (
     NOT_RUN_KINDS,
     Action,
@@ -33,16 +34,10 @@
 """Multiple of the objective up to which an answer that is late already waits for missing parts."""
 
 RECHECK_S = 0.01
-"""Time until a hedge that was not sent is considered again, in seconds."""
+"""Least time until a hedge that was not sent is considered again, in seconds."""
 
-STRAGGLER_SHARE = 0.25
-"""Part of the shards up to which those without an answer are stragglers, not a stream."""
-
-STREAM_GAP = 4.0
-"""Time without an answer after which a stream of them has stopped, in times of their spacing."""
-
-LATEST_STREAM_SHARE = 0.5
-"""Part of the latency objective after which a stream is not waited for; hedges need the rest."""
+RECHECK_SHARE = 0.25
+"""The same as a part of the time since the request came; many shards may wait for long."""
 
 RETRY_AFTER_S = 0.1
 """When a caller should come back if no target was to be had, in seconds."""
@@ -113,7 +108,8 @@
         self._shards = [_Shard(service) for service in services]
         self._subs: dict[int, tuple[_Shard, _Sub]] = {}
         self._answered = 0
-        self._first_answer_at = self._last_answer_at = arrived
+        latest_stream = arrived + LATEST_STREAM_SHARE * route.objective_s
+        self._stream = AnswerStream(len(self._shards), latest_stream)
         self._lost = 0
         # No hedge is due before; a later time of a single shard shows at the next tick.
         self._next_hedge_at = math.inf
@@ -171,9 +167,7 @@
         out = self._cancel(shard, True, now)
         self._end(shard)
         self._answered += 1
-        self._last_answer_at = now
-        if self._answered == 1:
-            self._first_answer_at = now
+        self._stream.on_answer(now)
         return [*out, *self._settle(now)]
 
     def on_failure(self, sub_id: int, failure: SubFailure, now: float) -> list[Action]:
@@ -207,12 +201,8 @@
         if now >= self._deadline:
             return self._on_deadline(now)
         out: list[Action] = []
-        for shard in self._shards:
-            if not shard.ended and now >= shard.hedge_at:
-                self._hedge(shard, now, out)
-        self._next_hedge_at = min(
-            (s.hedge_at for s in self._shards if not s.ended), default=math.inf
-        )
+        if now >= self._next_hedge_at:
+            self._send_hedges(now, out)
         return [*out, *self._settle(now)]
 
     def next_deadline(self) -> float:
@@ -267,42 +257,38 @@
     def _may_hedge(self, shard: _Shard) -> bool:
         return self.route.idempotent and shard.sends < self.route.max_targets
 
-    def _hedge(self, shard: _Shard, now: float, out: list[Action]) -> None:
-        """Ask a second target, if the budget and the targets allow it."""
-        if self._is_streaming(now) or not self._is_worth_extra(shard, now):
-            shard.hedge_at = now + RECHECK_S
-            return
-        target_id = self._policy.choose(shard.service, shard.tried, now)
-        if target_id is None or not self._policy.take_extra(shard.service, now):
-            shard.hedge_at = now + RECHECK_S
-            return
-        self._send(shard, target_id, now, out)
-
-    def _is_streaming(self, now: float) -> bool:
-        """Whether the answers of many shards are still coming in, one after the other.
-
-        Load pattern: many shards behind a thin link or a slow processor. The parts that have not
-        come yet are on their way; second ones would queue behind them and make all of them later.
-        """
-        count = self._answered
-        open_shards = len(self._shards) - count - self._lost
-        if count < 2 or open_shards <= STRAGGLER_SHARE * len(self._shards):
-            return False
-        if now >= self._arrived + LATEST_STREAM_SHARE * self.route.objective_s:
-            return False
-        spacing_s = (self._last_answer_at - self._first_answer_at) / (count - 1)
-        return now < self._last_answer_at + STREAM_GAP * spacing_s
+    def _send_hedges(self, now: float, out: list[Action]) -> None:
+        """Ask second targets for the shards that are due, as far as it is worth them."""
+        stream_until = self._stream.until(self._lost)
+        unaided = sum(not s.ended and len(s.open) < 2 for s in self._shards)
+        for shard in self._shards:
+            if shard.ended or now < shard.hedge_at:
+                continue
+            if now < stream_until:
+                shard.hedge_at = stream_until
+            elif self._hedge(shard, unaided, now, out):
+                unaided -= 1
+            else:
+                shard.hedge_at = now + max(RECHECK_S, RECHECK_SHARE * (now - self._arrived))
+        self._next_hedge_at = min(
+            (s.hedge_at for s in self._shards if not s.ended), default=math.inf
+        )
 
-    def _is_worth_extra(self, shard: _Shard, now: float) -> bool:
-        """Whether a second target is worth its part of the budget.
+    def _hedge(self, shard: _Shard, unaided: int, now: float, out: list[Action]) -> bool:
+        """Ask a second target, if the budget and the targets allow it; return whether it was sent.
 
         Load pattern: many targets are slow, and their services' budgets run low. What is left goes
         to the shards without which there is no answer; the others may be left out of it.
         """
-        if not self.route.gather or not self._policy.is_scarce(shard.service, now):
-            return True
-        unaided = sum(not s.ended and len(s.open) < 2 for s in self._shards)
-        return unaided > len(self._shards) - self._lost - self._needed
+        spare = len(self._shards) - self._lost - self._needed
+        scarce = self.route.gather and self._policy.is_scarce(shard.service, now)
+        if scarce and unaided <= spare:
+            return False
+        target_id = self._policy.choose(shard.service, shard.tried, now)
+        if target_id is None or not self._policy.take_extra(shard.service, now):
+            return False
+        self._send(shard, target_id, now, out)
+        return True
 
     def _retry(self, shard: _Shard, failure: SubFailure, now: float, out: list[Action]) -> bool:
         """Send to another target after a failure, if that is allowed and possible.
--- a/tests/scatter_fakes.py
+++ b/tests/scatter_fakes.py
@@ -56,6 +56,7 @@
         self.hedge_s = hedge_s
         self.extra = extra
         self.scarce = False
+        self.choices = 0
         self.busy: set[str] = set()
         self.sent: list[str] = []
         self.failures: list[tuple[str, str]] = []
@@ -66,6 +67,7 @@
         return [f"{service}-{number}" for number in range(self.targets)]
 
     def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
+        self.choices += 1
         left = [n for n in self.names(service) if n not in tried and n not in self.busy]
         return left[0] if left else None
 
--- a/tests/test_scatter_execution.py
+++ b/tests/test_scatter_execution.py
@@ -136,6 +136,15 @@
     assert len(of(Forward, execution.tick(0.1))) == 10
 
 
+def test_hedges_that_find_no_budget_cost_little_processor_time():
+    """Load pattern: dozens of shards are slow for seconds, and their budgets are used up."""
+    policy = FakePolicy(extra=0)
+    execution, _, _ = begin(gather_route(shards=54), policy)
+    while not execution.ended:
+        execution.tick(execution.next_deadline())
+    assert policy.choices < 25 * 54
+
+
 @pytest.mark.parametrize("kind", [FailureKind.LOST, FailureKind.GARBLED])
 def test_a_request_that_may_have_run_is_not_repeated_unless_idempotent(kind):
     execution, subs, _ = begin(single_route(idempotent=False), FakePolicy())
