--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -356,6 +356,7 @@
         self._index = RouteIndex(table)
         log.info("entry: routes in force", extra={"routes_version": table.version})
         self._targets.use(self._index)
+        self._delivery.retain({route.name for route in self._index.routes()})
 
     def _wake(self, service: str) -> None:
         """Let the most urgent request that waits for a service try again."""
--- a/bramleycrank/scatter/delivery.py
+++ b/bramleycrank/scatter/delivery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import attrs
 
 from bramleycrank.routing import Route
@@ -53,6 +55,12 @@
         self._waits: dict[str, _Longest] = {}
         self._sizes: dict[str, float] = {}
 
+    def retain(self, names: Collection[str]) -> None:
+        """Forget the routes that are not among these."""
+        for known in (self._waits, self._sizes):
+            for name in known.keys() - set(names):
+                del known[name]
+
     def passed(self, route: Route, wait_s: float | None, now: float) -> float:
         """Return the time that had passed for the caller when it sent the request, in seconds.
 
--- a/tests/test_scatter_delivery.py
+++ b/tests/test_scatter_delivery.py
@@ -45,6 +45,15 @@
     assert passed_s == 0.0
 
 
+def test_routes_that_are_gone_are_forgotten():
+    estimate = DeliveryEstimate()
+    estimate.passed(ROUTE, 1.08, 0.0)
+    estimate.retain({ROUTE.name})
+    assert estimate.passed(ROUTE, 1.04, 1.0) == pytest.approx(0.04)
+    estimate.retain(())
+    assert estimate.passed(ROUTE, 1.04, 2.0) == 0.0
+
+
 def test_an_answer_leaves_early_enough_for_its_way():
     """Load pattern: one shard pauses, and the answer without it has to be in time."""
     route = gather_route()
