--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -276,8 +277,8 @@
         self._execute(self.registry.leave(request, self._clock()))
         if self.core.is_spreading(target_id):
             known = self._leaving.setdefault(target_id, asyncio.Event())
-            await self._finish([asyncio.ensure_future(known.wait())], LEAVE_WAIT_S)
-            self._leaving.pop(target_id, None)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(known.wait(), LEAVE_WAIT_S)
         return LeaveReply()
 
     def note_leaving(self, target_id: str, incarnation: int) -> None:
@@ -369,9 +370,8 @@
             self._execute(self.core.on_probe_failed(action.probe_id, self._clock()))
         else:
             self._execute(self.core.on_probe_reply(action.probe_id, reply, self._clock()))
-        for target_id, known in self._leaving.items():
-            if not self.core.is_spreading(target_id):
-                known.set()
+        for target_id in [i for i in self._leaving if not self.core.is_spreading(i)]:
+            self._leaving.pop(target_id).set()
 
     async def _relay(self, action: RelayProbe) -> bool:
         reply = await self._call("Probe", action)
