Add a fault soak of the platform's processes

Three voters and three entries as separate processes, scripted targets behind loopback proxies, faults by signals, proxies and files in overlapping series from a seed; seven promises checked from what callers and targets see; JSON report and plot. The fleet of tests/test_process_platform.py moved to harness/, where the soak uses it as well.

--- a/harness/processes.py
+++ b/harness/processes.py
@@ -64,11 +64,21 @@
 class Process:
     """A child process with its output in a file."""
 
-    def __init__(self, command: list[str], log: Path, env: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        command: list[str],
+        log: Path,
+        env: dict[str, str] | None = None,
+        output: Path | None = None,
+    ) -> None:
         self._log = log
-        with log.open("ab") as file:
+        with contextlib.ExitStack() as files:
+            stdout = files.enter_context(output.open("ab")) if output else subprocess.PIPE
             self._popen = subprocess.Popen(
-                command, stdout=subprocess.PIPE, stderr=file, env={**os.environ, **(env or {})}
+                command,
+                stdout=stdout,
+                stderr=files.enter_context(log.open("ab")),
+                env={**os.environ, **(env or {})},
             )
 
     @property
@@ -94,7 +104,8 @@
         """End the process at once and collect it."""
         self.signal(signal.SIGKILL)
         self._popen.wait(10)
-        self._popen.stdout.close()
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
 
     def log_tail(self, lines: int = 15) -> str:
         """Return the end of the log."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,114 @@
+"""Callers of the soak: a steady load over kept and new connections, and what became of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import attrs
+
+from harness.platform_fleet import ENTRY_PORT, Machine
+
+WAIT_S = 2.5
+"""How long a caller waits for an answer, in seconds."""
+
+PAUSE_S = 0.05
+"""Mean time between an answer and the next request of a caller, in seconds."""
+
+
+@attrs.define
+class Outcome:
+    """One request as its caller saw it.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status; 0 if there was no connection, -1 if the connection ended without an answer,
+        -2 if the caller's time was over.
+    """
+
+    request_id: str
+    path: str
+    entry: str
+    sent: float
+    ended: float
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Caller:
+    """Sends one request after the other to one entry.
+
+    Parameters
+    ----------
+    name : str
+        Prefix of its request ids.
+    entry : Machine
+        Where it connects.
+    outcomes : list of Outcome
+        Receives what became of each request.
+    rng : random.Random
+        Source of choices.
+    """
+
+    def __init__(
+        self, name: str, entry: Machine, outcomes: list[Outcome], rng: random.Random
+    ) -> None:
+        self._name = name
+        self._entry = entry
+        self._outcomes = outcomes
+        self._rng = rng
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        number = 0
+        try:
+            while True:
+                number += 1
+                path = self._rng.choices(("/all/q", "/one/q", "/order/q"), (6, 2, 2))[0]
+                self._outcomes.append(await self._request(f"{self._name}-{number}", path))
+                await asyncio.sleep(self._rng.expovariate(1 / PAUSE_S))
+        finally:
+            self._close()
+
+    async def _request(self, request_id: str, path: str) -> Outcome:
+        loop = asyncio.get_running_loop()
+        outcome = Outcome(request_id, path, self._entry.name, loop.time(), 0.0, 0, {}, b"")
+        method = "POST" if path.startswith("/order") else "GET"
+        raw = f"{method} {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request_id}\r\n"
+        raw += f"X-Deadline-Ms: {int(WAIT_S * 1000)}\r\nContent-Length: 0\r\n\r\n"
+        try:
+            async with asyncio.timeout(WAIT_S):
+                if self._writer is None:
+                    address = self._entry.ip, ENTRY_PORT
+                    self._reader, self._writer = await asyncio.open_connection(*address)
+                outcome.status = -1
+                self._writer.write(raw.encode())
+                await self._read(outcome)
+        except TimeoutError:
+            outcome.status = -2
+            self._close()
+        except (OSError, asyncio.IncompleteReadError):
+            self._close()
+        outcome.ended = loop.time()
+        if outcome.headers.get("connection") == "close" or self._rng.random() < 0.1:
+            self._close()
+        return outcome
+
+    async def _read(self, outcome: Outcome) -> None:
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        fields = (line.partition(": ") for line in head[1:] if line)
+        outcome.headers = {name.lower(): value for name, _, value in fields}
+        length = int(outcome.headers.get("content-length", "0"))
+        outcome.body = await self._reader.readexactly(length)
+        outcome.status = int(head[0].split()[1])
+
+    def _close(self) -> None:
+        if self._writer is not None:
+            with contextlib.suppress(OSError):
+                self._writer.close()
+        self._reader = self._writer = None
--- /dev/null
+++ b/soak/report.py
@@ -0,0 +1,88 @@
+"""The report of a run: JSON, and a plot of what callers got with the faults marked on it."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from soak.callers import Outcome
+from soak.faults import Event
+
+OBJECTIVE_S = 0.3
+"""Latency objective of the routes, in seconds."""
+
+COLOURS = {
+    "served": "tab:green",
+    "partial": "tab:olive",
+    "late": "tab:orange",
+    "refused": "tab:blue",
+    "failed": "tab:red",
+}
+
+
+def kind_of(outcome: Outcome) -> str:
+    """Return what became of a request."""
+    if outcome.status == 503:
+        return "refused"
+    if outcome.status != 200:
+        return "failed"
+    if outcome.ended - outcome.sent > OBJECTIVE_S:
+        return "late"
+    return "partial" if outcome.headers.get("x-missing-parts", "0") != "0" else "served"
+
+
+def build(
+    seed: int, began: float, outcomes: list[Outcome], events: list[Event], found: list[str]
+) -> dict[str, Any]:
+    """Return the report of a run, with times in seconds from its beginning."""
+    seconds: dict[int, Counter[str]] = {}
+    for outcome in outcomes:
+        seconds.setdefault(int(outcome.sent - began), Counter())[kind_of(outcome)] += 1
+    return {
+        "seed": seed,
+        "violations": found,
+        "requests": dict(Counter(map(kind_of, outcomes))),
+        "by_second": {str(second): dict(seconds[second]) for second in sorted(seconds)},
+        "faults": [
+            {
+                **attrs.asdict(event),
+                "since": round(event.since - began, 2),
+                "until": round(event.until - began, 2),
+            }
+            for event in events
+        ],
+    }
+
+
+def write(report: dict[str, Any], folder: Path) -> None:
+    """Write ``report.json`` and ``report.png``."""
+    (folder / "report.json").write_text(json.dumps(report, indent=1) + "\n")
+    _plot(report, folder / "report.png")
+
+
+def _plot(report: dict[str, Any], path: Path) -> None:
+    import matplotlib as mpl
+
+    mpl.use("Agg")
+    from matplotlib import pyplot as plt
+
+    seconds = [int(second) for second in report["by_second"]]
+    rows = list(report["by_second"].values())
+    figure, (top, bottom) = plt.subplots(2, 1, figsize=(12, 8), sharex=True)
+    counts = [[row.get(kind, 0) for row in rows] for kind in COLOURS]
+    top.stackplot(seconds, counts, labels=COLOURS, colors=COLOURS.values(), step="post")
+    top.set_ylabel("requests a second")
+    top.legend(loc="upper right")
+    for height, fault in enumerate(report["faults"]):
+        bottom.plot([fault["since"], fault["until"]], [height, height], linewidth=3)
+        label = f"{fault['where']}: {fault['what']}"
+        bottom.annotate(label, (fault["since"], height), fontsize=6)
+    bottom.set_xlabel("seconds")
+    bottom.set_yticks([])
+    figure.suptitle(f"seed {report['seed']}, {len(report['violations'])} violations")
+    figure.savefig(path)
+    plt.close(figure)
--- /dev/null
+++ b/soak/targets.py
@@ -0,0 +1,157 @@
+"""Targets of the soak: what they ran is remembered, and they report to the voters."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import hashlib
+import itertools
+import random
+from collections import defaultdict
+
+from harness.platform_fleet import CONTROL_PORT, Fleet
+from soak.proxy import Proxy
+
+RECORD_BYTES, RECORDS = 16, 5
+REPORT_S = 0.4
+"""Time between two liveness reports of a target, in seconds; `HeartbeatMs` of the fleet."""
+
+
+def records(service: str, request_id: str) -> bytes:
+    """Return the part of a service for a request, which anyone can work out again."""
+    digests = (
+        hashlib.blake2b(f"{service}/{request_id}/{n}".encode(), digest_size=RECORD_BYTES).digest()
+        for n in range(RECORDS)
+    )
+    return b"".join(digests)
+
+
+class Fault(enum.StrEnum):
+    """What a target does wrong; its liveness reports go on."""
+
+    NONE = "none"
+    SLOW = "slow"
+    HANG = "hang"
+    SHED = "shed"
+    ERRORS = "errors"
+    LOSES = "loses"  # it runs the request, and the answer is lost
+    GARBLES = "garbles"
+
+
+class Ledger:
+    """What all targets received and ran."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, list[str]] = defaultdict(list)
+        self.receipts: dict[str, tuple[str, str]] = {}
+        self.arrivals: dict[str, list[tuple[float, str]]] = defaultdict(list)
+
+
+class SoakTarget:
+    """One target behind a proxy.
+
+    Parameters
+    ----------
+    service, target_id, zone : str
+        Who and where it is.
+    ledger : Ledger
+        Shared by all targets.
+    rng : random.Random
+        Source of service times and of what fails.
+    """
+
+    def __init__(
+        self, service: str, target_id: str, zone: str, ledger: Ledger, rng: random.Random
+    ) -> None:
+        self.service, self.target_id, self.zone = service, target_id, zone
+        self.fault = Fault.NONE
+        self.reporting = True
+        self.proxy: Proxy | None = None
+        self._ledger = ledger
+        self._rng = rng
+        self._count = itertools.count(1)
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen, directly and behind the proxy."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.proxy = Proxy(self._server.sockets[0].getsockname()[1])
+        await self.proxy.start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.proxy.stop()
+        self._server.close()
+
+    async def report(self, fleet: Fleet) -> None:
+        """Send liveness reports to the voters in turn, until cancelled."""
+        for sequence in itertools.count(1):
+            body = {
+                "Service": self.service,
+                "Address": f"127.0.0.1:{self.proxy.port}",
+                "Zone": self.zone,
+                "Slots": 4,
+                "State": "ready",
+                "Sequence": sequence,
+                "born": 1,
+            }
+            voter = fleet.voters[sequence % len(fleet.voters)]
+            if self.reporting:
+                path = f"/-/instances/{self.target_id}"
+                await fleet.send("PUT", path, body, voter.ip, CONTROL_PORT)
+            await asyncio.sleep(REPORT_S)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        # Cancelled at the end of the run; asyncio would log it as an error of the server.
+        ends = asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+        with contextlib.suppress(*ends):
+            while await self._answer(await reader.readuntil(b"\r\n\r\n"), reader, writer):
+                await writer.drain()
+        writer.close()
+
+    async def _answer(
+        self, head: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        lines = (line.partition(b": ") for line in head.split(b"\r\n")[1:])
+        fields = {name.lower(): value.decode() for name, _, value in lines}
+        await reader.readexactly(int(fields.get(b"content-length", "0")))
+        request_id = fields[b"x-request-id"]
+        loop = asyncio.get_running_loop()
+        self._ledger.arrivals[self.service].append((loop.time(), request_id))
+        fault = self.fault
+        refused = [b"X-Not-Executed: 1"]
+        if fields.get(b"x-expect-instance") != self.target_id:
+            writer.write(_response(421, request_id, refused, b""))
+            return True
+        if fault is Fault.SHED and self._rng.random() < 0.5:
+            writer.write(_response(503, request_id, refused, b""))
+            return True
+        self._ledger.runs[request_id].append(self.target_id)
+        await asyncio.sleep(self._rng.uniform(0.002, 0.012) * (10 if fault is Fault.SLOW else 1))
+        if fault is Fault.HANG:
+            await asyncio.sleep(30)
+        if fault is Fault.ERRORS and self._rng.random() < 0.5:
+            writer.write(_response(500, request_id, [], b""))
+            return True
+        if fault is Fault.LOSES and self._rng.random() < 0.3:
+            return False
+        if fault is Fault.GARBLES and self._rng.random() < 0.3:
+            writer.write(self._rng.randbytes(40))
+            return False
+        receipt = f"{self.target_id}.{next(self._count)}"
+        self._ledger.receipts[receipt] = (self.service, request_id)
+        headers = [b"X-Server-Stamp: " + receipt.encode()]
+        writer.write(_response(200, request_id, headers, records(self.service, request_id)))
+        return True
+
+
+def _response(status: int, request_id: str, headers: list[bytes], body: bytes) -> bytes:
+    lines = [
+        b"HTTP/1.1 %d Any" % status,
+        b"X-Request-Id: " + request_id.encode(),
+        b"Content-Length: %d" % len(body),
+        *headers,
+    ]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
--- /dev/null
+++ b/tests/test_process_soak.py
@@ -0,0 +1,23 @@
+"""A short seeded run of the soak, and each seed that ever failed."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from soak.run import play
+
+pytestmark = pytest.mark.process
+
+SEEDS = {1: "a short run of its own"}
+"""Seeds with the reason why they are played; one that failed stays, with a line on the cause."""
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_short_soak_keeps_all_promises(seed, tmp_path):
+    report = play(seed, 5.0, tmp_path)
+    assert report["violations"] == []
+    assert report["faults"] and report["requests"]["served"] > 100
+    assert json.loads((tmp_path / "report.json").read_text())["seed"] == seed
+    assert (tmp_path / "report.png").stat().st_size > 1000
--- /dev/null
+++ b/tests/test_soak_checks.py
@@ -0,0 +1,128 @@
+"""The soak finds each promise that is broken; evidence that keeps them all passes."""
+
+from __future__ import annotations
+
+import heapq
+
+import pytest
+
+from soak.callers import Outcome
+from soak.checks import SHARDS, SINGLE, Evidence, violations
+from soak.faults import Event
+from soak.report import build, kind_of
+from soak.targets import RECORD_BYTES, Ledger, records
+
+TOP = 4
+
+
+def greatest(request_id: str, services) -> bytes:
+    whole = b"".join(records(service, request_id) for service in services)
+    every = [whole[i : i + RECORD_BYTES] for i in range(0, len(whole), RECORD_BYTES)]
+    return b"".join(heapq.nlargest(TOP, every))
+
+
+def outcome(request_id="r1", path="/all/q", status=200, **fields) -> Outcome:
+    defaults = {"entry": "edge-x", "sent": 1.0, "ended": 1.1, "headers": {}, "body": b""}
+    return Outcome(request_id, path, status=status, **{**defaults, **fields})
+
+
+def sound() -> Evidence:
+    """Return evidence of one gathered request, one refusal and one planned stop."""
+    ledger = Ledger()
+    for service in SHARDS:
+        ledger.receipts[f"{service}.1"] = (service, "r1")
+        ledger.runs["r1"].append(f"{service}-x")
+        ledger.arrivals[service].append((1.0, "r1"))
+    headers = {"x-part-stamps": ", ".join(f"{s}.1" for s in SHARDS), "x-missing-parts": "0"}
+    merged = outcome(headers=headers, body=greatest("r1", SHARDS))
+    refused = outcome("r2", "/order/q", 503)
+    events = [Event("stop", "edge-x", 5.0, 8.0)]
+    return Evidence([merged, refused], ledger, events, {TOP})
+
+
+def test_evidence_that_keeps_all_promises_passes():
+    assert violations(sound()) == []
+
+
+def wrong_body(evidence):
+    evidence.outcomes[0].body = greatest("r2", SHARDS)
+
+
+def stray_receipt(evidence):
+    evidence.ledger.receipts["s0.1"] = ("s0", "r9")
+
+
+def part_twice(evidence):
+    evidence.outcomes[0].headers["x-part-stamps"] = "s0.1, s0.1, s1.1, s2.1"
+
+
+def uncounted_part(evidence):
+    evidence.outcomes[0].headers["x-part-stamps"] = "s0.1, s1.1, s2.1"
+    evidence.outcomes[0].body = greatest("r1", SHARDS[:3])
+
+
+def too_few_parts(evidence):
+    evidence.outcomes[0].headers.update({"x-part-stamps": "s0.1, s1.1", "x-missing-parts": "2"})
+    evidence.outcomes[0].body = greatest("r1", SHARDS[:2])
+
+
+def refused_but_run(evidence):
+    evidence.ledger.runs["r2"].append(f"{SINGLE}-x")
+
+
+def run_twice(evidence):
+    evidence.outcomes[1].status = 200
+    evidence.outcomes[1].headers["x-server-stamp"] = "single.1"
+    evidence.outcomes[1].body = records(SINGLE, "r2")
+    evidence.ledger.receipts["single.1"] = (SINGLE, "r2")
+    evidence.ledger.runs["r2"] += [f"{SINGLE}-x", f"{SINGLE}-y"]
+
+
+def too_many_attempts(evidence):
+    evidence.ledger.runs["r1"] += ["s0-y", "s0-z"]
+
+
+def cut_by_a_stop(evidence):
+    evidence.outcomes.append(outcome("r3", "/one/q", -1, sent=5.0, ended=6.0))
+
+
+def too_many_extras(evidence):
+    evidence.ledger.arrivals["s0"] += [(1.0, "r1")] * 60
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        wrong_body,
+        stray_receipt,
+        part_twice,
+        uncounted_part,
+        too_few_parts,
+        refused_but_run,
+        run_twice,
+        too_many_attempts,
+        cut_by_a_stop,
+        too_many_extras,
+    ],
+)
+def test_each_broken_promise_is_found(spoil):
+    evidence = sound()
+    spoil(evidence)
+    assert len(violations(evidence)) == 1
+
+
+@pytest.mark.parametrize(("sent", "ended"), [(1.0, 2.0), (5.9, 6.0)])
+def test_a_cut_outside_a_stop_or_before_the_request_was_read_is_allowed(sent, ended):
+    evidence = sound()
+    evidence.outcomes.append(outcome("r3", "/one/q", -1, sent=sent, ended=ended))
+    assert violations(evidence) == []
+
+
+def test_the_report_counts_by_second_and_names_the_faults():
+    evidence = sound()
+    evidence.outcomes.append(outcome("r4", status=200, sent=2.5, ended=3.5))
+    report = build(7, 1.0, evidence.outcomes, evidence.events, [])
+    assert report["requests"] == {"served": 1, "refused": 1, "late": 1}
+    assert report["by_second"] == {"0": {"served": 1, "refused": 1}, "1": {"late": 1}}
+    assert report["faults"] == [{"what": "stop", "where": "edge-x", "since": 4.0, "until": 7.0}]
+    assert kind_of(outcome(headers={"x-missing-parts": "1"})) == "partial"
