--- a/bramleycrank/consensus/core.py
+++ b/bramleycrank/consensus/core.py
@@ -101,14 +101,8 @@
         return Role.FOLLOWER if self.is_voter else Role.LEARNER
 
     def reset_election(self) -> None:
-        """Start a new election timeout of random length.
-
-        A node that is no voter in its newest membership, though it may still campaign, leaves the
-        voters the time for an election before. It would step down once it learns of the commit.
-        """
+        """Start a new election timeout of random length."""
         self.election_due = self.now + self.rng.uniform(*self.cfg.election_timeout_s)
-        if self.log.membership.members and not self.is_voter:
-            self.election_due += self.cfg.election_timeout_s[1]
 
     def set_term(self, term: int, voted_for: str) -> None:
         """Change term and vote; both are persisted together."""
--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -2,7 +2,6 @@
 
 import random
 
-import pytest
 from consensus_cluster import Cluster, bounded, isolate, put
 from hypothesis import given
 from hypothesis import strategies as st
@@ -338,22 +337,3 @@
     heartbeat = pb.AppendRequest(prev_index=1, prev_term=1, commit_index=3)
     node.receive(message(3, append_request=heartbeat), 0.1)
     assert node.commit_index == 1
-
-
-@pytest.mark.parametrize("seed", range(20))
-def test_a_former_voter_campaigns_after_the_voters_have_had_their_time(seed):
-    """Load pattern: a loss of power after a voter was cut off, removed, and came back as a learner.
-
-    After a restart it knows of no commit beyond its snapshot, so it may ask for votes.
-    """
-    first = pb.Membership(cluster_id="c", members=[pb.Member(node_id=n, voter=True) for n in "abc"])
-    later = pb.Membership(
-        cluster_id="c", members=[pb.Member(node_id=n, voter=n != "a") for n in "abc"]
-    )
-    snapshot = pb.LogSnapshot(index=1, term=1, membership=first)
-    entries = [pb.Entry(index=2, term=1, membership=later)]
-    durable = DurableState(pb.HardState(term=1), snapshot, entries)
-    cfg = RaftConfig("a")
-    node = RaftNode.from_config(cfg, durable, random.Random(seed), now=0.0)
-    least, most = cfg.election_timeout_s
-    assert least + most <= node.next_deadline() <= 2 * most
