Serve repeated pieces by one: subscribers, steps of the nodes, reports of targets

The loop over subscribers stood three times, three steps of the life cycle in both nodes, the liveness report of a target in a test and in the soak; the number of parts of a request was counted beside its stream of answers. No change of behaviour; a failing subscriber is now logged by one logger.

--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -11,6 +11,7 @@
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.explain import explain_age
 from bramleycrank.daemon.identity import format_address
+from bramleycrank.daemon.subscribers import notify
 from bramleycrank.exceptions import (
     BramleycrankError,
     ConfigurationUnavailable,
@@ -320,12 +321,8 @@
         log.info("config: revision %d is in force", revision)
         if self._cache is not None:
             self._save()
-        for callback in self._callbacks:
-            try:
-                callback()
-            except Exception:
-                # A change of the log may have led here, and its core stops after an exception.
-                log.exception("config: a subscriber failed")
+        # A change of the log may have led here, and its core stops after an exception.
+        notify(self._callbacks)
 
     def _save(self) -> None:
         """Write the configuration to the data folder; the VM serves on if that fails."""
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -19,6 +19,7 @@
 from bramleycrank.daemon.log_host import LogHost
 from bramleycrank.daemon.proposal_router import ProposalRouter
 from bramleycrank.daemon.raft_runner import RaftRunner
+from bramleycrank.daemon.subscribers import notify
 from bramleycrank.exceptions import (
     BramleycrankError,
     InvalidMembershipChange,
@@ -338,12 +339,8 @@
         self._role_changed.clear()
 
     def _notify(self) -> None:
-        for callback in self._callbacks:
-            try:
-                callback()
-            except Exception:
-                # The runner calls this between actions and would stop the core for good.
-                log.exception("consensus: a subscriber failed")
+        # The runner calls this between actions and would stop the core for good.
+        notify(self._callbacks)
 
     def _leading_runner(self) -> RaftRunner:
         if self.is_leader:
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -13,6 +13,7 @@
 
 from bramleycrank.daemon.control_parts import ControlParts
 from bramleycrank.daemon.control_service import ControlService
+from bramleycrank.daemon.control_steps import ControlSteps
 from bramleycrank.daemon.entry_controller import EntryController
 from bramleycrank.daemon.entry_types import EntryDialect
 from bramleycrank.daemon.far_contact import FarContact
@@ -101,7 +102,7 @@
         """Answer a call of an operator or a target."""
 
 
-class HttpNode:
+class HttpNode(ControlSteps):
     """Builds, starts and stops the parts of the VM in the order of the life cycle.
 
     Parameters
@@ -127,6 +128,7 @@
         self._adapter = adapter
         self._metrics = metrics
         self._render_metrics = render_metrics
+        super().__init__()
         self._parts: ControlParts | None = None
         self._contact: FarContact | None = None
         self._keeper: VoterKeeper | None = None
@@ -136,7 +138,6 @@
         self._servers: list[Http1Server] = []
         self._callers: Http1Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._in_gossip = False
         life = cfg.base.life_cycle
         self.life_cycle = LifeCycle(self, life.drain_notice_s, life.drain_limit_s)
 
@@ -253,13 +254,6 @@
         while not self._entry.covers_routes and loop.time() < deadline:
             await asyncio.sleep(POLL_S)
 
-    def set_draining(self, draining: bool) -> None:
-        """Tell the other VMs whether this VM is draining."""
-        if draining:
-            self._parts.membership.drain()
-        else:
-            self._parts.membership.resume()
-
     async def stop_listening(self) -> None:
         """Accept no new requests of callers."""
         if self._callers is not None:
@@ -278,19 +272,6 @@
         calls = self._control is not None and self._control.in_flight > 0
         return calls or (self._callers is not None and self._callers.busy)
 
-    async def transfer_leadership(self) -> None:
-        """Hand the leadership over, if this VM leads."""
-        if self._parts is not None:
-            await self._parts.consensus.transfer_leadership()
-
-    async def leave(self) -> None:
-        """Tell the other VMs that this VM has left.
-
-        A second process that was started with the same settings by mistake must not say so.
-        """
-        if self._in_gossip:
-            await self._parts.membership.leave()
-
     async def close(self) -> None:
         """Close everything; what was not started is passed over."""
         for server in self._servers:
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -14,6 +14,7 @@
 from bramleycrank.daemon.config_controller import ConfigController
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.control_parts import ControlParts
+from bramleycrank.daemon.control_steps import ControlSteps
 from bramleycrank.daemon.life_cycle import LifeCycle
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.daemon.query_controller import QueryController
@@ -82,7 +83,7 @@
     metrics: metrics_module.Metrics
 
 
-class Node:
+class Node(ControlSteps):
     """A daemon: its parts, its listeners and the steps of its life cycle.
 
     Parameters
@@ -92,13 +93,13 @@
     """
 
     def __init__(self, cfg: Settings) -> None:
+        super().__init__()
         self._cfg = cfg
         self._parts: Parts | None = None
         self._server: Server | None = None
         self._operator: OperatorService | None = None
         self._http_port: Any = None
         self._site: ApiSite | None = None
-        self._in_gossip = False
         self._gauge_timer: asyncio.TimerHandle | None = None
         self.life_cycle = LifeCycle(
             self, cfg.life_cycle.drain_notice_s, cfg.life_cycle.drain_limit_s
@@ -164,13 +165,6 @@
             if parts.membership.is_usable(target_id)
         )
 
-    def set_draining(self, draining: bool) -> None:
-        """Tell the other VMs and the targets whether this VM is draining."""
-        if draining:
-            self._parts.membership.drain()
-        else:
-            self._parts.membership.resume()
-
     async def stop_listening(self) -> None:
         """Accept no new requests of callers."""
         if self._http_port is not None:
@@ -190,19 +184,6 @@
         while self._site is not None and self._site.flushing and loop.time() < deadline:
             await asyncio.sleep(0.02)
 
-    async def transfer_leadership(self) -> None:
-        """Hand the leadership over, if this VM leads."""
-        if self._parts is not None:
-            await self._parts.consensus.transfer_leadership()
-
-    async def leave(self) -> None:
-        """Tell the other VMs that this VM has left.
-
-        A second daemon that was started with the same settings by mistake must not say so.
-        """
-        if self._in_gossip:
-            await self._parts.membership.leave()
-
     async def close(self) -> None:
         """Close everything; what was not started is passed over."""
         await self.stop_listening()
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -111,7 +111,6 @@
         services = route.services if route.gather else (route.choose_service(),)
         self._shards = [_Shard(service) for service in services]
         self._subs: dict[int, tuple[_Shard, _Sub]] = {}
-        self._answered = 0
         latest_stream = arrived + LATEST_STREAM_SHARE * route.objective_s
         self._stream = AnswerStream(len(self._shards), latest_stream)
         self._lost = 0
@@ -170,7 +169,6 @@
         shard.part = Part(shard.service, answer.receipt, answer.body)
         out = self._cancel(shard, True, now)
         self._end(shard)
-        self._answered += 1
         self._stream.on_answer(now)
         return [*out, *self._settle(now)]
 
@@ -211,7 +209,7 @@
 
     def next_deadline(self) -> float:
         """Return when `tick` has something to do."""
-        give_at = self._give_at if self._answered >= self._needed else math.inf
+        give_at = self._give_at if self._stream.count >= self._needed else math.inf
         return min(self._deadline, self._next_hedge_at, give_at)
 
     def dump(self, now: float) -> dict[str, Any]:
@@ -219,7 +217,7 @@
         return {
             "route": self.route.name,
             "left_ms": round((self._deadline - now) * 1e3),
-            "answered": self._answered,
+            "answered": self._stream.count,
             "lost": self._lost,
             "needed": self._needed,
             "waiting": sorted(self.waiting),
@@ -358,9 +356,9 @@
         total = len(self._shards)
         if total - self._lost < self._needed:
             return self._give_up(now)
-        if self._answered + self._lost == total:
+        if self._stream.count + self._lost == total:
             return self._merge(now)
-        if self._answered < self._needed or now < self._give_at:
+        if self._stream.count < self._needed or now < self._give_at:
             return []
         late = now > self._arrived + self.route.objective_s
         if late and now < self._arrived + LATE_FACTOR * self.route.objective_s:
@@ -381,7 +379,7 @@
         return self._refuse(reason, now)
 
     def _on_deadline(self, now: float) -> list[Action]:
-        if self.route.gather and self._answered >= self._needed:
+        if self.route.gather and self._stream.count >= self._needed:
             return self._merge(now)
         return self._refuse("timeout", now)
 
--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -118,6 +118,22 @@
             if writer is not None:
                 writer.close()
 
+    async def report(
+        self, service: str, target_id: str, port: int, sequence: int, zone: str = "x"
+    ) -> None:
+        """Send a liveness report of a target on loopback to a voter, to each in turn."""
+        body = {
+            "Service": service,
+            "Address": f"127.0.0.1:{port}",
+            "Zone": zone,
+            "Slots": 4,
+            "State": "ready",
+            "Sequence": sequence,
+            "born": 1,
+        }
+        voter = self.voters[sequence % len(self.voters)]
+        await self.send("PUT", f"/-/instances/{target_id}", body, voter.ip, CONTROL_PORT)
+
     async def put(self, document: dict) -> None:
         """Send a configuration to any voter until it is accepted."""
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -10,7 +10,7 @@
 import random
 from collections import defaultdict
 
-from harness.platform_fleet import CONTROL_PORT, Fleet
+from harness.platform_fleet import Fleet
 from soak.proxy import Proxy
 
 RECORD_BYTES, RECORDS = 16, 5
@@ -87,19 +87,9 @@
     async def report(self, fleet: Fleet) -> None:
         """Send liveness reports to the voters in turn, until cancelled."""
         for sequence in itertools.count(1):
-            body = {
-                "Service": self.service,
-                "Address": f"127.0.0.1:{self.proxy.port}",
-                "Zone": self.zone,
-                "Slots": 4,
-                "State": "ready",
-                "Sequence": sequence,
-                "born": 1,
-            }
-            voter = fleet.voters[sequence % len(fleet.voters)]
             if self.reporting:
-                path = f"/-/instances/{self.target_id}"
-                await fleet.send("PUT", path, body, voter.ip, CONTROL_PORT)
+                port = self.proxy.port
+                await fleet.report(self.service, self.target_id, port, sequence, self.zone)
             await asyncio.sleep(REPORT_S)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -10,7 +10,7 @@
 import pytest
 from http_fakes import FakeTarget, ok
 
-from harness.platform_fleet import CONTROL_PORT, ENTRY_PORT, READY_PORT, Fleet, Machine
+from harness.platform_fleet import ENTRY_PORT, READY_PORT, Fleet, Machine
 from harness.processes import Process, until
 
 pytestmark = pytest.mark.process
@@ -41,17 +41,7 @@
 async def report(fleet: Fleet, name: str, port: int) -> None:
     """Send liveness reports of a target to any voter, as targets do."""
     for sequence in range(1, 1000):
-        body = {
-            "Service": name,
-            "Address": f"127.0.0.1:{port}",
-            "Zone": "x",
-            "Slots": 4,
-            "State": "ready",
-            "Sequence": sequence,
-            "born": 1,
-        }
-        voter = fleet.voters[sequence % len(fleet.voters)]
-        await fleet.send("PUT", f"/-/instances/t-{name}", body, voter.ip, CONTROL_PORT)
+        await fleet.report(name, f"t-{name}", port, sequence)
         await asyncio.sleep(0.3)
 
 
