Use one relay for tests and the soak, and split the HTTP server by job

The soak's proxy repeated the relay of the process tests: accepting, pumping, cutting. The relay stands in harness/ now and the proxy adds what it drops one way. The connection of a caller and the server that listens stand in files of their own. No change of behaviour.

--- a/bramleycrank/transport/http1/__init__.py
+++ b/bramleycrank/transport/http1/__init__.py
@@ -2,7 +2,8 @@
 
 from bramleycrank.transport.http1.client import ConnectionListener, TargetConnection
 from bramleycrank.transport.http1.messages import Request, RequestTemplate, Response
-from bramleycrank.transport.http1.server import Exchange, Http1Server
+from bramleycrank.transport.http1.server import Http1Server
+from bramleycrank.transport.http1.server_connection import Exchange
 
 __all__ = [
     "ConnectionListener",
--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -119,12 +119,12 @@
                 writer.close()
 
     async def report(
-        self, service: str, target_id: str, port: int, sequence: int, zone: str = "x"
+        self, service: str, target_id: str, address: str, sequence: int, zone: str = "x"
     ) -> None:
-        """Send a liveness report of a target on loopback to a voter, to each in turn."""
+        """Send a liveness report of a target to a voter, to each in turn."""
         body = {
             "Service": service,
-            "Address": f"127.0.0.1:{port}",
+            "Address": address,
             "Zone": zone,
             "Slots": 4,
             "State": "ready",
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -105,7 +105,7 @@
             target.proxy.set(mode, self._rng.uniform(0.02, 0.3))
             event = self._note(f"proxy {mode.value}", target.target_id)
         elif kind == "cut":
-            target.proxy.cut()
+            target.proxy.reset()
             event = self._note("connections reset", target.target_id)
         else:
             target.reporting = False
--- a/soak/run.py
+++ b/soak/run.py
@@ -82,7 +82,7 @@
             for process in self._fleet.processes:
                 process.reap()
             for target in self._targets:
-                target.stop()
+                await target.stop()
         evidence = checks.Evidence(self._outcomes, self._ledger, injector.events, self._tops)
         found = [*self._found, *injector.problems, *checks.violations(evidence)]
         result = report.build(self._seed, began, self._outcomes, injector.events, found)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -68,6 +68,7 @@
         self.fault = Fault.NONE
         self.reporting = True
         self.proxy: Proxy | None = None
+        self._address = ""
         self._ledger = ledger
         self._rng = rng
         self._count = itertools.count(1)
@@ -77,19 +78,18 @@
         """Listen, directly and behind the proxy."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.proxy = Proxy(self._server.sockets[0].getsockname()[1])
-        await self.proxy.start()
+        self._address = await self.proxy.start()
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """Stop listening."""
-        self.proxy.stop()
+        await self.proxy.close()
         self._server.close()
 
     async def report(self, fleet: Fleet) -> None:
         """Send liveness reports to the voters in turn, until cancelled."""
         for sequence in itertools.count(1):
             if self.reporting:
-                port = self.proxy.port
-                await fleet.report(self.service, self.target_id, port, sequence, self.zone)
+                await fleet.report(self.service, self.target_id, self._address, sequence, self.zone)
             await asyncio.sleep(REPORT_S)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -41,7 +41,7 @@
 async def report(fleet: Fleet, name: str, port: int) -> None:
     """Send liveness reports of a target to any voter, as targets do."""
     for sequence in range(1, 1000):
-        await fleet.report(name, f"t-{name}", port, sequence)
+        await fleet.report(name, f"t-{name}", f"127.0.0.1:{port}", sequence)
         await asyncio.sleep(0.3)
 
 
