Bound what peers may send without end

Cause: a response was bounded by its body only, so an endless head, trailers, interim responses or status line took memory until the VM was killed, and a header value without end cost time that grew with its square. Parts of 8 MiB from 42 shards were kept until the merge. Requests had no bound for trailers, chunk extensions and the method.

Change: bytes are counted as they come, before the parser; what is not body counts as framing and is bounded for each message (64 KiB from a target, two heads from a caller). Parts are cut to the records that can be in the answer. Trailers no longer join the headers.

Ruled out: a bound for each connection alone; 4,000 connections of 64 KiB are more than a VM has.

--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -77,6 +77,8 @@
         Returns whether callers should connect to another VM.
     link_bytes_per_s : float, optional
         Bandwidth of this VM's link; 0 if unknown.
+    memory_bytes : int, optional
+        Memory limit of this VM; 0 if unknown.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
         rng: random.Random,
         is_cut_off: Callable[[], bool] = lambda: False,
         link_bytes_per_s: float = 0.0,
+        memory_bytes: int = 0,
     ) -> None:
         self._is_cut_off = is_cut_off
         self._loop = asyncio.get_running_loop()
@@ -99,7 +102,7 @@
         self._metrics = metrics
         self._requests = RequestLog(log, self._clock)
         self._index: RouteIndex | None = None
-        self._targets = EntryTargets(domain, targets, extra, metrics, rng, self._wake)
+        self._targets = EntryTargets(domain, targets, extra, metrics, rng, self._wake, memory_bytes)
         self._calls: set[Call] = set()
         self._waiting: dict[str, list[Call]] = defaultdict(list)
         self._sub_ids = itertools.count(1)
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -16,7 +16,7 @@
 from bramleycrank.routing import RouteIndex
 from bramleycrank.scatter.budget import ExtraConfig
 from bramleycrank.scatter.policy import TargetPolicy
-from bramleycrank.transport.http1 import TargetConnection
+from bramleycrank.transport.http1 import IntakeBudget, TargetConnection
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +60,8 @@
         Source of random choices.
     wake : callable
         Called with a service whose targets may have room or have changed.
+    memory_bytes : int, optional
+        Memory limit of this VM, of which responses may use a part; 0 if unknown.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         metrics: Metrics,
         rng: random.Random,
         wake: Callable[[str], None],
+        memory_bytes: int = 0,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
@@ -81,6 +84,7 @@
         self._vm_count = 1
         self.pool = HttpPool(self._connect, self._share, self._on_room, self._on_down, self._clock)
         self.policy = TargetPolicy(domain, extra, self.pool.has_room, lambda: self._vm_count, rng)
+        self._intake: IntakeBudget[TargetConnection] = IntakeBudget.from_memory(memory_bytes)
         self._services_of: dict[str, str] = {}
         self._served: set[str] = set()
         self._opening: set[asyncio.Task[Any]] = set()
@@ -123,6 +127,7 @@
             "policy": self.policy.dump(now),
             "connections": self.pool.dump(),
             "opened": self.pool.opened,
+            "held_bytes": self._intake.held_bytes,
         }
 
     def _on_target(self, record: TargetRecord) -> None:
@@ -158,7 +163,7 @@
         return self._budget.share(limit, self._clock())
 
     def _connect(self, host: str, port: int, pool: HttpPool) -> TargetConnection:
-        conn = TargetConnection(pool)
+        conn = TargetConnection(pool, self._intake)
         task = self._loop.create_task(self._open(conn, host, port))
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -24,7 +24,8 @@
 from bramleycrank.routing import Limits
 from bramleycrank.scatter.budget import ExtraConfig
 from bramleycrank.settings import Address, Settings
-from bramleycrank.transport.http1 import Exchange, Http1Server
+from bramleycrank.transport.http1 import Exchange, Http1Server, IntakeBudget
+from bramleycrank.transport.http1.server_connection import ServerConnection
 from bramleycrank.transport.peer_service import PeerService
 
 log = logging.getLogger(__name__)
@@ -75,6 +76,8 @@
         Bound for extra sub-requests.
     link_bytes_per_s : float
         Bandwidth of the VM's link; 0 if unknown.
+    memory_bytes : int
+        Memory limit of the process; 0 if unknown.
     voting : VotingConfig
         How the voters are found.
     """
@@ -87,6 +90,7 @@
     metrics: Address | None = None
     extra: ExtraConfig = attrs.field(factory=ExtraConfig)
     link_bytes_per_s: float = 0.0
+    memory_bytes: int = 0
     voting: VotingConfig = attrs.field(factory=VotingConfig)
 
 
@@ -227,18 +231,22 @@
             rng,
             self._is_cut_off,
             self._cfg.link_bytes_per_s,
+            self._cfg.memory_bytes,
         )
         await entry.start()
-        self._callers = Http1Server(entry, entry.limits)
+        self._callers = Http1Server(entry, entry.limits, self._intake())
         self._servers.append(self._callers)
         await self._callers.start(address.host, address.port)
 
+    def _intake(self) -> IntakeBudget[ServerConnection]:
+        return IntakeBudget.from_memory(self._cfg.memory_bytes)
+
     async def _listen(
         self, address: Address | None, handler: Handler, limits: Limits | None = None
     ) -> None:
         if address is None:
             return
-        server = Http1Server(handler, lambda: limits or Limits())
+        server = Http1Server(handler, lambda: limits or Limits(), self._intake())
         self._servers.append(server)
         await server.start(address.host, address.port)
 
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -108,6 +108,7 @@
             slack=float(entries.get("Bounds.RetrySlack") or 0),
         ),
         link_bytes_per_s=float(entries.get("Limits.LinkMbps") or 0) * 1e6 / 8,
+        memory_bytes=int(entries.get("Limits.MemoryMb") or 0) * 1024 * 1024,
         voting=VotingConfig(bootstrap=entries.get("Bootstrap") == "true", seeds=seeds),
     )
 
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -10,6 +10,7 @@
 
 from bramleycrank.routing import Route
 from bramleycrank.scatter.delivery import ROUND_TRIP_S
+from bramleycrank.scatter.merge import trim_records
 from bramleycrank.scatter.policy import ScatterPolicy
 from bramleycrank.scatter.stream import LATEST_STREAM_SHARE, AnswerStream
 from bramleycrank.scatter.types import (
@@ -166,7 +167,9 @@
         self._policy.on_answer(self.route.name, sub.target_id, answer, now - sub.sent_at, now)
         if not self.route.gather:
             return self._give(Answer(answer), now)
-        shard.part = Part(shard.service, answer.receipt, answer.body)
+        # No more of a part can be in the answer, and parts wait in memory for the other shards.
+        body = trim_records(answer.body, self.route.top_records)
+        shard.part = Part(shard.service, answer.receipt, body)
         out = self._cancel(shard, True, now)
         self._end(shard)
         self._stream.on_answer(now)
--- a/bramleycrank/scatter/merge.py
+++ b/bramleycrank/scatter/merge.py
@@ -27,5 +27,10 @@
     return b"".join(heapq.nlargest(count, records))
 
 
+def trim_records(part: bytes, count: int) -> bytes:
+    """Return what of a part can be among the `count` greatest records of all parts."""
+    return part if len(part) <= count * RECORD_BYTES else merge_records([part], count)
+
+
 def _whole(part: bytes) -> int:
     return len(part) - len(part) % RECORD_BYTES
--- a/bramleycrank/transport/http1/__init__.py
+++ b/bramleycrank/transport/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on plain asyncio transports with a C parser, for the paths of forwarded requests."""
 
 from bramleycrank.transport.http1.client import ConnectionListener, TargetConnection
+from bramleycrank.transport.http1.intake import IntakeBudget
 from bramleycrank.transport.http1.messages import Request, RequestTemplate, Response
 from bramleycrank.transport.http1.server import Http1Server
 from bramleycrank.transport.http1.server_connection import Exchange
@@ -9,6 +10,7 @@
     "ConnectionListener",
     "Exchange",
     "Http1Server",
+    "IntakeBudget",
     "Request",
     "RequestTemplate",
     "Response",
--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -3,16 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import re
 import socket
+import time
 from typing import Protocol
 
 import httptools
 
+from bramleycrank.observability.request_log import RequestLog
+from bramleycrank.transport.http1.intake import IntakeBudget, MessageMeter
 from bramleycrank.transport.http1.messages import Headers, Response, fields_of
 
+log = logging.getLogger(__name__)
+
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-"""Largest response that is taken from a target."""
+"""Largest body that is taken from a target."""
+
+MAX_FRAMING_BYTES = 64 * 1024
+"""Largest head, trailers and interim responses of one response; heads of servers stay below it."""
+
+MAX_HEADERS = 256
+"""Headers of one response; a short one takes many times its bytes in memory."""
 
 IDLE_SHARE = 0.8
 """Part of the target's stated idle time after which a connection is not used again."""
@@ -25,6 +37,8 @@
 
 _TIMEOUT = re.compile(rb"timeout=(\d+)")
 
+_refusals = RequestLog(log, time.monotonic)
+
 
 class ConnectionListener(Protocol):
     """Hears what happens on a connection."""
@@ -60,13 +74,19 @@
     ----------
     listener : ConnectionListener
         Hears of responses and of the end.
+    intake : IntakeBudget
+        Memory for unfinished responses, shared with other connections.
     """
 
-    def __init__(self, listener: ConnectionListener) -> None:
+    def __init__(
+        self, listener: ConnectionListener, intake: IntakeBudget[TargetConnection]
+    ) -> None:
         self.requests = 0
         self.closed = False
         self.idle_until: float | None = None
         self._listener = listener
+        self._intake = intake
+        self._meter = MessageMeter(MAX_FRAMING_BYTES)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
@@ -76,8 +96,8 @@
     def _reset(self) -> None:
         self._headers: Headers = []
         self._fields: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._meter.restart()
         self._head_done = False
         self._until_eof = False
         self._done = False
@@ -104,7 +124,7 @@
 
     def close(self) -> None:
         """Close at once; the listener hears only `on_closed`."""
-        self._parser = None
+        self._end_request()
         if self._transport is not None and not self.closed:
             self._transport.abort()
 
@@ -127,6 +147,7 @@
         if self._parser is None:
             self._transport.abort()
             return
+        self._meter.received += nbytes
         try:
             self._parser.feed_data(memoryview(_received)[:nbytes])
         except httptools.HttpParserUpgrade:
@@ -136,8 +157,17 @@
             self._garbled = True
         if self._done:
             self._finish()
-        elif self._garbled or self._size > MAX_RESPONSE_BYTES:
+        elif self._garbled:
             self._break(garbled=True)
+        elif len(self._headers) > MAX_HEADERS:
+            self._refuse("a response has too many headers", MAX_HEADERS)
+        elif self._meter.exceeded:
+            self._refuse("the head of a response is too large", MAX_FRAMING_BYTES)
+        elif self._meter.body > MAX_RESPONSE_BYTES:
+            self._refuse("the body of a response is too large", MAX_RESPONSE_BYTES)
+        else:
+            for conn in self._intake.take(self, nbytes):
+                conn.give_up()
 
     def eof_received(self) -> bool:
         """End a response without a length."""
@@ -152,7 +182,7 @@
             return
         self.closed = True
         if self._parser is not None:
-            self._parser = None
+            self._end_request()
             self._listener.on_broken(self, garbled=False)
         self._listener.on_closed(self)
 
@@ -165,7 +195,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
-        if not self._done:
+        if not self._done and len(self._headers) <= MAX_HEADERS:
             self._headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
@@ -187,8 +217,8 @@
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
         if not self._done:
-            self._body.append(body)
-            self._size += len(body)
+            self._body += body
+            self._meter.body += len(body)
 
     def on_message_complete(self) -> None:
         """End the response; an interim one is passed over."""
@@ -203,8 +233,8 @@
     # The end of a response.
 
     def _finish(self) -> None:
-        parser, self._parser = self._parser, None
-        body = b"".join(self._body)
+        parser = self._end_request()
+        body, self._body = bytes(self._body), bytearray()
         response = Response(parser.get_status_code(), self._headers, body, self._fields)
         # A request of which a part is still unsent would be followed by the next one's bytes.
         unsent = self._transport.get_write_buffer_size() > 0
@@ -220,7 +250,32 @@
         match = _TIMEOUT.search(stated) if stated else None
         return self._loop.time() + IDLE_SHARE * int(match[1]) if match else None
 
+    def give_up(self) -> None:
+        """End the request in progress, because the memory for responses is used up."""
+        self._refuse("the memory for responses is used up", self._intake.limit_bytes)
+
+    def _refuse(self, reason: str, bound: int) -> None:
+        _refusals.note(
+            reason,
+            b"",
+            time.monotonic(),
+            failed=True,
+            target=self._transport.get_extra_info("peername"),
+            received_bytes=self._meter.received,
+            body_bytes=self._meter.body,
+            headers=len(self._headers),
+            bound=bound,
+        )
+        self._break(garbled=True)
+
+    def _end_request(self) -> httptools.HttpResponseParser | None:
+        """Forget the request in progress; return its parser."""
+        parser, self._parser = self._parser, None
+        self._intake.release(self)
+        return parser
+
     def _break(self, *, garbled: bool) -> None:
-        self._parser = None
+        self._end_request()
         self._transport.abort()
+        self._body = bytearray()
         self._listener.on_broken(self, garbled=garbled)
--- a/bramleycrank/transport/http1/server.py
+++ b/bramleycrank/transport/http1/server.py
@@ -10,6 +10,7 @@
 
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.routing import Limits
+from bramleycrank.transport.http1.intake import IntakeBudget
 from bramleycrank.transport.http1.server_connection import Handler, ServerConnection
 
 log = logging.getLogger(__name__)
@@ -27,11 +28,19 @@
         Answers the requests.
     limits : callable
         Returns the limits in force.
+    intake : IntakeBudget, optional
+        Memory for the requests of all connections.
     """
 
-    def __init__(self, handler: Handler, limits: Callable[[], Limits] = Limits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits] = Limits,
+        intake: IntakeBudget[ServerConnection] | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.intake = intake or IntakeBudget()
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self.refusals = RequestLog(log, time.monotonic)
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -10,10 +10,12 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import attrs
 import httptools
 
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.routing import Limits
+from bramleycrank.transport.http1.intake import IntakeBudget, MessageMeter
 from bramleycrank.transport.http1.messages import Headers, Request, encode_response
 
 log = logging.getLogger(__name__)
@@ -25,6 +27,12 @@
 _RTT_OFFSET = 68  # tcpi_rtt in struct tcp_info, in microseconds
 _TCP_INFO_BYTES = _RTT_OFFSET + _RTT.size
 
+FRAMING_HEADS = 2
+"""Largest framing of a request, in heads: trailers may be as large as the head."""
+
+BUSY_RETRY_S = 1
+"""When a caller should come back to a VM whose memory for requests is used up, in seconds."""
+
 WRITE_STALL_S = 10.0
 """Time after which a caller that does not read its response is disconnected, in seconds."""
 
@@ -44,6 +52,7 @@
     draining: bool
     connections: set[ServerConnection]
     refusals: RequestLog
+    intake: IntakeBudget[ServerConnection]
 
 
 class Exchange:
@@ -57,12 +66,17 @@
         The connection that it came on.
     arrived : float
         Time of the loop at which the request was complete, in seconds.
+    size : int
+        Bytes of head and body.
     """
 
-    __slots__ = ("_connection", "arrived", "on_gone", "request")
+    __slots__ = ("_connection", "arrived", "on_gone", "request", "size")
 
-    def __init__(self, request: Request, connection: ServerConnection, arrived: float) -> None:
+    def __init__(
+        self, request: Request, connection: ServerConnection, arrived: float, size: int
+    ) -> None:
         self.request = request
+        self.size = size
         self.arrived = arrived
         self.on_gone: Callable[[], None] | None = None
         self._connection = connection
@@ -104,6 +118,8 @@
         self._waiting: deque[tuple[Exchange, bool]] = deque()
         self._current: Exchange | None = None
         self._keep_alive = True
+        self._meter = MessageMeter(0)
+        self._completed = False  # a request ended among the bytes that are being parsed
         self._ending = False  # a response with "Connection: close" was written or is due
         self._problem: tuple[int, str] | None = None
         self._begin()
@@ -148,6 +164,8 @@
             return  # What follows the last request of a connection is not read.
         if self._started is None:
             self._started = self._loop.time()
+        self._completed = False
+        self._meter.received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -155,10 +173,17 @@
         except httptools.HttpParserError as exc:
             if self._problem is None:
                 self._fail(400, f"malformed request: {exc}")
-        if not self._in_body and self._head_bytes > self._server.limits().header_bytes:
-            self._fail(431, "the head of the request is too large")
+        self._check_framing()
         self._end_after_problem()
 
+    def _check_framing(self) -> None:
+        header_bytes = self._server.limits().header_bytes
+        if self._completed:
+            self._meter.restart()  # which of the bytes belong to the next request is unknown
+        self._meter.framing_bytes = FRAMING_HEADS * header_bytes
+        if self._meter.exceeded or (not self._in_body and self._head_bytes > header_bytes):
+            self._fail(431, "the head, the trailers or the chunk sizes are too large")
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -172,7 +197,9 @@
         self._head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
+        """Take a header; trailers are read past."""
+        if self._in_body:
+            return
         self._headers.append((name, value or b""))
         self._head_bytes += len(name) + len(value or b"") + 4
 
@@ -183,6 +210,7 @@
         if self._head_bytes > limits.header_bytes:
             self._fail(431, "the head of the request is too large")
             return
+        self._hold(self._head_bytes)
         lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
         if lengths and lengths[0].isdigit() and int(lengths[0]) > limits.body_bytes:
             self._fail(413, "the body is too large")
@@ -193,17 +221,22 @@
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
+        if self._problem is not None:
+            return
         self._body_bytes += len(body)
         if self._body_bytes > self._server.limits().body_bytes:
             self._fail(413, "the body is too large")
         else:
+            self._meter.body += len(body)
             self._body.append(body)
+            self._hold(len(body))
 
     def on_message_complete(self) -> None:
         """Queue the request."""
         if self._problem is not None or self._ending:
             return
         self._started = None
+        self._completed = True
         hosts = [value for name, value in self._headers if name.lower() == b"host"]
         target, host = _split_target(self._url, hosts[0] if hosts else b"")
         if len(hosts) > 1 or not host:
@@ -213,11 +246,22 @@
             self._parser.get_method(), target, host, self._headers, b"".join(self._body)
         )
         keep_alive = self._parser.should_keep_alive()
-        self._waiting.append((Exchange(request, self, self._loop.time()), keep_alive))
+        size = self._head_bytes + self._body_bytes
+        self._waiting.append((Exchange(request, self, self._loop.time(), size), keep_alive))
         if len(self._waiting) > MAX_PIPELINED:
             self._transport.pause_reading()
         self._next()
 
+    def _hold(self, count: int) -> None:
+        for conn in self._server.intake.take(self, count):
+            conn.give_up()
+
+    def give_up(self) -> None:
+        """Refuse the request that is being read, because the memory for requests is used up."""
+        self._fail(503, "the memory for requests is used up")
+        self._body = []
+        self._loop.call_soon(self._end_after_problem)
+
     # Requests and responses.
 
     def _next(self) -> None:
@@ -241,6 +285,7 @@
         if self.closed or self._current is not exchange:
             return
         self._current = None
+        self._server.intake.release(self, exchange.size)
         close = close or not self._keep_alive or self._server.draining
         head = exchange.request.method == b"HEAD"
         self._write(encode_response(status, headers, body, close=close, head=head))
@@ -265,12 +310,21 @@
             return
         status, reason = self._problem
         now = self._loop.time()
-        self._server.refusals.note(reason, b"", now, failed=True, status=status)
-        self._write(
-            encode_response(
-                status, [(b"Content-Type", b"text/plain")], reason.encode(), close=True, head=False
-            )
+        self._server.refusals.note(
+            reason,
+            b"",
+            now,
+            failed=True,
+            status=status,
+            framing_bytes=self._meter.framing,
+            body_bytes=self._body_bytes,
+            held_bytes=self._server.intake.held_bytes,
+            bounds=attrs.asdict(self._server.limits()),
         )
+        headers = [(b"Content-Type", b"text/plain")]
+        if status == 503:
+            headers.append((b"Retry-After", b"%d" % BUSY_RETRY_S))
+        self._write(encode_response(status, headers, reason.encode(), close=True, head=False))
         self._end()
 
     def _write(self, data: bytes) -> None:
@@ -279,6 +333,7 @@
 
     def _end(self) -> None:
         self._ending = True
+        self._server.intake.release(self)
         self._waiting.clear()
         if self._transport is not None:
             self._transport.close()
@@ -288,6 +343,7 @@
             return
         self.closed = True
         self._server.connections.discard(self)
+        self._server.intake.release(self)
         self._waiting.clear()
         exchange, self._current = self._current, None
         if exchange is not None and exchange.on_gone is not None:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -14,6 +14,8 @@
 from soak.proxy import Proxy
 
 RECORD_BYTES, RECORDS = 16, 5
+ENDLESS_START = b"HTTP/1.1 200 OK\r\n"
+ENDLESS_PIECES = [b"x" * 65536, b"x: y\r\n" * 10000, b"\r\n" + b"x" * 65536]
 REPORT_S = 0.4
 """Time between two liveness reports of a target, in seconds; `HeartbeatMs` of the fleet."""
 
@@ -37,6 +39,7 @@
     ERRORS = "errors"
     LOSES = "loses"  # it runs the request, and the answer is lost
     GARBLES = "garbles"
+    ENDLESS = "endless"  # it sends a head, headers or a body until the connection is closed
 
 
 class Ledger:
@@ -130,6 +133,12 @@
         if fault is Fault.GARBLES and self._rng.random() < 0.3:
             writer.write(self._rng.randbytes(40))
             return False
+        if fault is Fault.ENDLESS and self._rng.random() < 0.3:
+            writer.write(ENDLESS_START)
+            piece = self._rng.choice(ENDLESS_PIECES)
+            while True:
+                writer.write(piece)
+                await writer.drain()
         receipt = f"{self.target_id}.{next(self._count)}"
         self._ledger.receipts[receipt] = (self.service, request_id)
         headers = [b"X-Server-Stamp: " + receipt.encode()]
--- a/tests/http_fakes.py
+++ b/tests/http_fakes.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 
 class FakeTarget:
-    """Answers each request by a script, which returns raw bytes; None closes the connection."""
+    """Answers each request by a script.
 
-    def __init__(self, script: Callable[[bytes], bytes | None]) -> None:
+    The script returns raw bytes, or pieces that may go on without end; None closes the connection.
+    """
+
+    def __init__(self, script: Callable[[bytes], bytes | Iterable[bytes] | None]) -> None:
         self.script = script
+        self.sent = 0
         self.requests: list[bytes] = []
         self.connections = 0
         self.closed = 0
@@ -42,7 +46,10 @@
                     await asyncio.sleep(self.delay_s)
                 if reply is None:
                     return
-                writer.write(reply)
+                for piece in [reply] if isinstance(reply, bytes) else reply:
+                    writer.write(piece)
+                    await writer.drain()
+                    self.sent += len(piece)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
