Count traffic by purpose and by whether it crosses a border

Bytes between failure domains are most of the price on large fleets, and nothing told what they are for. The counters stand on the metrics address, in the dump and every 10 s in the log.

--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -31,6 +31,7 @@
     StorageError,
 )
 from bramleycrank.observability.metrics import Metrics, NullMetrics
+from bramleycrank.observability.traffic import Traffic
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.state import ReplicatedState
 from bramleycrank.transport.peer_client import PeerClients
@@ -53,6 +54,8 @@
         Source of all randomness.
     metrics : Metrics, optional
         Receiver of metrics.
+    traffic : Traffic, optional
+        Counts the messages to other voters.
     """
 
     def __init__(
@@ -62,12 +65,19 @@
         clients: PeerClients,
         rng: random.Random,
         metrics: Metrics | None = None,
+        traffic: Traffic | None = None,
     ) -> None:
         self._metrics = metrics or NullMetrics()
         self.identity = identity
         self._directory = directory
         self._host = LogHost(
-            identity, self.address_of, rng, self._metrics, self, on_reopened=self._notify
+            identity,
+            self.address_of,
+            rng,
+            self._metrics,
+            self,
+            on_reopened=self._notify,
+            traffic=traffic,
         )
         self._callbacks: list[Callable[[], None]] = []
         self._floors = ClaimFloors(self)
--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -16,6 +16,7 @@
 from bramleycrank.exceptions import StorageError
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.observability.metrics import Metrics
+from bramleycrank.observability.traffic import Traffic
 from bramleycrank.proto import peer_pb2
 from bramleycrank.settings import Settings
 from bramleycrank.storage import ConfigCache
@@ -64,7 +65,8 @@
         control_only : bool, optional
             Whether the VM sends nothing to targets.
         """
-        clients = PeerClients()
+        traffic = Traffic(metrics)
+        clients = PeerClients(traffic)
         seeds = [str(seed) for seed in cfg.peers.seeds]
         membership = MembershipController(
             membership_cfg or _membership_config(cfg),
@@ -73,9 +75,10 @@
             clients,
             rng=rng,
         )
+        traffic.is_far = membership.is_far
         directory = PeerDirectory(membership, seeds, clients)
         consensus = ConsensusController(
-            _identity(cfg, replace_damaged), directory, clients, rng, metrics
+            _identity(cfg, replace_damaged), directory, clients, rng, metrics, traffic
         )
         config = ConfigController(cfg.config, consensus, directory, clients, _cache(cfg), rng)
         directory.leader_address = config.leader_address
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -17,6 +17,7 @@
 from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, TargetMeta
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
+from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
 from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.routing import Limits, RouteIndex
 from bramleycrank.scatter import (
@@ -33,6 +34,7 @@
 from bramleycrank.scatter.budget import ExtraConfig
 from bramleycrank.scatter.delivery import DeliveryEstimate
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
+from bramleycrank.transport.http1.messages import size_of
 
 log = logging.getLogger(__name__)
 
@@ -79,6 +81,8 @@
         Bandwidth of this VM's link; 0 if unknown.
     memory_bytes : int, optional
         Memory limit of this VM; 0 if unknown.
+    traffic : Traffic, optional
+        Counts the sub-requests.
     """
 
     def __init__(
@@ -93,6 +97,7 @@
         is_cut_off: Callable[[], bool] = lambda: False,
         link_bytes_per_s: float = 0.0,
         memory_bytes: int = 0,
+        traffic: Traffic | None = None,
     ) -> None:
         self._is_cut_off = is_cut_off
         self._loop = asyncio.get_running_loop()
@@ -107,6 +112,7 @@
         self._waiting: dict[str, list[Call]] = defaultdict(list)
         self._sub_ids = itertools.count(1)
         self._delivery = DeliveryEstimate(link_bytes_per_s)
+        self._traffic = traffic or Traffic()
 
     async def start(self) -> None:
         """Follow the routes and the targets."""
@@ -254,7 +260,10 @@
 
         def encode() -> bytes:
             left_s = action.deadline - self._clock()
-            return call.template.encode(self._dialect.target_headers(action.target_id, left_s))
+            data = call.template.encode(self._dialect.target_headers(action.target_id, left_s))
+            far = self._targets.is_far(action.target_id)
+            self._traffic.note("sub_requests", far, len(data) + SEGMENT_BYTES)
+            return data
 
         sub = PoolSub(
             action.sub_id,
@@ -274,6 +283,8 @@
     def on_response(self, call: Call, sub: PoolSub, response: Response) -> bool:
         """Take a response; return whether it belongs to the request."""
         call.subs.pop(sub.sub_id, None)
+        far = self._targets.is_far(sub.target_id)
+        self._traffic.note("sub_requests", far, response.size, calls=0)
         meta = self._dialect.target_meta(response)
         execution, now = call.execution, self._clock()
         stray = bool(meta.request_id) and meta.request_id != call.meta.request_id
@@ -330,7 +341,7 @@
         # An open connection would bring the caller's next request here again.
         close = isinstance(action, Refusal) and self._is_cut_off()
         call.exchange.respond(status, headers, body, close=close)
-        self._delivery.on_answer(route, len(body) + sum(len(n) + len(v) for n, v in headers))
+        self._delivery.on_answer(route, len(body) + size_of(headers))
         now = self._clock()
         latency_s = now - call.exchange.arrived
         self._metrics.incr(f"entry.answers.{status}")
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -87,6 +87,8 @@
         self._intake: IntakeBudget[TargetConnection] = IntakeBudget.from_memory(memory_bytes)
         self._services_of: dict[str, str] = {}
         self._served: set[str] = set()
+        self._domain = domain
+        self._far: set[str] = set()  # targets of other failure domains
         self._opening: set[asyncio.Task[Any]] = set()
         self._task: asyncio.Task[None] | None = None
 
@@ -130,6 +132,10 @@
             "held_bytes": self._intake.held_bytes,
         }
 
+    def is_far(self, target_id: str) -> bool:
+        """Return whether a target is in another failure domain."""
+        return target_id in self._far
+
     def _on_target(self, record: TargetRecord) -> None:
         service = record.service or self._services_of.get(record.target_id, "")
         previous = self._services_of.get(record.target_id)
@@ -146,9 +152,12 @@
         gone = [i for i, name in self._services_of.items() if name == service and i not in current]
         for target_id in gone:
             del self._services_of[target_id]
+            self._far.discard(target_id)
             self.pool.remove(target_id)
         for record in records:
             self._services_of[record.target_id] = service
+            if record.domain != self._domain:
+                self._far.add(record.target_id)
             self.pool.update(
                 record.target_id, record.host, record.port, limit or DEFAULT_CONNECTIONS
             )
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -21,6 +21,7 @@
 from bramleycrank.daemon.voter_keeper import VoterKeeper, VotingConfig
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.observability.metrics import Metrics
+from bramleycrank.observability.traffic import Traffic
 from bramleycrank.routing import Limits
 from bramleycrank.scatter.budget import ExtraConfig
 from bramleycrank.settings import Address, Settings
@@ -39,6 +40,9 @@
 POLL_S = 0.02
 """Time between two looks while the life cycle waits, in seconds."""
 
+TRAFFIC_LOG_S = 10.0
+"""Time between two log lines with the traffic by purpose, in seconds."""
+
 JOIN_TARGETS_S = 1.5
 """How long a VM that has its routes waits for targets before it is ready, in seconds."""
 
@@ -155,6 +159,7 @@
             "voters": self._keeper and self._keeper.dump(),
             "config": parts and parts.config.dump(),
             "membership": parts and parts.membership.dump(),
+            "traffic": parts and parts.clients.traffic.dump(),
             "entry": self._entry and self._entry.dump(),
             "callers": self._callers and self._callers.dump(),
         }
@@ -218,8 +223,15 @@
             handler = Handler(self._on_control)
             await self._listen(cfg.control, handler, CONTROL_LIMITS)
         self._in_gossip = True
+        self._spawn(self._log_traffic(parts.clients.traffic))
         await parts.membership.start()
 
+    @staticmethod
+    async def _log_traffic(traffic: Traffic) -> None:
+        while True:
+            await asyncio.sleep(TRAFFIC_LOG_S)
+            log.info("traffic: calls and bytes since the start", extra={"traffic": traffic.dump()})
+
     async def _start_entry(self, parts: ControlParts, rng: random.Random, address: Address) -> None:
         entry = self._entry = EntryController(
             self._cfg.base.vm.domain,
@@ -232,6 +244,7 @@
             self._is_cut_off,
             self._cfg.link_bytes_per_s,
             self._cfg.memory_bytes,
+            parts.clients.traffic,
         )
         await entry.start()
         self._callers = Http1Server(entry, entry.limits, self._intake())
@@ -314,6 +327,9 @@
         exchange.respond(200, [content_type], self._render_metrics())
 
     def _on_control(self, exchange: Exchange) -> None:
-        task = asyncio.ensure_future(self._adapter.control(exchange, self._control))
+        self._spawn(self._adapter.control(exchange, self._control))
+
+    def _spawn(self, coro: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/bramleycrank/daemon/log_host.py
+++ b/bramleycrank/daemon/log_host.py
@@ -12,6 +12,7 @@
 from bramleycrank.daemon.raft_runner import Listener, RaftRunner
 from bramleycrank.exceptions import CorruptLog, StorageError
 from bramleycrank.observability.metrics import Metrics
+from bramleycrank.observability.traffic import Traffic
 from bramleycrank.state import ReplicatedState
 from bramleycrank.storage import LogStore
 from bramleycrank.transport.consensus_links import ConsensusLinks
@@ -39,6 +40,8 @@
         Hears of applied entries and changed roles.
     on_reopened : callable
         Called when the log was opened again.
+    traffic : Traffic or None
+        Counts the messages to other voters.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         metrics: Metrics,
         listener: Listener,
         on_reopened: Callable[[], None],
+        traffic: Traffic | None,
     ) -> None:
         self._identity = identity
         self._address_of = address_of
@@ -56,6 +60,7 @@
         self._metrics = metrics
         self._listener = listener
         self._on_reopened = on_reopened
+        self._traffic = traffic
         self._store: LogStore | None = None
         self._links: ConsensusLinks | None = None
         self._reopen_task: asyncio.Task[None] | None = None
@@ -127,7 +132,7 @@
         durable = store.load()
         snapshot = durable.snapshot
         now = asyncio.get_running_loop().time()
-        self._links = ConsensusLinks(self._address_of)
+        self._links = ConsensusLinks(self._address_of, self._traffic)
         self.runner = RaftRunner(
             RaftNode.from_config(RaftConfig(self.node_id), durable, self._rng, now),
             store,
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -186,6 +186,10 @@
         known = self.registry.get(target_id)
         return known.incarnation if known is not None else None
 
+    def is_far(self, address: str) -> bool:
+        """Return whether a VM is in another failure domain; one that is unknown counts as near."""
+        return self.core.domain_of(address) not in ("", self.core.local.domain)
+
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target may get new work."""
         return self.registry.is_usable(target_id)
@@ -353,7 +357,11 @@
         sent_at = self._clock()
         try:
             reply = await self._clients.call(
-                action.address, method, action.request, timeout_s=action.timeout_s
+                action.address,
+                method,
+                action.request,
+                timeout_s=action.timeout_s,
+                purpose=action.purpose,
             )
         except BramleycrankError as exc:
             log.debug("membership: no answer to %s from %s: %s", method, action.address, exc)
--- a/bramleycrank/membership/pusher.py
+++ b/bramleycrank/membership/pusher.py
@@ -194,7 +194,8 @@
         gossip = Gossip(sender=self._view.vms.local, targets=box.sent.values())
         address = address_of(self._view.vms.get(box.vm_id))
         timeout_s = self._view.cfg.probe_timeout_s
-        return [SendProbe(box.open_id, address, ProbeRequest(gossip=gossip), timeout_s)]
+        request = ProbeRequest(gossip=gossip)
+        return [SendProbe(box.open_id, address, request, timeout_s, purpose="pushes")]
 
     def _note(self, box: _Outbox) -> None:
         if box.waits():
--- a/bramleycrank/membership/types.py
+++ b/bramleycrank/membership/types.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
+from typing import ClassVar, TypeAlias
 
 import attrs
 
@@ -81,12 +81,15 @@
     address: str
     request: peer_pb2.ProbeRequest
     timeout_s: float
+    purpose: str = "probes"
 
 
 @attrs.frozen
 class RelayProbe:
     """Probe a VM on behalf of another one; answer with `on_relay_reply` if it succeeds."""
 
+    purpose: ClassVar[str] = "probes"
+
     address: str
     request: peer_pb2.ProbeRequest
     timeout_s: float
@@ -96,6 +99,8 @@
 class SendSync:
     """Send one round of an exchange; answer with `on_sync_reply` or `on_sync_failed`."""
 
+    purpose: ClassVar[str] = "exchanges"
+
     sync_id: int
     address: str
     request: peer_pb2.SyncRequest
--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -198,6 +198,10 @@
         """Return whether a VM that was to be told of a target has not acknowledged it yet."""
         return self._pusher.is_spreading(target_id)
 
+    def domain_of(self, address: str) -> str:
+        """Return the failure domain of a live VM, or an empty string."""
+        return self._view.vms.domain_of(address)
+
     def drain(self, now: float) -> list[Action]:
         """Mark this VM as draining."""
         if self.local.state in (VM_STATE_DRAINING, VM_STATE_LEFT):
--- a/bramleycrank/membership/vm_table.py
+++ b/bramleycrank/membership/vm_table.py
@@ -46,7 +46,7 @@
         self._former: dict[str, str] = {}
         # Both are read for each message; they are built again after a change only.
         self._live: list[VmRecord] | None = None
-        self._live_addresses: set[str] = set()
+        self._domains: dict[str, str] = {}  # by the addresses of live VMs
 
     @property
     def local(self) -> VmRecord:
@@ -69,13 +69,18 @@
         """Return the records that are alive, draining or suspect, this VM's included."""
         if self._live is None:
             self._live = [rec for rec in self._records.values() if rec.state in LIVE_STATES]
-            self._live_addresses = {address_of(rec) for rec in self._live}
+            self._domains = {address_of(rec): rec.domain for rec in self._live}
         return self._live
 
     def peers(self) -> list[VmRecord]:
         """Return the live records of the other VMs."""
         return [rec for rec in self.live() if rec.vm_id != self.local_id]
 
+    def domain_of(self, address: str) -> str:
+        """Return the failure domain of a live VM, or an empty string."""
+        self.live()
+        return self._domains.get(address, "")
+
     def budget_count(self, now: float, domain: str | None = None) -> int:
         """Return how many VMs share the connections and budgets of targets."""
         return sum(
@@ -166,7 +171,7 @@
         gone = (self._records[vm_id] for vm_id in self._gone_at)
         found = dict.fromkeys([*self._former, *seeds], "")
         found.update({address_of(r): r.vm_id for r in gone if r.state == VM_STATE_DEAD})
-        return {a: vm_id for a, vm_id in found.items() if a not in self._live_addresses}
+        return {a: vm_id for a, vm_id in found.items() if a not in self._domains}
 
     def entries(self, now: float, *, held: bool = False) -> Iterator[tuple[str, int, Key]]:
         """Yield id, state and key of the records that take part in anti-entropy.
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -94,6 +94,18 @@
         "connections",
         "Attempts to open a connection to an HTTP target.",
     ),
+    _counter(
+        "traffic.calls.PURPOSE",
+        "calls",
+        "Calls to other VMs and sub-requests to targets that this VM started, by purpose, and by "
+        "whether the other side is in another failure domain: `probes.near`, `pushes.far` and so "
+        "on. `connect` counts new connections to VMs.",
+    ),
+    _counter(
+        "traffic.bytes.PURPOSE",
+        "bytes",
+        "Bytes of these calls both ways, with an estimate for framing and TCP segments.",
+    ),
     _gauge("config.revision", "revision", "Configuration revision in force."),
     _gauge("config.stale", "ms", "Age of the last confirmation by the leader; 0 while current."),
     _gauge("membership.vms", "VMs", "VMs known as alive."),
--- /dev/null
+++ b/bramleycrank/observability/traffic.py
@@ -0,0 +1,61 @@
+"""Messages and bytes by purpose, and by whether they cross a border between failure domains."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+from bramleycrank.observability.metrics import Metrics, NullMetrics
+
+CALL_BYTES = 230
+"""Bytes of a call between VMs beside its messages: HTTP/2 frames, headers, four TCP segments."""
+
+CONNECT_BYTES = 600
+"""Bytes for a connection between VMs: TCP handshake, HTTP/2 settings, headers sent in full."""
+
+SEGMENT_BYTES = 4 * 40
+"""Bytes of IP and TCP headers for a request and its response."""
+
+
+class Traffic:
+    """Counts calls to other VMs and targets on the side that starts them.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Receiver of the counters.
+    """
+
+    def __init__(self, metrics: Metrics | None = None) -> None:
+        self.is_far: Callable[[str], bool] = lambda address: False
+        self._metrics = metrics or NullMetrics()
+        self._calls: Counter[str] = Counter()
+        self._bytes: Counter[str] = Counter()
+
+    def note_call(self, purpose: str, address: str, size: int) -> None:
+        """Count a call to another VM by its address and the bytes of both messages."""
+        self.note(purpose, self.is_far(address), size + CALL_BYTES)
+
+    def note(self, purpose: str, far: bool, size: int, *, calls: int = 1) -> None:
+        """Count bytes on the wire.
+
+        Parameters
+        ----------
+        purpose : str
+            What the call is for.
+        far : bool
+            Whether the other side is in another failure domain.
+        size : int
+            Bytes both ways.
+        calls : int, optional
+            0 for a part of a call that is counted apart.
+        """
+        name = f"{purpose}.{'far' if far else 'near'}"
+        self._calls[name] += calls
+        self._bytes[name] += size
+        self._metrics.incr(f"traffic.calls.{name}", calls)
+        self._metrics.incr(f"traffic.bytes.{name}", size)
+
+    def dump(self) -> dict[str, list[int]]:
+        """Return calls and bytes for each purpose, by whether they cross a border."""
+        return {name: [self._calls[name], self._bytes[name]] for name in sorted(self._bytes)}
--- a/bramleycrank/transport/consensus_links.py
+++ b/bramleycrank/transport/consensus_links.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from bramleycrank.observability.traffic import Traffic
 from bramleycrank.proto import log_pb2
 from bramleycrank.transport.peer_client import PeerClients
 
@@ -148,12 +149,14 @@
     ----------
     address_of : AddressBook
         Finds the address of a node.
+    traffic : Traffic, optional
+        Counts the messages.
     """
 
-    def __init__(self, address_of: AddressBook) -> None:
+    def __init__(self, address_of: AddressBook, traffic: Traffic | None = None) -> None:
         self._address_of = address_of
         # A large snapshot or a burst of other calls must not delay heartbeats.
-        self._clients = PeerClients()
+        self._clients = PeerClients(traffic)
         self._links: dict[str, ConsensusLink] = {}
 
     def send(self, message: log_pb2.ConsensusMessage) -> None:
--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -39,6 +39,11 @@
     return {name.lower(): value for name, value in headers}
 
 
+def size_of(headers: Headers) -> int:
+    """Return the bytes of headers without their separators."""
+    return sum(len(name) + len(value) for name, value in headers)
+
+
 def end_to_end(headers: Headers, dropped: frozenset[bytes] = frozenset()) -> Headers:
     """Return the headers that travel on: without those of the connection and `dropped` ones."""
     named = find_header(headers, b"connection")
@@ -101,6 +106,11 @@
         default=attrs.Factory(lambda self: fields_of(self.headers), takes_self=True)
     )
 
+    @property
+    def size(self) -> int:
+        """Bytes of headers and body."""
+        return size_of(self.headers) + len(self.body)
+
 
 class RequestTemplate:
     """A request of which copies that differ in a few headers are sent.
--- a/bramleycrank/transport/peer_client.py
+++ b/bramleycrank/transport/peer_client.py
@@ -9,12 +9,16 @@
 from grpclib.client import Channel
 
 from bramleycrank.exceptions import Outcome, PeerUnreachable
+from bramleycrank.observability.traffic import CONNECT_BYTES, Traffic
 from bramleycrank.proto.operator_grpc import OperatorStub
 from bramleycrank.proto.peer_grpc import PeerStub
 from bramleycrank.transport.grpc_errors import call
 
 DEFAULT_TIMEOUT_S = 5.0
 
+PURPOSES = {"Consensus": "log", "FetchConfig": "tables", "Probe": "tables", "Sync": "exchanges"}
+"""What the methods of the `Peer` service are counted for; membership names its probes itself."""
+
 
 @attrs.define(eq=False)
 class _Link:
@@ -55,9 +59,15 @@
     grpclib reconnects by itself after a connection was closed. A connection that went silent is
     replaced here: when a call gets no answer in time and no data arrived since it was sent, the
     next call opens a new connection, and the old one is closed when its last call ends.
+
+    Parameters
+    ----------
+    traffic : Traffic, optional
+        Counts the calls.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, traffic: Traffic | None = None) -> None:
+        self.traffic = traffic or Traffic()
         self._links: dict[str, _Link] = {}
         self._closed = False
 
@@ -77,6 +87,7 @@
         *,
         timeout_s: float = DEFAULT_TIMEOUT_S,
         stub_type: type = PeerStub,
+        purpose: str = "",
     ) -> Any:
         """Call one method of a peer.
 
@@ -92,6 +103,8 @@
             Limit for the whole call, in seconds.
         stub_type : type, optional
             Generated stub class that has the method.
+        purpose : str, optional
+            What the call is counted for; that of the method by default.
 
         Returns
         -------
@@ -108,16 +121,20 @@
         link = self._link(address)
         started = time.monotonic()
         link.in_flight += 1
+        size = request.ByteSize()
         try:
-            return await call(
+            reply = await call(
                 getattr(stub_type(link.channel), method), request, timeout_s=timeout_s
             )
+            size += reply.ByteSize()
+            return reply
         except PeerUnreachable:
             if _silent_since(link.channel, started):
                 self._retire(address, link)
             raise
         finally:
             link.in_flight -= 1
+            self.traffic.note_call(purpose or PURPOSES.get(method, "other"), address, size)
             self._close_if_unused(link)
 
     def _link(self, address: str) -> _Link:
@@ -126,6 +143,7 @@
             host, _, port = address.rpartition(":")
             # IPv6 numbers stand in brackets in an address, and without them in a socket call.
             link = self._links[address] = _Link(Channel(host.strip("[]"), int(port)))
+            self.traffic.note("connect", self.traffic.is_far(address), CONNECT_BYTES)
         return link
 
     def _retire(self, address: str, link: _Link) -> None:
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -137,7 +137,7 @@
         def __init__(self):
             self.calls = []
 
-        async def call(self, address, method, request, *, timeout_s):
+        async def call(self, address, method, request, *, timeout_s, purpose):
             leaves = bool(request.gossip.targets)
             self.calls.append((method, leaves))
             if self.calls.count((method, leaves)) == 1:
