--- a/tests/membership_fleet.py
+++ b/tests/membership_fleet.py
@@ -45,6 +45,7 @@
     address: str
     port: int
     control_only: bool = False
+    domain: str = "a"
     core: VmMembership | None = None
     registry: TargetRegistry | None = None
     budget: ConnectionBudget | None = None
@@ -64,17 +65,22 @@
     home: int = 0
 
 
-def check_size(message):
+def check_size(message, cfg=CFG):
     """Check the bound for the records in a message; the peer's own record may come on top."""
     records = [*message.gossip.vms, *message.gossip.targets]
     size = sum(record.ByteSize() for record in records)
-    assert size <= CFG.max_message_bytes + LARGEST_RECORD
+    assert size <= cfg.max_message_bytes + LARGEST_RECORD
 
 
 class Fleet:
     """VMs and targets on a network with virtual time."""
 
-    def __init__(self, seed, vm_count=4, target_count=3, control_only=0):
+    def __init__(
+        self, seed, vm_count=4, target_count=3, control_only=0, domains="a", cfg=CFG, seeds=SEEDS
+    ):
+        self.cfg, self.seed_count = cfg, seeds
+        self.far_bytes = self.near_bytes = 0
+        self.far_calls = self.near_calls = 0
         self.rng = Random(seed)
         self.now = 0.0
         self.events = []
@@ -86,9 +92,10 @@
         self.replayable = []
         names = [f"vm-{i}" for i in range(vm_count)]
         self.vms = [
-            Vm(name, f"h:{i + 1}", i + 1, control_only=i < control_only)
+            Vm(name, f"h:{i + 1}", i + 1, i < control_only, domains[i % len(domains)])
             for i, name in enumerate(names)
         ]
+        self.by_address = {vm.address: vm for vm in self.vms}
         self.targets = [Target(f"t-{i}", home=i % vm_count) for i in range(target_count)]
         for vm in self.vms:
             self.start_vm(vm, incarnation=1)
@@ -125,8 +132,9 @@
 
     def call(self, source, address, request, handle, timeout, on_reply, on_fail):
         """Call a VM; exactly one of the last two functions is called within the timeout."""
-        check_size(request)
-        target = next(vm for vm in self.vms if vm.address == address)
+        check_size(request, self.cfg)
+        target = self.by_address[address]
+        self.count(source, target, request, 1)
         done = []
         process = source.core
 
@@ -145,7 +153,8 @@
                 handle(target, copy, answer)
 
         def answer(reply):
-            check_size(reply)
+            check_size(reply, self.cfg)
+            self.count(target, source, reply, 0)
             if self.passes(target, source):
                 again = type(reply).FromString(reply.SerializeToString())
                 self.post(self.delay(), lambda: finish(on_reply, again))
@@ -155,6 +164,14 @@
             if self.rng.random() < self.duplicates:
                 self.post(self.delay() + self.rng.uniform(0, 20), deliver)
 
+    def count(self, source, target, message, calls):
+        if source.domain == target.domain:
+            self.near_bytes += message.ByteSize()
+            self.near_calls += calls
+        else:
+            self.far_bytes += message.ByteSize()
+            self.far_calls += calls
+
     def delay(self):
         return self.rng.uniform(0.0005, self.latency_s)
 
@@ -165,15 +182,15 @@
             vm_id=vm.vm_id,
             incarnation=incarnation,
             state=peer_pb2.VM_STATE_ALIVE,
-            domain="a",
+            domain=vm.domain,
             host="h",
             port=vm.port,
             control_only=vm.control_only,
         )
-        seeds = tuple(other.address for other in self.vms[:SEEDS])
-        vm.registry = TargetRegistry.from_config(CFG, vm.vm_id, self.now)
+        seeds = tuple(other.address for other in self.vms[: self.seed_count])
+        vm.registry = TargetRegistry.from_config(self.cfg, vm.vm_id, self.now)
         rng = Random(self.rng.random())
-        vm.core = VmMembership.from_config(CFG, local, vm.registry, seeds, rng, self.now)
+        vm.core = VmMembership.from_config(self.cfg, local, vm.registry, seeds, rng, self.now)
         vm.budget = ConnectionBudget(ConnectionConfig(), self.now)
         vm.known_left = set()
 
