Keep control traffic within failure domains

Each change was sent 23 times by each VM to members drawn at random, and what a joining VM was told by a seed it told everybody again.

Change: a VM probes and exchanges with its own domain and four fixed partners in each other one; about four VMs of a domain carry a change across; a leaving target is told to three VMs of a large domain, which tell theirs; a newer table is fetched from the own domain, or across the border by whoever drew the shortest wait; a joining VM asks one seed first and spreads nothing that it is told; pushes of a revision ask for no records. Small groups, whose partners are all VMs, work as before.

--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -47,15 +47,22 @@
 # VMs that the leader tells of a new revision at once.
 PUSH_FANOUT = 8
 
-# VMs that each VM tells at once of a revision that it fetched; gossip reaches those that are left.
+# VMs of its own domain that each VM tells at once of a revision that it fetched; gossip reaches
+# those that are left.
 RELAY_FANOUT = 3
 
 
 class Peers(Protocol):
     """What the controller needs to reach other VMs."""
 
-    def addresses(self) -> Sequence[str]:
-        """Return the addresses of VMs that may be alive, without this one."""
+    def spread_sample(self, count: int) -> Sequence[str]:
+        """Return the addresses of some VMs, spread over the failure domains."""
+
+    def near_sample(self, count: int) -> Sequence[str]:
+        """Return the addresses of some VMs of the own failure domain."""
+
+    def is_far(self, address: str) -> bool:
+        """Return whether a VM is in another failure domain."""
 
     def self_record(self) -> peer_pb2.VmRecord:
         """Return this VM's own record."""
@@ -93,13 +100,13 @@
         self._peers = peers
         self._clients = clients
         self._cache = cache
-        self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._follower = ConfigFollower.from_config(
             FollowerConfig(lease_s=cfg.lease_s, start_wait_s=cfg.start_wait_s),
             cache.load() if cache else None,
             rng,
             self._loop.time(),
+            peers.is_far,
         )
         self._callbacks: list[Callable[[], None]] = []
         self._tasks: set[asyncio.Task] = set()
@@ -267,7 +274,7 @@
             previous, self._local_seen = self._local_seen, seen
             self._take_local()
             if confirmed and seen != previous:
-                self._push(PUSH_FANOUT)
+                self._push(self._peers.spread_sample(PUSH_FANOUT))
 
     def _take_local(self) -> None:
         state = self._consensus.state
@@ -350,15 +357,13 @@
             actions = self._follower.on_fetched(action.peer_address, reply, now)
             self._execute(actions)
             if any(isinstance(item, ConfigInForce) for item in actions):
-                self._push(RELAY_FANOUT)
+                self._push(self._peers.near_sample(RELAY_FANOUT))
 
-    def _push(self, fanout: int) -> None:
+    def _push(self, addresses: Sequence[str]) -> None:
         """Tell a few VMs of the revision in force; they fetch it from this one."""
-        addresses = list(self._peers.addresses())
-        self._rng.shuffle(addresses)
         gossip = peer_pb2.Gossip(sender=self._peers.self_record(), config=self.status())
-        request = peer_pb2.ProbeRequest(gossip=gossip)
-        for address in addresses[:fanout]:
+        request = peer_pb2.ProbeRequest(gossip=gossip, status_only=True)
+        for address in addresses:
             self._spawn(self._push_to(address, request))
 
     async def _push_to(self, address: str, request: peer_pb2.ProbeRequest) -> None:
--- a/bramleycrank/daemon/directory.py
+++ b/bramleycrank/daemon/directory.py
@@ -51,6 +51,18 @@
         known = [format_address(r.host, r.port) for r in records if r.vm_id != self._own.vm_id]
         return known or self._seeds
 
+    def spread_sample(self, count: int) -> Sequence[str]:
+        """Return the addresses of some VMs, spread over the failure domains."""
+        return self._membership.spread_sample(count) or self._seeds
+
+    def near_sample(self, count: int) -> Sequence[str]:
+        """Return the addresses of some VMs of the own failure domain."""
+        return self._membership.near_sample(count)
+
+    def is_far(self, address: str) -> bool:
+        """Return whether a VM is in another failure domain; an unknown one counts as near."""
+        return self._membership.is_far(address)
+
     def self_record(self) -> peer_pb2.VmRecord:
         """Return this VM's own record."""
         return self._membership.core.local
--- a/bramleycrank/membership/anti_entropy.py
+++ b/bramleycrank/membership/anti_entropy.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 
 import attrs
@@ -73,9 +73,14 @@
         """Whether an exchange that this VM started got an answer already."""
         return any(exchange.rounds > 1 for exchange in self._open.values())
 
+    def not_asked(self, addresses: Iterable[str]) -> list[str]:
+        """Return the addresses with which no exchange is running."""
+        running = {exchange.address for exchange in self._open.values()}
+        return [address for address in addresses if address not in running]
+
     def start(self, address: str, now: float) -> list[Action]:
         """Start an exchange, unless one with this address is running."""
-        if any(exchange.address == address for exchange in self._open.values()):
+        if not self.not_asked([address]):
             return []
         return [self._send(_Exchange(address), now)]
 
@@ -136,7 +141,8 @@
         exchange = self._open.pop(sync_id, None)
         if exchange is None:
             return []
-        actions = self._view.merge(reply.gossip, now)
+        # Until the first exchange is complete this VM only learns what others know already.
+        actions = self._view.merge(reply.gossip, now, spread=self.completed > 0)
         if exchange.remaining is None:
             exchange.remaining = [] if reply.equal else self._differing(reply, now)
         self._plan(exchange, reply, progress=bool(actions), now=now)
--- a/bramleycrank/membership/gossip.py
+++ b/bramleycrank/membership/gossip.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+from random import Random
 
 import attrs
 
+from bramleycrank.membership.borders import Ring
 from bramleycrank.membership.records import Key
 
 
@@ -16,7 +18,9 @@
     key: Key
     size: int
     urgent: bool
+    draw: float  # decides whether this VM carries the change across borders
     sent: int = 0
+    sent_far: int = 0
 
 
 class GossipQueue:
@@ -25,9 +29,17 @@
     A change is sent at most ``3 * log2(n + 1)`` times in a group of ``n`` VMs, which reaches every
     member with high probability; anti-entropy repairs the rest. Urgent changes go first, then the
     ones that were sent least often. A newer change of the same record replaces the older one.
+
+    In a group whose domains are large, only a few VMs of each carry a change to the others.
+
+    Parameters
+    ----------
+    rng : random.Random, optional
+        Source of the choice of carriers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: Random | None = None) -> None:
+        self._rng = rng or Random()
         self._items: dict[str, _Item] = {}
 
     def __len__(self) -> int:
@@ -47,32 +59,38 @@
         urgent : bool, optional
             Whether the change goes before others.
         """
-        self._items[record_id] = _Item(key, size, urgent)
+        self._items[record_id] = _Item(key, size, urgent, self._rng.random())
 
     def discard(self, record_id: str) -> None:
         """Stop spreading the change of a record."""
         self._items.pop(record_id, None)
 
-    def take(self, vm_count: int, max_bytes: int) -> list[str]:
+    def take(self, ring: Ring, max_bytes: int, *, far: bool) -> list[str]:
         """Return the ids of the records to put into one message.
 
         Parameters
         ----------
-        vm_count : int
-            Number of VMs in the group.
+        ring : Ring
+            The VMs that this one talks to.
         max_bytes : int
             Bound for the sum of the records' sizes. A single larger record is sent alone.
+        far : bool
+            Whether the receiver is in another failure domain.
         """
-        limit = retransmissions(vm_count)
+        limit = retransmissions(len(ring.members if ring.whole else ring.near) + 1)
+        bounded = far and not ring.whole
         taken: list[str] = []
         left = max_bytes
         order = sorted(self._items.items(), key=lambda kv: (not kv[1].urgent, kv[1].sent))
         for record_id, item in order:
+            if bounded and (item.draw >= ring.carried_share or item.sent_far >= ring.far_domains):
+                continue
             if item.size > left and taken:
                 continue
             taken.append(record_id)
             left -= item.size
-            item.sent += 1
+            item.sent_far += far
+            item.sent += not bounded
             if item.sent >= limit:
                 del self._items[record_id]
             if left <= 0:
--- a/bramleycrank/membership/prober.py
+++ b/bramleycrank/membership/prober.py
@@ -50,6 +50,8 @@
         self._rng = rng
         self._next_id = 0
         self._order: list[str] = []
+        self._far_order: list[str] = []
+        self._far_turn = False
         self._probes: dict[int, _Probe] = {}
         self._awaited: str | None = None
         self.was_paused = False  # set after a pause of this process, reset by the reader
@@ -94,14 +96,27 @@
         return [self._send(_Probe(record.vm_id, address_of(record), direct=True), now)]
 
     def _next_member(self) -> VmRecord | None:
-        """Return the next member of a shuffled round, which bounds the time to detect a death."""
+        """Return the next member of a shuffled round, which bounds the time to detect a death.
+
+        A small group has one round. In a large one every second probe goes to another domain, so
+        that each VM hears of other domains about once in two periods.
+        """
+        ring = self._view.vms.ring()
+        if ring.whole or not ring.far:
+            return self._next_of(self._order, ring.members)
+        self._far_turn = not self._far_turn
+        if self._far_turn:
+            return self._next_of(self._far_order, ring.far)
+        return self._next_of(self._order, ring.near) or self._next_of(self._far_order, ring.far)
+
+    def _next_of(self, order: list[str], members: tuple[VmRecord, ...]) -> VmRecord | None:
         for _ in range(2):
-            while self._order:
-                vm_id = self._order.pop()
+            while order:
+                vm_id = order.pop()
                 if self._view.is_live(vm_id):
                     return self._view.vms.get(vm_id)
-            self._order = [rec.vm_id for rec in self._view.vms.peers()]
-            self._rng.shuffle(self._order)
+            order.extend(rec.vm_id for rec in members)
+            self._rng.shuffle(order)
         return None
 
     def _probe_unreachable(self, now: float) -> list[Action]:
@@ -152,7 +167,7 @@
         target = self._view.vms.get(probe.vm_id)
         if not probe.direct or probe.vm_id != self._awaited or target is None:
             return []
-        helpers = [rec for rec in self._view.vms.peers() if rec.vm_id != probe.vm_id]
+        helpers = [rec for rec in self._view.vms.ring().members if rec.vm_id != probe.vm_id]
         count = min(self._view.cfg.indirect_probes, len(helpers))
         return [
             self._send(_Probe(probe.vm_id, address_of(helper), direct=False), now, target)
--- a/bramleycrank/membership/pusher.py
+++ b/bramleycrank/membership/pusher.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from bramleycrank.membership.borders import direct_receivers, spread_sample
 from bramleycrank.membership.records import Key, address_of, target_key
 from bramleycrank.membership.types import PushRecords, SendProbe
 from bramleycrank.membership.view import GroupView
@@ -75,12 +76,16 @@
         self._holders: Counter[str] = Counter()
 
     def push(self, action: PushRecords, now: float) -> list[SendProbe]:
-        """Return the messages that carry the records to all or some VMs."""
-        peers = self._view.vms.peers()
+        """Return the messages that carry out a `PushRecords` action."""
+        local, peers = self._view.vms.local, self._view.vms.peers()
         if len(self._boxes) > 2 * len(peers) + SPARE_BOXES:
             self._forget_gone()
-        if action.fanout and len(peers) > action.fanout:
-            peers = self._rng.sample(peers, action.fanout)
+        if action.fanout:
+            near = self._view.vms.ring().near
+            peers = near if action.near_only else peers
+            peers = spread_sample(local, peers, action.fanout, self._rng)
+        else:
+            peers = direct_receivers(local, peers, self._rng)
         out = []
         for peer in peers:
             box = self._box(peer)
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -26,9 +26,10 @@
 # A larger record could not travel in one gossip message of 32 KiB beside others.
 MAX_RECORD_BYTES = 16 * 1024
 
-# Number of VMs that a VM forwards a LEAVING record to when it first learns of it. With the push of
-# the home VM it bounds the spread when that push misses VMs, for example through an uneven cut.
-FORWARD_FANOUT = 2
+# Number of VMs of its own domain that a VM forwards a LEAVING record to when it first learns of it.
+# It carries the record through domains of which the home VM tells a few, and bounds the spread when
+# the push of the home VM misses others, for example through an uneven cut.
+FORWARD_FANOUT = 3
 
 # Number of VMs that a home VM tells at once of targets that are new to it. Gossip alone takes a few
 # probe periods, in which VMs that have just started could serve nothing.
@@ -183,7 +184,9 @@
         left.target_id, left.incarnation = request.target_id, request.incarnation
         return [*self._store(left, now), PushRecords((left,))]
 
-    def merge(self, records: Iterable[TargetRecord], now: float) -> list[Action]:
+    def merge(
+        self, records: Iterable[TargetRecord], now: float, *, spread: bool = True
+    ) -> list[Action]:
         """Take the records of another VM that are newer than the own ones.
 
         Parameters
@@ -192,6 +195,8 @@
             Received records.
         now : float
             Current time in seconds.
+        spread : bool, optional
+            Whether the records are passed on with the gossip of this VM.
 
         Returns
         -------
@@ -203,26 +208,27 @@
         forward = []
         for record in records:
             was_usable = self._table.is_usable(record.target_id)
-            changes = self._store(record, now)
+            changes = self._store(record, now, spread=spread)
             actions += changes
             if changes and was_usable and record.state == TARGET_STATE_LEAVING:
                 forward.append(record)
         if forward:
-            actions.append(PushRecords(tuple(forward), fanout=FORWARD_FANOUT))
+            actions.append(PushRecords(tuple(forward), fanout=FORWARD_FANOUT, near_only=True))
         return actions
 
-    def _store(self, record: TargetRecord, now: float) -> list[Action]:
+    def _store(self, record: TargetRecord, now: float, *, spread: bool = True) -> list[Action]:
         if not self._table.put(record, now):
             return []
         target_id = record.target_id
         stored = self._table.get(target_id)
         self._adjust_lease(stored, now)
-        self.queue.add(
-            f"target/{target_id}",
-            self._table.key(target_id),
-            stored.ByteSize(),
-            urgent=stored.state == TARGET_STATE_LEAVING,
-        )
+        if spread:
+            self.queue.add(
+                f"target/{target_id}",
+                self._table.key(target_id),
+                stored.ByteSize(),
+                urgent=stored.state == TARGET_STATE_LEAVING,
+            )
         return [TargetChanged(stored)]
 
     def _adjust_lease(self, record: TargetRecord, now: float) -> None:
--- a/bramleycrank/membership/types.py
+++ b/bramleycrank/membership/types.py
@@ -130,11 +130,14 @@
     records : tuple of TargetRecord
         Records to send.
     fanout : int
-        Number of random VMs to send to; 0 for all known VMs.
+        Number of random VMs to send to; 0 for as many as it takes to reach all.
+    near_only : bool
+        Whether only VMs of the own failure domain are told.
     """
 
     records: tuple[target_pb2.TargetRecord, ...]
     fanout: int = 0
+    near_only: bool = False
 
 
 Action: TypeAlias = SendProbe | RelayProbe | SendSync | VmChanged | TargetChanged | PushRecords
--- a/bramleycrank/membership/view.py
+++ b/bramleycrank/membership/view.py
@@ -58,7 +58,8 @@
         peer = self.vms.get(peer_id) if peer_id else None
         if peer is not None and peer.state != VM_STATE_ALIVE:
             message.vms.append(peer)
-        ids = self.queue.take(len(self.vms.live()), self.cfg.max_message_bytes)
+        far = peer is not None and peer.domain != self.vms.local.domain
+        ids = self.queue.take(self.vms.ring(), self.cfg.max_message_bytes, far=far)
         self.add_records(message, ids, now)
         return message
 
@@ -85,25 +86,35 @@
             return self.vms.get(name)
         return self.registry.outgoing(name, now)
 
-    def merge(self, message: Gossip, now: float) -> list[Action]:
+    def merge(self, message: Gossip, now: float, *, spread: bool = True) -> list[Action]:
         """Take all newer records of a message.
 
         VM records go first, since the usability of a target depends on its home VM.
+
+        Parameters
+        ----------
+        message : Gossip
+            The message.
+        now : float
+            Current time in seconds.
+        spread : bool, optional
+            Whether the records are news for others too; what a joining VM is told is not.
         """
         actions: list[Action] = []
         if message.HasField("sender"):
             actions += self.merge_vm(message.sender, now)
         for record in message.vms:
-            actions += self.merge_vm(record, now)
-        return [*actions, *self.registry.merge(message.targets, now)]
+            actions += self.merge_vm(record, now, spread=spread)
+        return [*actions, *self.registry.merge(message.targets, now, spread=spread)]
 
-    def merge_vm(self, record: VmRecord, now: float) -> list[Action]:
+    def merge_vm(self, record: VmRecord, now: float, *, spread: bool = True) -> list[Action]:
         """Take the record of a VM if it is newer; refute it if it is about this VM."""
         if record.vm_id == self.vms.local_id:
             return self._refute(record, now)
         if not record.vm_id or not self.vms.merge(record, now):
             return []
-        self._enqueue(record)
+        if spread:
+            self._enqueue(record)
         return [VmChanged(record), *self.registry.on_vm(record, now)]
 
     def _refute(self, claim: VmRecord, now: float) -> list[Action]:
--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from bramleycrank.membership.anti_entropy import AntiEntropy
+from bramleycrank.membership.borders import spread_sample
 from bramleycrank.membership.prober import Prober
 from bramleycrank.membership.pusher import Pusher
 from bramleycrank.membership.records import address_of
@@ -20,6 +21,7 @@
     VM_STATE_ALIVE,
     VM_STATE_DRAINING,
     VM_STATE_LEFT,
+    Gossip,
     ProbeReply,
     ProbeRequest,
     SyncReply,
@@ -117,17 +119,19 @@
         return now >= self._join_until and not self._sync.progressing
 
     def _start_sync(self, now: float, count: int) -> list[Action]:
-        """Start exchanges with random members, or with all seeds while joining."""
+        """Start exchanges with random members, or with one more seed while joining."""
         if self._joined:
             jitter = self._rng.uniform(0.9, 1.1)
             self._sync_at = now + self._cfg.sync_period_s * jitter
-            peers = [address_of(rec) for rec in self._view.vms.peers()]
+            peers = [address_of(rec) for rec in self._view.vms.ring().members]
             addresses = self._rng.sample(peers, min(count, len(peers)))
         else:
             self._sync_at = now + min(
                 JOIN_RETRY_S, self._cfg.probe_period_s / 2, self._cfg.sync_period_s / 2
             )
-            addresses = list(self._seeds)
+            # A second seed is asked only if the first one does not answer soon.
+            addresses = [] if self._sync.progressing else self._sync.not_asked(self._seeds)
+            addresses = addresses and [self._rng.choice(addresses)]
         return [action for address in addresses for action in self._sync.start(address, now)]
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -150,6 +154,8 @@
         actions = self._view.merge(request.gossip, now)
         if request.HasField("indirect_target"):
             actions.append(self._prober.relay(request.indirect_target, now))
+        if request.status_only:
+            return ProbeReply(gossip=Gossip(sender=self.local)), actions
         sender_id = request.gossip.sender.vm_id
         return ProbeReply(gossip=self._view.gossip(now, sender_id)), actions
 
@@ -198,6 +204,12 @@
         """Return whether a VM that was to be told of a target has not acknowledged it yet."""
         return self._pusher.is_spreading(target_id)
 
+    def sample(self, count: int, *, near_only: bool) -> list[str]:
+        """Return the addresses of some other VMs, of the own domain or spread over all."""
+        vms = self._view.vms
+        peers = vms.ring().near if near_only else vms.peers()
+        return [address_of(r) for r in spread_sample(self.local, peers, count, self._rng)]
+
     def domain_of(self, address: str) -> str:
         """Return the failure domain of a live VM, or an empty string."""
         return self._view.vms.domain_of(address)
--- a/bramleycrank/membership/vm_table.py
+++ b/bramleycrank/membership/vm_table.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Iterator
 
+from bramleycrank.membership.borders import Ring
 from bramleycrank.membership.records import (
     GONE_STATES,
     LIVE_STATES,
@@ -44,8 +45,9 @@
         self._gone_at: dict[str, float] = {}
         self._suspect_until: dict[str, float] = {}
         self._former: dict[str, str] = {}
-        # Both are read for each message; they are built again after a change only.
+        # These are read for each message; they are built again after a change only.
         self._live: list[VmRecord] | None = None
+        self._ring: Ring | None = None
         self._domains: dict[str, str] = {}  # by the addresses of live VMs
 
     @property
@@ -76,6 +78,12 @@
         """Return the live records of the other VMs."""
         return [rec for rec in self.live() if rec.vm_id != self.local_id]
 
+    def ring(self) -> Ring:
+        """Return the VMs that this one probes and exchanges with."""
+        if self._ring is None:
+            self._ring = Ring.from_peers(self.local, self.peers())
+        return self._ring
+
     def domain_of(self, address: str) -> str:
         """Return the failure domain of a live VM, or an empty string."""
         self.live()
@@ -112,7 +120,7 @@
         copy.CopyFrom(record)
         self._records[record.vm_id] = copy
         self._keys[record.vm_id] = key
-        self._live = None
+        self._live = self._ring = None
         self._track(copy, now)
         return True
 
--- a/bramleycrank/state/follower.py
+++ b/bramleycrank/state/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -22,6 +23,11 @@
 _ASK_LEADER_SHARE = 0.6
 
 
+# Longest time that a VM waits for a peer of its own domain to have a revision that is known in
+# another one. The times are drawn, so in a domain of many VMs one of them fetches it at once.
+FAR_WAIT_S = 0.5
+
+
 @attrs.frozen
 class _Fetch:
     sent_at: float
@@ -35,10 +41,19 @@
     confirmation that is younger than its start. Anything that it had in force before a restart was
     committed earlier, so its revision cannot go down across the restart either. If no such
     confirmation comes within ``start_wait_s``, the highest revision that could be had is taken.
+
+    Load pattern: a large table changes, and hundreds of VMs in a few failure domains need it. All
+    of them at once would send it across the borders as many times; here a few fetch it from another
+    domain, and the others from those.
     """
 
     def __init__(
-        self, cfg: FollowerConfig, cached: ConfigImage | None, rng: random.Random, now: float
+        self,
+        cfg: FollowerConfig,
+        cached: ConfigImage | None,
+        rng: random.Random,
+        now: float,
+        is_far: Callable[[str], bool] = lambda address: False,
     ) -> None:
         self.config = ConfigState.from_image(cached) if cached else ConfigState()
         self._cfg = cfg
@@ -50,16 +65,22 @@
         self._in_force_revision = -1
         self._known: Confirmation | None = None
         self._covered_at: float | None = None
-        self._hints = PeerHints()
+        self._hints = PeerHints(is_far)
+        self._far_at: float | None = None  # when a newer revision may be fetched across a border
         self._fetches: dict[str, _Fetch] = {}
         self._ask_leader_at = self._ask_any_at = now
 
     @classmethod
     def from_config(
-        cls, cfg: FollowerConfig, cached: ConfigImage | None, rng: random.Random, now: float
+        cls,
+        cfg: FollowerConfig,
+        cached: ConfigImage | None,
+        rng: random.Random,
+        now: float,
+        is_far: Callable[[str], bool] = lambda address: False,
     ) -> ConfigFollower:
         """Build a starting follower with the image from the data folder, if there is one."""
-        return cls(cfg, cached, rng, now)
+        return cls(cfg, cached, rng, now, is_far)
 
     @property
     def is_ready(self) -> bool:
@@ -154,7 +175,9 @@
 
     def next_deadline(self) -> float:
         """Return the time of the next needed tick, in seconds."""
-        return self._last_event + self._cfg.retry_s / 2
+        due = self._last_event + self._cfg.retry_s / 2
+        waits = self._far_at is not None and self._far_at > self._last_event
+        return min(due, self._far_at) if waits else due
 
     def status(self, now: float) -> ConfigStatus:
         """Return what this VM knows, for its peers."""
@@ -254,7 +277,9 @@
         """Catch up from a peer that is ahead, or learn a newer confirmation from a fresher one."""
         ahead = self._hints.ahead(self.config.revision, now)
         if ahead:
-            return self._start_fetch(self._rng.choice(ahead), False, now)
+            address = self._rng.choice(ahead)
+            return self._start_fetch(address, False, now) if self._may_ask(address, now) else []
+        self._far_at = None
         stale = self.stale_s(now)
         lease = self._cfg.lease_s
         if stale <= lease * _ASK_PEER_SHARE:
@@ -267,6 +292,14 @@
             self._ask_any_at = now + self._cfg.retry_s
         return self._start_fetch(address, False, now)
 
+    def _may_ask(self, address: str, now: float) -> bool:
+        """Return whether a peer that is ahead is near, or the wait for a near one is over."""
+        if not self._ready or not self._hints.is_far(address):
+            return True
+        if self._far_at is None:
+            self._far_at = now + self._rng.uniform(0, FAR_WAIT_S)
+        return now >= self._far_at
+
     def _start_fetch(
         self, address: str, leader_confirmed: bool, now: float
     ) -> list[FollowerAction]:
--- a/bramleycrank/state/peer_hints.py
+++ b/bramleycrank/state/peer_hints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -32,9 +33,16 @@
 
 
 class PeerHints:
-    """The peers that were heard last, and the leader's address."""
+    """The peers that were heard last, and the leader's address.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    is_far : callable, optional
+        Returns whether a peer is in another failure domain.
+    """
+
+    def __init__(self, is_far: Callable[[str], bool] = lambda address: False) -> None:
+        self._is_far = is_far
         self.leader_address = ""
         self.highest_revision = 0
         self._leader_confirmed_at = float("-inf")
@@ -69,12 +77,12 @@
             self._peers[address].not_before = until
 
     def ahead(self, revision: int, now: float) -> list[str]:
-        """Return the peers to ask that have a higher revision."""
-        return [
+        """Return the peers to ask that have a higher revision; near ones only if there are any."""
+        return self._nearest(
             address
             for address, hint in self._peers.items()
             if hint.revision > revision and hint.not_before <= now
-        ]
+        )
 
     def askable(self, now: float) -> list[str]:
         """Return the peers that may be asked now."""
@@ -85,8 +93,21 @@
         return any(hint.revision > revision for hint in self._peers.values())
 
     def fresher(self, than: float, now: float) -> str:
-        """Return the peer to ask with the newest confirmation after ``than``; empty if none."""
-        address, hint = max(
-            self._peers.items(), key=lambda item: item[1].confirmed_at, default=("", PeerHint())
+        """Return the peer to ask with the newest confirmation after ``than``; empty if none.
+
+        A near peer is preferred to a fresher one in another failure domain.
+        """
+        found = self._nearest(
+            address
+            for address, hint in self._peers.items()
+            if hint.confirmed_at > than and hint.not_before <= now
         )
-        return address if hint.confirmed_at > than and hint.not_before <= now else ""
+        return max(found, key=lambda address: self._peers[address].confirmed_at, default="")
+
+    def is_far(self, address: str) -> bool:
+        """Return whether a peer is in another failure domain."""
+        return self._is_far(address)
+
+    def _nearest(self, addresses: Iterable[str]) -> list[str]:
+        found = list(addresses)
+        return [address for address in found if not self._is_far(address)] or found
--- a/tests/test_daemon_config_controller.py
+++ b/tests/test_daemon_config_controller.py
@@ -71,6 +71,14 @@
     def addresses(self):
         return self._peers
 
+    def spread_sample(self, count):
+        return self._peers[:count]
+
+    near_sample = spread_sample
+
+    def is_far(self, address):
+        return False
+
     def self_record(self):
         return peer_pb2.VmRecord(vm_id="own")
 
