Pass a change on less once others send it

Change: a change that was heard three times from others is passed on no more in a large domain; a carrier still takes it across the borders.

--- a/bramleycrank/membership/gossip.py
+++ b/bramleycrank/membership/gossip.py
@@ -10,6 +10,9 @@
 from bramleycrank.membership.borders import Ring
 from bramleycrank.membership.records import Key
 
+HEARD_ENOUGH = 3
+"""Times that a change is heard from others after which it is passed on no more in the domain."""
+
 
 @attrs.define
 class _Item:
@@ -21,6 +24,7 @@
     draw: float  # decides whether this VM carries the change across borders
     sent: int = 0
     sent_far: int = 0
+    heard: int = 0
 
 
 class GossipQueue:
@@ -30,7 +34,9 @@
     member with high probability; anti-entropy repairs the rest. Urgent changes go first, then the
     ones that were sent least often. A newer change of the same record replaces the older one.
 
-    In a group whose domains are large, only a few VMs of each carry a change to the others.
+    A VM that hears the same change from others passes it on less: after ``HEARD_ENOUGH`` times most
+    of its domain has it. In a group whose domains are large, only a few VMs of each carry a change
+    to the others.
 
     Parameters
     ----------
@@ -61,6 +67,12 @@
         """
         self._items[record_id] = _Item(key, size, urgent, self._rng.random())
 
+    def hear(self, record_id: str) -> None:
+        """Note that another VM sent the same record."""
+        item = self._items.get(record_id)
+        if item is not None:
+            item.heard += 1
+
     def discard(self, record_id: str) -> None:
         """Stop spreading the change of a record."""
         self._items.pop(record_id, None)
@@ -83,16 +95,17 @@
         left = max_bytes
         order = sorted(self._items.items(), key=lambda kv: (not kv[1].urgent, kv[1].sent))
         for record_id, item in order:
-            if bounded and (item.draw >= ring.carried_share or item.sent_far >= ring.far_domains):
+            spread = item.sent >= limit or (item.heard >= HEARD_ENOUGH and not ring.whole)
+            carried = item.draw >= ring.carried_share or item.sent_far >= ring.far_domains
+            if spread and (ring.whole or carried):
+                del self._items[record_id]
                 continue
-            if item.size > left and taken:
+            if (carried if bounded else spread) or (item.size > left and taken):
                 continue
             taken.append(record_id)
             left -= item.size
             item.sent_far += far
             item.sent += not bounded
-            if item.sent >= limit:
-                del self._items[record_id]
             if left <= 0:
                 break
         return taken
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -8,7 +8,7 @@
 
 from bramleycrank.exceptions import InvalidRequest, Outcome
 from bramleycrank.membership.gossip import GossipQueue
-from bramleycrank.membership.records import ENDED_STATES, LIVE_STATES, Key
+from bramleycrank.membership.records import ENDED_STATES, LIVE_STATES, Key, target_key
 from bramleycrank.membership.target_table import TargetTable
 from bramleycrank.membership.types import Action, MembershipConfig, PushRecords, TargetChanged
 from bramleycrank.proto.peer_pb2 import VmRecord
@@ -218,6 +218,8 @@
 
     def _store(self, record: TargetRecord, now: float, *, spread: bool = True) -> list[Action]:
         if not self._table.put(record, now):
+            if self._table.key(record.target_id) == target_key(record):
+                self.queue.hear(f"target/{record.target_id}")
             return []
         target_id = record.target_id
         stored = self._table.get(target_id)
--- a/bramleycrank/membership/view.py
+++ b/bramleycrank/membership/view.py
@@ -104,6 +104,8 @@
         if message.HasField("sender"):
             actions += self.merge_vm(message.sender, now)
         for record in message.vms:
+            if self.vms.get(record.vm_id) == record:
+                self.queue.hear(f"vm/{record.vm_id}")
             actions += self.merge_vm(record, now, spread=spread)
         return [*actions, *self.registry.merge(message.targets, now, spread=spread)]
 
--- a/tests/test_membership_borders.py
+++ b/tests/test_membership_borders.py
@@ -13,6 +13,7 @@
 from bramleycrank.daemon.far_contact import CUT_SILENCE_S
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.membership.borders import CARRIERS, PARTNERS, Ring, spread_sample
+from bramleycrank.membership.gossip import HEARD_ENOUGH, GossipQueue
 from bramleycrank.proto.peer_pb2 import VmRecord
 from bramleycrank.state.types import ConfigInForce
 
@@ -131,6 +132,24 @@
     assert ring.whole and len(ring.members) == len(vms) - 1
 
 
+def test_a_change_that_others_send_is_passed_on_less_but_still_carried_across():
+    """Load pattern: hundreds of VMs join at once, and each tells of all others."""
+    vms = records(40)
+    ring = Ring.from_peers(vms[0], vms[1:])
+    taken = Counter()
+    for seed in range(200):
+        queue = GossipQueue(Random(seed))
+        queue.add("vm/x", (1, 1, 0, 0), 60)
+        assert queue.take(ring, 1000, far=False) == ["vm/x"]
+        for _ in range(HEARD_ENOUGH):
+            queue.hear("vm/x")
+        assert not queue.take(ring, 1000, far=False)
+        taken[sum(bool(queue.take(ring, 1000, far=True)) for _ in range(9))] += 1
+        assert not len(queue)
+    assert set(taken) == {0, ring.far_domains}
+    assert 0.5 * CARRIERS < taken[ring.far_domains] / 200 * 40 < 2 * CARRIERS
+
+
 def test_a_sample_is_spread_over_the_domains():
     vms = [*records(30, "abc"), *records(1, "de")]
     sample = spread_sample(vms[0], vms[1:], 10, Random(1))
