Try a slow target less and less often until it recovers

Change: the time until the next trial doubles from 1 s to 8 s while the target's answers take twice its usual time, and starts anew after a good one. The test replays a target that turned slow for 15 s: 14 trials before, at most 4 now, and it is used again within 9 s of its recovery.

--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -21,8 +21,16 @@
 WARMUP_FLOOR = 0.05
 """Smallest share of a cold target; without it no observation would ever arrive."""
 
-REPROBE_S = 1.0
-"""Time without a sub-request after which a target is tried again whatever its score was."""
+REPROBE_S, REPROBE_MAX_S = 1.0, 8.0
+"""First and longest time without a sub-request after which a target is tried again whatever its
+score was; the time doubles while it stays slow.
+
+Load pattern: a fifth of the targets are slow for seconds. A trial of one of them holds up the whole
+request, and requests to dozens of shards would meet several trials each.
+"""
+
+SLOW = 2.0
+"""Latency, as a multiple of the usual one of the target, from which it stays slow."""
 
 REPROBE_PASSES = 4
 """Choices that must have passed the target over besides; a VM with few requests asks others first.
@@ -77,6 +85,8 @@
     in_flight: int = 0
     sent_at: float = -1e9
     passed_over: int = 0  # choices since then that preferred another target
+    reprobe_s: float = REPROBE_S
+    slow_at: float = -1e9  # when that time was last doubled
     replied_at: float = 0.0
     ended_at: float = 0.0
     latency_s: float = 0.0
@@ -123,7 +133,7 @@
 
     def score(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
-        if now - self.sent_at > REPROBE_S and self.passed_over >= REPROBE_PASSES:
+        if now - self.sent_at > self.reprobe_s and self.passed_over >= REPROBE_PASSES:
             return 0.0  # what was observed is too old; without a new sample it would never change
         # The reported load only decides between otherwise equal targets; it can lag or mislead.
         return self.cost() + 1e-9 * self.reported
@@ -135,6 +145,10 @@
         self._count_end(now, failed=False)
         if self.ejections and now - self.ejected_until > CALM_S:
             self.ejections = 0
+        if latency_s > SLOW * self.base_s > 0:
+            self._stay_away(now)
+        else:
+            self.reprobe_s = REPROBE_S
         known, since_s = self.latency_s, now - self.replied_at
         self.replied_at = now
         if not known:
@@ -153,6 +167,12 @@
         if self.in_flight >= self.limit * _USED and latency_s < _GOOD * self.base_s:
             self.limit = min(float(self.slots), self.limit + 1.0 / self.limit)
 
+    def _stay_away(self, now: float) -> None:
+        """Double the time until the next trial, once for all sub-requests of one trial."""
+        if now - self.slow_at >= self.reprobe_s:
+            self.reprobe_s = min(REPROBE_MAX_S, 2 * self.reprobe_s)
+            self.slow_at = now
+
     def _count_end(self, now: float, *, failed: bool) -> None:
         weight = max(_FAILED_WEIGHT, min(FAILED_WEIGHT_MAX, _renewed(now - self.ended_at)))
         self.failed_share += (failed - self.failed_share) * weight
--- a/tests/test_query_slow_local.py
+++ b/tests/test_query_slow_local.py
@@ -7,6 +7,7 @@
 from query_fakes import SERVICE, record
 
 from bramleycrank.query.replicas import ReplicaTable
+from bramleycrank.query.targets import REPROBE_MAX_S
 from bramleycrank.query.types import Snapshot
 
 ONE_SHARD = Snapshot(1, 1)
@@ -103,3 +104,27 @@
     """Load pattern: as above for some seconds, and each VM asks a shard once a second."""
     mean = sum(count_sheds(12, 0.8, seed) for seed in range(400)) / 400
     assert mean < 12 / 5, "each target sheds half, and one request in five is to be shed at most"
+
+
+def test_a_target_that_turned_slow_is_tried_less_and_less_often_until_it_recovers():
+    """Load pattern: many shards have a slow target, and each trial holds up a whole request."""
+    table = ReplicaTable("a", random.Random(5), warmup_s=0.0)
+    records = [record(f"t{d}", [(ONE_SHARD, 0)], domain=d, slots=3) for d in "abc"]
+    table.update(SERVICE, records, 0.0)
+    slow_from, slow_until, rate = 5.0, 20.0, 15.0
+    trials, back_at = 0, None
+    for number in range(int(40 * rate)):
+        now = number / rate
+        if number % 12 == 0:
+            for hedge in ("tb", "tc"):
+                table.on_sent(hedge, now)
+                table.on_reply(hedge, USUAL_S, now)
+        target = table.choose(SERVICE, ONE_SHARD, 0, (), now)
+        slow = target == "ta" and slow_from <= now < slow_until
+        trials += slow and now > slow_from + 1.0
+        if target == "ta" and now >= slow_until and back_at is None:
+            back_at = now
+        table.on_sent(target, now)
+        table.on_reply(target, SLOW_S if slow else USUAL_S, now)
+    assert trials <= 4, "after 1, 2, 4 and 8 s; once a second without the growing time"
+    assert back_at - slow_until <= REPROBE_MAX_S + 1.0
