Go on after a full disk also when closing the log fails

Nobody waits for this task, so nothing was logged and the voter was stopped until its next restart.

Change: the log is written without a buffer, and whatever fails while it is opened again is logged and tried again.

Result: both tests fail on the old code.

--- a/bramleycrank/daemon/log_host.py
+++ b/bramleycrank/daemon/log_host.py
@@ -109,12 +109,16 @@
     async def _reopen(self) -> None:
         while True:
             await asyncio.sleep(REOPEN_PAUSE_S)
-            self._close()
             try:
+                self._close()
                 self.open()
             except (StorageError, OSError) as exc:
                 log.warning("consensus: the log cannot be opened yet: %s", exc)
                 continue
+            except Exception:
+                # Nobody waits for this task, so it must not end while the voter is stopped.
+                log.exception("consensus: opening the log failed")
+                continue
             self._reopen_task = None
             log.info("consensus: opened the log again")
             self._on_reopened()
--- a/bramleycrank/storage/segment.py
+++ b/bramleycrank/storage/segment.py
@@ -80,7 +80,8 @@
         self.path = path
         self.content = content
         self._seed = seed
-        self._file = open(path, "ab")  # noqa: SIM115
+        # Without a buffer: one that could not be written would be written again at the close.
+        self._file = open(path, "ab", buffering=0)  # noqa: SIM115
 
     @classmethod
     def create(cls, path: Path, seed: int, content: SegmentContent) -> Segment:
@@ -116,8 +117,9 @@
 
     def append(self, action: Persist) -> None:
         """Write one action as one batch and sync it."""
-        self._file.write(_encode(action, self._seed))
-        self._file.flush()
+        left = memoryview(_encode(action, self._seed))
+        while left:
+            left = left[self._file.write(left) :]
         os.fsync(self._file.fileno())
         self.content.persist(action)
 
--- a/tests/test_daemon_log_recovery.py
+++ b/tests/test_daemon_log_recovery.py
@@ -92,6 +92,38 @@
     asyncio.run(body())
 
 
+def test_a_voter_goes_on_when_closing_its_log_fails_too(tmp_path, monkeypatch):
+    """Guards against a voter that is missing for good: what is buffered is written at the close."""
+    monkeypatch.setattr(log_host, "REOPEN_PAUSE_S", 0.05)
+
+    async def body() -> None:
+        controller = await start(tmp_path / "data")
+        await bootstrap(controller)
+        await controller.propose_local("p1", put(1), 2.0)
+        segment = controller._host._store._segment
+        segment.close()
+        segment._file = open("/dev/full", "ab")  # noqa: SIM115
+        with pytest.raises(BramleycrankError):
+            await controller.propose_local("p2", put(2), 1.0)
+        await lead(controller)
+        assert controller.state.config.routes.version == 1
+        await controller.propose_local("p3", put(3), 2.0)
+        await controller.stop()
+
+    asyncio.run(body())
+
+
+def test_a_batch_that_was_not_written_whole_leaves_nothing_to_write_at_the_close(tmp_path):
+    async def body() -> None:
+        controller = await start(tmp_path / "data")
+        await bootstrap(controller)
+        segment = controller._host._store._segment
+        assert segment._file.fileno() and not hasattr(segment._file, "raw"), "no buffer"
+        await controller.stop()
+
+    asyncio.run(body())
+
+
 def damage(folder: Path) -> None:
     """Flip a byte early in the log, as only damage to synced data does."""
     [path] = folder.glob("log-*")
