Choose carriers by hash, refuse cut heads, and split two files by job

The carriers of a change were drawn from a generator without a seed, so a simulated fleet did not repeat; they follow from VM and change now. A whole response with more headers than are kept was passed on without the rest; it counts as garbled now, with a test. The round trip of a connection has a file of its own.

--- a/bramleycrank/daemon/directory.py
+++ b/bramleycrank/daemon/directory.py
@@ -53,15 +53,15 @@
 
     def spread_sample(self, count: int) -> Sequence[str]:
         """Return the addresses of some VMs, spread over the failure domains."""
-        return self._membership.spread_sample(count) or self._seeds
+        return self._membership.core.sample(count, near_only=False) or self._seeds
 
     def near_sample(self, count: int) -> Sequence[str]:
         """Return the addresses of some VMs of the own failure domain."""
-        return self._membership.near_sample(count)
+        return self._membership.core.sample(count, near_only=True)
 
     def is_far(self, address: str) -> bool:
         """Return whether a VM is in another failure domain; an unknown one counts as near."""
-        return self._membership.is_far(address)
+        return self._membership.core.is_far(address)
 
     def self_record(self) -> peer_pb2.VmRecord:
         """Return this VM's own record."""
--- a/bramleycrank/daemon/far_contact.py
+++ b/bramleycrank/daemon/far_contact.py
@@ -11,8 +11,8 @@
 CUT_SILENCE_S = 1.5
 """Silence of all other domains after which this one counts as cut off, in seconds.
 
-Each VM exchanges gossip with about two random VMs a second, so a silence of this length by chance
-is rare where there are other domains at all.
+Each VM probes a VM of another domain at least once a second and is probed as often, so a silence of
+this length by chance is rare where there are other domains at all.
 """
 
 
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -186,18 +186,6 @@
         known = self.registry.get(target_id)
         return known.incarnation if known is not None else None
 
-    def spread_sample(self, count: int) -> list[str]:
-        """Return the addresses of some other VMs, spread over the failure domains."""
-        return self.core.sample(count, near_only=False)
-
-    def near_sample(self, count: int) -> list[str]:
-        """Return the addresses of some other VMs of the own failure domain."""
-        return self.core.sample(count, near_only=True)
-
-    def is_far(self, address: str) -> bool:
-        """Return whether a VM is in another failure domain; one that is unknown counts as near."""
-        return self.core.domain_of(address) not in ("", self.core.local.domain)
-
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target may get new work."""
         return self.registry.is_usable(target_id)
--- a/bramleycrank/membership/gossip.py
+++ b/bramleycrank/membership/gossip.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import math
-from random import Random
 
 import attrs
+import xxhash
 
 from bramleycrank.membership.borders import Ring
 from bramleycrank.membership.records import Key
@@ -40,12 +40,12 @@
 
     Parameters
     ----------
-    rng : random.Random, optional
-        Source of the choice of carriers.
+    vm_id : str
+        This VM; with each change it decides who carries it.
     """
 
-    def __init__(self, rng: Random | None = None) -> None:
-        self._rng = rng or Random()
+    def __init__(self, vm_id: str) -> None:
+        self._vm_id = vm_id
         self._items: dict[str, _Item] = {}
 
     def __len__(self) -> int:
@@ -65,7 +65,8 @@
         urgent : bool, optional
             Whether the change goes before others.
         """
-        self._items[record_id] = _Item(key, size, urgent, self._rng.random())
+        draw = xxhash.xxh64_intdigest(f"{self._vm_id}\n{record_id}\n{key}".encode()) / 2**64
+        self._items[record_id] = _Item(key, size, urgent, draw)
 
     def hear(self, record_id: str) -> None:
         """Note that another VM sent the same record."""
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -63,7 +63,7 @@
     """
 
     def __init__(self, cfg: MembershipConfig, vm_id: str, now: float) -> None:
-        self.queue = GossipQueue()
+        self.queue = GossipQueue(vm_id)
         self._cfg = cfg
         self._vm_id = vm_id
         self._table = TargetTable(cfg, vm_id)
--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -210,9 +210,9 @@
         peers = vms.ring().near if near_only else vms.peers()
         return [address_of(r) for r in spread_sample(self.local, peers, count, self._rng)]
 
-    def domain_of(self, address: str) -> str:
-        """Return the failure domain of a live VM, or an empty string."""
-        return self._view.vms.domain_of(address)
+    def is_far(self, address: str) -> bool:
+        """Return whether a VM is in another failure domain; one that is unknown counts as near."""
+        return self._view.vms.domain_of(address) not in ("", self.local.domain)
 
     def drain(self, now: float) -> list[Action]:
         """Mark this VM as draining."""
--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -155,12 +155,12 @@
         except httptools.HttpParserError:
             # Bytes behind a whole response end the connection, but the response stands.
             self._garbled = True
-        if self._done:
+        if len(self._headers) > MAX_HEADERS:
+            self._refuse("a response has too many headers", MAX_HEADERS)
+        elif self._done:
             self._finish()
         elif self._garbled:
             self._break(garbled=True)
-        elif len(self._headers) > MAX_HEADERS:
-            self._refuse("a response has too many headers", MAX_HEADERS)
         elif self._meter.exceeded:
             self._refuse("the head of a response is too large", MAX_FRAMING_BYTES)
         elif self._meter.body > MAX_RESPONSE_BYTES:
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import logging
-import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -17,16 +15,13 @@
 from bramleycrank.routing import Limits
 from bramleycrank.transport.http1.intake import IntakeBudget, MessageMeter
 from bramleycrank.transport.http1.messages import Headers, Request, encode_response
+from bramleycrank.transport.http1.round_trip import round_trip_of
 
 log = logging.getLogger(__name__)
 
 MAX_PIPELINED = 8
 """Requests that may wait behind the one in progress before the connection is read no further."""
 
-_RTT = struct.Struct("=I")
-_RTT_OFFSET = 68  # tcpi_rtt in struct tcp_info, in microseconds
-_TCP_INFO_BYTES = _RTT_OFFSET + _RTT.size
-
 FRAMING_HEADS = 2
 """Largest framing of a request, in heads: trailers may be as large as the head."""
 
@@ -353,17 +348,7 @@
     def round_trip_s(self) -> float | None:
         """Round trip to the caller in seconds as the kernel measured it, or None if unknown."""
         sock = self._transport.get_extra_info("socket") if self._transport else None
-        if sock is None or self.closed or not hasattr(socket, "TCP_INFO"):
-            return None
-        try:
-            info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
-        except OSError as exc:
-            log.debug("http: no round trip of a connection: %s", exc)
-            return None
-        if len(info) < _TCP_INFO_BYTES:
-            return None
-        [micros] = _RTT.unpack_from(info, _RTT_OFFSET)
-        return micros / 1e6
+        return None if sock is None or self.closed else round_trip_of(sock)
 
     # Time limits and shutdown.
 
--- a/tests/test_http_endless.py
+++ b/tests/test_http_endless.py
@@ -71,6 +71,21 @@
     run(scenario, a1=script, a2=script)
 
 
+def test_a_whole_response_with_too_many_headers_is_never_passed_on_without_some_of_them():
+    calls = []
+
+    def script(request):
+        calls.append(request)
+        return ok(request, **{f"x{n}": b"y" for n in range(300 if len(calls) == 1 else 3)})
+
+    async def scenario(world):
+        response = await world.get()
+        assert status(response) == 200 and len(calls) == 2
+        assert response.count(b": y\r\n") == 3
+
+    run(scenario, a1=script, a2=script)
+
+
 def test_an_endless_response_to_a_request_that_runs_once_promises_nothing():
     async def scenario(world):
         response = await world.get("/order/x")
--- a/tests/test_membership_borders.py
+++ b/tests/test_membership_borders.py
@@ -138,7 +138,7 @@
     ring = Ring.from_peers(vms[0], vms[1:])
     taken = Counter()
     for seed in range(200):
-        queue = GossipQueue(Random(seed))
+        queue = GossipQueue(f"vm-{seed}")
         queue.add("vm/x", (1, 1, 0, 0), 60)
         assert queue.take(ring, 1000, far=False) == ["vm/x"]
         for _ in range(HEARD_ENOUGH):
