--- a/bramleycrank/membership/gossip.py
+++ b/bramleycrank/membership/gossip.py
@@ -91,22 +91,23 @@
             Whether the receiver is in another failure domain.
         """
         limit = retransmissions(len(ring.members if ring.whole else ring.near) + 1)
-        bounded = far and not ring.whole
+        carried_only = far and not ring.whole
         taken: list[str] = []
         left = max_bytes
         order = sorted(self._items.items(), key=lambda kv: (not kv[1].urgent, kv[1].sent))
         for record_id, item in order:
-            spread = item.sent >= limit or (item.heard >= HEARD_ENOUGH and not ring.whole)
-            carried = item.draw >= ring.carried_share or item.sent_far >= ring.far_domains
-            if spread and (ring.whole or carried):
+            near_done = item.sent >= limit or (item.heard >= HEARD_ENOUGH and not ring.whole)
+            far_done = item.draw >= ring.carried_share or item.sent_far >= ring.far_domains
+            if near_done and (ring.whole or far_done):
                 del self._items[record_id]
                 continue
-            if (carried if bounded else spread) or (item.size > left and taken):
+            done = far_done if carried_only else near_done
+            if done or (item.size > left and taken):
                 continue
             taken.append(record_id)
             left -= item.size
             item.sent_far += far
-            item.sent += not bounded
+            item.sent += not carried_only
             if left <= 0:
                 break
         return taken
