Elect a leader soon after all voters restart

A node that has just started and has heard no leader now asks for pre-votes every 30 to 120 ms for 3 s. In the first 0.3 s, in which a leader may be alive without having been heard, it campaigns only if all voters know none. Reports of targets wait up to 0.6 s for the join of their voter: 36 were refused with a pause of 0.5 s while voters joined for 0.1 to 0.3 s. Ruled out: byte code made in the build; processes log their start at the same time with it.

--- a/bramleycrank/consensus/core.py
+++ b/bramleycrank/consensus/core.py
@@ -50,9 +50,12 @@
         self.state = State.FOLLOWER
         self.leader_id = ""
         self.commit_index = self.log.snapshot_index
-        # A restarted node may have supported a leader just before, so it starts as if it had
-        # heard one now and does not help to depose it.
         self.heard_at = now
+        self.started_at = now
+        self.heard_leader = False
+        # Until then a leader may be alive, and no vote of this node helps to depose it. After a
+        # start it knows none; candidates have asked all voters then.
+        self.trusts_until = now
         self.election_due = 0.0
         self.joining_cluster = ""
         self._hard_dirty = False
@@ -100,9 +103,38 @@
             return Role.CANDIDATE
         return Role.FOLLOWER if self.is_voter else Role.LEARNER
 
+    @property
+    def restarting(self) -> bool:
+        """Whether this node has just started and has heard no leader since."""
+        return not self.heard_leader and self.now < self.started_at + self.cfg.restart_s
+
+    @property
+    def needs_all_votes(self) -> bool:
+        """Whether a leader may be alive that this node has not heard since its start."""
+        return self.restarting and self.now < self.started_at + self.cfg.restart_trust_s
+
+    def hear_leader(self) -> None:
+        """Take note of a message of a leader."""
+        self.heard_leader = True
+        self.heard_at = self.now
+        self.trusts_until = self.now + self.cfg.election_timeout_s[0]
+        self.reset_election()
+
     def reset_election(self) -> None:
-        """Start a new election timeout of random length."""
-        self.election_due = self.now + self.rng.uniform(*self.cfg.election_timeout_s)
+        """Start a new election timeout of random length.
+
+        Load pattern: all voters lose power and return together; no leader is alive, and each
+        further timeout is time in which nothing can be decided. A node that is no voter in its
+        newest membership, though it may still campaign, leaves the voters their time: it would step
+        down once it learns that its removal is committed.
+        """
+        cfg = self.cfg
+        waits_s = cfg.election_timeout_s
+        if self.log.membership.members and not self.is_voter:
+            waits_s = tuple(limit_s + cfg.election_timeout_s[1] for limit_s in waits_s)
+        elif self.restarting:
+            waits_s = cfg.restart_retry_s
+        self.election_due = self.now + self.rng.uniform(*waits_s)
 
     def set_term(self, term: int, voted_for: str) -> None:
         """Change term and vote; both are persisted together."""
--- a/bramleycrank/consensus/election.py
+++ b/bramleycrank/consensus/election.py
@@ -83,8 +83,7 @@
     def _hears_leader(self) -> bool:
         """Return whether a leader is known to be alive, so that no election is needed."""
         core = self._core
-        shortest = core.cfg.election_timeout_s[0]
-        return core.state is State.LEADER or core.now - core.heard_at < shortest
+        return core.state is State.LEADER or core.now < core.trusts_until
 
     def _is_up_to_date(self, req: VoteRequest) -> bool:
         log = self._core.log
@@ -115,8 +114,14 @@
         return False
 
     def _counted(self) -> bool:
-        """Move on if a majority granted its votes; only voters of the own membership count."""
+        """Move on if a majority granted its votes; only voters of the own membership count.
+
+        Right after a start all of them have to say that they know no leader.
+        """
         core = self._core
+        voters = set(quorum.voters(core.log.membership))
+        if core.needs_all_votes and core.state is State.PRE_CANDIDATE and voters - self._granted:
+            return False
         if not quorum.has_quorum(core.log.membership, self._granted):
             return False
         if core.state is State.PRE_CANDIDATE:
--- a/bramleycrank/consensus/node.py
+++ b/bramleycrank/consensus/node.py
@@ -284,8 +284,7 @@
         if self._leadership is not None:
             return
         core.follow(core.term, msg.sender)
-        core.heard_at = core.now
-        core.reset_election()
+        core.hear_leader()
         if body == "append_request":
             self._follower.on_append(msg)
         elif body == "install_snapshot":
@@ -305,6 +304,7 @@
         # The others may elect a new leader; this node must not refuse its vote as one that hears
         # a leader.
         core.heard_at = core.now - core.cfg.election_timeout_s[0]
+        core.trusts_until = core.now
         return error
 
     def _leader_address(self) -> str:
--- a/bramleycrank/consensus/types.py
+++ b/bramleycrank/consensus/types.py
@@ -48,6 +48,13 @@
         Most entries that a leader holds beyond its commit index; further proposals are rejected.
     snapshot_retry_s : float
         Time in seconds after which an unanswered snapshot is sent again.
+    restart_s : float
+        Time in seconds after a start in which a node that hears no leader asks for votes often.
+    restart_retry_s : tuple of float
+        Shortest and longest time in seconds between two such questions.
+    restart_trust_s : float
+        Time in seconds after a start in which a leader may be alive without having been heard; two
+        heartbeats. Until then a node campaigns only if all voters know no leader.
     """
 
     node_id: str
@@ -56,6 +63,9 @@
     max_entries_per_append: int = 256
     max_uncommitted: int = 8192
     snapshot_retry_s: float = 3.0
+    restart_s: float = 3.0
+    restart_retry_s: tuple[float, float] = (0.03, 0.12)
+    restart_trust_s: float = 0.3
 
 
 @attrs.frozen
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -61,9 +61,15 @@
 # Most VMs in that list.
 LIST_DEAD_MAX = 1024
 
+# How long an announcement waits until this VM has joined. Targets give a report up after 1 s.
+JOIN_WAIT_S = 0.6
+
 # What a target that announces too early waits before it tries again.
 JOIN_RETRY_MS = 500
 
+# Time between two looks while something waits for the join, in seconds.
+JOIN_POLL_S = 0.02
+
 
 class MembershipController:
     """Owns the VM membership and the target registry of a VM.
@@ -131,7 +137,7 @@
         """
         self._loop_task = asyncio.create_task(self._run())
         while not self.core.joined:
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(JOIN_POLL_S)
         log.info("membership: joined with %d VMs", len(self.vms()))
 
     async def stop(self) -> None:
@@ -253,11 +259,14 @@
         Draining
             If this VM drains; the target announces to another VM.
         Refused
-            If this VM has not joined yet. It may not know that the target left, and would give new
+            If this VM has not joined within `JOIN_WAIT_S`. It may not know that the target left, and would give new
             work to a target that a delayed announcement brings back.
         InvalidRequest
             If the announcement is invalid or too old.
         """
+        deadline = self._clock() + JOIN_WAIT_S
+        while not self.core.joined and not self._draining and self._clock() < deadline:
+            await asyncio.sleep(JOIN_POLL_S)
         if self._draining:
             raise Draining(outcome=Outcome.NOT_RUN)
         if not self.core.joined:
--- a/tests/test_consensus_node.py
+++ b/tests/test_consensus_node.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from consensus_cluster import Cluster, bounded, isolate, put
 from hypothesis import given
 from hypothesis import strategies as st
@@ -337,3 +338,66 @@
     heartbeat = pb.AppendRequest(prev_index=1, prev_term=1, commit_index=3)
     node.receive(message(3, append_request=heartbeat), 0.1)
     assert node.commit_index == 1
+
+
+def restart_all(cluster: Cluster, spread_s: float) -> None:
+    """Restart every node within a time, in any order."""
+    for node in cluster.nodes.values():
+        cluster.crash(node)
+    cluster.network.clear()
+    cluster.run(1.0)
+    for node in cluster.rng.sample(list(cluster.nodes.values()), len(cluster.nodes)):
+        cluster.restart(node)
+        cluster.run(cluster.rng.uniform(0, 2 * spread_s / len(cluster.nodes)))
+
+
+@bounded(200)
+@given(seed=st.integers(0, 2**32), size=st.sampled_from([3, 5]))
+def test_a_leader_soon_after_a_loss_of_power(seed, size):
+    """Load pattern: all voters lose power and return together, and nothing is decided meanwhile."""
+    cluster = Cluster(size, seed)
+    cluster.run(3)
+    proposal = cluster.propose(cluster.leader(), put("archivio", 0, "c"))
+    cluster.run(0.5)
+    restart_all(cluster, spread_s=0.05)
+    cluster.run(0.6)
+    leader = cluster.leader()
+    assert leader is not None
+    assert proposal in cluster.oracle.acknowledged
+    assert leader.raft.commit_index >= cluster.oracle.acknowledged[proposal][0]
+
+
+@bounded(100)
+@given(seed=st.integers(0, 2**32), gap_s=st.floats(0, 0.1))
+def test_restarted_voters_do_not_depose_a_living_leader(seed, gap_s):
+    """Guards against restarted voters that elect one of them before they hear the leader."""
+    cluster = Cluster(3, seed)
+    cluster.run(3)
+    leader = cluster.leader()
+    term = leader.raft.term
+    for node in cluster.nodes.values():
+        if node is not leader:
+            cluster.crash(node)
+            cluster.restart(node)
+            cluster.run(gap_s)
+    cluster.run(3)
+    assert (cluster.leader(), leader.raft.term) == (leader, term)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_former_voter_campaigns_after_the_voters_have_had_their_time(seed):
+    """Load pattern: a loss of power after a voter was cut off, removed, and came back as a learner.
+
+    After a restart it knows of no commit beyond its snapshot, so it may ask for votes.
+    """
+    first = pb.Membership(cluster_id="c", members=[pb.Member(node_id=n, voter=True) for n in "abc"])
+    later = pb.Membership(
+        cluster_id="c", members=[pb.Member(node_id=n, voter=n != "a") for n in "abc"]
+    )
+    snapshot = pb.LogSnapshot(index=1, term=1, membership=first)
+    entries = [pb.Entry(index=2, term=1, membership=later)]
+    durable = DurableState(pb.HardState(term=1), snapshot, entries)
+    cfg = RaftConfig("a")
+    node = RaftNode.from_config(cfg, durable, random.Random(seed), now=0.0)
+    least, most = cfg.election_timeout_s
+    assert least + most <= node.next_deadline() <= 2 * most
