Leave the own domain for time lost, not for a single failure

A single failure in twenty answers pushed a VM's requests out for a second. Change: near and far are compared by the time that one more request should take: latency in rounds of the slots, silence beyond the usual, and failures at the time that a repetition takes. Refusals for load weigh as before.

--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -15,8 +15,8 @@
 _Shards = list[list[TargetState]]
 
 LOCAL_ADVANTAGE = 2.0
-"""Cost of a target of the own failure domain, as a multiple of the best other one's, up to which
-it goes first. One more sub-request in flight doubles the cost of an idle target."""
+"""Expected time of a target of the own failure domain, as a multiple of the best other one's, up
+to which it goes first: bytes between domains are dear."""
 
 
 class ReplicaTable:
@@ -158,14 +158,12 @@
         """Count a sub-request in flight."""
         state = self._targets.get(target_id)
         if state is not None:
-            state.in_flight += 1
-            state.sent_at = now
-            state.passed_over = 0
+            state.on_sent(now)
 
-    def _ended(self, target_id: str) -> TargetState | None:
+    def _ended(self, target_id: str, now: float) -> TargetState | None:
         state = self._targets.get(target_id)
-        if state is not None and state.in_flight > 0:
-            state.in_flight -= 1
+        if state is not None:
+            state.on_ended(now)
         return state
 
     def on_reply(self, target_id: str, latency_s: float, now: float) -> None:
@@ -173,28 +171,27 @@
         state = self._targets.get(target_id)
         if state is not None:
             state.on_reply(latency_s, now)
-            if state.in_flight > 0:
-                state.in_flight -= 1
+            state.on_ended(now)
 
     def on_shed(self, target_id: str, now: float) -> None:
         """Count a shed reply."""
-        if state := self._ended(target_id):
+        if state := self._ended(target_id, now):
             state.on_shed(now)
 
     def on_failure(self, target_id: str, now: float) -> None:
         """Count a failure."""
-        if state := self._ended(target_id):
+        if state := self._ended(target_id, now):
             state.on_failure(now)
 
     def on_cancelled(self, target_id: str, now: float) -> None:
         """Count a cancelled sub-request; it says nothing about the target."""
-        self._ended(target_id)
+        self._ended(target_id, now)
 
     def on_gone(
         self, service: str, target_id: str, snapshot: Snapshot | None, shard: int, now: float
     ) -> None:
         """Remove a replica that the target disowned; all of them if `snapshot` is None."""
-        state = self._ended(target_id)
+        state = self._ended(target_id, now)
         if state is None or target_id not in self._records.get(service, {}):
             return
         if snapshot is None:
@@ -244,10 +241,10 @@
     sub-requests in flight. Only targets with observations are compared; hedges provide them.
     """
     others = [t for t in free if not t.local and t.replies]
-    if not others:
+    if not others or not local.score(now):
         return None
-    best = min(others, key=TargetState.cost)
-    return best if local.score(now) > LOCAL_ADVANTAGE * best.cost() else None
+    best = min(others, key=lambda t: t.expected_s(now))
+    return best if local.expected_s(now) > LOCAL_ADVANTAGE * best.expected_s(now) else None
 
 
 def _above_floor(replicas: list[TargetState], ejected: list[TargetState]) -> list[TargetState]:
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -41,6 +41,16 @@
 FAILED_COST = 8.0
 """Cost of a certain failure, in times of a good answer: it takes an attempt and budget as well."""
 
+REPEATED_COST = 4.0
+"""Time lost by a certain failure, in times of a good answer: the failed one, and another target's
+answer, which may have to open a connection first."""
+
+SHED_COST = 4.0
+"""What a certain refusal for load costs beyond that: a busy target should not be asked again."""
+
+UNKNOWN_LATENCY_S = 1e-4
+"""Latency of a target that has not been asked yet; a low one, so that it is asked."""
+
 MEMORY_S = 2.0
 """Time over which what is observed follows a change, however few replies come."""
 
@@ -84,6 +94,7 @@
     warm_until: float
     in_flight: int = 0
     sent_at: float = -1e9
+    busy_since: float = 0.0  # when it last answered, or got its first sub-request in flight
     passed_over: int = 0  # choices since then that preferred another target
     reprobe_s: float = REPROBE_S
     slow_at: float = -1e9  # when that time was last doubled
@@ -93,6 +104,7 @@
     base_s: float = 0.0
     failures: int = 0
     failed_share: float = 0.0  # of the recent sub-requests, refused ones included
+    shed_share: float = 0.0  # of the recent sub-requests, refused ones only
     ejections: int = 0
     ejected_at: float = 0.0
     ejected_until: float = 0.0
@@ -128,9 +140,36 @@
 
     def cost(self) -> float:
         """Return the expected time of one more sub-request as observed, however long ago."""
-        usual = (self.in_flight + 1) * (self.latency_s or 1e-4) * (1 + self.failures)
+        usual = (self.in_flight + 1) * (self.latency_s or UNKNOWN_LATENCY_S) * (1 + self.failures)
         return usual * (1 + FAILED_COST * self.failed_share)
 
+    def expected_s(self, now: float) -> float:
+        """Return the time in seconds that one more sub-request should take.
+
+        Sub-requests run side by side in the slots, so a few in flight do not delay another one. A
+        target that has been silent for longer than it usually takes pauses or is stuck, and is
+        expected to stay so for as long again.
+        """
+        usual_s = self.latency_s or UNKNOWN_LATENCY_S
+        rounds = max(1.0, (self.in_flight + 1) / self.slots)
+        silent_s = now - self.busy_since if self.in_flight else 0.0
+        wait_s = usual_s * rounds + max(0.0, silent_s - usual_s)
+        failing = max(self.failed_share, min(1.0, self.failures / FAILURES_TO_EJECT))
+        return wait_s * (1 + REPEATED_COST * failing + SHED_COST * self.shed_share)
+
+    def on_sent(self, now: float) -> None:
+        """Count a sub-request in flight."""
+        if not self.in_flight:
+            self.busy_since = now
+        self.in_flight += 1
+        self.sent_at = now
+        self.passed_over = 0
+
+    def on_ended(self, now: float) -> None:
+        """Count the end of a sub-request, whatever it was."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self.busy_since = now
+
     def score(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
         if now - self.sent_at > self.reprobe_s and self.passed_over >= REPROBE_PASSES:
@@ -173,15 +212,16 @@
             self.reprobe_s = min(REPROBE_MAX_S, 2 * self.reprobe_s)
             self.slow_at = now
 
-    def _count_end(self, now: float, *, failed: bool) -> None:
+    def _count_end(self, now: float, *, failed: bool, shed: bool = False) -> None:
         weight = max(_FAILED_WEIGHT, min(FAILED_WEIGHT_MAX, _renewed(now - self.ended_at)))
         self.failed_share += (failed - self.failed_share) * weight
+        self.shed_share += (shed - self.shed_share) * weight
         self.ended_at = now
 
     def on_shed(self, now: float) -> None:
         """Lower the limit, once for all shed replies of one round trip."""
         self.sheds += 1
-        self._count_end(now, failed=True)
+        self._count_end(now, failed=True, shed=True)
         if now - self.limit_cut_at >= self.latency_s:
             self.limit = max(1.0, self.limit * _SHED_FACTOR)
             self.limit_cut_at = now
--- a/tests/test_query_slow_local.py
+++ b/tests/test_query_slow_local.py
@@ -128,3 +128,63 @@
         table.on_reply(target, SLOW_S if slow else USUAL_S, now)
     assert trials <= 4, "after 1, 2, 4 and 8 s; once a second without the growing time"
     assert back_at - slow_until <= REPROBE_MAX_S + 1.0
+
+
+def test_requests_side_by_side_stay_in_the_own_domain():
+    """Load pattern: several requests at once, as many as the local target has slots.
+
+    Bytes between failure domains are dear, and a free slot answers as fast as an idle target. The
+    local target is somewhat slower than the others, as targets of a service are.
+    """
+    table = ReplicaTable("a", random.Random(5), warmup_s=0.0)
+    records = [record(f"t{d}", [(ONE_SHARD, 0)], domain=d, slots=2) for d in "abc"]
+    table.update(SERVICE, records, 0.0)
+    latency = {"ta": 1.3 * USUAL_S, "tb": USUAL_S, "tc": USUAL_S}
+    for target in ("ta", "tb", "tc"):
+        table.on_sent(target, 0.0)
+        table.on_reply(target, latency[target], USUAL_S)
+    remote = 0
+    for number in range(100):
+        now = 1.0 + number / 10
+        chosen = [table.choose(SERVICE, ONE_SHARD, 0, (), now)]
+        table.on_sent(chosen[0], now)
+        chosen.append(table.choose(SERVICE, ONE_SHARD, 0, (), now + USUAL_S / 2))
+        table.on_sent(chosen[1], now + USUAL_S / 2)
+        remote += sum(target != "ta" for target in chosen)
+        for target in chosen:
+            table.on_reply(target, latency[target], now + latency[target])
+    assert remote == 0
+
+
+def test_a_local_target_that_pauses_with_requests_in_flight_is_passed_over():
+    """Load pattern: a target pauses for 0.1 s; what comes meanwhile would wait for its end."""
+    table = ReplicaTable("a", random.Random(5), warmup_s=0.0)
+    records = [record(f"t{d}", [(ONE_SHARD, 0)], domain=d, slots=4) for d in "abc"]
+    table.update(SERVICE, records, 0.0)
+    for target in ("ta", "tb", "tc"):
+        table.on_sent(target, 0.0)
+        table.on_reply(target, USUAL_S, USUAL_S)
+    table.on_sent("ta", 1.0)
+    assert table.choose(SERVICE, ONE_SHARD, 0, (), 1.0 + USUAL_S) == "ta"
+    assert table.choose(SERVICE, ONE_SHARD, 0, (), 1.0 + 4 * USUAL_S) != "ta"
+
+
+def test_single_failures_do_not_send_requests_elsewhere():
+    """Load pattern: each target garbles one answer in twenty, all of them alike."""
+    table = ReplicaTable("a", random.Random(5), warmup_s=0.0)
+    records = [record(f"t{d}", [(ONE_SHARD, 0)], domain=d, slots=3) for d in "abc"]
+    table.update(SERVICE, records, 0.0)
+    remote = 0
+    for number in range(400):
+        now = number / 20
+        for target in ("tb", "tc") if number % 12 == 0 else ():
+            table.on_sent(target, now)
+            table.on_reply(target, USUAL_S, now)
+        target = table.choose(SERVICE, ONE_SHARD, 0, (), now)
+        remote += target != "ta"
+        table.on_sent(target, now)
+        if number % 20 == 7:
+            table.on_failure(target, now)
+        else:
+            table.on_reply(target, USUAL_S, now)
+    assert remote / 400 < 0.05
