Follow targets that say that they leave or want no requests

Cause: targets now say in their answers that they leave (Server-Leaving), and for how long they want nothing after a 503 (Retry-After); both were ignored. Change: an answer of a target to its own request, of any status and also a late one, marks its incarnation as leaving in the registry, as a report does; a few near VMs are told at once. A hold keeps all requests from an incarnation until its end, prolonged by a tenth at most so that VMs don't return together; neither the floor under ejected targets nor the last choice overrides it, and what waits for a connection there is taken back. What is no duration changes nothing, and an hour is the longest. Requests whose coverage cannot be reached are refused before anything is sent, and the time of return follows from what holds the services back (holds, ejections, pauses of the pool, the VM's own start) in place of constants of 0.1 and 0.5 s, spread over callers. Ruled out: using leaving targets as the last choice for a part of the drain time; the record that ends them is final and simple.

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 
+from bramleycrank.connections.http_types import Connection, Ending, PoolSub
+
 CONNECT_TIMEOUT_S = 0.5
 """Limit for opening a connection; a target that drops packets at its limit resends after 1 s."""
 
@@ -24,83 +25,6 @@
 """Time after such an attempt until the next one to a target that is silent but reachable."""
 
 
-class Connection(Protocol):
-    """A connection to a target; `transport.http1.TargetConnection`."""
-
-    closed: bool
-    idle_until: float | None
-
-    @property
-    def connected(self) -> bool:
-        """Whether the connection is open."""
-
-    @property
-    def busy(self) -> bool:
-        """Whether a request is in progress."""
-
-    def send(self, data: bytes, *, head: bool = False) -> None:
-        """Send a request."""
-
-    def close(self) -> None:
-        """Close at once."""
-
-
-class Ending(enum.Enum):
-    """How a sub-request ended that was given up."""
-
-    ANSWERED = enum.auto()  # the target answered, too late to be used
-    CANCELLED = enum.auto()  # it was not sent, or its connection was closed at once
-    SILENT = enum.auto()  # the target had its time, or closed the connection
-
-
-class SubListener(Protocol):
-    """Hears how a sub-request ends; one of the calls comes once."""
-
-    def on_response(self, sub: PoolSub, response: Any) -> bool:
-        """Take the response; return whether it belongs to the request.
-
-        The connection is closed if not, because the next response would be another stray one.
-        """
-
-    def on_lost(self, sub: PoolSub, *, sent: bool, garbled: bool) -> None:
-        """Take note that there is no whole response."""
-
-    def on_given_up(self, sub: PoolSub, ending: Ending) -> None:
-        """Take note that a cancelled sub-request occupies its target no more."""
-
-
-@attrs.define(eq=False)
-class PoolSub:
-    """A sub-request on its way.
-
-    Parameters
-    ----------
-    sub_id : int
-        Identifier for the listener.
-    target_id : str
-        The target.
-    encode : callable
-        Returns the bytes of the request; called when they are sent, since they tell the time left.
-    head : bool
-        Whether it is a HEAD request.
-    listener : SubListener
-        Hears of the end.
-    started : float
-        When it was handed to the pool, in seconds.
-    """
-
-    sub_id: int
-    target_id: str
-    encode: Callable[[], bytes]
-    head: bool
-    listener: SubListener
-    started: float = 0.0
-    conn: Connection | None = None
-    sent: bool = False
-    sent_at: float = 0.0
-    linger_until: float | None = None
-
-
 @attrs.define(eq=False)
 class _Target:
     """A target with its connections."""
@@ -213,6 +137,13 @@
         if conn.connected:
             self._transmit(sub)
 
+    def recall(self, target_id: str) -> None:
+        """Take back the sub-requests that wait for a connection to a target."""
+        for conn, sub in list(self._subs.items()):
+            if sub.target_id == target_id and not sub.sent:
+                del self._subs[conn]  # the connection becomes idle once it is open
+                sub.listener.on_lost(sub, sent=False, garbled=False)
+
     def cancel(self, sub: PoolSub, *, overtaken: bool) -> None:
         """Give a sub-request up; its listener hears only `on_given_up`."""
         conn = sub.conn
@@ -311,6 +242,7 @@
             self._owners[conn].answered_at = self._clock()
         if sub.linger_until is not None:
             self._lingering.discard(sub)
+            sub.listener.on_late(sub, response)
             sub.listener.on_given_up(sub, Ending.ANSWERED)
             self._release(conn)
             return
--- a/bramleycrank/daemon/entry_call.py
+++ b/bramleycrank/daemon/entry_call.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bramleycrank.connections.http_pool import Ending, PoolSub
+from bramleycrank.connections.http_types import Ending, PoolSub
 from bramleycrank.daemon.entry_types import CallerMeta
 from bramleycrank.scatter import ScatterExecution
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
@@ -37,6 +37,9 @@
     def on_lost(self, call: Call, sub: PoolSub, *, sent: bool, garbled: bool) -> None:
         """Take the loss of a response."""
 
+    def on_late(self, call: Call, sub: PoolSub, response: Response) -> None:
+        """Take the response to a cancelled sub-request."""
+
     def on_given_up(self, sub: PoolSub, ending: Ending) -> None:
         """Take note that a cancelled sub-request occupies its target no more."""
 
@@ -58,6 +61,10 @@
         """Take the loss of a response."""
         self._controller.on_lost(self._call, sub, sent=sent, garbled=garbled)
 
+    def on_late(self, sub: PoolSub, response: Response) -> None:
+        """Take the response to a cancelled sub-request."""
+        self._controller.on_late(self._call, sub, response)
+
     def on_given_up(self, sub: PoolSub, ending: Ending) -> None:
         """Take the end of a cancelled sub-request."""
         self._controller.on_given_up(sub, ending)
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
-from bramleycrank.connections.http_pool import Ending, PoolSub
+from bramleycrank.connections.http_types import Ending, PoolSub
 from bramleycrank.daemon.entry_answers import missing_services, render
 from bramleycrank.daemon.entry_call import Call, CallListener
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
@@ -33,15 +33,13 @@
 )
 from bramleycrank.scatter.budget import ExtraConfig
 from bramleycrank.scatter.delivery import DeliveryEstimate
+from bramleycrank.scatter.returns import spread, until_started
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
 from bramleycrank.transport.http1.messages import size_of
 
 log = logging.getLogger(__name__)
 
 
-STARTING_RETRY_S = 0.5
-"""When a caller should come back to a VM that has no routes yet, in seconds."""
-
 LOGGED_FAILURES = 8
 """Failed sub-requests that the log line of a request names; it has to stay one short line."""
 
@@ -102,6 +100,8 @@
         self._is_cut_off = is_cut_off
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
+        self._started = self._clock()
+        self._rng = rng
         self._dialect = dialect
         self._routes = routes
         self._metrics = metrics
@@ -168,7 +168,8 @@
         request = exchange.request
         meta = self._dialect.caller_meta(request)
         if self._index is None:
-            self._refuse(exchange, meta, 503, STARTING_RETRY_S, "no routes are known yet")
+            retry_s = spread(until_started(now - self._started), self._rng)
+            self._refuse(exchange, meta, 503, retry_s, "no routes are known yet")
             return
         route = self._index.find(request.host.decode("latin-1"), request.path)
         if route is None:
@@ -272,6 +273,7 @@
             request.method == b"HEAD",
             CallListener(self, call),
             self._clock(),
+            self._targets.incarnation(action.target_id),
         )
         call.subs[action.sub_id] = sub
         call.sends += 1
@@ -288,6 +290,8 @@
         meta = self._dialect.target_meta(response)
         execution, now = call.execution, self._clock()
         stray = bool(meta.request_id) and meta.request_id != call.meta.request_id
+        if not stray:
+            self._note_wishes(sub, meta)
         if stray or (not meta.not_run and not self._is_sound(response, meta)):
             self._note_failure(call, sub, FailureKind.GARBLED)
             failure = SubFailure(FailureKind.GARBLED)
@@ -306,6 +310,21 @@
         self._execute(call, execution.on_answer(sub.sub_id, answer, now))
         return True
 
+    def on_late(self, call: Call, sub: PoolSub, response: Response) -> None:
+        """Take what the response to a cancelled sub-request says about its target."""
+        meta = self._dialect.target_meta(response)
+        if meta.request_id == call.meta.request_id:
+            self._note_wishes(sub, meta)
+
+    def _note_wishes(self, sub: PoolSub, meta: TargetMeta) -> None:
+        """Follow a target that leaves or wants no requests, before anything else is sent."""
+        if meta.wrong_target or not meta.request_id:
+            return
+        if meta.leaving:
+            self._targets.note_leaving(sub.target_id, sub.incarnation)
+        if meta.hold_s:
+            self._targets.hold(sub.target_id, sub.incarnation, meta.hold_s)
+
     @staticmethod
     def _is_sound(response: Response, meta: TargetMeta) -> bool:
         """Return whether a response can be the target's own: a success needs its receipt."""
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -42,6 +42,9 @@
     def vm_count(self, domain: str | None = None) -> int:
         """Return how many VMs share the budgets."""
 
+    def note_leaving(self, target_id: str, incarnation: int) -> None:
+        """Record that a target itself said that it leaves."""
+
 
 class EntryTargets:
     """Keeps the policy and the connections in step with the registry and the routes.
@@ -86,6 +89,7 @@
         self.policy = TargetPolicy(domain, extra, self.pool.has_room, lambda: self._vm_count, rng)
         self._intake: IntakeBudget[TargetConnection] = IntakeBudget.from_memory(memory_bytes)
         self._services_of: dict[str, str] = {}
+        self._incarnations: dict[str, int] = {}
         self._served: set[str] = set()
         self._domain = domain
         self._far: set[str] = set()  # targets of other failure domains
@@ -132,6 +136,31 @@
             "held_bytes": self._intake.held_bytes,
         }
 
+    def incarnation(self, target_id: str) -> int:
+        """Return the incarnation of a target that gets requests now; 0 if it gets none."""
+        return self._incarnations.get(target_id, 0)
+
+    def note_leaving(self, target_id: str, incarnation: int) -> None:
+        """Send nothing more to an incarnation of a target, which said that it leaves."""
+        if self.incarnation(target_id) == incarnation:
+            log.info("entry: target says that it leaves", extra={"target": target_id})
+            self._source.note_leaving(target_id, incarnation)
+
+    def hold(self, target_id: str, incarnation: int, hold_s: float) -> None:
+        """Send nothing to an incarnation of a target for some time, as it asked."""
+        if self.incarnation(target_id) != incarnation:
+            return
+        now = self._clock()
+        known = self.policy.table.held_until(target_id)
+        self.policy.table.hold(target_id, hold_s, now)
+        until = self.policy.table.held_until(target_id)
+        if until <= max(known, now):
+            return
+        log.info("entry: target is held back", extra={"target": target_id, "hold_s": hold_s})
+        self._metrics.incr("entry.holds")
+        self._loop.call_at(until, self._on_room, target_id)
+        self.pool.recall(target_id)
+
     def is_far(self, target_id: str) -> bool:
         """Return whether a target is in another failure domain."""
         return target_id in self._far
@@ -152,10 +181,12 @@
         gone = [i for i, name in self._services_of.items() if name == service and i not in current]
         for target_id in gone:
             del self._services_of[target_id]
+            self._incarnations.pop(target_id, None)
             self._far.discard(target_id)
             self.pool.remove(target_id)
         for record in records:
             self._services_of[record.target_id] = service
+            self._incarnations[record.target_id] = record.incarnation
             if record.domain != self._domain:
                 self._far.add(record.target_id)
             self.pool.update(
--- a/bramleycrank/daemon/entry_types.py
+++ b/bramleycrank/daemon/entry_types.py
@@ -45,6 +45,10 @@
         Whether the body is not what the caller asked for.
     load : LoadReport or None
         Load of the target.
+    leaving : bool
+        Whether the target says that it leaves.
+    hold_s : float
+        How long the target wants no requests of this VM, in seconds; 0 if it does not say.
     """
 
     request_id: bytes
@@ -53,6 +57,8 @@
     wrong_target: bool
     encoded: bool
     load: LoadReport | None
+    leaving: bool = False
+    hold_s: float = 0.0
 
 
 class EntryDialect(Protocol):
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -37,7 +37,6 @@
     VmRecord,
 )
 from bramleycrank.proto.target_pb2 import (
-    TARGET_STATE_LEAVING,
     AnnounceReply,
     AnnounceRequest,
     LeaveReply,
@@ -259,8 +258,8 @@
         Draining
             If this VM drains; the target announces to another VM.
         Refused
-            If this VM has not joined within `JOIN_WAIT_S`. It may not know that the target left, and would give new
-            work to a target that a delayed announcement brings back.
+            If this VM has not joined within `JOIN_WAIT_S`. It may not know that the target left,
+            and would give new work to a target that a delayed announcement brings back.
         InvalidRequest
             If the announcement is invalid or too old.
         """
@@ -291,11 +290,8 @@
         return LeaveReply()
 
     def note_leaving(self, target_id: str, incarnation: int) -> None:
-        """Record that a target itself refused work because it leaves."""
-        request = LeaveRequest(target_id=target_id, incarnation=incarnation)
-        known = self.registry.get(target_id)
-        if known is None or known.state != TARGET_STATE_LEAVING:
-            self._execute(self.registry.leave(request, self._clock()))
+        """Record that a target itself said that it leaves."""
+        self._execute(self.registry.note_leaving(target_id, incarnation, self._clock()))
 
     # Execution of actions.
 
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -184,6 +184,25 @@
         left.target_id, left.incarnation = request.target_id, request.incarnation
         return [*self._store(left, now), PushRecords((left,))]
 
+    def note_leaving(self, target_id: str, incarnation: int, now: float) -> list[Action]:
+        """Record that a target told this VM that it leaves; final for this incarnation.
+
+        The target tells each VM that asks it, and reports it as well, so a few VMs are told here.
+
+        Returns
+        -------
+        list of Action
+            `TargetChanged` and `PushRecords` to a few VMs, if that was not known yet.
+        """
+        known = self._table.get(target_id)
+        if known is None or known.incarnation != incarnation:
+            return []
+        if known.state == TARGET_STATE_LEAVING:
+            return []
+        left = _ended(known, TARGET_STATE_LEAVING, self._vm_id)
+        push = PushRecords((left,), fanout=FORWARD_FANOUT, near_only=True)
+        return [*self._store(left, now), push]
+
     def merge(
         self, records: Iterable[TargetRecord], now: float, *, spread: bool = True
     ) -> list[Action]:
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 from bramleycrank.daemon.entry_types import CallerMeta, TargetMeta
@@ -25,6 +26,7 @@
 RETRY_AFTER = b"Retry-After"
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 
 _SET_HERE = frozenset({DEADLINE_MS.lower(), EXPECT_INSTANCE.lower()})
 
@@ -62,6 +64,8 @@
             wrong_target=misdirected,
             encoded=headers.get(b"content-encoding", b"identity") != b"identity",
             load=_load(headers.get(b"x-backend-load")),
+            leaving=headers.get(b"server-leaving", b"").strip() == b"1",
+            hold_s=_seconds(headers.get(b"retry-after")) if response.status == UNAVAILABLE else 0.0,
         )
 
     def merged_headers(self, meta: CallerMeta, receipts: Sequence[bytes], missing: int) -> Headers:
@@ -81,6 +85,16 @@
         return headers
 
 
+def _seconds(value: bytes | None) -> float:
+    """Return a duration in seconds; NaN for what is no number, 0 if there is none."""
+    if value is None:
+        return 0.0
+    try:
+        return float(value)
+    except ValueError:
+        return math.nan
+
+
 def _load(value: bytes | None) -> LoadReport | None:
     """Return the load report of the figures "running,waiting,slots"; a fourth one may follow."""
     figures = value.split(b",") if value else []
--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -9,6 +9,7 @@
 
 from bramleycrank.proto.target_pb2 import TARGET_STATE_WARMING, LoadReport, TargetRecord
 from bramleycrank.query.catalog import record_key, replicas_of
+from bramleycrank.query.holds import Holds
 from bramleycrank.query.targets import TargetState
 from bramleycrank.query.types import Snapshot
 
@@ -41,6 +42,7 @@
         self._records: dict[str, dict[str, TargetRecord]] = {}
         self._gone: dict[str, set[tuple[Snapshot, int]]] = {}
         self._down: set[str] = set()
+        self._holds = Holds(rng.random)
         self._index: dict[str, dict[Snapshot, _Shards]] = {}
 
     def set_vm_counts(self, counts: Mapping[str, int]) -> None:
@@ -76,6 +78,7 @@
         local = record.domain == self._domain
         state = TargetState.from_record(record, local, self._share(record, local), now, until)
         state.down = record.target_id in self._down
+        state.held_until = self._holds.until(record.target_id, record.incarnation)
         self._targets[record.target_id] = state
 
     def _share(self, record: TargetRecord, local: bool) -> float:
@@ -113,7 +116,7 @@
         self, service: str, snapshot: Snapshot, shard: int, exclude: Collection[str], now: float
     ) -> str | None:
         """Return the target for a sub-request; None if no replica is left."""
-        replicas = self.replicas(service, snapshot, shard)
+        replicas = [t for t in self.replicas(service, snapshot, shard) if t.held_until <= now]
         ejected = [t for t in replicas if t.down or t.ejected_until > now]
         pool = _above_floor(replicas, ejected) if ejected else replicas
         if exclude:
@@ -213,6 +216,17 @@
                 state.ejected_at = now
             state.down = down
 
+    def hold(self, target_id: str, hold_s: float, now: float) -> None:
+        """Record that a target wants no requests of this VM for some time."""
+        state = self._targets.get(target_id)
+        if state is not None:
+            state.held_until = self._holds.add(target_id, state.incarnation, hold_s, now)
+
+    def held_until(self, target_id: str) -> float:
+        """Return the end of the hold of a target, in seconds; 0 if there is none."""
+        state = self._targets.get(target_id)
+        return state.held_until if state is not None else 0.0
+
     def on_load(self, target_id: str, report: LoadReport, now: float) -> None:
         """Record a load report; it only decides between otherwise equal targets."""
         state = self._targets.get(target_id)
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -110,6 +110,7 @@
     ejected_until: float = 0.0
     limit_cut_at: float = -1e9
     down: bool = False
+    held_until: float = 0.0  # the target wants no requests before
     leaving: bool = False
     reported: float = 0.0
     replies: int = 0
@@ -265,6 +266,8 @@
             return "leaving: the target refused work because it is leaving"
         if self.down:
             return "down: the connection monitor got no answer"
+        if self.held_until > now:
+            return f"held back: it wants no requests for {self.held_until - now:.1f} s more"
         if self.ejected_until > now:
             left = self.ejected_until - now
             return f"ejected: consecutive failures, for {left:.1f} s more"
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -43,9 +43,6 @@
 MAX_REFUSED = 2
 """Refusals for a shard that cost no attempt; more would keep full targets busy refusing."""
 
-RETRY_AFTER_S = 0.1
-"""When a caller should come back if no target was to be had, in seconds."""
-
 
 @attrs.define(eq=False)
 class _Sub:
@@ -136,13 +133,22 @@
         return now >= self._give_at, self.route.rank, -self._arrived
 
     def start(self, now: float) -> list[Action]:
-        """Send the first sub-request of every service."""
+        """Send the first sub-request of every service.
+
+        Nothing is sent if the answer cannot be had, so that the refusal can say "not run".
+        """
         if now >= self._deadline:
             return self._refuse("the deadline had passed on arrival", now)
+        for shard in self._shards:
+            if not self._policy.has_targets(shard.service, (), now):
+                self._lose(shard)
+        if len(self._shards) - self._lost < self._needed:
+            return self._give_up(now)
         out: list[Action] = []
         for shard in self._shards:
             self._policy.on_request(shard.service, now)
-            self._send_first(shard, now, out)
+            if not shard.ended:
+                self._send_first(shard, now, out)
         return out if self.ended else [*out, *self._settle(now)]
 
     def on_room(self, service: str, now: float) -> list[Action]:
@@ -235,7 +241,7 @@
         A shard that waited behind a refusal has sent before, so its next one is an extra one.
         """
         target_id = self._policy.choose(shard.service, shard.tried, now)
-        if target_id is None and self._policy.has_targets(shard.service, shard.tried):
+        if target_id is None and self._policy.has_targets(shard.service, shard.tried, now):
             self.waiting.add(shard.service)
         elif target_id is None or not self._may_send(shard, now):
             self._lose(shard)
@@ -317,7 +323,7 @@
             return False
         target_id = self._policy.choose(shard.service, shard.tried, now)
         if target_id is None:
-            if proved and self._policy.has_targets(shard.service, shard.tried):
+            if proved and self._policy.has_targets(shard.service, shard.tried, now):
                 self.waiting.add(shard.service)
                 return True
             return False
@@ -387,9 +393,12 @@
         return self._refuse("timeout", now)
 
     def _refuse(self, reason: str, now: float) -> list[Action]:
-        not_run = not self._ran and not self._subs
-        retry_after_s = RETRY_AFTER_S if not_run else 0.0
-        return self._give(Refusal(not_run, reason, retry_after_s), now)
+        if self._ran or self._subs:
+            return self._give(Refusal(False, reason), now)
+        absent = [s.service for s in self._shards if s.part is None and (s.ended or not s.open)]
+        wanted = self._needed - (len(self._shards) - len(absent))
+        return_s = self._policy.return_after(absent, wanted, now)
+        return self._give(Refusal(True, reason, return_s), now)
 
     def _give(self, action: Give, now: float) -> list[Action]:
         self.ended = True
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, Protocol
 
 from bramleycrank.proto.target_pb2 import Replica, Snapshot, TargetRecord
@@ -11,6 +11,7 @@
 from bramleycrank.query.replicas import ReplicaTable
 from bramleycrank.query.types import Snapshot as SnapshotKey
 from bramleycrank.scatter.budget import ExtraBudget, ExtraConfig
+from bramleycrank.scatter.returns import spread, until_enough, until_ready
 from bramleycrank.scatter.types import FailureKind, SubFailure, TargetAnswer
 
 WHOLE = SnapshotKey(1, 1)
@@ -44,9 +45,12 @@
     def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
         """Return the target for a sub-request, or None if none has room."""
 
-    def has_targets(self, service: str, tried: Collection[str]) -> bool:
+    def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         """Return whether the service has a target that was not tried, busy or not."""
 
+    def return_after(self, services: Sequence[str], needed: int, now: float) -> float:
+        """Return the time in seconds until some of the services should take work again."""
+
     def hedge_delay(self, route: str, objective_s: float, *, scarce: bool) -> float:
         """Return the time in seconds after which to ask a second target."""
 
@@ -101,6 +105,7 @@
     ) -> None:
         self.table = ReplicaTable(domain, rng, warmup_s=0.0)
         self._extra = extra
+        self._rng = rng
         self._has_room = has_room
         self._vm_count = vm_count
         self._budgets: dict[str, ExtraBudget] = {}
@@ -123,15 +128,31 @@
             exclude.add(target_id)
         return None
 
-    def has_targets(self, service: str, tried: Collection[str]) -> bool:
-        """Return whether a target that can be reached was not tried, busy or not."""
+    def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
+        """Return whether a target that can be asked was not tried, busy or not."""
         return any(
-            t.target_id not in tried and not t.down for t in self.table.replicas(service, WHOLE, 0)
+            not t.down and t.held_until <= now and t.target_id not in tried
+            for t in self.table.replicas(service, WHOLE, 0)
         )
 
     def is_served(self, service: str) -> bool:
-        """Return whether a target of the service can be reached."""
-        return self.has_targets(service, ())
+        """Return whether a target of the service can be reached, also one that is held back."""
+        return any(not t.down for t in self.table.replicas(service, WHOLE, 0))
+
+    def return_after(self, services: Sequence[str], needed: int, now: float) -> float:
+        """Return the time in seconds until some of the services should take work again.
+
+        Parameters
+        ----------
+        services : sequence of str
+            Services without which the request cannot be answered.
+        needed : int
+            How many of them an answer needs.
+        now : float
+            Current time in seconds.
+        """
+        waits_s = [until_ready(self.table.replicas(name, WHOLE, 0), now) for name in services]
+        return spread(until_enough(waits_s, needed), self._rng)
 
     def hedge_delay(self, route: str, objective_s: float, *, scarce: bool) -> float:
         """Return the time in seconds after which to ask a second target.
--- a/tests/scatter_fakes.py
+++ b/tests/scatter_fakes.py
@@ -58,12 +58,15 @@
         self.scarce = False
         self.choices = 0
         self.busy: set[str] = set()
+        self.absent: set[str] = set()  # services without a target
         self.sent: list[str] = []
         self.failures: list[tuple[str, str]] = []
         self.overtaken: list[float] = []
 
     def names(self, service: str) -> list[str]:
         """Return the targets of a service."""
+        if service in self.absent:
+            return []
         return [f"{service}-{number}" for number in range(self.targets)]
 
     def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
@@ -71,9 +74,12 @@
         left = [n for n in self.names(service) if n not in tried and n not in self.busy]
         return left[0] if left else None
 
-    def has_targets(self, service: str, tried: Collection[str]) -> bool:
+    def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         return any(name not in tried for name in self.names(service))
 
+    def return_after(self, services: list[str], needed: int, now: float) -> float:
+        return 0.2
+
     def hedge_delay(self, route: str, objective_s: float, *, scarce: bool) -> float:
         return self.hedge_s
 
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -75,6 +75,9 @@
     def on_lost(self, sub, *, sent, garbled):
         self.heard.append(("lost", sub.sub_id, sent))
 
+    def on_late(self, sub, response):
+        self.heard.append(("late", sub.sub_id))
+
     def on_given_up(self, sub, ending):
         self.heard.append((ending, sub.sub_id))
 
@@ -159,7 +162,7 @@
     world.conns[0].open()
     world.pool.cancel(sub, overtaken=True)
     world.conns[0].answer()
-    assert world.heard == [(Ending.ANSWERED, 1)] and not world.conns[0].closed
+    assert world.heard == [("late", 1), (Ending.ANSWERED, 1)] and not world.conns[0].closed
 
 
 def test_an_overtaken_request_without_an_answer_ends_with_its_connection():
--- a/tests/test_membership_bounds.py
+++ b/tests/test_membership_bounds.py
@@ -305,3 +305,23 @@
     names = [state_name(peer_pb2.VmRecord(state=1)), state_name(target_pb2.TargetRecord(state=4))]
     assert names == ["alive", "leaving"]
     assert state_name(target_pb2.TargetRecord(state=99)) == "99"
+
+
+def test_a_target_that_said_that_it_leaves_stays_gone_in_its_incarnation():
+    """Guards against an older report, or a VM that has not heard, that brings it back."""
+    registry, other = (TargetRegistry.from_config(CFG, vm, 0.0) for vm in ("vm", "other"))
+    registry.announce(announcement(sequence=4), 0.0)
+    other.announce(announcement(sequence=4), 0.0)
+    assert registry.note_leaving("t", 2, 1.0) == [] == registry.note_leaving("u", 1, 1.0)
+    actions = registry.note_leaving("t", 1, 1.0)
+    assert [a.fanout for a in actions if isinstance(a, PushRecords)], "a few VMs are told"
+    assert registry.note_leaving("t", 1, 1.1) == [], "they are told once"
+    other.announce(announcement(sequence=9), 2.0)
+    registry.merge([other.outgoing("t", 2.0)], 2.0)
+    with pytest.raises(InvalidRequest):
+        registry.announce(announcement(sequence=10), 3.0)
+    assert registry.usable("s", 3.0) == []
+    other.merge([registry.outgoing("t", 3.0)], 3.0)
+    assert other.usable("s", 3.0) == [], "the VM that had not heard hears it"
+    registry.announce(announcement(incarnation=2), 4.0)
+    assert len(registry.usable("s", 4.0)) == 1, "a new incarnation is free of it"
--- a/tests/test_scatter_execution.py
+++ b/tests/test_scatter_execution.py
@@ -269,3 +269,12 @@
     second = b"c" * 16 + b"b" * 16
     assert merge_records([first, second], 3) == b"c" * 16 + b"c" * 16 + b"b" * 16
     assert merge_records([], 3) == b""
+
+
+def test_nothing_is_sent_if_the_answer_cannot_be_had():
+    """Load pattern: after a loss of power few targets have reported; callers come back in time."""
+    policy = FakePolicy()
+    policy.absent = {"s0", "s1"}
+    _, subs, actions = begin(gather_route(), policy)
+    [refusal] = actions
+    assert refusal.not_run and refusal.retry_after_s > 0 and not subs
--- a/tests/test_scatter_policy.py
+++ b/tests/test_scatter_policy.py
@@ -81,7 +81,7 @@
         policy.on_answer("route", "t", TargetAnswer(200, [], b"", b"r", queued), 0.1, now)
         policy.on_sent("t", now)
     assert policy.choose("s", (), 30.0) is None
-    assert policy.has_targets("s", ()), "it waits, and is not given up"
+    assert policy.has_targets("s", (), 30.0), "it waits, and is not given up"
 
 
 def test_under_overload_the_newest_request_that_can_be_on_time_goes_first():
