Tell of new targets and of a finished join without waiting for a tick

Change: the last reply of the exchange ends the join; new targets are pushed 30 ms after the first of them, so that those that report together still travel together. The test of the push asks for the push where it asked for a tick.

--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -63,6 +63,9 @@
 # How long an announcement waits until this VM has joined. Targets give a report up after 1 s.
 JOIN_WAIT_S = 0.6
 
+# How long the push of a new target waits for others that report at the same time.
+NEW_BATCH_S = 0.03
+
 # What a target that announces too early waits before it tries again.
 JOIN_RETRY_MS = 500
 
@@ -272,10 +275,21 @@
             raise Refused(
                 "the VM is joining", outcome=Outcome.NOT_RUN, retry_after_ms=JOIN_RETRY_MS
             )
+        pushing = self.registry.has_new
         reply, actions = self.registry.announce(request, self._clock())
         self._execute(actions)
+        if self.registry.has_new and not pushing:
+            self._spawn(self._push_new())
         return reply
 
+    async def _push_new(self) -> None:
+        """Tell others of new targets; those that report together travel together.
+
+        Load pattern: after a loss of power all targets report anew, and callers wait for them.
+        """
+        await asyncio.sleep(NEW_BATCH_S)
+        self._execute(self.registry.push_new())
+
     async def leave_target(self, request: LeaveRequest) -> LeaveReply:
         """Answer `Registry.Leave` once the other VMs acknowledged the record or 0.5 s passed.
 
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -286,12 +286,19 @@
             if known is not None:
                 actions += self._store(_ended(known, TARGET_STATE_EXPIRED, self._vm_id), now)
         actions += (TargetChanged(rec) for rec in self._table.tick(now))
-        if self._new:
-            # All that came since the last tick travels together.
-            actions.append(PushRecords(tuple(self._new.values()), fanout=NEW_FANOUT))
-            self._new.clear()
         return actions
 
+    @property
+    def has_new(self) -> bool:
+        """Whether other VMs are still to be told of targets that are new here."""
+        return bool(self._new)
+
+    def push_new(self) -> list[Action]:
+        """Return the push of all targets that are new since the last one."""
+        new = tuple(self._new.values())
+        self._new.clear()
+        return [PushRecords(new, fanout=NEW_FANOUT)] if new else []
+
     def usable(self, service: str, now: float) -> list[TargetRecord]:
         """Return the targets of a service that may get new work."""
         return self._table.usable(service)
--- a/bramleycrank/membership/vm_membership.py
+++ b/bramleycrank/membership/vm_membership.py
@@ -188,7 +188,9 @@
 
     def on_sync_reply(self, sync_id: int, reply: SyncReply, now: float) -> list[Action]:
         """Take the answer to one round of an exchange."""
-        return self._sync.on_reply(sync_id, reply, now)
+        actions = self._sync.on_reply(sync_id, reply, now)
+        self._joined = self._joined or bool(self._sync.completed)
+        return actions
 
     def on_sync_failed(self, sync_id: int, now: float) -> list[Action]:
         """Note that a round of an exchange got no answer; another member is tried soon."""
--- a/tests/test_membership_new_targets.py
+++ b/tests/test_membership_new_targets.py
@@ -22,7 +22,7 @@
 
 
 def pushes(registry: TargetRegistry, now: float) -> list[PushRecords]:
-    return [action for action in registry.tick(now) if isinstance(action, PushRecords)]
+    return [action for action in registry.push_new() if isinstance(action, PushRecords)]
 
 
 def test_targets_that_are_new_to_their_home_are_pushed_together():
