Weigh a slow answer at most as much as three usual ones

Change: the extra weight of answers beyond three times the observed latency is gone; a target that stays slow passes the double after four answers.

--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -196,8 +196,6 @@
             return
         weight = max(_LATENCY_WEIGHT, _renewed(since_s))
         step = (min(latency_s, LATENCY_RISE * known) - known) * weight
-        if latency_s > known:
-            step = max(step, (latency_s - known) * _LATENCY_WEIGHT)
         self.latency_s = known + step
         rising = latency_s > self.base_s
         self.base_s += (latency_s - self.base_s) * (_BASE_RISE if rising else _BASE_FALL)
