--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,8 @@
 
 import fire
 
-from bench import control, report, slopes
+from bench import ablation, control, report, slopes
+from bench.mechanisms import MECHANISMS
 from bench.runner import Measurement, run_all
 from bench.scenarios import SCENARIOS
 from bench.shapes import SHAPES
@@ -53,6 +54,43 @@
             results["shapes"][name] = asyncio.run(run_all(measurement, words(scenarios)))
             write(out, results)
 
+    def ablate(
+        self,
+        player: str,
+        checkout: str,
+        *days: str,
+        out: str = "ablation",
+        mechanisms: str = "",
+        jobs: int = 3,
+    ) -> None:
+        """Play days with each mechanism left out and print what it is worth.
+
+        Parameters
+        ----------
+        player : str
+            Program of the users' bench.
+        checkout : str
+            A worktree of its own, whose sources are changed meanwhile.
+        days : str
+            Site file and name of each day, as ``SITE:DAY``.
+        out : str
+            Name of the result file; days that it has are not played again.
+        mechanisms : str
+            Names, separated by commas; all by default.
+        jobs : int
+            Days that are played at a time.
+        """
+        split = [day.rpartition(":") for day in days]
+        plan = ablation.Ablation(
+            Path(player),
+            Path(checkout),
+            tuple((Path(site), day) for site, _, day in split),
+            RESULTS / f"{out}.json",
+            jobs,
+        )
+        names = words(mechanisms) if mechanisms else [m.name for m in MECHANISMS]
+        print(ablation.table(plan.run(names)))
+
     def control(self, changes: int = 100, recoveries: int = 10, out: str = "control") -> None:
         """Measure how soon changes are in force and how soon a lost leader is replaced."""
         logging.basicConfig(level=logging.WARNING, format="%(asctime)s %(message)s")
--- /dev/null
+++ b/bench/mechanisms.py
@@ -0,0 +1,132 @@
+"""Each mechanism of the policies, and what leaves it out."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import attrs
+
+NEVER = "1e9"
+
+
+@attrs.frozen
+class Edit:
+    """A constant with the value that leaves a mechanism out."""
+
+    module: str
+    constant: str
+    value: str
+
+    def apply(self, root: Path) -> None:
+        """Change the constant in a checkout.
+
+        Raises
+        ------
+        LookupError
+            The module has no such constant.
+        """
+        path = root / "bramleycrank" / f"{self.module}.py"
+        pattern = re.compile(rf"^( *{self.constant}(?:: [^=\n]+)?) = .+$", re.MULTILINE)
+        text, count = pattern.subn(rf"\1 = {self.value}", path.read_text(), count=1)
+        if not count:
+            raise LookupError(f"{self.module} has no constant {self.constant}")
+        path.write_text(text)
+
+
+@attrs.frozen
+class Mechanism:
+    """A mechanism and its load pattern."""
+
+    name: str
+    load: str
+    edits: tuple[Edit, ...] = ()
+
+
+def _mechanism(name: str, load: str, *edits: tuple[str, str, str]) -> Mechanism:
+    return Mechanism(name, load, tuple(Edit(*edit) for edit in edits))
+
+
+POLICY, EXECUTION, TARGETS = "scatter/policy", "scatter/execution", "query/targets"
+
+MECHANISMS = (
+    Mechanism("all", "nothing left out"),
+    _mechanism(
+        "hedging",
+        "a part of the targets slow or pausing",
+        (POLICY, "LATEST_HEDGE_SHARE", NEVER),
+        (POLICY, "MIN_SAMPLES", "10**9"),
+    ),
+    _mechanism(
+        "latest hedge time", "a fifth of the targets slow", (POLICY, "LATEST_HEDGE_SHARE", NEVER)
+    ),
+    _mechanism("scarce quantile", "budgets half used", (POLICY, "SCARCE_QUANTILE", "0.92")),
+    _mechanism(
+        "wait for a stream of answers",
+        "many shards behind a thin link",
+        ("scatter/stream", "LATEST_STREAM_SHARE", "0.0"),
+    ),
+    _mechanism(
+        "parts left out at the objective",
+        "both copies of a shard slow",
+        (EXECUTION, "DELIVERY_SHARE", "-1e6"),
+    ),
+    _mechanism(
+        "late answers wait for parts", "an objective missed", (EXECUTION, "LATE_FACTOR", "0.0")
+    ),
+    _mechanism(
+        "refusals are no attempts", "half of the targets shed", (EXECUTION, "MAX_REFUSED", "0")
+    ),
+    _mechanism("ejection", "a target that fails", (TARGETS, "FAILURES_TO_EJECT", "10**9")),
+    _mechanism(
+        "rarer trials of slow targets",
+        "a fifth of the targets slow for seconds",
+        (TARGETS, "REPROBE_S, REPROBE_MAX_S", "1.0, 1.0"),
+    ),
+    _mechanism("share of failures", "a target fails a part", (TARGETS, "FAILED_COST", "0.0")),
+    _mechanism(
+        "time lost by failures, near and far",
+        "a target fails a part",
+        (TARGETS, "REPEATED_COST", "0.0"),
+    ),
+    _mechanism("refusals for load, near and far", "targets shed", (TARGETS, "SHED_COST", "0.0")),
+    _mechanism("bounded rise of latency", "single pauses", (TARGETS, "LATENCY_RISE", NEVER)),
+    _mechanism("limits follow refusals", "targets shed", (TARGETS, "_SHED_FACTOR", "1.0")),
+    _mechanism("limits follow queues", "demand above capacity", (TARGETS, "_QUEUED_FACTOR", "1.0")),
+    _mechanism(
+        "own domain first",
+        "copies in several domains",
+        ("query/replicas", "LOCAL_ADVANTAGE", "1.0"),
+    ),
+    _mechanism(
+        "slow local target passed over", "a copy slow", ("query/replicas", "LOCAL_ADVANTAGE", NEVER)
+    ),
+    _mechanism("overtaken requests finish", "hedges", ("connections/http_pool", "LINGER_S", "0.0")),
+    _mechanism(
+        "silent targets tried by a connection",
+        "a domain cut off",
+        ("connections/http_pool", "SILENCE_S", NEVER),
+    ),
+    _mechanism("spread returns", "a fault ends", ("scatter/returns", "SPREAD", "0.0")),
+    _mechanism(
+        "elections soon after a restart",
+        "all voters lose power",
+        ("consensus/types", "restart_s", "0.0"),
+    ),
+    _mechanism(
+        "reports wait for the join",
+        "all VMs start together",
+        ("daemon/membership_controller", "JOIN_WAIT_S", "0.0"),
+    ),
+    _mechanism(
+        "new targets pushed",
+        "all targets report anew",
+        ("membership/target_registry", "NEW_FANOUT", "0"),
+    ),
+    _mechanism(
+        "not ready while cut off",
+        "a domain cut off",
+        ("daemon/far_contact", "CUT_SILENCE_S", NEVER),
+    ),
+)
+"""The mechanisms that can be left out; the first one is the comparison."""
