Play targets that leave or want no requests in the soak

Targets of the soak now also refuse with a time in which they want nothing, and say in their answers that they leave before they return as a new incarnation. From what reaches them the run checks, by VM: at most two requests from half a second after such a refusal to its end, and none later than the drain time after the first answer that said so. A VM that was stopped, killed or frozen meanwhile is excused.

--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -119,7 +119,13 @@
                 writer.close()
 
     async def report(
-        self, service: str, target_id: str, address: str, sequence: int, zone: str = "x"
+        self,
+        service: str,
+        target_id: str,
+        address: str,
+        sequence: int,
+        zone: str = "x",
+        born: int = 1,
     ) -> None:
         """Send a liveness report of a target to a voter, to each in turn."""
         body = {
@@ -129,7 +135,7 @@
             "Slots": 4,
             "State": "ready",
             "Sequence": sequence,
-            "born": 1,
+            "born": born,
         }
         voter = self.voters[sequence % len(self.voters)]
         await self.send("PUT", f"/-/instances/{target_id}", body, voter.ip, CONTROL_PORT)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,7 +11,7 @@
 
 from soak.callers import Outcome
 from soak.faults import Event
-from soak.targets import RECORD_BYTES, Ledger, records
+from soak.targets import HOLD_S, RECORD_BYTES, Ledger, records
 
 SHARDS = ("s0", "s1", "s2", "s3")
 SINGLE = "single"
@@ -23,6 +23,12 @@
 LOSS_SLACK_S = 0.2
 """Time after which a request that was not passed on must not end without an answer."""
 
+HOLD_SLACK_S, HOLD_TRIALS = 0.5, 2
+"""Time after a refusal from which no more than some requests may come until its hold ends."""
+
+DRAIN_S = 3.0
+"""Time after which a VM must have stopped asking a target that leaves; `Bounds.DrainTimeoutMs`."""
+
 SHOWN = 20
 """Violations of a kind that a report names."""
 
@@ -45,7 +51,13 @@
 
 def violations(evidence: Evidence) -> list[str]:
     """Return what broke a promise, in words."""
-    found = [*_answers(evidence), *_runs(evidence), *_stops(evidence), *_budgets(evidence)]
+    found = [
+        *_answers(evidence),
+        *_runs(evidence),
+        *_stops(evidence),
+        *_budgets(evidence),
+        *_wishes(evidence),
+    ]
     return found[:SHOWN] + ([f"and {len(found) - SHOWN} more"] if len(found) > SHOWN else [])
 
 
@@ -104,6 +116,44 @@
                 yield f"{outcome.request_id}: cut by the stop of {event.where}"
 
 
+def _wishes(evidence: Evidence) -> Iterator[str]:
+    """Yield requests that a target had said it does not want, by the VM to which it said so."""
+    ledger = evidence.ledger
+    entries = {outcome.request_id: outcome.entry for outcome in evidence.outcomes}
+    for target_id, said in ledger.holds.items():
+        for at, request_id in said:
+            entry = entries.get(request_id)
+            late = _asked_again(evidence, entries, target_id, entry, at + HOLD_SLACK_S, at + HOLD_S)
+            if len(late) > HOLD_TRIALS:
+                yield f"{target_id}: {len(late)} requests while it wanted none: {late}"
+    for target_id, said in ledger.leaves.items():
+        first = {entries.get(request_id): at for at, request_id in reversed(said)}
+        for entry, at in first.items():
+            until = min((t for t in ledger.returns[target_id] if t > at), default=math.inf)
+            late = _asked_again(evidence, entries, target_id, entry, at + DRAIN_S, until)
+            if late:
+                yield f"{target_id}: requests after it had said that it leaves: {late}"
+
+
+def _asked_again(
+    evidence: Evidence,
+    entries: dict[str, str],
+    target_id: str,
+    entry: str | None,
+    since: float,
+    until: float,
+) -> list[str]:
+    """Return the requests of one VM that reached a target in some time, unless it was disturbed."""
+    disturbed = any(
+        event.where == entry and (event.until or math.inf) > since - DRAIN_S and event.since < until
+        for event in evidence.events
+    )
+    if entry is None or disturbed:
+        return []
+    asked = evidence.ledger.asked[target_id]
+    return [other for at, other in asked if since < at < until and entries.get(other) == entry]
+
+
 def _budgets(evidence: Evidence) -> Iterator[str]:
     for service, arrivals in evidence.ledger.arrivals.items():
         single = service == SINGLE
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -110,7 +110,9 @@
         else:
             target.reporting = False
             event = self._note("no reports", target.target_id)
-        await self._pause()
+        await (self._pause(3.5, 5.0) if target.fault is Fault.LEAVES else self._pause())
+        if target.fault is Fault.LEAVES:
+            target.return_anew()
         target.fault, target.reporting = Fault.NONE, True
         target.proxy.set(Mode.PASS)
         event.until = self._loop.time()
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -40,15 +40,25 @@
     LOSES = "loses"  # it runs the request, and the answer is lost
     GARBLES = "garbles"
     ENDLESS = "endless"  # it sends a head, headers or a body until the connection is closed
+    HOLDS = "holds"  # it refuses, and says for how long it wants nothing
+    LEAVES = "leaves"  # it says so in each answer, and ends as a new incarnation
+
+
+HOLD_S = 2.0
+"""How long a target that holds wants no requests after a refusal, in seconds."""
 
 
 class Ledger:
-    """What all targets received and ran."""
+    """What all targets received, ran and said; times are seconds of the loop's clock."""
 
     def __init__(self) -> None:
         self.runs: dict[str, list[str]] = defaultdict(list)
         self.receipts: dict[str, tuple[str, str]] = {}
         self.arrivals: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.asked: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.holds: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.leaves: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.returns: dict[str, list[float]] = defaultdict(list)
 
 
 class SoakTarget:
@@ -70,6 +80,7 @@
         self.service, self.target_id, self.zone = service, target_id, zone
         self.fault = Fault.NONE
         self.reporting = True
+        self.born = 1
         self.proxy: Proxy | None = None
         self._address = ""
         self._ledger = ledger
@@ -92,9 +103,16 @@
         """Send liveness reports to the voters in turn, until cancelled."""
         for sequence in itertools.count(1):
             if self.reporting:
-                await fleet.report(self.service, self.target_id, self._address, sequence, self.zone)
+                await fleet.report(
+                    self.service, self.target_id, self._address, sequence, self.zone, self.born
+                )
             await asyncio.sleep(REPORT_S)
 
+    def return_anew(self) -> None:
+        """Become a new incarnation at the same address."""
+        self.born += 1
+        self._ledger.returns[self.target_id].append(asyncio.get_running_loop().time())
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         # Cancelled at the end of the run; asyncio would log it as an error of the server.
         ends = asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
@@ -112,12 +130,19 @@
         await reader.readexactly(int(fields.get(b"content-length", "0")))
         request_id = fields[b"x-request-id"]
         loop = asyncio.get_running_loop()
-        self._ledger.arrivals[self.service].append((loop.time(), request_id))
+        arrival = (loop.time(), request_id)
+        self._ledger.arrivals[self.service].append(arrival)
         fault = self.fault
         refused = [b"X-Not-Executed: 1"]
         if fields.get(b"x-expect-instance") != self.target_id:
             writer.write(_response(421, request_id, refused, b""))
             return True
+        self._ledger.asked[self.target_id].append(arrival)
+        if fault is Fault.HOLDS:
+            self._ledger.holds[self.target_id].append(arrival)
+            hold = [*refused, b"Retry-After: %.1f" % HOLD_S]
+            writer.write(_response(503, request_id, hold, b""))
+            return True
         if fault is Fault.SHED and self._rng.random() < 0.5:
             writer.write(_response(503, request_id, refused, b""))
             return True
@@ -142,6 +167,9 @@
         receipt = f"{self.target_id}.{next(self._count)}"
         self._ledger.receipts[receipt] = (self.service, request_id)
         headers = [b"X-Server-Stamp: " + receipt.encode()]
+        if fault is Fault.LEAVES:
+            self._ledger.leaves[self.target_id].append((loop.time(), request_id))
+            headers.append(b"Server-Leaving: 1")
         writer.write(_response(200, request_id, headers, records(self.service, request_id)))
         return True
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -7,10 +7,10 @@
 import pytest
 
 from soak.callers import Outcome
-from soak.checks import SHARDS, SINGLE, Evidence, violations
+from soak.checks import DRAIN_S, SHARDS, SINGLE, Evidence, violations
 from soak.faults import Event
 from soak.report import build, kind_of
-from soak.targets import RECORD_BYTES, Ledger, records
+from soak.targets import HOLD_S, RECORD_BYTES, Ledger, records
 
 TOP = 4
 
@@ -90,9 +90,42 @@
     evidence.ledger.arrivals["s0"] += [(1.0, "r1")] * 60
 
 
+def asked_while_held(evidence):
+    evidence.ledger.holds["s0-x"] = [(1.0, "r1")]
+    evidence.ledger.asked["s0-x"] = [(1.0, "r1"), *[(1.0 + HOLD_S - 0.1, "r1")] * 3]
+
+
+def asked_while_leaving(evidence):
+    evidence.ledger.leaves["s0-x"] = [(1.0, "r1")]
+    evidence.ledger.asked["s0-x"] = [(1.0, "r1"), (1.1 + DRAIN_S, "r1")]
+    evidence.ledger.returns["s0-x"] = [1.2 + DRAIN_S]
+
+
+@pytest.mark.parametrize("spoil", [asked_while_held, asked_while_leaving])
+def test_a_vm_that_was_frozen_meanwhile_is_excused(spoil):
+    evidence = sound()
+    spoil(evidence)
+    evidence.events = [Event("freeze", "edge-x", 1.5, 2.5)]
+    assert violations(evidence) == []
+
+
+def test_targets_are_asked_again_after_a_hold_and_as_a_new_incarnation():
+    evidence = sound()
+    evidence.events = []
+    ledger = evidence.ledger
+    ledger.holds["s0-x"] = [(1.0, "r1")]
+    ledger.asked["s0-x"] = [(1.4, "r1"), *[(1.1 + HOLD_S, "r1")] * 9]
+    ledger.leaves["s1-x"] = [(1.0, "r1")]
+    ledger.returns["s1-x"] = [4.5]
+    ledger.asked["s1-x"] = [(1.0 + DRAIN_S, "r1"), (4.6, "r1")]
+    assert violations(evidence) == []
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
+        asked_while_held,
+        asked_while_leaving,
         wrong_body,
         stray_receipt,
         part_twice,
