--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -6,6 +6,7 @@
 import json
 import re
 import subprocess
+import tempfile
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -14,7 +15,10 @@
 from bench.mechanisms import MECHANISMS, Mechanism
 
 WORTH = re.compile(r"^worth (-?[\d.]+) = whole day ([\d.]+)", re.MULTILINE)
-BROKEN = re.compile(r"^.*(?:broken|breaks) .*$", re.MULTILINE)
+BROKEN = re.compile(
+    r"^.*\b(?:MIXED|UNASKED|TWICE|REFUSED|DENIED|BUDGET|GONE|LOST|CONFIG|ROUTE|DRAIN|RECOVER)\b.*$",
+    re.MULTILINE,
+)
 
 
 @attrs.frozen
@@ -70,11 +74,17 @@
     def _play_day(self, mechanism: Mechanism, site: Path, day: str) -> float:
         why = f"Ablation: without {mechanism.name}" if mechanism.edits else "Ablation: whole"
         command = [str(self.player), "run", str(site), day, "--no-cpu", "--why", why]
-        played = subprocess.run(command, cwd=self.checkout, capture_output=True, text=True)
-        found = WORTH.search(played.stdout)
+        # A file, not a pipe: a process that the player leaves behind would keep a pipe open.
+        with tempfile.TemporaryFile("w+") as out:
+            subprocess.run(
+                command, cwd=self.checkout, stdin=subprocess.DEVNULL, stdout=out, stderr=out
+            )
+            out.seek(0)
+            report = out.read()
+        found = WORTH.search(report)
         if found is None:
-            raise RuntimeError(f"{day} without {mechanism.name}: {played.stdout[-300:]}")
-        for line in BROKEN.findall(played.stdout):
+            raise RuntimeError(f"{day} without {mechanism.name}: {report[-300:]}")
+        for line in BROKEN.findall(report):
             print(f"{day} without {mechanism.name}: {line}")
         return float(found[1])
 
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -6,12 +6,11 @@
 from collections.abc import Iterator
 from typing import Any
 
-import attrs
-
 from bramleycrank.routing import Route
 from bramleycrank.scatter.delivery import ROUND_TRIP_S
 from bramleycrank.scatter.merge import trim_records
 from bramleycrank.scatter.policy import ScatterPolicy
+from bramleycrank.scatter.progress import Shard, Sub
 from bramleycrank.scatter.stream import LATEST_STREAM_SHARE, AnswerStream
 from bramleycrank.scatter.types import (
     NOT_RUN_KINDS,
@@ -44,30 +43,6 @@
 """Refusals for a shard that cost no attempt; more would keep full targets busy refusing."""
 
 
-@attrs.define(eq=False)
-class _Sub:
-    """A sub-request without an end."""
-
-    sub_id: int
-    target_id: str
-    sent_at: float
-
-
-@attrs.define(eq=False)
-class _Shard:
-    """One service of the request."""
-
-    service: str
-    open: list[_Sub] = attrs.field(factory=list)
-    tried: list[str] = attrs.field(factory=list)
-    sends: int = 0
-    refused: int = 0
-    hedge_at: float = math.inf
-    part: Part | None = None
-    failure: SubFailure | None = None
-    ended: bool = False
-
-
 class ScatterExecution:
     """State of one forwarded request.
 
@@ -107,8 +82,8 @@
         self._arrived = arrived
         self._deadline = min(deadline, arrived + route.timeout_s)
         services = route.services if route.gather else (route.choose_service(),)
-        self._shards = [_Shard(service) for service in services]
-        self._subs: dict[int, tuple[_Shard, _Sub]] = {}
+        self._shards = [Shard(service) for service in services]
+        self._subs: dict[int, tuple[Shard, Sub]] = {}
         latest_stream = arrived + LATEST_STREAM_SHARE * route.objective_s
         self._stream = AnswerStream(len(self._shards), latest_stream)
         self._lost = 0
@@ -235,7 +210,7 @@
 
     # Sub-requests.
 
-    def _send_first(self, shard: _Shard, now: float, out: list[Action]) -> None:
+    def _send_first(self, shard: Shard, now: float, out: list[Action]) -> None:
         """Send, wait for a target with room, or give the shard up.
 
         A shard that waited behind a refusal has sent before, so its next one is an extra one.
@@ -248,13 +223,13 @@
         else:
             self._send(shard, target_id, now, out)
 
-    def _may_send(self, shard: _Shard, now: float) -> bool:
+    def _may_send(self, shard: Shard, now: float) -> bool:
         """Take budget, unless it is the first sub-request of the shard that reaches a target."""
         first = not shard.sends and not shard.refused
         return first or self._policy.take_extra(shard.service, now)
 
-    def _send(self, shard: _Shard, target_id: str, now: float, out: list[Action]) -> None:
-        sub = _Sub(next(self._sub_ids), target_id, now)
+    def _send(self, shard: Shard, target_id: str, now: float, out: list[Action]) -> None:
+        sub = Sub(next(self._sub_ids), target_id, now)
         shard.open.append(sub)
         shard.tried.append(target_id)
         shard.sends += 1
@@ -270,7 +245,7 @@
             shard.hedge_at = math.inf
         out.append(Forward(sub.sub_id, target_id, shard.service, self._deadline))
 
-    def _may_hedge(self, shard: _Shard) -> bool:
+    def _may_hedge(self, shard: Shard) -> bool:
         return self.route.idempotent and shard.sends < self.route.max_targets
 
     def _send_hedges(self, now: float, out: list[Action]) -> None:
@@ -290,7 +265,7 @@
             (s.hedge_at for s in self._shards if not s.ended), default=math.inf
         )
 
-    def _hedge(self, shard: _Shard, unaided: int, now: float, out: list[Action]) -> bool:
+    def _hedge(self, shard: Shard, unaided: int, now: float, out: list[Action]) -> bool:
         """Ask a second target, if the budget and the targets allow it; return whether it was sent.
 
         Load pattern: many targets are slow, and their services' budgets run low. What is left goes
@@ -306,7 +281,7 @@
         self._send(shard, target_id, now, out)
         return True
 
-    def _retry(self, shard: _Shard, failure: SubFailure, now: float, out: list[Action]) -> bool:
+    def _retry(self, shard: Shard, failure: SubFailure, now: float, out: list[Action]) -> bool:
         """Send to another target after a failure, if that is allowed and possible.
 
         A sub-request that did not reach the target costs neither an attempt nor budget. One that
@@ -327,24 +302,35 @@
                 self.waiting.add(shard.service)
                 return True
             return False
-        if not unsent and not self._policy.take_extra(shard.service, now):
+        if not unsent and not self._may_repeat(shard, now):
             return False
         self._send(shard, target_id, now, out)
         return True
 
-    def _close(self, shard: _Shard, sub: _Sub) -> None:
+    def _may_repeat(self, shard: Shard, now: float) -> bool:
+        """Take budget for a failed shard, if the answer depends on it or there is plenty.
+
+        Load pattern: every target loses a part of its answers, and each VM has a few repetitions
+        for each service. A shard that can be left out leaves its own to a later request.
+        """
+        spare = len(self._shards) - self._lost - self._needed
+        if spare > 0 and self._policy.is_scarce(shard.service, now):
+            return False
+        return self._policy.take_extra(shard.service, now)
+
+    def _close(self, shard: Shard, sub: Sub) -> None:
         del self._subs[sub.sub_id]
         shard.open.remove(sub)
 
-    def _end(self, shard: _Shard) -> None:
+    def _end(self, shard: Shard) -> None:
         shard.ended, shard.hedge_at = True, math.inf
         self.waiting.discard(shard.service)
 
-    def _lose(self, shard: _Shard) -> None:
+    def _lose(self, shard: Shard) -> None:
         self._end(shard)
         self._lost += 1
 
-    def _cancel(self, shard: _Shard, overtaken: bool, now: float) -> list[Action]:
+    def _cancel(self, shard: Shard, overtaken: bool, now: float) -> list[Action]:
         out: list[Action] = []
         for sub in list(shard.open):
             self._close(shard, sub)
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -55,7 +55,7 @@
         """Return the time in seconds after which to ask a second target."""
 
     def is_scarce(self, service: str, now: float) -> bool:
-        """Return whether less than half of the budget of a service is left."""
+        """Return whether one more would leave less than half of the budget of a service."""
 
     def take_extra(self, service: str, now: float) -> bool:
         """Take one extra sub-request from the budget."""
@@ -176,9 +176,10 @@
         return min(delay_s, objective_s * LATEST_HEDGE_SHARE) if objective_s else delay_s
 
     def is_scarce(self, service: str, now: float) -> bool:
-        """Return whether less than half of the budget of a service is left."""
+        """Return whether one more would leave less than half of the budget of a service."""
         budget = self._budget(service)
-        return budget.available(self._vm_count(), now) * 2 < budget.used
+        left = budget.available(self._vm_count(), now) - 1
+        return left < (left + 1 + budget.used) / 2
 
     def take_extra(self, service: str, now: float) -> bool:
         """Take one extra sub-request from the budget."""
