--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -84,6 +84,7 @@
     _timing("entry.latency", "Time from the receipt of a forwarded request to its answer."),
     _counter("entry.gone", "requests", "Requests whose caller left before the answer."),
     _counter("entry.sub_requests", "sub-requests", "Sub-requests handed to connections."),
+    _counter("entry.holds", "holds", "Times that a target wanted no requests for a while."),
     _counter(
         "entry.sub_failures",
         "sub-requests",
