--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -18,13 +18,6 @@
 BACKOFF_S, BACKOFF_MAX_S = 0.25, 1.0
 """First and longest pause between attempts to connect to a target that is down, in seconds."""
 
-SCARCE_KEEP_S = 3.0
-"""How long an idle connection is kept if this VM may have just one to a target, in seconds.
-
-Load pattern: hundreds of VMs share a target's connections. One that is used rarely takes the place
-of another VM's, and after a loss of power the target counts it until its own limit for idle ones.
-"""
-
 SILENCE_S = 0.25
 """Silence of a target with sub-requests in flight after which a new connection is tried."""
 
@@ -92,7 +85,6 @@
         self._subs: dict[Connection, PoolSub] = {}
         self._owners: dict[Connection, _Target] = {}
         self._opened_at: dict[Connection, float] = {}
-        self._idle_since: dict[Connection, float] = {}
         self._lingering: set[PoolSub] = set()
         self.opened = 0
 
@@ -181,9 +173,8 @@
                 conn.close()
                 self.on_closed(conn)
         for target in list(self._targets.values()):
-            for conn in list(target.idle):
-                if not _is_fresh(conn, now) or self._is_overdue(conn, target, now):
-                    conn.close()
+            for conn in [c for c in target.idle if not _is_fresh(c, now)]:
+                conn.close()
             if target.down and now >= target.retry_at:
                 target.retry_at = now + BACKOFF_MAX_S
                 self._open(target)
@@ -270,7 +261,6 @@
         if target is None:
             return
         target.all.discard(conn)
-        self._idle_since.pop(conn, None)
         if conn in target.idle:
             target.idle.remove(conn)
         refused = self._opened_at.pop(conn, None) is not None
@@ -315,15 +305,9 @@
         if target.retired:
             conn.close()
         elif _is_fresh(conn, self._clock()):
-            self._idle_since[conn] = self._clock()
             target.idle.append(conn)
             self._on_room(target.target_id)
 
-    def _is_overdue(self, conn: Connection, target: _Target, now: float) -> bool:
-        """Return whether an idle connection should leave its place to other VMs."""
-        scarce = self._share(target.limit) <= 1
-        return scarce and now - self._idle_since.get(conn, now) >= SCARCE_KEEP_S
-
     def dump(self) -> dict[str, Any]:
         """Return the connections of each target."""
         return {
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -302,22 +302,11 @@
                 self.waiting.add(shard.service)
                 return True
             return False
-        if not unsent and not self._may_repeat(shard, now):
+        if not unsent and not self._policy.take_extra(shard.service, now):
             return False
         self._send(shard, target_id, now, out)
         return True
 
-    def _may_repeat(self, shard: Shard, now: float) -> bool:
-        """Take budget for a failed shard, if the answer depends on it or there is plenty.
-
-        Load pattern: every target loses a part of its answers, and each VM has a few repetitions
-        for each service. A shard that can be left out leaves its own to a later request.
-        """
-        spare = len(self._shards) - self._lost - self._needed
-        if spare > 0 and self._policy.is_scarce(shard.service, now):
-            return False
-        return self._policy.take_extra(shard.service, now)
-
     def _close(self, shard: Shard, sub: Sub) -> None:
         del self._subs[sub.sub_id]
         shard.open.remove(sub)
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -55,7 +55,7 @@
         """Return the time in seconds after which to ask a second target."""
 
     def is_scarce(self, service: str, now: float) -> bool:
-        """Return whether one more would leave less than half of the budget of a service."""
+        """Return whether less than half of the budget of a service is left."""
 
     def take_extra(self, service: str, now: float) -> bool:
         """Take one extra sub-request from the budget."""
@@ -176,10 +176,9 @@
         return min(delay_s, objective_s * LATEST_HEDGE_SHARE) if objective_s else delay_s
 
     def is_scarce(self, service: str, now: float) -> bool:
-        """Return whether one more would leave less than half of the budget of a service."""
+        """Return whether less than half of the budget of a service is left."""
         budget = self._budget(service)
-        left = budget.available(self._vm_count(), now) - 1
-        return left < (left + 1 + budget.used) / 2
+        return budget.available(self._vm_count(), now) * 2 < budget.used
 
     def take_extra(self, service: str, now: float) -> bool:
         """Take one extra sub-request from the budget."""
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -5,7 +5,6 @@
 from bramleycrank.connections.http_pool import (
     CONNECT_TIMEOUT_S,
     LINGER_S,
-    SCARCE_KEEP_S,
     SILENCE_S,
     Ending,
     HttpPool,
@@ -193,28 +192,3 @@
     assert not world.pool.has_room("t")
     world.conns[0].answer()
     assert world.heard == [("response", 1)] and world.conns[0].closed
-
-
-def test_a_scarce_connection_is_given_up_soon_after_its_last_use():
-    """Load pattern: as many VMs as a target has connections, most of which ask it rarely."""
-    world = World(share=1)
-    world.send(1)
-    world.conns[0].open()
-    world.conns[0].answer()
-    world.run(SCARCE_KEEP_S - 0.2)
-    assert not world.conns[0].closed
-    world.send(2)
-    world.conns[0].answer()
-    world.run(SCARCE_KEEP_S - 0.2)
-    assert not world.conns[0].closed, "it was used again"
-    world.run(0.4)
-    assert world.conns[0].closed
-
-
-def test_connections_that_are_not_scarce_are_kept():
-    world = World(share=2)
-    world.send(1)
-    world.conns[0].open()
-    world.conns[0].answer()
-    world.run(SCARCE_KEEP_S + 1)
-    assert not world.conns[0].closed
--- a/tests/test_scatter_execution.py
+++ b/tests/test_scatter_execution.py
@@ -278,20 +278,3 @@
     _, subs, actions = begin(gather_route(), policy)
     [refusal] = actions
     assert refusal.not_run and refusal.retry_after_s > 0 and not subs
-
-
-@pytest.mark.parametrize(("min_coverage", "repeated"), [(0.75, False), (1.0, True)])
-def test_a_scarce_budget_repeats_failed_shards_on_which_the_answer_depends(min_coverage, repeated):
-    """Load pattern: all targets lose a part of their answers, with few repetitions for each VM."""
-    policy = FakePolicy()
-    policy.scarce = True
-    execution, subs, _ = begin(gather_route(min_coverage=min_coverage), policy)
-    lost = SubFailure(FailureKind.LOST)
-    assert bool(of(Forward, execution.on_failure(subs["s1"].sub_id, lost, 0.01))) is repeated
-    assert not execution.ended
-
-
-def test_with_plenty_of_budget_every_failed_shard_is_repeated():
-    execution, subs, _ = begin(gather_route(), FakePolicy())
-    for sub in subs.values():
-        assert of(Forward, execution.on_failure(sub.sub_id, SubFailure(FailureKind.LOST), 0.01))
