--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -8,17 +8,16 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from typing import Any, Protocol
+from typing import Any
 
 from bramleycrank.connections.http_types import Ending, PoolSub
 from bramleycrank.daemon.entry_answers import missing_services, render
 from bramleycrank.daemon.entry_call import Call, CallListener
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
-from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, TargetMeta
+from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, Routes, TargetMeta
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
-from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.routing import Limits, RouteIndex
 from bramleycrank.scatter import (
     Answer,
@@ -44,16 +43,6 @@
 """Failed sub-requests that the log line of a request names; it has to stay one short line."""
 
 
-class Routes(Protocol):
-    """Source of the routes in force."""
-
-    def routes(self) -> RouteTable | None:
-        """Return the table in force, or None while there is none."""
-
-    def subscribe(self, callback: Callable[[], None]) -> None:
-        """Call back after each change."""
-
-
 class EntryController:
     """Runs a `ScatterExecution` for each request and executes its actions.
 
--- a/bramleycrank/daemon/entry_types.py
+++ b/bramleycrank/daemon/entry_types.py
@@ -1,12 +1,13 @@
-"""What the HTTP entry needs to know of the protocol that callers and targets speak."""
+"""What the HTTP entry needs to know of the routes and of the protocol around it."""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import attrs
 
+from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.proto.target_pb2 import LoadReport
 from bramleycrank.transport.http1.messages import Headers, Request, Response
 
@@ -81,3 +82,13 @@
 
     def refusal_headers(self, meta: CallerMeta, retry_after_s: float) -> Headers:
         """Return the headers of an error of this VM."""
+
+
+class Routes(Protocol):
+    """Source of the routes in force."""
+
+    def routes(self) -> RouteTable | None:
+        """Return the table in force, or None while there is none."""
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call back after each change."""
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -10,6 +10,7 @@
 from random import Random
 from typing import Any
 
+from bramleycrank.daemon.dead_vms import DeadVms
 from bramleycrank.daemon.subscribers import notify
 from bramleycrank.exceptions import BramleycrankError, Draining, Outcome, Refused
 from bramleycrank.membership import (
@@ -26,7 +27,6 @@
 from bramleycrank.membership.records import address_of, state_name
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_ALIVE,
-    VM_STATE_DEAD,
     VM_STATE_DRAINING,
     ConfigStatus,
     Gossip,
@@ -53,13 +53,6 @@
 # How long Leave waits until the other VMs acknowledged the record before it answers the target.
 LEAVE_WAIT_S = 0.5
 
-# How long operators see a dead VM as unreachable. Gossip forgets it after a minute, but a cut
-# between regions lasts longer, and "in force everywhere" must not pass over the VMs behind it.
-LIST_DEAD_S = 24 * 3600.0
-
-# Most VMs in that list.
-LIST_DEAD_MAX = 1024
-
 # How long an announcement waits until this VM has joined. Targets give a report up after 1 s.
 JOIN_WAIT_S = 0.6
 
@@ -123,7 +116,7 @@
         self._loop_task: asyncio.Task[None] | None = None
         self._draining = False
         self._leaving: dict[str, asyncio.Event] = {}  # set once all VMs know of the leaving target
-        self._dead: dict[str, tuple[VmRecord, float]] = {}
+        self._dead = DeadVms()
 
     @classmethod
     def from_config(
@@ -175,11 +168,7 @@
 
     def all_vms(self) -> list[VmRecord]:
         """Return all known VMs; left ones for their retention, dead ones for `LIST_DEAD_S`."""
-        known = self.core.all_vms()
-        ids = {record.vm_id for record in known}
-        since = self._clock() - LIST_DEAD_S
-        dead = (record for record, at in self._dead.values() if at >= since)
-        return [*known, *(record for record in dead if record.vm_id not in ids)]
+        return self._dead.added_to(self.core.all_vms(), self._clock())
 
     def targets(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may get new work."""
@@ -334,21 +323,10 @@
                     notify(self._target_callbacks, record)
                 case VmChanged(record=record):
                     log.info("membership: %s is now %s", record.vm_id, state_name(record))
-                    self._note_dead(record)
+                    self._dead.on_change(record, self._clock())
                     notify(self._vm_callbacks, record)
         return tasks
 
-    def _note_dead(self, record: VmRecord) -> None:
-        # A VM at the address of a dead one replaces it.
-        address = address_of(record)
-        gone = [vm_id for vm_id, (rec, _) in self._dead.items() if address_of(rec) == address]
-        for vm_id in {record.vm_id, *gone} & self._dead.keys():
-            del self._dead[vm_id]
-        if record.state == VM_STATE_DEAD:
-            self._dead[record.vm_id] = (record, self._clock())
-            if len(self._dead) > LIST_DEAD_MAX:
-                del self._dead[next(iter(self._dead))]
-
     def _spawn(self, coro: Awaitable[None]) -> asyncio.Task[Any]:
         task = asyncio.ensure_future(coro)
         self._tasks.add(task)
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -118,11 +118,11 @@
         return await call(self.port, raw.encode())
 
 
-def run(scenario, **scripts):
+def run(scenario, kind=World, **scripts):
     """Run a scenario in a world with the given targets."""
 
     async def body():
-        async with asyncio.timeout(20), World(**scripts) as world:
+        async with asyncio.timeout(20), kind(**scripts) as world:
             return await scenario(world)
 
     return asyncio.run(body())
--- a/tests/test_entry_wishes.py
+++ b/tests/test_entry_wishes.py
@@ -52,16 +52,6 @@
         return self
 
 
-def play(scenario, **scripts):
-    """Run a scenario in a world whose targets may leave."""
-
-    async def body():
-        async with asyncio.timeout(20), LeavingWorld(**scripts) as world:
-            return await scenario(world)
-
-    return asyncio.run(body())
-
-
 def refusing(request: bytes) -> bytes:
     identity = b"X-Request-Id: " + header(request, b"X-Request-Id") + b"\r\n"
     return with_header(full(request), LEAVING + identity)
@@ -74,7 +64,6 @@
 @pytest.mark.parametrize("answer", [leaves, refusing, failing])
 def test_a_target_that_says_that_it_leaves_gets_nothing_more(answer):
     """Load pattern: a release, in which each target announces itself in answers of any status."""
-    scripts = {"a1": answer, "a2": ok}
 
     async def scenario(world):
         for _ in range(6):
@@ -83,7 +72,7 @@
         assert len(world.fakes["a1"].requests) <= 1
         assert world.gone == [("a1", 1)] * len(world.fakes["a1"].requests)
 
-    play(scenario, **scripts)
+    run(scenario, LeavingWorld, a1=answer, a2=ok)
 
 
 def test_a_late_answer_of_a_leaving_target_counts():
@@ -94,7 +83,7 @@
         await asyncio.sleep(0.6)
         assert world.gone == [("a1", 1)]
 
-    play(scenario, a1=leaves, a2=ok)
+    run(scenario, LeavingWorld, a1=leaves, a2=ok)
 
 
 def stray(request: bytes) -> bytes:
@@ -116,7 +105,7 @@
             await world.get()
         assert world.gone == []
 
-    play(scenario, a1=wrong, a2=wrong)
+    run(scenario, LeavingWorld, a1=wrong, a2=wrong)
 
 
 def test_all_copies_that_leave_end_the_service_with_a_truthful_refusal():
@@ -127,7 +116,7 @@
         assert status(refusal) == 503 and float(header(refusal, b"Retry-After")) > 0
         assert sum(len(fake.requests) for fake in world.fakes.values()) == 2
 
-    play(scenario, a1=leaves, a2=leaves)
+    run(scenario, LeavingWorld, a1=leaves, a2=leaves)
 
 
 def test_a_target_that_asks_for_a_pause_gets_nothing_until_its_end():
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -7,7 +7,8 @@
 from grpclib.client import Channel
 from grpclib.server import Server
 
-from bramleycrank.daemon.membership_controller import LIST_DEAD_S, MembershipController
+from bramleycrank.daemon.dead_vms import LIST_DEAD_S
+from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.exceptions import Draining, InvalidRequest
 from bramleycrank.membership import MembershipConfig, VmChanged
 from bramleycrank.proto import peer_pb2, target_pb2
