Keep evacuations of failure domains in the replicated log

Cause: operators of a deployment may order that nothing more is sent to the targets of a failure domain; the calls got 404, and no state held the order.

Change: a domain is a configuration object (put_domain), in image, deltas and dump, with operators' calls SetDomain and ListDomains and the commands `bramleycrank domain evacuate|restore|list`.

--- a/bramleycrank/cli/main.py
+++ b/bramleycrank/cli/main.py
@@ -14,6 +14,7 @@
 from bramleycrank.cli.arguments import command, invalid_argument, quote_values
 from bramleycrank.cli.config import ConfigCommands
 from bramleycrank.cli.context import DEFAULT_HTTP, DEFAULT_SERVER, Context, DeferredCommand
+from bramleycrank.cli.domain import DomainCommands
 from bramleycrank.cli.query import QueryCommands
 from bramleycrank.cli.service import ServiceCommands
 from bramleycrank.cli.standin import StandInCommands
@@ -36,6 +37,7 @@
         self.service = ServiceCommands(context)
         self.config = ConfigCommands(context)
         self.vm = VmCommands(context)
+        self.domain = DomainCommands(context)
         self.target = TargetCommands(context)
         self.standin = StandInCommands(context)
         self.query = QueryCommands(context)
--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -171,6 +171,18 @@
         """Return the operators' record of a VM."""
         return self._follower.config.vms.get(vm_id)
 
+    def domains(self) -> list[log_pb2.DomainConfig]:
+        """Return the failure domains for which there has been an order, sorted by name."""
+        return [item for _, item in sorted(self._follower.config.domains.items())]
+
+    def domain(self, name: str) -> log_pb2.DomainConfig:
+        """Return the configuration of a failure domain; an empty one if there is none."""
+        return self._follower.config.domains.get(name) or log_pb2.DomainConfig(domain=name)
+
+    def evacuated_domains(self) -> list[str]:
+        """Return the failure domains whose targets receive no new sub-requests."""
+        return [item.domain for item in self.domains() if item.evacuated]
+
     @property
     def revision(self) -> int:
         """Revision in force."""
@@ -208,6 +220,7 @@
             "why": explain_age(follower["ready"], current, stale_s, self.leader_address()),
             "stale_ms": self.stale_ms(),
             "services": sorted(self._follower.config.services),
+            "evacuated_domains": self.evacuated_domains(),
             "drained_vms": sorted(v.vm_id for v in self._follower.config.vms.values() if v.drained),
             "cache_error": self._cache_error,
             "follower": follower,
--- a/bramleycrank/proto/operator_grpc.py
+++ b/bramleycrank/proto/operator_grpc.py
@@ -57,6 +57,14 @@
     async def DrainVm(self, stream: 'grpclib.server.Stream[bramleycrank.proto.operator_pb2.DrainRequest, bramleycrank.proto.operator_pb2.ChangeReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def SetDomain(self, stream: 'grpclib.server.Stream[bramleycrank.proto.operator_pb2.DomainRequest, bramleycrank.proto.operator_pb2.ChangeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ListDomains(self, stream: 'grpclib.server.Stream[bramleycrank.proto.operator_pb2.ListDomainsRequest, bramleycrank.proto.operator_pb2.ListDomainsReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Dump(self, stream: 'grpclib.server.Stream[bramleycrank.proto.operator_pb2.DumpRequest, bramleycrank.proto.operator_pb2.DumpReply]') -> None:
         pass
@@ -123,6 +131,18 @@
                 bramleycrank.proto.operator_pb2.DrainRequest,
                 bramleycrank.proto.operator_pb2.ChangeReply,
             ),
+            '/bramleycrank.operator.Operator/SetDomain': grpclib.const.Handler(
+                self.SetDomain,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                bramleycrank.proto.operator_pb2.DomainRequest,
+                bramleycrank.proto.operator_pb2.ChangeReply,
+            ),
+            '/bramleycrank.operator.Operator/ListDomains': grpclib.const.Handler(
+                self.ListDomains,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                bramleycrank.proto.operator_pb2.ListDomainsRequest,
+                bramleycrank.proto.operator_pb2.ListDomainsReply,
+            ),
             '/bramleycrank.operator.Operator/Dump': grpclib.const.Handler(
                 self.Dump,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -195,6 +215,18 @@
             bramleycrank.proto.operator_pb2.DrainRequest,
             bramleycrank.proto.operator_pb2.ChangeReply,
         )
+        self.SetDomain = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/bramleycrank.operator.Operator/SetDomain',
+            bramleycrank.proto.operator_pb2.DomainRequest,
+            bramleycrank.proto.operator_pb2.ChangeReply,
+        )
+        self.ListDomains = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/bramleycrank.operator.Operator/ListDomains',
+            bramleycrank.proto.operator_pb2.ListDomainsRequest,
+            bramleycrank.proto.operator_pb2.ListDomainsReply,
+        )
         self.Dump = grpclib.client.UnaryUnaryMethod(
             channel,
             '/bramleycrank.operator.Operator/Dump',
--- a/bramleycrank/state/config_state.py
+++ b/bramleycrank/state/config_state.py
@@ -1,4 +1,4 @@
-"""The configuration: services, VMs and the route table, with compare-and-set by version."""
+"""The configuration: services, VMs, domains and the route table, changed by compare-and-set."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
     CommandResult,
     ConfigDelta,
     ConfigImage,
+    DomainConfig,
     ResultCode,
     RouteTable,
     ServiceConfig,
@@ -17,7 +18,7 @@
 )
 from bramleycrank.routing.packing import same_content
 from bramleycrank.state.types import MAX_DELTAS
-from bramleycrank.state.validation import MAX_SERVICES, MAX_VMS, change_problem
+from bramleycrank.state.validation import MAX_DOMAINS, MAX_SERVICES, MAX_VMS, change_problem
 
 
 class ConfigState:
@@ -30,6 +31,7 @@
         self.revision = 0
         self.services: dict[str, ServiceConfig] = {}
         self.vms: dict[str, VmConfig] = {}
+        self.domains: dict[str, DomainConfig] = {}
         self.routes = RouteTable()
         self._deltas: deque[ConfigDelta] = deque(maxlen=MAX_DELTAS)
 
@@ -40,6 +42,7 @@
         config.revision = image.revision
         config.services = {service.name: service for service in image.services}
         config.vms = {vm.vm_id: vm for vm in image.vms}
+        config.domains = {item.domain: item for item in image.domains}
         config.routes = image.routes
         config._deltas.extend(deltas)
         return config
@@ -51,6 +54,7 @@
             services=[service for _, service in sorted(self.services.items())],
             vms=[vm for _, vm in sorted(self.vms.items())],
             routes=self.routes,
+            domains=[item for _, item in sorted(self.domains.items())],
         )
 
     def deltas(self) -> list[ConfigDelta]:
@@ -130,6 +134,11 @@
                 vm.CopyFrom(change.put_vm)
                 vm.version = delta.revision
                 self.vms[vm.vm_id] = vm
+            case "put_domain":
+                domain = DomainConfig()
+                domain.CopyFrom(change.put_domain)
+                domain.version = delta.revision
+                self.domains[domain.domain] = domain
             case "put_routes":
                 self.routes = change.put_routes
                 # Followers that are behind get the image, which has only the newest route table.
@@ -155,7 +164,7 @@
         if image is not None and image.revision > self.revision:
             newer = ConfigState.from_image(image)
             self.revision, self.services, self.vms = newer.revision, newer.services, newer.vms
-            self.routes = newer.routes
+            self.domains, self.routes = newer.domains, newer.routes
             self._deltas.clear()
         return self.revision > old_revision
 
@@ -166,6 +175,8 @@
                 found = self.services.get(change.put_service.name)
             case "delete_service":
                 found = self.services.get(change.delete_service)
+            case "put_domain":
+                found = self.domains.get(change.put_domain.domain)
             case _:
                 found = self.vms.get(change.put_vm.vm_id)
         return found.version if found is not None else 0
@@ -173,6 +184,8 @@
     def _is_full(self, body_kind: str) -> bool:
         if body_kind == "put_service":
             return len(self.services) >= MAX_SERVICES
+        if body_kind == "put_domain":
+            return len(self.domains) >= MAX_DOMAINS
         return len(self.vms) >= MAX_VMS
 
     def _result(self, code: ResultCode, version: int, message: str = "") -> CommandResult:
--- a/bramleycrank/state/replicated.py
+++ b/bramleycrank/state/replicated.py
@@ -100,6 +100,9 @@
             "revision": self.config.revision,
             "services": {name: item.version for name, item in self.config.services.items()},
             "vms": {name: item.version for name, item in self.config.vms.items()},
+            "evacuated_domains": sorted(
+                name for name, item in self.config.domains.items() if item.evacuated
+            ),
             "remembered_changes": len(self._changes),
             "claims": len(self.claims),
             "claims_floor_ms": self.claims.floor_ms,
--- a/bramleycrank/state/validation.py
+++ b/bramleycrank/state/validation.py
@@ -11,6 +11,7 @@
 READ_KINDS = frozenset({"search", "fetch", "quick_match"})
 MAX_SERVICES = 1024
 MAX_VMS = 16_384
+MAX_DOMAINS = 1024
 MAX_KINDS = 64
 MAX_DEADLINE_MS = 60_000
 MAX_CONCURRENCY = 100_000
@@ -36,6 +37,8 @@
             return _name_problem("service", change.delete_service)
         case "put_vm":
             return _name_problem("VM", change.put_vm.vm_id)
+        case "put_domain":
+            return _name_problem("domain", change.put_domain.domain)
         case "put_routes":
             return "" if change.put_routes.version else "the route table has no version"
         case _:
--- a/bramleycrank/transport/change_checks.py
+++ b/bramleycrank/transport/change_checks.py
@@ -43,6 +43,8 @@
             check_name(change.delete_service, "delete_service")
         case "put_vm":
             check_name(change.put_vm.vm_id, "put_vm.vm_id")
+        case "put_domain":
+            check_name(change.put_domain.domain, "put_domain.domain")
         case _:
             raise InvalidChange("change: no body is set")
 
--- a/bramleycrank/transport/operator_service.py
+++ b/bramleycrank/transport/operator_service.py
@@ -5,9 +5,12 @@
 import asyncio
 import contextlib
 import json
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from typing import Any, Protocol
 
+from google.protobuf.message import Message
+
 from bramleycrank.daemon.config_controller import ConfigController
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.identity import format_address
@@ -23,6 +26,7 @@
     PeerUnreachable,
     VersionConflict,
 )
+from bramleycrank.membership.records import ENDED_STATES
 from bramleycrank.proto import log_pb2, operator_pb2, peer_pb2, target_pb2
 from bramleycrank.proto.operator_grpc import OperatorBase
 from bramleycrank.transport.change_checks import check_change, check_known_fields, check_name
@@ -42,9 +46,9 @@
 # Interval at which a forwarded membership change checks for another leader.
 LEADER_CHECK_S = 0.5
 
-# A drain request carries no version, so a conflict with another change of the VM is retried;
-# conflicts are rare.
-DRAIN_ATTEMPTS = 5
+# Requests to drain a VM or to evacuate a domain carry no version, so a conflict with another change
+# of the same object is retried; conflicts are rare.
+CHANGE_ATTEMPTS = 5
 
 
 class Directory(Protocol):
@@ -161,11 +165,68 @@
         current = self._config.vm(request.vm_id)
         if current is None and request.vm_id not in self._vm_records():
             raise NotFound(f"no VM is named {request.vm_id!r}")
+        vm = log_pb2.VmConfig(vm_id=request.vm_id, drained=request.drained)
         version = current.version if current else 0
-        for attempt in range(DRAIN_ATTEMPTS):
-            vm = log_pb2.VmConfig(vm_id=request.vm_id, drained=request.drained)
-            change_id = f"{request.change_id}/{attempt}" if attempt else request.change_id
-            change = log_pb2.Change(change_id=change_id, expected_version=version, put_vm=vm)
+        return await self._commit_over_any_version(request.change_id, version, put_vm=vm)
+
+    @unary
+    async def SetDomain(  # noqa: N802
+        self, request: operator_pb2.DomainRequest
+    ) -> operator_pb2.ChangeReply:
+        """Commit that a failure domain is evacuated, or that its evacuation ends.
+
+        The change id tells a repeated call from a new order, as for `DrainVm`.
+        """
+        check_name(request.domain, "domain")
+        check_name(request.change_id, "change_id")
+        current = self._config.domain(request.domain)
+        if not current.version and request.domain not in self._domain_names():
+            raise NotFound(f"no failure domain is named {request.domain!r}")
+        domain = log_pb2.DomainConfig()
+        domain.CopyFrom(current)
+        domain.evacuated = request.evacuated
+        return await self._commit_over_any_version(
+            request.change_id, current.version, put_domain=domain
+        )
+
+    @unary
+    async def ListDomains(  # noqa: N802
+        self, request: operator_pb2.ListDomainsRequest
+    ) -> operator_pb2.ListDomainsReply:
+        """Return the failure domains that this VM knows."""
+        vms = Counter(record.domain for record in self._vm_records().values())
+        targets = Counter(
+            record.domain
+            for record in self._directory.all_targets()
+            if record.state not in ENDED_STATES
+        )
+        configs = map(self._config.domain, sorted(self._domain_names()))
+        return operator_pb2.ListDomainsReply(
+            domains=[
+                operator_pb2.DomainStatus(
+                    domain=item.domain,
+                    evacuated=item.evacuated,
+                    revision=item.version,
+                    vms=vms[item.domain],
+                    targets=targets[item.domain],
+                )
+                for item in configs
+            ]
+        )
+
+    def _domain_names(self) -> set[str]:
+        """Return the domains of all known VMs and targets, and those with an order."""
+        records = (*self._vm_records().values(), *self._directory.all_targets())
+        ordered = (item.domain for item in self._config.domains())
+        return {*(record.domain for record in records if record.domain), *ordered}
+
+    async def _commit_over_any_version(
+        self, change_id: str, version: int, **body: Message
+    ) -> operator_pb2.ChangeReply:
+        """Commit a change of an object whatever its version; retry when another change is first."""
+        for attempt in range(CHANGE_ATTEMPTS):
+            attempt_id = f"{change_id}/{attempt}" if attempt else change_id
+            change = log_pb2.Change(change_id=attempt_id, expected_version=version, **body)
             try:
                 return await self._commit(change, CHANGE_TIMEOUT_S)
             except VersionConflict as exc:
--- a/tests/cli_fakes.py
+++ b/tests/cli_fakes.py
@@ -129,6 +129,22 @@
             raise NotFound(f"no VM is named {request.vm_id!r}", outcome=Outcome.NOT_RUN)
         return operator_pb2.ChangeReply(revision=8)
 
+    @unary
+    async def SetDomain(self, request):  # noqa: N802
+        """Accept an order for catania."""
+        self._record_request(request)
+        if request.domain != "catania":
+            raise NotFound(f"no failure domain is named {request.domain!r}")
+        return operator_pb2.ChangeReply(revision=8)
+
+    @unary
+    async def ListDomains(self, request):  # noqa: N802
+        """Return one evacuated domain."""
+        status = operator_pb2.DomainStatus(
+            domain="catania", evacuated=True, revision=8, vms=2, targets=5
+        )
+        return operator_pb2.ListDomainsReply(domains=[status])
+
     @unary
     async def Dump(self, request):  # noqa: N802
         """Return a small dump."""
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -180,6 +180,16 @@
     assert code == 7 and json.loads(err.splitlines()[-1])["error"]["name"] == "NotFound"
 
 
+def test_domains_are_listed_evacuated_and_restored(cli, fake):
+    assert cli("domain", "evacuate", "catania", "--change-id=c")[0] == 0
+    assert cli("domain", "restore", "catania")[0] == 0
+    assert [request.evacuated for request in fake.requests] == [True, False]
+    assert fake.requests[0].change_id == "c" and fake.requests[1].change_id
+    assert cli("domain", "evacuate", "typo")[0] == 7
+    code, out, _ = cli("domain", "list")
+    assert code == 0 and out.splitlines()[1].split() == ["catania", "evacuated", "2", "5", "8"]
+
+
 def test_an_unreachable_server_has_its_exit_code(capsys, monkeypatch):
     """Guards against an unreachable VM that scripts cannot distinguish from a refusal."""
     monkeypatch.setenv("BRAMLEYCRANK_SERVER", "127.0.0.1:1")
--- a/tests/test_operator_service.py
+++ b/tests/test_operator_service.py
@@ -48,6 +48,8 @@
             service=self.service,
             services=list,
             vm=lambda vm_id: None,
+            domain=lambda name: log_pb2.DomainConfig(domain=name),
+            domains=list,
             status=lambda: peer_pb2.ConfigStatus(leader_revision=4),
             stale_ms=lambda: 0,
             is_current=lambda: True,
@@ -167,6 +169,22 @@
     assert [(c.change_id, c.expected_version) for c in harness.proposed] == [("d", 0), ("d/1", 8)]
 
 
+def test_orders_for_a_domain_are_retried_with_the_current_version():
+    harness = Harness()
+    harness.records.append(peer_pb2.VmRecord(vm_id="vm2", domain="b"))
+    conflict = log_pb2.CommandResult(code=log_pb2.RESULT_CODE_VERSION_CONFLICT, version=8)
+    harness.results = [conflict, OK]
+    request = operator_pb2.DomainRequest(domain="b", evacuated=True, change_id="e")
+    assert harness.call("SetDomain", request).revision == 3
+    assert [(c.change_id, c.expected_version) for c in harness.proposed] == [("e", 0), ("e/1", 8)]
+    assert all(change.put_domain.evacuated for change in harness.proposed)
+    listed = harness.call("ListDomains", operator_pb2.ListDomainsRequest()).domains
+    assert [(item.domain, item.vms) for item in listed] == [("b", 1)]
+    request.domain = "typo"
+    with pytest.raises(NotFound):
+        harness.call("SetDomain", request)
+
+
 def test_drain_of_an_unknown_vm_is_rejected():
     request = operator_pb2.DrainRequest(vm_id="typo", drained=True, change_id="d")
     with pytest.raises(NotFound):
--- a/tests/test_state_replicated.py
+++ b/tests/test_state_replicated.py
@@ -51,7 +51,12 @@
             return
         self.answers[change.change_id] = result
         body = change.WhichOneof("body")
-        name = body[-3:] + (change.delete_service or change.put_service.name or change.put_vm.vm_id)
+        name = body[-3:] + (
+            change.delete_service
+            or change.put_service.name
+            or change.put_vm.vm_id
+            or change.put_domain.domain
+        )
         name = name.replace("delete", "")
         version = self.versions.get(name, 0)
         if body == "delete_service" and not version:
@@ -65,20 +70,23 @@
         assert result.revision == self.revision
 
     @rule(
-        kind=st.sampled_from(["put_service", "delete_service", "put_vm"]),
+        kind=st.sampled_from(["put_service", "delete_service", "put_vm", "put_domain"]),
         name=st.sampled_from(["a", "b"]),
         offset=st.sampled_from([0, 0, 0, 1]),
     )
     def new_change(self, kind: str, name: str, offset: int) -> None:
-        key = ("vm" if kind == "put_vm" else "ice") + name
-        expected = self.versions.get("_" + key if kind == "put_vm" else key, 0) + offset
+        key = {"put_vm": "_vm", "put_domain": "ain"}.get(kind, "ice") + name
+        expected = self.versions.get(key, 0) + offset
         change = pb.Change(change_id=f"c{len(self.log)}", expected_version=expected)
         if kind == "put_service":
             change.put_service.name = name
         elif kind == "delete_service":
             change.delete_service = name
         else:
-            change.put_vm.vm_id = name
+            if kind == "put_vm":
+                change.put_vm.vm_id = name
+            else:
+                change.put_domain.domain = name
         self.change(change)
 
     @rule(data=st.data(), key=st.sampled_from("kl"), issued=st.integers(1, 6))
