Apply evacuations, rates of cold targets and regions of routes at the entry

Cause: reports' WarmupLeftMs, the services' WarmupS and WarmupPerS and the routes' AllowedRegions were not decoded.

Change: - UsableTargets leaves the targets of evacuated domains out for both entries; requests that wait for a connection to one are sent elsewhere. - A record states the rest of the warm-up. A target that becomes cold again is pushed to all VMs as an end is. Targets that return from an unreachable state or an evacuation count as cold until their record changes. A rate of 0 states no limit. - A route with regions excludes the targets of all others, for hedges too.

--- a/bramleycrank/daemon/control_service.py
+++ b/bramleycrank/daemon/control_service.py
@@ -1,13 +1,15 @@
-"""Calls of operators and targets: route tables and reports, accepted by any control VM."""
+"""Calls of operators and targets, accepted by any control VM: routes, domain orders, reports."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
 import uuid
+from collections.abc import Callable
 from typing import Protocol
 
 from bramleycrank.daemon.config_controller import ConfigController
+from bramleycrank.daemon.domain_orders import DomainOrder, DomainOrders, Proposer
 from bramleycrank.exceptions import (
     BramleycrankError,
     ConfigurationUnavailable,
@@ -31,13 +33,6 @@
 """Delay before a read is retried, in seconds."""
 
 
-class Proposer(Protocol):
-    """Commits commands."""
-
-    async def propose(self, command: log_pb2.Command, timeout_s: float) -> log_pb2.CommandResult:
-        """Commit a command through the leader."""
-
-
 class Registry(Protocol):
     """Accepts reports of targets."""
 
@@ -62,12 +57,21 @@
         The replicated log.
     registry : Registry
         Registry of the targets.
+    orders : DomainOrders
+        Executes orders for failure domains.
     """
 
-    def __init__(self, config: ConfigController, proposer: Proposer, registry: Registry) -> None:
+    def __init__(
+        self,
+        config: ConfigController,
+        proposer: Proposer,
+        registry: Registry,
+        orders: DomainOrders,
+    ) -> None:
         self._config = config
         self._proposer = proposer
         self._registry = registry
+        self._orders = orders
         self.in_flight = 0
 
     async def put_routes(self, table: log_pb2.RouteTable) -> None:
@@ -126,6 +130,14 @@
             raise ConfigurationUnavailable("there is no route table yet")
         return table
 
+    async def order(self, order: DomainOrder, is_abandoned: Callable[[], bool]) -> None:
+        """Evacuate or restore a failure domain; see `DomainOrders.execute` for the errors."""
+        self.in_flight += 1
+        try:
+            await self._orders.execute(order, is_abandoned)
+        finally:
+            self.in_flight -= 1
+
     async def announce(self, record: target_pb2.TargetRecord) -> None:
         """Record a report of a target; one that a later report has replaced changes nothing.
 
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -7,7 +7,7 @@
 import logging
 import random
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
@@ -33,6 +33,7 @@
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.delivery import DeliveryEstimate
 from bramleycrank.scatter.retry_after import add_jitter, startup_retry_after
+from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
 from bramleycrank.transport.http1.messages import headers_size
 
@@ -48,8 +49,8 @@
 
     Parameters
     ----------
-    domain : str
-        Failure domain of this VM.
+    vm_id, domain : str
+        Id and failure domain of this VM.
     dialect : EntryDialect
         Reads and writes the protocol's headers.
     routes : Routes
@@ -70,10 +71,15 @@
         Memory limit of this VM in bytes; 0 if unknown.
     traffic : Traffic, optional
         Counts the bytes and messages of sub-requests.
+    warmup : WarmupBounds, optional
+        Bound on the requests of all VMs to a cold target.
+    regions : mapping of str to str, optional
+        Region of each failure domain.
     """
 
     def __init__(
         self,
+        vm_id: str,
         domain: str,
         dialect: EntryDialect,
         routes: Routes,
@@ -85,6 +91,8 @@
         link_bytes_per_s: float = 0.0,
         memory_bytes: int = 0,
         traffic: Traffic | None = None,
+        warmup: WarmupBounds | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self._is_isolated = is_isolated
         self._loop = asyncio.get_running_loop()
@@ -97,7 +105,16 @@
         self._requests = RequestLog(log, self._clock)
         self._index: RouteIndex | None = None
         self._targets = EntryTargets(
-            domain, targets, retry_budget, metrics, rng, self._resume_waiting, memory_bytes
+            vm_id,
+            domain,
+            targets,
+            retry_budget,
+            metrics,
+            rng,
+            self._resume_waiting,
+            memory_bytes,
+            warmup,
+            regions,
         )
         self._calls: set[Call] = set()
         self._waiting: dict[str, list[Call]] = defaultdict(list)
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -6,16 +6,19 @@
 import itertools
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
 from bramleycrank.connections import ConnectionBudget, ConnectionConfig
 from bramleycrank.connections.http_pool import HttpPool
 from bramleycrank.observability.metrics import Metrics
+from bramleycrank.proto.peer_pb2 import VmRecord
 from bramleycrank.proto.target_pb2 import TargetRecord
+from bramleycrank.query.catalog import record_key
 from bramleycrank.routing import RouteIndex
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.policy import TargetPolicy
+from bramleycrank.scatter.warmup import WarmupBounds, WarmupShares
 from bramleycrank.transport.http1 import ReceiveBudget, TargetConnection
 
 log = logging.getLogger(__name__)
@@ -26,6 +29,10 @@
 VM_COUNT_TICKS = 10
 """Ticks between two counts of the VMs; a count reads the records of all VMs."""
 
+RESTORED_WARMUP_S = 2.5
+"""Time for which the targets of a restored domain count as cold unless their records change, in
+seconds: a report and its way to all VMs."""
+
 DEFAULT_CONNECTIONS = 8
 """Connections that all VMs together open to a target whose service sets no limit."""
 
@@ -39,6 +46,15 @@
     def subscribe_targets(self, callback: Callable[[TargetRecord], None]) -> None:
         """Call back whenever a target's record or usability changes."""
 
+    def warm_at(self, target_id: str) -> float:
+        """Return the time at which a target is warm according to its record, in seconds."""
+
+    def is_evacuated(self, domain: str) -> bool:
+        """Return whether a failure domain is evacuated."""
+
+    def caller_vms(self) -> Iterable[VmRecord]:
+        """Return the VMs that serve callers, dead ones included."""
+
     def vm_count(self, domain: str | None = None) -> int:
         """Return the number of VMs that share the connection and retry budgets."""
 
@@ -51,8 +67,8 @@
 
     Parameters
     ----------
-    domain : str
-        Failure domain of this VM.
+    vm_id, domain : str
+        Id and failure domain of this VM.
     source : Targets
         Source of the targets.
     retry_budget : RetryBudgetConfig
@@ -65,10 +81,15 @@
         Called with a service whose targets have changed or may have free slots.
     memory_bytes : int, optional
         Memory limit of this VM in bytes, a part of which may hold responses; 0 if unknown.
+    warmup : WarmupBounds, optional
+        Bound on the requests of all VMs to a cold target.
+    regions : mapping of str to str, optional
+        Region of each failure domain.
     """
 
     def __init__(
         self,
+        vm_id: str,
         domain: str,
         source: Targets,
         retry_budget: RetryBudgetConfig,
@@ -76,6 +97,8 @@
         rng: random.Random,
         on_capacity: Callable[[str], None],
         memory_bytes: int = 0,
+        warmup: WarmupBounds | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
@@ -93,12 +116,21 @@
             self._clock,
         )
         self.policy = TargetPolicy(
-            domain, retry_budget, self.pool.has_capacity, lambda: self._vm_count, rng
+            domain,
+            retry_budget,
+            self.pool.has_capacity,
+            lambda: self._vm_count,
+            rng,
+            WarmupShares(vm_id, warmup or WarmupBounds(), self._clock()),
+            regions,
         )
         self._intake: ReceiveBudget[TargetConnection] = ReceiveBudget.from_memory(memory_bytes)
         self._services_of: dict[str, str] = {}
         self._incarnations: dict[str, int] = {}
+        self._record_keys: dict[str, tuple[int, int, int]] = {}
         self._covered: set[str] = set()
+        # Targets left out since their domain is evacuated; cold when they return.
+        self._evacuated: set[str] = set()
         self._domain = domain
         self._remote: set[str] = set()  # targets in other failure domains
         self._open_tasks: set[asyncio.Task[Any]] = set()
@@ -117,6 +149,7 @@
     def apply_routes(self, index: RouteIndex) -> None:
         """Load the targets of the services in the routes and remove all others."""
         self._index = index
+        self.policy.set_warmups(index.warmups)
         for service in index.services | self._covered:
             self._refresh(service)
 
@@ -186,9 +219,12 @@
         removed = [
             i for i, name in self._services_of.items() if name == service and i not in current
         ]
+        evacuated = {i for i in removed if self._source.is_evacuated(self._domain_of(i))}
+        self._evacuated |= evacuated
         for target_id in removed:
             del self._services_of[target_id]
             self._incarnations.pop(target_id, None)
+            self._record_keys.pop(target_id, None)
             self._remote.discard(target_id)
             self.pool.remove(target_id)
         for record in records:
@@ -200,12 +236,43 @@
                 record.target_id, record.host, record.port, limit or DEFAULT_CONNECTIONS
             )
         self.policy.update(service, records, self._clock())
+        for record in records:
+            self._update_warmth(record)
+        for target_id in evacuated:
+            self.pool.cancel_unsent(target_id)
         if records:
             self._covered.add(service)
         else:
             self._covered.discard(service)
         self._on_capacity(service)
 
+    def _domain_of(self, target_id: str) -> str:
+        state = self.policy.table.state(target_id)
+        return state.domain if state is not None else ""
+
+    def _update_warmth(self, record: TargetRecord) -> None:
+        """Copy the warm-up of a target from its record, if the record has changed.
+
+        Until it changes, a target that may have become cold since then counts as cold.
+        """
+        target_id, key = record.target_id, record_key(record)
+        if target_id in self._evacuated:
+            self._evacuated.discard(target_id)
+            assumed_until = self._clock() + RESTORED_WARMUP_S
+        elif self._record_keys.get(target_id) == key:
+            return
+        else:
+            assumed_until = 0.0
+        self._record_keys[target_id] = key
+        warm_at = self._source.warm_at(target_id)
+        self.policy.table.set_cold(target_id, max(warm_at, assumed_until))
+
+    def _assume_cold(self, target_id: str, service: str) -> None:
+        """Take a target that returns as restarted, until its record says something else."""
+        warmup = self.policy.warmup_of(service)
+        if warmup.per_s:
+            self.policy.table.set_cold(target_id, self._clock() + warmup.duration_s)
+
     def _connection_share(self, limit: int) -> int:
         return self._budget.share(limit, self._clock())
 
@@ -237,9 +304,19 @@
             extra={"target": target_id, "service": service},
         )
         self.policy.table.set_down(target_id, down, self._clock())
+        if service is not None and not down:
+            self._assume_cold(target_id, service)
         if service is not None:
             self._loop.call_soon(self._on_capacity, service)
 
+    def _update_warmup_vms(self) -> None:
+        """Update the VMs among which cold targets are divided, if any service limits them."""
+        if self._index is None or not any(w.per_s for w in self._index.warmups.values()):
+            return
+        vms = [(record.vm_id, record.domain) for record in self._source.caller_vms()]
+        self.policy.warmup.set_vms(vms)
+        self.policy.warmup.retain(self._services_of)
+
     async def _run(self) -> None:
         for tick in itertools.count():
             try:
@@ -247,6 +324,7 @@
                 if tick % VM_COUNT_TICKS == 0:
                     self._vm_count = max(1, self._source.vm_count())
                     self._budget.on_vm_count(self._vm_count, self._clock())
+                    self._update_warmup_vms()
             except Exception:
                 log.exception("entry: tick failed")
             await asyncio.sleep(POOL_TICK_S)
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any, Protocol
 
 import attrs
@@ -15,15 +15,18 @@
 from bramleycrank.daemon.control_service import ControlService
 from bramleycrank.daemon.control_steps import ControlSteps
 from bramleycrank.daemon.domain_isolation import DomainIsolation
+from bramleycrank.daemon.domain_orders import DomainOrders
 from bramleycrank.daemon.entry_controller import EntryController
 from bramleycrank.daemon.entry_types import EntryDialect
 from bramleycrank.daemon.life_cycle import LifeCycle
+from bramleycrank.daemon.usable_targets import UsableTargets
 from bramleycrank.daemon.voter_manager import VoterManager, VotingConfig
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.routing import Limits
 from bramleycrank.scatter.budget import RetryBudgetConfig
+from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.settings import Address, Settings
 from bramleycrank.transport.http1 import Exchange, Http1Server, ReceiveBudget
 from bramleycrank.transport.http1.server_connection import ServerConnection
@@ -84,6 +87,12 @@
         Memory limit of the process; 0 if unknown.
     voting : VotingConfig
         Options for the choice of the voters.
+    warmup : WarmupBounds
+        Bound on the requests of all VMs to a cold target.
+    regions : mapping of str to str
+        Region of each failure domain; empty if the domains are not configured.
+    order_resend_window_s : float
+        Longest time for which operators resend an order for a domain, in seconds.
     """
 
     base: Settings
@@ -96,6 +105,9 @@
     link_bytes_per_s: float = 0.0
     memory_bytes: int = 0
     voting: VotingConfig = attrs.field(factory=VotingConfig)
+    warmup: WarmupBounds = attrs.field(factory=WarmupBounds)
+    regions: Mapping[str, str] = attrs.field(factory=dict)
+    order_resend_window_s: float = 6.0
 
 
 class HttpAdapter(Protocol):
@@ -220,7 +232,10 @@
         if cfg.entry is not None:
             await self._start_entry(parts, rng, cfg.entry)
         if cfg.control is not None:
-            self._control = ControlService(parts.config, parts.consensus, parts.membership)
+            orders = DomainOrders(
+                parts.config, parts.consensus, cfg.regions, cfg.order_resend_window_s
+            )
+            self._control = ControlService(parts.config, parts.consensus, parts.membership, orders)
             handler = FunctionHandler(self._on_control)
             await self._listen(cfg.control, handler, CONTROL_LIMITS)
         self._in_gossip = True
@@ -234,11 +249,13 @@
             log.info("traffic: calls and bytes since the start", extra={"traffic": traffic.dump()})
 
     async def _start_entry(self, parts: ControlParts, rng: random.Random, address: Address) -> None:
+        vm = self._cfg.base.vm
         entry = self._entry = EntryController(
-            self._cfg.base.vm.domain,
+            vm.id,
+            vm.domain,
             self._adapter.dialect,
             parts.config,
-            parts.membership,
+            UsableTargets(parts.membership, parts.config),
             self._cfg.extra,
             self._metrics,
             rng,
@@ -246,6 +263,8 @@
             self._cfg.link_bytes_per_s,
             self._cfg.memory_bytes,
             parts.clients.traffic,
+            self._cfg.warmup,
+            self._cfg.regions,
         )
         await entry.start()
         self._caller_server = Http1Server(entry, entry.limits, self._new_intake_budget())
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -28,6 +28,7 @@
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_ALIVE,
     VM_STATE_DRAINING,
+    VM_STATE_LEFT,
     ConfigStatus,
     Gossip,
     ProbeReply,
@@ -190,6 +191,18 @@
         """Return whether a target may receive new sub-requests."""
         return self.registry.is_usable(target_id)
 
+    def warm_at(self, target_id: str) -> float:
+        """Return the time at which a target is warm according to its record, in seconds."""
+        return self.registry.warm_at(target_id)
+
+    def caller_vms(self) -> list[VmRecord]:
+        """Return the VMs that serve callers, dead ones included until their retention ends."""
+        return [
+            record
+            for record in self.all_vms()
+            if not record.control_only and record.state != VM_STATE_LEFT
+        ]
+
     def vm_count(self, domain: str | None = None) -> int:
         """Return the number of VMs that share the connections and slots of targets."""
         return self.core.budget_count(self._clock(), domain)
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -19,6 +19,7 @@
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.daemon.query_controller import QueryController
 from bramleycrank.daemon.session_controller import SessionController
+from bramleycrank.daemon.usable_targets import UsableTargets
 from bramleycrank.daemon.voter_changes import VoterChanges
 from bramleycrank.observability import metrics as metrics_module
 from bramleycrank.query.types import QueryConfig
@@ -227,7 +228,7 @@
             domain=cfg.vm.domain,
             cfg=QueryConfig.from_settings(cfg.query),
             configuration=config,
-            targets=membership,
+            targets=UsableTargets(membership, config),
             sessions=sessions,
             proposer=consensus,
             metrics=QueryMetrics(metrics),
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -31,6 +31,10 @@
 # that the push of the home VM misses, for example because of a partial partition.
 FORWARD_FANOUT = 3
 
+# Excess of a reported warm-up over the known one that shows that the target is cold again, in
+# seconds. Reports are delayed on their way.
+MIN_NEW_WARMUP_S = 0.5
+
 # Number of VMs to which a home VM pushes targets that are new to it. Gossip alone takes a few probe
 # periods, during which VMs that have just started would have no targets.
 NEW_TARGETS_FANOUT = 8
@@ -111,11 +115,14 @@
         self._leases[record.target_id] = _Lease(
             record.incarnation, record.sequence, now + self._cfg.lease_s
         )
-        new = self._next_record(record, known)
+        cold_again = self._is_cold_again(record, known, now)
+        new = self._next_record(record, known, cold_again)
         if new is None:
             return self._reply(), []
         actions = self._store(new, now)
-        if actions and not self._was_usable(known, record.incarnation):
+        if actions and cold_again:
+            actions.append(PushRecords((new,)))
+        elif actions and not self._was_usable(known, record.incarnation):
             self._new_targets[record.target_id] = new
         return self._reply(), actions
 
@@ -135,16 +142,34 @@
             and record.sequence < lease.sequence
         )
 
-    def _next_record(self, record: TargetRecord, known: TargetRecord | None) -> TargetRecord | None:
-        """Return the record to store, or None for a plain renewal."""
+    def _is_cold_again(self, record: TargetRecord, known: TargetRecord | None, now: float) -> bool:
+        """Return whether a target that was in service reports more warm-up than is known.
+
+        Such a report is pushed to all VMs as an end is, since they send at the full rate.
+        """
+        if known is None or known.state != TARGET_STATE_SERVING or not record.warmup_left_ms:
+            return False
+        expected_at = self._table.warm_at(record.target_id)
+        return now + record.warmup_left_ms / 1000 > expected_at + MIN_NEW_WARMUP_S
+
+    def _next_record(
+        self, record: TargetRecord, known: TargetRecord | None, cold_again: bool
+    ) -> TargetRecord | None:
+        """Return the record to store, or None for a plain renewal.
+
+        A warm-up that goes on as expected is a plain renewal; its end is not.
+        """
         new = TargetRecord()
         new.CopyFrom(record)
         new.home_vm = self._vm_id
         new.ended_age_s = 0
         if known is not None and known.incarnation == record.incarnation:
             new.sequence = known.sequence
+            if record.warmup_left_ms and not cold_again:
+                new.warmup_left_ms = known.warmup_left_ms
             if new == known:
                 return None
+            new.warmup_left_ms = record.warmup_left_ms
             new.sequence = max(known.sequence + 1, record.sequence)
         return new
 
@@ -222,15 +247,18 @@
         -------
         list of Action
             `TargetChanged` for each change; `PushRecords` to a few VMs for targets that were
-            usable on this VM and leave.
+            usable on this VM and leave or are cold again.
         """
         actions: list[Action] = []
         to_forward = []
         for record in records:
             was_usable = self._table.is_usable(record.target_id)
+            was_warm = self._table.warm_at(record.target_id) <= now
             changes = self._store(record, now, queue_for_gossip=queue_for_gossip)
             actions += changes
-            if changes and was_usable and record.state == TARGET_STATE_LEAVING:
+            cold_again = was_warm and self._table.warm_at(record.target_id) > now
+            leaving = record.state == TARGET_STATE_LEAVING
+            if changes and was_usable and (leaving or cold_again):
                 to_forward.append(record)
         if to_forward:
             actions.append(
@@ -310,6 +338,10 @@
         """Return the targets of a service that may get new sub-requests."""
         return self._table.usable(service)
 
+    def warm_at(self, target_id: str) -> float:
+        """Return the time at which a target is warm according to its record; 0 if unknown."""
+        return self._table.warm_at(target_id)
+
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target may get new sub-requests."""
         return self._table.is_usable(target_id)
--- a/bramleycrank/membership/target_table.py
+++ b/bramleycrank/membership/target_table.py
@@ -26,11 +26,18 @@
 
 @attrs.define
 class _Entry:
-    """A record with its order key, end and usability on this VM."""
+    """A record with its order key, end and usability on this VM.
+
+    Parameters
+    ----------
+    warm_at : float
+        Time at which the target is warm if it does not restart, in seconds.
+    """
 
     record: TargetRecord
     key: Key
     ended_at: float | None
+    warm_at: float
     usable: bool = False
 
 
@@ -79,6 +86,14 @@
         entry = self._entries.get(target_id)
         return entry.key if entry else None
 
+    def warm_at(self, target_id: str) -> float:
+        """Return the time at which a target is warm according to its record; 0 if unknown.
+
+        The time counts from the receipt of the record, so it may be too late but not too early.
+        """
+        entry = self._entries.get(target_id)
+        return entry.warm_at if entry is not None else 0.0
+
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target may get new sub-requests."""
         entry = self._entries.get(target_id)
@@ -121,7 +136,9 @@
         return True
 
     def _insert(self, record: TargetRecord, key: Key, ended_at: float | None, now: float) -> None:
-        self._entries[record.target_id] = entry = _Entry(record, key, ended_at)
+        self._entries[record.target_id] = entry = _Entry(
+            record, key, ended_at, now + record.warmup_left_ms / 1000
+        )
         self._by_service[record.service].add(record.target_id)
         self._by_home[record.home_vm].add(record.target_id)
         self._by_bucket[bucket_of(f"target/{record.target_id}")].add(record.target_id)
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -8,6 +8,7 @@
 from urllib.parse import unquote
 
 from bramleycrank.daemon.control_service import ControlService
+from bramleycrank.daemon.domain_orders import DomainOrder
 from bramleycrank.exceptions import BramleycrankError, InvalidRequest, MalformedBody, NotFound
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.platform import documents
@@ -20,6 +21,7 @@
 READY_PATH = "/-/ready"
 CONFIG_PATH = "/-/config"
 INSTANCES_PATH = "/-/instances/"
+EVACUATIONS_PATH = "/-/evacuate/"
 
 JSON_TYPE = (b"Content-Type", b"application/json")
 
@@ -88,6 +90,11 @@
             case b"DELETE", path if path.startswith(INSTANCES_PATH):
                 await service.leave(_target_id(path), _incarnation(request.body))
                 return b"{}"
+            case (b"POST" | b"DELETE") as method, path if path.startswith(EVACUATIONS_PATH):
+                domain = _last_segment(path, EVACUATIONS_PATH, "domain")
+                order = DomainOrder(domain, evacuate=method == b"POST")
+                await service.order(order, lambda: exchange.disconnected)
+                return b"{}"
         raise NotFound(f"{request.method.decode('latin-1')} {request.path[:100]}")
 
     async def _report(self, target_id: str, body: bytes, service: ControlService) -> bytes:
@@ -104,10 +111,15 @@
 
 
 def _target_id(path: str) -> str:
-    target_id = unquote(path.removeprefix(INSTANCES_PATH))
-    if not target_id or "/" in target_id:
-        raise NotFound("the path has no valid instance id")
-    return target_id
+    return _last_segment(path, INSTANCES_PATH, "instance id")
+
+
+def _last_segment(path: str, prefix: str, meaning: str) -> str:
+    """Return the only segment of a path after its prefix."""
+    segment = unquote(path.removeprefix(prefix))
+    if not segment or "/" in segment:
+        raise NotFound(f"the path has no valid {meaning}")
+    return segment
 
 
 def _incarnation(body: bytes) -> int | None:
--- a/bramleycrank/platform/documents.py
+++ b/bramleycrank/platform/documents.py
@@ -28,6 +28,8 @@
                 # Applies to all callers of one target together.
                 name=item.text("Name"),
                 connections=item.count("MaxConnections", 0),
+                warmup_ms=_rounded_ms(item, "WarmupS", 0, unit_ms=1000),
+                warmup_per_s=item.number("WarmupPerS", 0.0),
             )
             for item in fields.objects("Services")
         ],
@@ -65,11 +67,12 @@
         shards=fields.texts("Gather"),
         top_records=fields.count("TopK", 0),
         min_coverage=fields.number("MinCoverage", 0.0),
+        regions=fields.texts("AllowedRegions"),
     )
 
 
-def _rounded_ms(fields: Fields, name: str, default: int | None = None) -> int:
-    return min(round(fields.number(name, default)), 2**32 - 1)
+def _rounded_ms(fields: Fields, name: str, default: int | None = None, *, unit_ms: int = 1) -> int:
+    return min(round(fields.number(name, default) * unit_ms), 2**32 - 1)
 
 
 def decode_report(target_id: str, body: bytes) -> target_pb2.TargetRecord:
@@ -99,6 +102,7 @@
         domain=fields.text("Zone"),
         slots=min(fields.count("Slots", 1), 2**31),
         replicas=SINGLE_SHARD_REPLICAS,
+        warmup_left_ms=min(fields.count("WarmupLeftMs", 0), 2**31),
     )
 
 
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -10,8 +10,12 @@
 from bramleycrank.exceptions import InvalidSettings
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.scatter.budget import RetryBudgetConfig
+from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.settings import Address, Settings
 
+DOMAIN_PREFIX = "Zones."
+"""Prefix of the entries that name the region of each failure domain."""
+
 METRICS_PORT = 9464
 """Metrics port of every VM; must match `deploy/system.toml`."""
 
@@ -110,6 +114,16 @@
         ),
         link_bytes_per_s=float(entries.get("Limits.LinkMbps") or 0) * 1e6 / 8,
         memory_bytes=int(entries.get("Limits.MemoryMb") or 0) * 1024 * 1024,
+        warmup=WarmupBounds(
+            overage=float(entries.get("Bounds.WarmupOverage") or 1),
+            slack=float(entries.get("Bounds.WarmupSlack") or 0),
+        ),
+        regions={
+            name.removeprefix(DOMAIN_PREFIX): region
+            for name, region in entries.items()
+            if name.startswith(DOMAIN_PREFIX)
+        },
+        order_resend_window_s=float(entries.get("Bounds.AckTimeoutMs") or 6000) / 1000,
         voting=VotingConfig(bootstrap=entries.get("Bootstrap") == "true", seeds=seeds),
     )
 
--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -121,6 +121,7 @@
         replicas = [t for t in self.replicas(service, snapshot, shard) if t.held_until <= now]
         ejected = [t for t in replicas if t.down or t.ejected_until > now]
         pool = _limit_ejections(replicas, ejected) if ejected else replicas
+        pool = _prefer_warm(pool, exclude, now)
         if exclude:
             pool = [t for t in pool if t.target_id not in exclude]
         if not pool:
@@ -218,6 +219,16 @@
                 state.ejected_at = now
             state.down = down
 
+    def set_cold(self, target_id: str, until: float) -> None:
+        """Set the end of the time in which a target is cold, in seconds."""
+        state = self._targets.get(target_id)
+        if state is not None:
+            state.cold_until = until
+
+    def state(self, target_id: str) -> TargetState | None:
+        """Return the state of a target, or None if it is unknown."""
+        return self._targets.get(target_id)
+
     def hold(self, target_id: str, incarnation: int, hold_s: float, now: float) -> float:
         """Hold back a target and return the end of its hold, in seconds.
 
@@ -278,6 +289,16 @@
     return [t for t in pool if not t.down] or pool
 
 
+def _prefer_warm(
+    pool: list[TargetState], exclude: Collection[str], now: float
+) -> list[TargetState]:
+    """Return the warm targets, or all if no warm one is left to choose."""
+    warm = [t for t in pool if t.cold_until <= now]
+    if len(warm) == len(pool) or all(t.target_id in exclude for t in warm):
+        return pool
+    return warm
+
+
 def _choose_ejected(ejected: list[TargetState], exclude: Collection[str]) -> str | None:
     usable = [t for t in ejected if t.target_id not in exclude]
     return min(usable, key=lambda t: (t.down, t.ejected_until)).target_id if usable else None
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -82,6 +82,8 @@
         Concurrency limit of this VM for the target.
     warm_from, warm_until : float
         Start and end of the warm-up, in seconds.
+    cold_until : float
+        End of the time in which the target is cold and used only if no other one is left.
     """
 
     target_id: str
@@ -111,6 +113,7 @@
     limit_lowered_at: float = -1e9
     down: bool = False
     held_until: float = 0.0  # end of the hold
+    cold_until: float = 0.0
     leaving: bool = False
     reported_load: float = 0.0
     replies: int = 0
@@ -276,6 +279,8 @@
         if self.ejected_until > now:
             remaining_s = self.ejected_until - now
             return f"ejected: consecutive failures; the ejection ends in {remaining_s:.1f} s"
+        if now < self.cold_until:
+            return f"cold: used only if no other replica is left, for {self.cold_until - now:.1f} s"
         if now < self.warm_until:
             return f"warming up: gets {self.warm_share(now):.0%} of its full load share"
         if self.in_flight >= self.limit:
--- a/bramleycrank/routing/table.py
+++ b/bramleycrank/routing/table.py
@@ -46,6 +46,22 @@
         )
 
 
+@attrs.frozen
+class ServiceWarmup:
+    """Warm-up of the targets of a service.
+
+    Parameters
+    ----------
+    duration_s : float
+        Time for which a target is cold after its start, in seconds.
+    per_s : float
+        Requests per second that a cold target tolerates; 0 if the service states no rate.
+    """
+
+    duration_s: float = 0.0
+    per_s: float = 0.0
+
+
 @attrs.define(eq=False)
 class Route:
     """A route with the state of its weighted selection.
@@ -74,6 +90,8 @@
         Maximum number of records in a merged answer.
     min_coverage : float
         Minimum share of the shards in a merged answer.
+    regions : frozenset of str
+        Regions whose targets may receive the requests; empty for all.
     """
 
     name: str
@@ -87,6 +105,7 @@
     weights: tuple[float, ...] = ()
     top_records: int = 0
     min_coverage: float = 0.0
+    regions: frozenset[str] = frozenset()
     _cumulative: tuple[float, ...] = ()
     _sequence_value: float = 0.0
 
@@ -107,6 +126,7 @@
             weights=() if gather else weights,
             top_records=message.top_records,
             min_coverage=message.min_coverage,
+            regions=frozenset(message.regions),
             cumulative=() if gather else tuple(accumulate(weights)),
         )
 
@@ -156,6 +176,10 @@
         self.version = table.version
         self.limits = Limits.from_table(table)
         self.connections = {service.name: service.connections for service in table.services}
+        self.warmups = {
+            service.name: ServiceWarmup(service.warmup_ms / 1000, service.warmup_per_s)
+            for service in table.services
+        }
         self._by_host: dict[str, list[Route]] = defaultdict(list)
         for message in table.routes:
             self._by_host[message.host.lower()].append(Route.from_message(message))
--- a/bramleycrank/routing/validation.py
+++ b/bramleycrank/routing/validation.py
@@ -34,6 +34,11 @@
     yield from (
         f"service {name!r} is listed twice" for name, count in services.items() if count > 1
     )
+    yield from (
+        f"service {service.name!r}: the rate of a cold target must not be negative"
+        for service in table.services
+        if service.warmup_per_s < 0
+    )
     host_prefix_counts = Counter((route.host.lower(), route.path_prefix) for route in table.routes)
     yield from (
         f"two routes have host {host!r} and prefix {prefix!r}"
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -116,7 +116,7 @@
         if now >= self._deadline:
             return self._refuse("the deadline had passed on arrival", now)
         for shard in self._shards:
-            if not self._policy.has_targets(shard.service, (), now):
+            if not self._policy.has_targets(shard.service, self._excluded(shard), now):
                 self._mark_lost(shard)
         if len(self._shards) - self._lost < self._needed:
             return self._end_without_answer(now)
@@ -211,13 +211,21 @@
 
     # Sub-requests.
 
+    def _excluded(self, shard: Shard) -> list[str]:
+        """Return the targets that must not get the next sub-request of a shard."""
+        if not self.route.regions:
+            return shard.tried
+        return [*shard.tried, *self._policy.outside(shard.service, self.route.regions)]
+
     def _send_or_wait(self, shard: Shard, now: float, actions: list[Action]) -> None:
         """Send a sub-request, wait for a target with free capacity, or mark the shard as lost.
 
         If the shard waited after a refusal, its next sub-request is an extra one.
         """
-        target_id = self._policy.choose(shard.service, shard.tried, now)
-        if target_id is None and self._policy.has_targets(shard.service, shard.tried, now):
+        target_id = self._policy.choose(shard.service, self._excluded(shard), now)
+        if target_id is None and self._policy.has_targets(
+            shard.service, self._excluded(shard), now
+        ):
             self.waiting.add(shard.service)
         elif target_id is None or not self._spend_unless_first(shard, now):
             self._mark_lost(shard)
@@ -280,7 +288,7 @@
         scarce = self.route.gather and self._policy.is_budget_scarce(shard.service, now)
         if scarce and unhedged_shards <= dispensable_shards:
             return False
-        target_id = self._policy.choose(shard.service, shard.tried, now)
+        target_id = self._policy.choose(shard.service, self._excluded(shard), now)
         if target_id is None or not self._policy.spend_retry_budget(shard.service, now):
             return False
         self._send(shard, target_id, now, actions)
@@ -302,9 +310,9 @@
             shard.sends -= 1
         if shard.sends >= self.route.max_targets or not (self.route.idempotent or not_run):
             return False
-        target_id = self._policy.choose(shard.service, shard.tried, now)
+        target_id = self._policy.choose(shard.service, self._excluded(shard), now)
         if target_id is None:
-            if not_run and self._policy.has_targets(shard.service, shard.tried, now):
+            if not_run and self._policy.has_targets(shard.service, self._excluded(shard), now):
                 self.waiting.add(shard.service)
                 return True
             return False
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Any, Protocol
 
 from bramleycrank.proto.target_pb2 import Replica, Snapshot, TargetRecord
 from bramleycrank.query.latency import LatencyEstimate
 from bramleycrank.query.replicas import ReplicaTable
+from bramleycrank.query.targets import TargetState
 from bramleycrank.query.types import Snapshot as SnapshotKey
+from bramleycrank.routing import ServiceWarmup
 from bramleycrank.scatter.budget import RetryBudget, RetryBudgetConfig
 from bramleycrank.scatter.retry_after import add_jitter, combined_retry_after, service_retry_after
 from bramleycrank.scatter.types import FailureKind, SubFailure, TargetReply
+from bramleycrank.scatter.warmup import WarmupBounds, WarmupShares
 
 SINGLE_SHARD = SnapshotKey(1, 1)
 """Snapshot assigned to every target of a forwarded service, which is a single shard."""
@@ -38,6 +41,8 @@
 DEFAULT_HEDGE_DELAY_S = 0.1
 """Hedge delay of a route without an objective until its latencies are known, in seconds."""
 
+NO_WARMUP = ServiceWarmup()
+
 
 class ScatterPolicy(Protocol):
     """Interface between the execution of a request and the policy."""
@@ -45,6 +50,9 @@
     def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
         """Return the target for a sub-request, or None if none has free capacity."""
 
+    def outside(self, service: str, regions: Collection[str]) -> list[str]:
+        """Return the targets of a service that are in none of the regions."""
+
     def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         """Return whether the service has an untried target, busy or not."""
 
@@ -93,6 +101,10 @@
         Returns the number of VMs that share the budget.
     rng : random.Random
         Source of the random choices.
+    warmup : WarmupShares, optional
+        Bounds the requests to cold targets.
+    regions : mapping of str to str, optional
+        Region of each failure domain.
     """
 
     def __init__(
@@ -102,15 +114,28 @@
         has_capacity: Callable[[str], bool],
         vm_count: Callable[[], int],
         rng: random.Random,
+        warmup: WarmupShares | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.table = ReplicaTable(domain, rng, warmup_s=0.0)
         self._budget_cfg = budget_cfg
         self._rng = rng
         self._pool_has_capacity = has_capacity
         self._vm_count = vm_count
+        self.warmup = warmup or WarmupShares("", WarmupBounds(), 0.0)
+        self._regions = regions or {}
+        self._warmups: Mapping[str, ServiceWarmup] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._latencies: dict[str, LatencyEstimate] = {}
 
+    def set_warmups(self, warmups: Mapping[str, ServiceWarmup]) -> None:
+        """Set the warm-up of the targets of each service."""
+        self._warmups = warmups
+
+    def warmup_of(self, service: str) -> ServiceWarmup:
+        """Return the warm-up of the targets of a service."""
+        return self._warmups.get(service, NO_WARMUP)
+
     def update(self, service: str, records: Iterable[TargetRecord], now: float) -> None:
         """Replace the usable targets of a service."""
         self.table.update(service, records, now)
@@ -123,15 +148,36 @@
         """
         exclude = set(tried)
         while (target_id := self.table.choose(service, SINGLE_SHARD, 0, exclude, now)) is not None:
-            if self.table.has_capacity(target_id) and self._pool_has_capacity(target_id):
+            if (
+                self.table.has_capacity(target_id)
+                and self._pool_has_capacity(target_id)
+                and self._is_admitted(service, self.table.state(target_id), now)
+            ):
                 return target_id
             exclude.add(target_id)
         return None
 
+    def _is_admitted(self, service: str, target: TargetState, now: float) -> bool:
+        """Return whether a target is warm or this VM's share allows one more request to it."""
+        return target.cold_until <= now or self.warmup.admits(
+            target.target_id, target.domain, self.warmup_of(service).per_s, now
+        )
+
+    def outside(self, service: str, regions: Collection[str]) -> list[str]:
+        """Return the targets of a service that are in none of the regions."""
+        return [
+            target.target_id
+            for target in self.table.replicas(service, SINGLE_SHARD, 0)
+            if self._regions.get(target.domain) not in regions
+        ]
+
     def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         """Return whether a usable target was not tried yet, busy or not."""
         return any(
-            not t.down and t.held_until <= now and t.target_id not in tried
+            not t.down
+            and t.held_until <= now
+            and t.target_id not in tried
+            and self._is_admitted(service, t, now)
             for t in self.table.replicas(service, SINGLE_SHARD, 0)
         )
 
@@ -194,6 +240,9 @@
     def on_sent(self, target_id: str, now: float) -> None:
         """Count a sub-request in flight."""
         self.table.on_sent(target_id, now)
+        target = self.table.state(target_id)
+        if target is not None and target.cold_until > now:
+            self.warmup.on_sent(target_id, now)
 
     def on_reply(
         self, route: str, target_id: str, reply: TargetReply, latency_s: float, now: float
@@ -250,6 +299,7 @@
         """Return targets, latencies and budgets."""
         return {
             "targets": self.table.dump(now),
+            "warmup": self.warmup.dump(),
             "latencies": {name: item.dump() for name, item in self._latencies.items()},
             "budgets": {name: item.dump() for name, item in self._budgets.items()},
         }
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -91,8 +91,12 @@
             targets=self.targets,
             subscribe_targets=lambda callback: None,
             vm_count=lambda domain=None: 1,
+            warm_at=lambda target_id: 0.0,
+            is_evacuated=lambda domain: False,
+            caller_vms=list,
         )
         self.entry = EntryController(
+            "vm1",
             "d",
             PlatformHeaders(),
             routes,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,11 +8,13 @@
 
 import pytest
 
+from bramleycrank.daemon.domain_orders import DomainOrder
 from bramleycrank.exceptions import (
     InvalidRequest,
     InvalidSettings,
     MalformedBody,
     NoQuorum,
+    Refused,
     VersionConflict,
 )
 from bramleycrank.platform import documents, node_file
@@ -36,6 +38,11 @@
     "Bounds.RetryBudgetRatio": "0.2",
     "Bounds.RetryWindowS": "10",
     "Bounds.RetrySlack": "58",
+    "Bounds.WarmupOverage": "1.5",
+    "Bounds.WarmupSlack": "5",
+    "Bounds.AckTimeoutMs": "5000",
+    "Zones.north": "r",
+    "Zones.south": "r2",
     "Some.NewField": "is ignored",
 }
 
@@ -52,6 +59,7 @@
             "Priority": 1,
             "Gather": ["s1", "s2"],
             "MaxAttempts": 2,
+            "AllowedRegions": ["r"],
             "TopK": 50,
             "MinCoverage": 0.89,
         },
@@ -65,7 +73,13 @@
         },
     ],
     "Services": [
-        {"Name": "s1", "HealthPath": "/health", "MaxConnections": 26},
+        {
+            "Name": "s1",
+            "HealthPath": "/health",
+            "MaxConnections": 26,
+            "WarmupS": 2.5,
+            "WarmupPerS": 12.0,
+        },
         {"Name": "s2", "HealthPath": "/health", "MaxConnections": 26},
     ],
     "Limits": {"MaxHeaderBytes": 16384, "IdleTimeoutMs": 15000},
@@ -100,6 +114,8 @@
         10.0,
         58.0,
     )
+    assert (cfg.warmup.overage, cfg.warmup.slack) == (1.5, 5.0)
+    assert cfg.regions == {"north": "r", "south": "r2"} and cfg.order_resend_window_s == 5.0
     life = cfg.base.life_cycle
     assert life.drain_notice_s + life.drain_limit_s < 6.0
 
@@ -118,6 +134,9 @@
     gather, split = table.routes
     assert (table.version, gather.top_records, list(gather.shards)) == (7, 50, ["s1", "s2"])
     assert gather.idempotent and not split.idempotent
+    assert list(gather.regions) == ["r"] and not split.regions
+    assert (table.services[0].warmup_ms, table.services[0].warmup_per_s) == (2500, 12.0)
+    assert (table.services[1].warmup_ms, table.services[1].warmup_per_s) == (0, 0.0)
     assert [part.weight for part in split.split] == [3, 1]
     assert table.services[0].connections == 26
     assert json.loads(table.document) == CONFIG
@@ -239,3 +258,36 @@
     assert meta.not_run and (meta.load.in_flight, meta.load.queued, meta.load.slots) == (3, 1, 8)
     odd = PlatformHeaders().target_meta(Response(200, [(b"X-Backend-Load", b"a,b")], b""))
     assert odd.load is None and not odd.not_run
+
+
+@pytest.mark.parametrize(
+    "method, path, expected",
+    [
+        (b"POST", b"/-/evacuate/north", (200, [DomainOrder("north", True)])),
+        (b"DELETE", b"/-/evacuate/north", (200, [DomainOrder("north", False)])),
+        (b"POST", b"/-/evacuate/", (404, [])),
+        (b"PUT", b"/-/evacuate/north", (404, [])),
+    ],
+)
+def test_orders_for_a_zone_are_decoded(method, path, expected):
+    orders = []
+
+    async def order(item, is_abandoned) -> None:
+        orders.append(item)
+
+    status, _ = respond(PlatformAdapter(""), method, path, b"", order=order)
+    assert (status, orders) == expected
+
+
+def test_an_order_that_may_be_a_resend_gets_503_with_the_time_of_return():
+    error = Refused("maybe a resend", retry_after_ms=1500)
+    status, body = respond(
+        PlatformAdapter(""), b"POST", b"/-/evacuate/north", b"", order=raises_error(error)
+    )
+    assert status == 503 and json.loads(body)["Error"]["name"] == "Refused"
+
+
+def test_report_states_the_rest_of_the_warm_up():
+    record = documents.decode_report("t", dumped({**REPORT, "WarmupLeftMs": 1800}))
+    assert record.warmup_left_ms == 1800
+    assert documents.decode_report("t", dumped(REPORT)).warmup_left_ms == 0
--- a/tests/test_process_platform.py
+++ b/tests/test_process_platform.py
@@ -10,11 +10,14 @@
 import pytest
 from http_fakes import FakeTarget, ok
 
-from harness.platform_fleet import ENTRY_PORT, READY_PORT, Fleet, PlatformVm
+from harness.platform_fleet import CONTROL_PORT, ENTRY_PORT, READY_PORT, Fleet, PlatformVm
 from harness.processes import Process, wait_until
 
 pytestmark = pytest.mark.process
 
+EVACUATE_S = 5.0
+"""Time within which an acknowledged evacuation is in force on all VMs, in seconds."""
+
 
 def config(version: int, top: int) -> dict:
     """Return a configuration document with one route over two shards."""
@@ -38,10 +41,10 @@
     return await fleet.send("GET", "/all/q", None, entry.ip, ENTRY_PORT)
 
 
-async def send_reports(fleet: Fleet, name: str, port: int) -> None:
+async def send_reports(fleet: Fleet, name: str, port: int, zone: str = "x") -> None:
     """Send liveness reports of a target to the voters in turn, as targets do."""
     for sequence in range(1, 1000):
-        await fleet.report(name, f"t-{name}", f"127.0.0.1:{port}", sequence)
+        await fleet.report(name, f"t-{name}-{zone}", f"127.0.0.1:{port}", sequence, zone)
         await asyncio.sleep(0.3)
 
 
@@ -162,3 +165,85 @@
                 process.reap()
 
     asyncio.run(body())
+
+
+async def evacuation_scenario(fleet: Fleet, targets: dict[str, FakeTarget]) -> None:
+    for vm in [*fleet.voters, *fleet.entries]:
+        vm.start(bootstrap=True)
+    await fleet.put_config(config(1, 1))
+
+    async def order(method: str, voter: PlatformVm) -> bool:
+        reply = await fleet.send(method, "/-/evacuate/x", None, voter.ip, CONTROL_PORT)
+        return b" 200 " in reply[:20]
+
+    async def is_served(entry: PlatformVm) -> bool:
+        return b" 200 " in (await search(fleet, entry))[:20]
+
+    def requests(zone: str) -> int:
+        return sum(len(t.requests) for name, t in targets.items() if name.endswith(zone))
+
+    for entry in fleet.entries:
+        await wait_until(lambda e=entry: is_served(e), f"{entry.name} serves", 20)
+    await wait_until(lambda: order("POST", fleet.voters[0]), "the evacuation is accepted", 10)
+    await asyncio.sleep(EVACUATE_S)
+    before = requests("x")
+
+    async def sends_only_to_the_other_zone() -> None:
+        for entry in fleet.entries:
+            for _ in range(5):
+                assert await is_served(entry)
+        assert requests("x") == before
+
+    await sends_only_to_the_other_zone()
+    unknown = await fleet.send(
+        "POST", "/-/evacuate/nowhere", None, fleet.voters[1].ip, CONTROL_PORT
+    )
+    assert b" 404 " in unknown[:20]
+
+    # All processes are killed at the same time; the order is in the log.
+    for vm in [*fleet.voters, *fleet.entries]:
+        vm.process.signal(signal.SIGKILL)
+    for vm in [*fleet.voters, *fleet.entries]:
+        await wait_until(lambda p=vm.process: p.exit_code is not None, "the VM is killed", 5)
+    for vm in [*fleet.voters, *fleet.entries]:
+        vm.start()
+    for entry in fleet.entries:
+        await wait_until(lambda e=entry: is_served(e), f"{entry.name} serves again", 20)
+    await sends_only_to_the_other_zone()
+
+    assert await order("POST", fleet.voters[1]), "a resend is acknowledged"
+    await wait_until(lambda: order("DELETE", fleet.voters[2]), "the end is accepted", 10)
+    late = await fleet.send("POST", "/-/evacuate/x", None, fleet.voters[1].ip, CONTROL_PORT)
+    assert b" 503 " in late[:20], "it may be a resend of the first order"
+
+    async def zone_is_used() -> bool:
+        for entry in fleet.entries:
+            await is_served(entry)
+        return requests("x") > before
+
+    await wait_until(zone_is_used, "the restored zone is used", 10)
+
+
+def test_an_evacuation_is_kept_by_all_vms_through_a_loss_of_all_processes(tmp_path):
+    async def body() -> None:
+        fleet = Fleet(tmp_path)
+        targets = {
+            f"{name}-{zone}": FakeTarget(lambda r, n=name: ok(r, n.encode() * 16))
+            for name in "ab"
+            for zone in "xy"
+        }
+        reports = []
+        try:
+            async with asyncio.timeout(120):
+                for name, target in targets.items():
+                    await target.start()
+                    coro = send_reports(fleet, name[0], target.port, name[-1])
+                    reports.append(asyncio.ensure_future(coro))
+                await evacuation_scenario(fleet, targets)
+        finally:
+            for task in reports:
+                task.cancel()
+            for process in fleet.processes:
+                process.reap()
+
+    asyncio.run(body())
