Send nothing more to a target whose address another one has

Cause: a target that ends without a word stays usable until its lease runs out, 5.4 s. Its address goes to a target of another service, which responds 421 to the expected instance.

Change: a 421 makes the target absent on this VM for 6 s; its record usually expires within that time, and a new incarnation is not affected. The time of return for callers is that of a service without known targets.

--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -20,6 +20,11 @@
 traffic between domains is expensive."""
 
 
+ABSENCE_S = 6.0
+"""Time in seconds for which a target counts as absent after another one responded at its address;
+its record usually expires within that time."""
+
+
 class ReplicaTable:
     """Targets by shard, with the state that this VM has observed.
 
@@ -118,7 +123,7 @@
         self, service: str, snapshot: Snapshot, shard: int, exclude: Collection[str], now: float
     ) -> str | None:
         """Return the target for a sub-request; None if no replica is left."""
-        replicas = [t for t in self.replicas(service, snapshot, shard) if t.held_until <= now]
+        replicas = [t for t in self.replicas(service, snapshot, shard) if not t.is_held(now)]
         ejected = [t for t in replicas if t.down or t.ejected_until > now]
         pool = _limit_ejections(replicas, ejected) if ejected else replicas
         pool = _prefer_warm(pool, exclude, now)
@@ -189,6 +194,12 @@
         if state := self._count_ended(target_id, now):
             state.on_failure(now)
 
+    def on_wrong_target(self, target_id: str, now: float) -> None:
+        """Count a response of another target at the address of this one."""
+        if state := self._count_ended(target_id, now):
+            state.on_failure(now)
+            state.absent_until = now + ABSENCE_S
+
     def on_cancelled(self, target_id: str, now: float) -> None:
         """Count a cancelled sub-request, which gives no observation of the target."""
         self._count_ended(target_id, now)
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -82,6 +82,8 @@
         Concurrency limit of this VM for the target.
     warm_from, warm_until : float
         Start and end of the warm-up, in seconds.
+    absent_until : float
+        End of the time in which another target has the address of this one.
     cold_until : float
         End of the time in which the target is cold and used only if no other one is left.
     """
@@ -113,6 +115,7 @@
     limit_lowered_at: float = -1e9
     down: bool = False
     held_until: float = 0.0  # end of the hold
+    absent_until: float = 0.0
     cold_until: float = 0.0
     leaving: bool = False
     reported_load: float = 0.0
@@ -136,6 +139,10 @@
             warm_until=warm_until,
         )
 
+    def is_held(self, now: float) -> bool:
+        """Return whether the target must get nothing now: at its own request or as it is absent."""
+        return self.held_until > now or self.absent_until > now
+
     def warm_share(self, now: float) -> float:
         """Return the load share of the target: 1 after the warm-up, less during it."""
         if now >= self.warm_until:
@@ -276,6 +283,8 @@
             return "down: the connection monitor finds the target unreachable"
         if self.held_until > now:
             return f"held back: the hold ends in {self.held_until - now:.1f} s"
+        if self.absent_until > now:
+            return "absent: another target responded at its address"
         if self.ejected_until > now:
             remaining_s = self.ejected_until - now
             return f"ejected: consecutive failures; the ejection ends in {remaining_s:.1f} s"
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -175,7 +175,7 @@
         """Return whether a usable target was not tried yet, busy or not."""
         return any(
             not t.down
-            and t.held_until <= now
+            and not t.is_held(now)
             and t.target_id not in tried
             and self._is_admitted(service, t, now)
             for t in self.table.replicas(service, SINGLE_SHARD, 0)
@@ -259,6 +259,8 @@
         """Record a failure."""
         if failure.kind is FailureKind.REFUSED:
             self.table.on_shed(target_id, now)
+        elif failure.kind is FailureKind.WRONG_TARGET:
+            self.table.on_wrong_target(target_id, now)
         else:
             self.table.on_failure(target_id, now)
 
--- a/bramleycrank/scatter/retry_after.py
+++ b/bramleycrank/scatter/retry_after.py
@@ -57,6 +57,8 @@
 
 def _target_retry_after(target: TargetState, now: float) -> float:
     held_s = target.held_until - now
+    if target.absent_until > now:
+        return max(held_s, NO_TARGETS_RETRY_AFTER_S)
     if target.down:
         return max(held_s, DOWN_RETRY_AFTER_S)
     if max(held_s, target.ejected_until - now) > 0:
--- a/tests/test_entry_target_signals.py
+++ b/tests/test_entry_target_signals.py
@@ -108,6 +108,21 @@
     run(scenario, LeavingEntryVm, a1=script, a2=script)
 
 
+def test_target_whose_address_another_one_has_receives_no_further_requests():
+    """Load pattern: a part of the targets ends, and targets of other services get the addresses."""
+
+    async def scenario(vm):
+        for _ in range(12):
+            assert status(await vm.get()) == 200
+        assert len(vm.fakes["a1"].requests) <= 1
+        vm.fakes["a2"].script = misdirected
+        assert status(await vm.get()) == 503
+        refusal = await vm.get()
+        assert status(refusal) == 503 and 0 < float(header(refusal, b"Retry-After")) < 1.0
+
+    run(scenario, a1=misdirected, a2=ok)
+
+
 def test_requests_get_503_with_retry_after_once_all_targets_have_left():
     async def scenario(vm):
         assert status(await vm.get()) == 200
