--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -47,7 +47,6 @@
         *,
         replace_damaged: bool = False,
         control_only: bool = False,
-        gather_port: int = 0,
     ) -> ControlParts:
         """Build and connect the parts without starting them.
 
@@ -65,15 +64,13 @@
             Whether a damaged log is replaced by an empty one.
         control_only : bool, optional
             Whether the VM serves no callers and so sends nothing to targets.
-        gather_port : int, optional
-            Port for requests that this VM gathers for others; 0 if it does not.
         """
         traffic = Traffic(metrics)
         clients = PeerClients(traffic)
         seeds = [str(seed) for seed in cfg.peers.seeds]
         membership = MembershipController(
             membership_cfg or _membership_config(cfg),
-            _vm_record(cfg, control_only, gather_port),
+            _vm_record(cfg, control_only),
             seeds,
             clients,
             rng=rng,
@@ -106,7 +103,7 @@
     )
 
 
-def _vm_record(cfg: Settings, control_only: bool, gather_port: int) -> peer_pb2.VmRecord:
+def _vm_record(cfg: Settings, control_only: bool) -> peer_pb2.VmRecord:
     grpc = cfg.listen.grpc
     return peer_pb2.VmRecord(
         vm_id=cfg.vm.id,
@@ -114,7 +111,6 @@
         host=grpc.host,
         port=grpc.port,
         control_only=control_only,
-        gather_port=gather_port,
     )
 
 
--- a/bramleycrank/daemon/entry_call.py
+++ b/bramleycrank/daemon/entry_call.py
@@ -15,18 +15,11 @@
 
 @attrs.define(eq=False)
 class Call:
-    """A caller's request in progress, with its open sub-requests.
-
-    Parameters
-    ----------
-    forwarded : bool
-        Whether another VM handed the request to this one.
-    """
+    """A caller's request in progress, with its open sub-requests."""
 
     exchange: Exchange
     meta: CallerMeta
     execution: ScatterExecution
-    forwarded: bool = False
     template: RequestTemplate | None = None
     subs: dict[int, PooledSubRequest] = attrs.field(factory=dict)
     timer: asyncio.TimerHandle | None = None
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import itertools
 import logging
 import random
@@ -16,17 +15,10 @@
 from bramleycrank.daemon.entry_call import Call, CallListener
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
 from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, Routes, TargetMeta
-from bramleycrank.daemon.gather_forwarder import (
-    STATUS_NOT_STARTED,
-    GatherForwarder,
-    Handover,
-    Vms,
-    without_handover,
-)
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
-from bramleycrank.routing import Limits, Route, RouteIndex
+from bramleycrank.routing import Limits, RouteIndex
 from bramleycrank.scatter import (
     Answer,
     Cancel,
@@ -40,7 +32,6 @@
 )
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.delivery import DeliveryEstimate
-from bramleycrank.scatter.level import GatherLevel
 from bramleycrank.scatter.retry_after import add_jitter, startup_retry_after
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
@@ -58,8 +49,6 @@
 
     Parameters
     ----------
-    level : GatherLevel
-        Chooses the VMs that gather for others.
     vm_id, domain : str
         Id and failure domain of this VM.
     dialect : EntryDialect
@@ -68,8 +57,6 @@
         Source of the routes.
     targets : Targets
         Source of the targets.
-    vms : Vms
-        Source of the VMs.
     retry_budget : RetryBudgetConfig
         Limits of the retry budget.
     metrics : Metrics
@@ -92,13 +79,11 @@
 
     def __init__(
         self,
-        level: GatherLevel,
         vm_id: str,
         domain: str,
         dialect: EntryDialect,
         routes: Routes,
         targets: Targets,
-        vms: Vms,
         retry_budget: RetryBudgetConfig,
         metrics: Metrics,
         rng: random.Random,
@@ -119,13 +104,7 @@
         self._metrics = metrics
         self._requests = RequestLog(log, self._clock)
         self._index: RouteIndex | None = None
-        self._traffic = traffic or Traffic()
-        self._gathering = GatherForwarder(
-            level, dialect, vms, metrics, rng, self._traffic, memory_bytes
-        )
         self._targets = EntryTargets(
-            level,
-            self._gathering,
             vm_id,
             domain,
             targets,
@@ -141,6 +120,7 @@
         self._waiting: dict[str, list[Call]] = defaultdict(list)
         self._sub_ids = itertools.count(1)
         self._delivery = DeliveryEstimate(link_bytes_per_s)
+        self._traffic = traffic or Traffic()
 
     async def start(self) -> None:
         """Subscribe to changes of the routes and the targets."""
@@ -151,7 +131,6 @@
     async def stop(self) -> None:
         """Cancel all requests in progress."""
         self._targets.stop()
-        self._gathering.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.on_caller_disconnected(self._clock()))
 
@@ -186,7 +165,6 @@
             "routes": self._index and self._index.dump(),
             "in_flight": len(self._calls),
             "requests": [call.execution.dump(now) for call in list(self._calls)[:100]],
-            "gathering": self._gathering.dump(),
             "targets": self._targets.dump(now),
         }
 
@@ -205,54 +183,16 @@
         if route is None:
             self._refuse(exchange, meta, 404, 0.0, "no route matches")
             return
-        network_s = self._delivery.network_time(route, exchange.round_trip_s)
-        serve = functools.partial(self._serve, exchange, meta, route, network_s)
-        if route.gather:
-            handover = Handover(self._index.version, network_s)
-            deadline = exchange.arrived + min(route.timeout_s, _wait_of(route, meta))
-            if self._gathering.try_forward(exchange, meta, route, handover, deadline, serve):
-                return
-        serve()
-
-    def on_forwarded_request(self, exchange: Exchange) -> None:
-        """Gather for another VM, if both have the same route table."""
-        request = exchange.request
-        handover = Handover.from_request(request)
-        exchange.request = without_handover(request)
-        meta = self._dialect.caller_meta(request)
-        index = self._index
-        route = index and index.find(request.host.decode("latin-1"), request.path)
-        if handover is None or route is None or handover.routes_version != index.version:
-            self._return_request(exchange, meta)
-            return
-        network_s = self._delivery.network_time(route, exchange.round_trip_s)
-        self._serve(exchange, meta, route, network_s + handover.network_s, forwarded=True)
-
-    def _return_request(self, exchange: Exchange, meta: CallerMeta) -> None:
-        """Tell the VM that handed over a request that nothing was sent for it."""
-        self._metrics.incr("entry.returned")
-        exchange.respond(STATUS_NOT_STARTED, self._dialect.refusal_headers(meta, 0.0), b"")
-
-    def _serve(
-        self,
-        exchange: Exchange,
-        meta: CallerMeta,
-        route: Route,
-        network_s: float,
-        *,
-        forwarded: bool = False,
-    ) -> None:
-        """Send the sub-requests of a request from this VM."""
-        now = self._clock()
+        wait_s = route.timeout_s if meta.wait_s is None else meta.wait_s
         execution = ScatterExecution(
             route,
             self._targets.policy,
             self._sub_ids,
             exchange.arrived - self._delivery.elapsed_before_arrival(route, meta.wait_s, now),
-            exchange.arrived + _wait_of(route, meta),
-            network_s,
+            exchange.arrived + wait_s,
+            self._delivery.network_time(route, exchange.round_trip_s),
         )
-        call = Call(exchange, meta, execution, forwarded)
+        call = Call(exchange, meta, execution)
         self._calls.add(call)
         exchange.on_disconnected = lambda: self._on_caller_disconnected(call)
         self._execute(call, execution.start(now))
@@ -427,11 +367,6 @@
     # Answers.
 
     def _respond(self, call: Call, action: Answer | Merged | Refusal) -> None:
-        not_started = isinstance(action, Refusal) and action.not_run and not call.sends
-        if call.forwarded and not_started:
-            # The other VM may know targets that this one does not know yet.
-            self._return_request(call.exchange, call.meta)
-            return
         status, headers, body, outcome = render(self._dialect, call.meta, action)
         route = call.execution.route
         # On an open connection the caller's next request would reach this isolated VM again.
@@ -481,8 +416,3 @@
             self._execute(call, call.execution.on_capacity(service, now))
             if service in call.execution.waiting:
                 break
-
-
-def _wait_of(route: Route, meta: CallerMeta) -> float:
-    """Return how long the caller of a request waits, in seconds."""
-    return route.timeout_s if meta.wait_s is None else meta.wait_s
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -11,14 +11,12 @@
 
 from bramleycrank.connections import ConnectionBudget, ConnectionConfig
 from bramleycrank.connections.http_pool import HttpPool
-from bramleycrank.daemon.gather_forwarder import GatherForwarder
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto.peer_pb2 import VmRecord
 from bramleycrank.proto.target_pb2 import TargetRecord
 from bramleycrank.query.catalog import record_key
 from bramleycrank.routing import RouteIndex
 from bramleycrank.scatter.budget import RetryBudgetConfig
-from bramleycrank.scatter.level import GatherLevel
 from bramleycrank.scatter.policy import TargetPolicy
 from bramleycrank.scatter.warmup import WarmupBounds, WarmupShares
 from bramleycrank.transport.http1 import ReceiveBudget, TargetConnection
@@ -69,10 +67,6 @@
 
     Parameters
     ----------
-    level : GatherLevel
-        Divides the connections and budgets among the VMs.
-    gathering : GatherForwarder
-        Connections to the VMs that gather for others.
     vm_id, domain : str
         Id and failure domain of this VM.
     source : Targets
@@ -95,8 +89,6 @@
 
     def __init__(
         self,
-        level: GatherLevel,
-        gathering: GatherForwarder,
         vm_id: str,
         domain: str,
         source: Targets,
@@ -111,8 +103,6 @@
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
         self._source = source
-        self._level = level
-        self._gathering = gathering
         self._metrics = metrics
         self._on_capacity = on_capacity
         self._index: RouteIndex | None = None
@@ -129,7 +119,7 @@
             domain,
             retry_budget,
             self.pool.has_capacity,
-            lambda: self._vm_count / level.share_factor,
+            lambda: self._vm_count,
             rng,
             WarmupShares(vm_id, warmup or WarmupBounds(), self._clock()),
             regions,
@@ -284,7 +274,7 @@
             self.policy.table.set_cold(target_id, self._clock() + warmup.duration_s)
 
     def _connection_share(self, limit: int) -> int:
-        return self._budget.share(round(limit * self._level.share_factor), self._clock())
+        return self._budget.share(limit, self._clock())
 
     def _connect(self, host: str, port: int, pool: HttpPool) -> TargetConnection:
         conn = TargetConnection(pool, self._intake)
@@ -331,11 +321,9 @@
         for tick in itertools.count():
             try:
                 self.pool.tick()
-                self._gathering.tick()
                 if tick % VM_COUNT_TICKS == 0:
                     self._vm_count = max(1, self._source.vm_count())
                     self._budget.on_vm_count(self._vm_count, self._clock())
-                    self._gathering.update_vms()
                     self._update_warmup_vms()
             except Exception:
                 log.exception("entry: tick failed")
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -26,7 +26,6 @@
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.routing import Limits
 from bramleycrank.scatter.budget import RetryBudgetConfig
-from bramleycrank.scatter.level import GatherLevel
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.settings import Address, Settings
 from bramleycrank.transport.http1 import Exchange, Http1Server, ReceiveBudget
@@ -74,8 +73,6 @@
         Options of the membership.
     entry : Address or None
         Listening address for callers, on a VM that serves them.
-    gather : Address or None
-        Listening address for requests that this VM gathers for others.
     readiness : Address or None
         Listening address for readiness checks of the load balancer.
     control : Address or None
@@ -101,7 +98,6 @@
     base: Settings
     membership: MembershipConfig
     entry: Address | None = None
-    gather: Address | None = None
     readiness: Address | None = None
     control: Address | None = None
     metrics: Address | None = None
@@ -161,7 +157,6 @@
         self._grpc: Server | None = None
         self._servers: list[Http1Server] = []
         self._caller_server: Http1Server | None = None
-        self._gather_server: Http1Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         options = cfg.base.life_cycle
         self.life_cycle = LifeCycle(self, options.drain_notice_s, options.drain_limit_s)
@@ -219,7 +214,6 @@
             cfg.membership,
             replace_damaged=True,
             control_only=cfg.entry is None,
-            gather_port=cfg.gather.port if cfg.gather else 0,
         )
         loop = asyncio.get_running_loop()
         self._domain_isolation = DomainIsolation(cfg.base.vm.domain, parts.membership, loop.time)
@@ -257,13 +251,11 @@
     async def _start_entry(self, parts: ControlParts, rng: random.Random, address: Address) -> None:
         vm = self._cfg.base.vm
         entry = self._entry = EntryController(
-            GatherLevel(vm.id, vm.domain),
             vm.id,
             vm.domain,
             self._adapter.dialect,
             parts.config,
             UsableTargets(parts.membership, parts.config),
-            parts.membership,
             self._cfg.extra,
             self._metrics,
             rng,
@@ -278,11 +270,6 @@
         self._caller_server = Http1Server(entry, entry.limits, self._new_intake_budget())
         self._servers.append(self._caller_server)
         await self._caller_server.start(address.host, address.port)
-        if self._cfg.gather is not None:
-            handler = FunctionHandler(entry.on_forwarded_request)
-            self._gather_server = Http1Server(handler, entry.limits, self._new_intake_budget())
-            self._servers.append(self._gather_server)
-            await self._gather_server.start(self._cfg.gather.host, self._cfg.gather.port)
 
     def _new_intake_budget(self) -> ReceiveBudget[ServerConnection]:
         return ReceiveBudget.from_memory(self._cfg.memory_bytes)
@@ -310,9 +297,8 @@
 
     async def stop_listening(self) -> None:
         """Stop accepting requests of callers."""
-        for server in (self._caller_server, self._gather_server):
-            if server is not None:
-                server.stop_listening()
+        if self._caller_server is not None:
+            self._caller_server.stop_listening()
 
     async def finish_requests(self, limit_s: float) -> None:
         """Wait until no request is in flight and all answers are sent, for at most `limit_s`."""
@@ -325,8 +311,7 @@
 
     def _busy(self) -> bool:
         control_busy = self._control is not None and self._control.in_flight > 0
-        servers = (self._caller_server, self._gather_server)
-        return control_busy or any(server is not None and server.busy for server in servers)
+        return control_busy or (self._caller_server is not None and self._caller_server.busy)
 
     async def close(self) -> None:
         """Close all parts that were started."""
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -86,12 +86,6 @@
         "Forwarded requests that were answered, by HTTP status.",
     ),
     _timing("entry.latency", "Time from the receipt of a forwarded request to its answer."),
-    _counter("entry.handovers", "requests", "Requests handed to a VM that gathers for others."),
-    _counter(
-        "entry.returned",
-        "requests",
-        "Requests of other VMs that were returned before anything was sent for them.",
-    ),
     _counter("entry.gone", "requests", "Requests whose caller disconnected before the answer."),
     _counter("entry.sub_requests", "sub-requests", "Sub-requests passed to the connection pool."),
     _counter("entry.holds", "holds", "Times that a target was held back at its own request."),
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -72,8 +72,7 @@
 def decode(entries: dict[str, str]) -> HttpNodeConfig:
     """Return the configuration for the entries of a settings file."""
     ip = entries["Ip"]
-    # All VMs have the same range of internal ports; the first one is used for gRPC and
-    # the second one for requests that one entry VM gathers for another.
+    # All VMs have the same range of internal ports; the first one is used for gRPC.
     internal_port = int(entries["InternalPortRange"].partition(",")[0])
     # The ports of the seeds are for operators and targets; only the hosts are used here.
     seed_hosts = [_host(seed) for seed in entries.get("Seeds", "").split(",") if seed]
@@ -105,7 +104,6 @@
         base=Settings.from_dict(base, source="node file"),
         membership=membership,
         entry=_address(entries.get("BindAddrs.EdgeAddr")),
-        gather=Address(ip, internal_port + 1) if serves_callers else None,
         readiness=_address(entries.get("BindAddrs.ReadinessAddr")),
         control=_address(entries.get("BindAddrs.Control")),
         metrics=Address(ip, METRICS_PORT),
--- a/bramleycrank/scatter/budget.py
+++ b/bramleycrank/scatter/budget.py
@@ -57,16 +57,16 @@
         """Count a request, which raises the budget."""
         self._request_times.append(now)
 
-    def available(self, vm_count: float, now: float) -> float:
+    def available(self, vm_count: int, now: float) -> float:
         """Return how many extra sub-requests may be sent now."""
         window_start = now - self._cfg.window_s
         for times in (self._request_times, self._extra_times):
             while times and times[0] < window_start:
                 times.popleft()
-        allowed = self._cfg.ratio * len(self._request_times) + self._cfg.slack / max(1.0, vm_count)
+        allowed = self._cfg.ratio * len(self._request_times) + self._cfg.slack / max(1, vm_count)
         return SAFETY_FACTOR * allowed - len(self._extra_times)
 
-    def try_spend(self, vm_count: float, now: float) -> bool:
+    def try_spend(self, vm_count: int, now: float) -> bool:
         """Spend budget on one extra sub-request; return False if none is left."""
         if self.available(vm_count, now) < 1:
             self.denied += 1
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -112,7 +112,7 @@
         domain: str,
         budget_cfg: RetryBudgetConfig,
         has_capacity: Callable[[str], bool],
-        vm_count: Callable[[], float],
+        vm_count: Callable[[], int],
         rng: random.Random,
         warmup: WarmupShares | None = None,
         regions: Mapping[str, str] | None = None,
--- a/bramleycrank/scatter/warmup.py
+++ b/bramleycrank/scatter/warmup.py
@@ -10,8 +10,6 @@
 import attrs
 import xxhash
 
-from bramleycrank.scatter.level import choose_gatherers
-
 SENDERS = 3
 """VMs that may send to a cold target; one of them may be down or not know the target."""
 
@@ -121,7 +119,7 @@
         known = self._is_sender.get(key)
         if known is None:
             local = [vm_id for vm_id, vm_domain in self._vms if vm_domain == domain]
-            candidates = list(choose_gatherers(local)) or local or [vm_id for vm_id, _ in self._vms]
+            candidates = local or [vm_id for vm_id, _ in self._vms]
             candidates.sort(
                 key=lambda vm_id: xxhash.xxh64_intdigest(f"{target_id}/{vm_id}".encode())
             )
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -13,10 +13,8 @@
 from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.platform.headers import PlatformHeaders
 from bramleycrank.proto.log_pb2 import CallerLimits, HttpService, Route, RouteTable, WeightedService
-from bramleycrank.proto.peer_pb2 import VmRecord
 from bramleycrank.proto.target_pb2 import TARGET_STATE_SERVING, TargetRecord
 from bramleycrank.scatter.budget import RetryBudgetConfig
-from bramleycrank.scatter.level import GatherLevel
 from bramleycrank.scatter.policy import SINGLE_SHARD_REPLICAS
 from bramleycrank.transport.http1 import Http1Server
 
@@ -67,8 +65,6 @@
         self.fakes = {name: FakeTarget(script) for name, script in scripts.items()}
         self.table: RouteTable | None = TABLE
         self.callbacks: list = []
-        self.level = GatherLevel("vm1", "d")
-        self.vms: list[VmRecord] = []
 
     def targets(self, service: str) -> list[TargetRecord]:
         return [
@@ -100,13 +96,11 @@
             caller_vms=list,
         )
         self.entry = EntryController(
-            self.level,
             "vm1",
             "d",
             PlatformHeaders(),
             routes,
             targets,
-            SimpleNamespace(vms=lambda: self.vms),
             RetryBudgetConfig(0.2, 10.0, 50.0),
             NullMetrics(),
             random.Random(1),
