Tell restored domains by the time of their restoration

Cause: the entry kept the targets that it left out for an evacuation, so that they count as cold when they return. Those that left for good meanwhile stayed in that set.

Change: UsableTargets knows when a domain was restored, and a target that is new within 2.5 s of it counts as cold. Requests that wait for a connection to a removed target are sent elsewhere whatever the reason for the removal.

--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -49,8 +49,8 @@
     def warm_at(self, target_id: str) -> float:
         """Return the time at which a target is warm according to its record, in seconds."""
 
-    def is_evacuated(self, domain: str) -> bool:
-        """Return whether a failure domain is evacuated."""
+    def restored_at(self, domain: str) -> float | None:
+        """Return when the last evacuation of a failure domain ended, in seconds."""
 
     def caller_vms(self) -> Iterable[VmRecord]:
         """Return the VMs that serve callers, dead ones included."""
@@ -129,8 +129,6 @@
         self._incarnations: dict[str, int] = {}
         self._record_keys: dict[str, tuple[int, int, int]] = {}
         self._covered: set[str] = set()
-        # Targets left out since their domain is evacuated; cold when they return.
-        self._evacuated: set[str] = set()
         self._domain = domain
         self._remote: set[str] = set()  # targets in other failure domains
         self._open_tasks: set[asyncio.Task[Any]] = set()
@@ -219,8 +217,6 @@
         removed = [
             i for i, name in self._services_of.items() if name == service and i not in current
         ]
-        evacuated = {i for i in removed if self._source.is_evacuated(self._domain_of(i))}
-        self._evacuated |= evacuated
         for target_id in removed:
             del self._services_of[target_id]
             self._incarnations.pop(target_id, None)
@@ -238,7 +234,7 @@
         self.policy.update(service, records, self._clock())
         for record in records:
             self._update_warmth(record)
-        for target_id in evacuated:
+        for target_id in removed:
             self.pool.cancel_unsent(target_id)
         if records:
             self._covered.add(service)
@@ -246,26 +242,21 @@
             self._covered.discard(service)
         self._on_capacity(service)
 
-    def _domain_of(self, target_id: str) -> str:
-        state = self.policy.table.state(target_id)
-        return state.domain if state is not None else ""
-
     def _update_warmth(self, record: TargetRecord) -> None:
         """Copy the warm-up of a target from its record, if the record has changed.
 
-        Until it changes, a target that may have become cold since then counts as cold.
+        A target that returns after an evacuation counts as cold until its record changes.
         """
         target_id, key = record.target_id, record_key(record)
-        if target_id in self._evacuated:
-            self._evacuated.discard(target_id)
-            assumed_until = self._clock() + RESTORED_WARMUP_S
-        elif self._record_keys.get(target_id) == key:
+        known_key = self._record_keys.get(target_id)
+        if known_key == key:
             return
-        else:
-            assumed_until = 0.0
         self._record_keys[target_id] = key
-        warm_at = self._source.warm_at(target_id)
-        self.policy.table.set_cold(target_id, max(warm_at, assumed_until))
+        cold_until = self._source.warm_at(target_id)
+        restored_at = self._source.restored_at(record.domain)
+        if known_key is None and restored_at is not None:
+            cold_until = max(cold_until, restored_at + RESTORED_WARMUP_S)
+        self.policy.table.set_cold(target_id, cold_until)
 
     def _assume_cold(self, target_id: str, service: str) -> None:
         """Take a target that returns as restarted, until its record says something else."""
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -255,7 +255,7 @@
             vm.domain,
             self._adapter.dialect,
             parts.config,
-            UsableTargets(parts.membership, parts.config),
+            UsableTargets(parts.membership, parts.config, asyncio.get_running_loop().time),
             self._cfg.extra,
             self._metrics,
             rng,
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import random
+import time
 from collections.abc import Awaitable
 from typing import Any
 
@@ -228,7 +229,7 @@
             domain=cfg.vm.domain,
             cfg=QueryConfig.from_settings(cfg.query),
             configuration=config,
-            targets=UsableTargets(membership, config),
+            targets=UsableTargets(membership, config, time.monotonic),
             sessions=sessions,
             proposer=consensus,
             metrics=QueryMetrics(metrics),
--- a/bramleycrank/daemon/usable_targets.py
+++ b/bramleycrank/daemon/usable_targets.py
@@ -57,11 +57,17 @@
         Source of the target records.
     evacuations : Evacuations
         Source of the evacuated failure domains.
+    clock : callable
+        Monotonic time in seconds.
     """
 
-    def __init__(self, registry: Registry, evacuations: Evacuations) -> None:
+    def __init__(
+        self, registry: Registry, evacuations: Evacuations, clock: Callable[[], float]
+    ) -> None:
         self._registry = registry
         self._evacuations = evacuations
+        self._clock = clock
+        self._restored_at: dict[str, float] = {}
         self._evacuated: frozenset[str] = frozenset(evacuations.evacuated_domains())
         self._callbacks: list[Callable[[TargetRecord], None]] = []
         evacuations.subscribe(self._on_config)
@@ -94,13 +100,9 @@
         """Return the VMs that serve callers, dead ones included."""
         return self._registry.caller_vms()
 
-    def is_evacuated(self, domain: str) -> bool:
-        """Return whether a failure domain is evacuated."""
-        return domain in self._evacuated
-
-    def dump(self) -> list[str]:
-        """Return the evacuated failure domains."""
-        return sorted(self._evacuated)
+    def restored_at(self, domain: str) -> float | None:
+        """Return when the last evacuation of a failure domain ended, or None without one."""
+        return self._restored_at.get(domain)
 
     def _on_config(self) -> None:
         previous, self._evacuated = (
@@ -109,8 +111,11 @@
         )
         changed = previous ^ self._evacuated
         for domain in sorted(changed):
-            state = "evacuated" if domain in self._evacuated else "restored"
+            evacuated = domain in self._evacuated
+            state = "evacuated" if evacuated else "restored"
             log.info("targets: domain is %s", state, extra={"domain": domain})
+            if not evacuated:
+                self._restored_at[domain] = self._clock()
         if changed:
             for record in list(self._registry.all_targets()):
                 if record.domain in changed:
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -92,7 +92,7 @@
             subscribe_targets=lambda callback: None,
             vm_count=lambda domain=None: 1,
             warm_at=lambda target_id: 0.0,
-            is_evacuated=lambda domain: False,
+            restored_at=lambda domain: None,
             caller_vms=list,
         )
         self.entry = EntryController(
--- a/tests/test_entry_evacuation.py
+++ b/tests/test_entry_evacuation.py
@@ -44,7 +44,7 @@
             evacuated_domains=lambda: self.evacuated, subscribe=self.config_callbacks.append
         )
         entry_targets = self.entry._targets
-        entry_targets._source = UsableTargets(registry, config)
+        entry_targets._source = UsableTargets(registry, config, asyncio.get_running_loop().time)
         entry_targets._source.subscribe_targets(entry_targets._on_target)
         entry_targets.policy._regions = REGIONS
         return self
