Decide in the policy when returning targets count as cold

The rule that a target of a restored domain counts as cold stood in the controller of the entry, beside sockets and clocks, and some of its branches had no test.

Change: TargetPolicy decides it; tests replay the end of an evacuation, a target that is reachable again and an order that arrives while requests wait for a connection. No change of behaviour.

--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -29,10 +29,6 @@
 VM_COUNT_TICKS = 10
 """Ticks between two counts of the VMs; a count reads the records of all VMs."""
 
-RESTORED_WARMUP_S = 2.5
-"""Time for which the targets of a restored domain count as cold unless their records change, in
-seconds: a report and its way to all VMs."""
-
 DEFAULT_CONNECTIONS = 8
 """Connections that all VMs together open to a target whose service sets no limit."""
 
@@ -243,26 +239,14 @@
         self._on_capacity(service)
 
     def _update_warmth(self, record: TargetRecord) -> None:
-        """Copy the warm-up of a target from its record, if the record has changed.
-
-        A target that returns after an evacuation counts as cold until its record changes.
-        """
+        """Pass the warm-up of a target to the policy, if its record has changed."""
         target_id, key = record.target_id, record_key(record)
         known_key = self._record_keys.get(target_id)
         if known_key == key:
             return
         self._record_keys[target_id] = key
-        cold_until = self._source.warm_at(target_id)
-        restored_at = self._source.restored_at(record.domain)
-        if known_key is None and restored_at is not None:
-            cold_until = max(cold_until, restored_at + RESTORED_WARMUP_S)
-        self.policy.table.set_cold(target_id, cold_until)
-
-    def _assume_cold(self, target_id: str, service: str) -> None:
-        """Take a target that returns as restarted, until its record says something else."""
-        warmup = self.policy.warmup_of(service)
-        if warmup.per_s:
-            self.policy.table.set_cold(target_id, self._clock() + warmup.duration_s)
+        restored_at = self._source.restored_at(record.domain) if known_key is None else None
+        self.policy.on_warmup_reported(target_id, self._source.warm_at(target_id), restored_at)
 
     def _connection_share(self, limit: int) -> int:
         return self._budget.share(limit, self._clock())
@@ -295,9 +279,9 @@
             extra={"target": target_id, "service": service},
         )
         self.policy.table.set_down(target_id, down, self._clock())
-        if service is not None and not down:
-            self._assume_cold(target_id, service)
         if service is not None:
+            if not down:
+                self.policy.on_reachable_again(service, target_id, self._clock())
             self._loop.call_soon(self._on_capacity, service)
 
     def _update_warmup_vms(self) -> None:
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -43,6 +43,10 @@
 
 NO_WARMUP = ServiceWarmup()
 
+RESTORED_WARMUP_S = 2.5
+"""Time for which the targets of a restored domain count as cold unless their records change, in
+seconds: a report and its way to all VMs."""
+
 
 class ScatterPolicy(Protocol):
     """Interface between the execution of a request and the policy."""
@@ -136,6 +140,37 @@
         """Return the warm-up of the targets of a service."""
         return self._warmups.get(service, NO_WARMUP)
 
+    def on_warmup_reported(
+        self, target_id: str, warm_at: float, restored_at: float | None = None
+    ) -> None:
+        """Record the warm-up that a new record of a target states.
+
+        Load pattern: an evacuation ends, and all VMs return to the targets of a domain. These may
+        have become cold since their last report.
+
+        Parameters
+        ----------
+        target_id : str
+            The target.
+        warm_at : float
+            Time at which the target is warm according to the record, in seconds.
+        restored_at : float or None, optional
+            End of the last evacuation of its domain, if the target was not in use since.
+        """
+        if restored_at is not None:
+            warm_at = max(warm_at, restored_at + RESTORED_WARMUP_S)
+        self.table.set_cold(target_id, warm_at)
+
+    def on_reachable_again(self, service: str, target_id: str, now: float) -> None:
+        """Count a target that was down as restarted until its record changes.
+
+        Load pattern: the targets of a domain return together, and all VMs reconnect to them before
+        the first reports have reached the VMs. Only a rate makes this worth a detour.
+        """
+        warmup = self.warmup_of(service)
+        if warmup.per_s:
+            self.table.set_cold(target_id, now + warmup.duration_s)
+
     def update(self, service: str, records: Iterable[TargetRecord], now: float) -> None:
         """Replace the usable targets of a service."""
         self.table.update(service, records, now)
--- a/tests/test_entry_evacuation.py
+++ b/tests/test_entry_evacuation.py
@@ -58,6 +58,16 @@
         return sum(len(self.fakes[name].requests) for name in names)
 
 
+class UnopenedConnection:
+    """A connection that never opens."""
+
+    connected = closed = False
+    idle_until = None
+
+    def close(self) -> None:
+        pass
+
+
 def test_targets_of_an_evacuated_domain_receive_nothing_new():
     async def scenario(vm):
         for _ in range(4):
@@ -133,3 +143,50 @@
         assert vm.requests("a1", "b1") == 0
 
     run(scenario, DomainEntryVm, a1=ok, a2=ok, b1=ok, b2=ok)
+
+
+def test_a_request_that_waits_for_a_connection_goes_to_another_domain_after_an_evacuation():
+    """Guards against a request that reaches the domain once its connection opens."""
+
+    async def scenario(vm):
+        pool = vm.entry._targets.pool
+        opened = []
+
+        def never_open(host, port, owner):
+            conn = UnopenedConnection()
+            opened.append(conn)
+            return conn
+
+        open_connection, pool._open_connection = pool._open_connection, never_open
+        # A route without hedges: nothing else sends the request elsewhere.
+        request = asyncio.ensure_future(vm.get("/order/x"))
+        while not opened:
+            await asyncio.sleep(0.01)
+        waiting_for = next(iter(pool._sub_by_conn.values())).target_id
+        pool._open_connection = open_connection
+        vm.set_evacuated(DOMAINS[waiting_for])
+        assert status(await request) == 200
+        assert vm.requests(waiting_for) == 0
+
+    run(scenario, DomainEntryVm, a1=ok, a2=ok)
+
+
+def test_a_target_that_is_reachable_again_counts_as_cold_at_a_service_with_a_rate():
+    async def scenario(vm):
+        table = RouteTable()
+        table.CopyFrom(TABLE)
+        table.version = 2
+        for service in table.services:
+            service.warmup_ms, service.warmup_per_s = 3000, 12.0
+        vm.table = table
+        for callback in vm.callbacks:
+            callback()
+        entry_targets = vm.entry._targets
+        entry_targets._on_reachability_change("a1", True)
+        entry_targets._on_reachability_change("a1", False)
+        before = vm.requests("a1")
+        for _ in range(4):
+            assert status(await vm.get()) == 200
+        assert vm.requests("a1") == before
+
+    run(scenario, DomainEntryVm, a1=ok, a2=ok)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -68,6 +68,10 @@
         (table(route("/x")), "begin and end with a slash"),
         (table(route(host="")), "host is missing"),
         (table(services=("a", "a")), "listed twice"),
+        (
+            RouteTable(version=1, services=[HttpService(name="a", warmup_per_s=-1.0)]),
+            "must not be negative",
+        ),
         (RouteTable(), "version is missing"),
     ],
 )
--- a/tests/test_scatter_warmup.py
+++ b/tests/test_scatter_warmup.py
@@ -119,3 +119,25 @@
     assert sent.count("t0") == 3, "a third of the rate"
     assert not sender.has_targets("s", ("t1", "t2"), 1.0)
     assert sender.has_targets("s", ("t1", "t2"), 2.1)
+
+
+def test_a_target_that_returns_counts_as_cold_until_its_record_changes():
+    """Load pattern: all VMs reconnect to the targets of a domain before their reports arrive."""
+    policy = policy_with(set(), 12.0, vm_id="another")
+    policy.on_reachable_again("s", "t0", 10.0)
+    assert {policy.choose("s", (), 12.9) for _ in range(50)} <= {"t1", "t2"}
+    assert policy.choose("s", ("t1", "t2"), 12.9) is None, "this VM has no share"
+    policy.on_warmup_reported("t0", warm_at=0.0)
+    assert policy.choose("s", ("t1", "t2"), 12.9) == "t0"
+    without_rate = policy_with(set(), 0.0)
+    without_rate.on_reachable_again("s", "t0", 10.0)
+    assert without_rate.choose("s", ("t1", "t2"), 10.1) == "t0"
+
+
+def test_targets_of_a_restored_domain_count_as_cold_for_a_report_and_its_way():
+    policy = policy_with(set(), 12.0, vm_id="another")
+    policy.on_warmup_reported("t0", warm_at=0.0, restored_at=10.0)
+    assert policy.choose("s", ("t1", "t2"), 12.4) is None
+    assert policy.choose("s", ("t1", "t2"), 12.6) == "t0"
+    policy.on_warmup_reported("t0", warm_at=16.0, restored_at=10.0)
+    assert policy.choose("s", ("t1", "t2"), 15.9) is None
--- a/tests/test_state_evacuation.py
+++ b/tests/test_state_evacuation.py
@@ -112,6 +112,24 @@
     assert not operator.log.evacuated
 
 
+def test_an_order_that_another_one_overtakes_is_decided_again():
+    """Guards against an acknowledgement of an order that the log has rejected."""
+    log = Log()
+    operator, other = Operator(log), Operator(log)
+    commit_at_once, proposals = log.propose, []
+
+    async def overtaken(command: Command, timeout_s: float):
+        proposals.append(command)
+        if len(proposals) == 1:
+            log.propose = commit_at_once
+            await other.orders.execute(DomainOrder("north", False), lambda: False)
+        return await commit_at_once(command, timeout_s)
+
+    log.propose = overtaken
+    assert operator.send(True) and log.evacuated
+    assert log.domain("north").restored_at_ms, "the other order was first"
+
+
 def test_without_a_quorum_nothing_is_acknowledged():
     operator = Operator(Log())
     operator.log.confirms = False
