Show the rate limits of targets in logs, metrics and the dump

Cause: neither logs nor metrics tell whether a VM received the limit that a target names, nor how much it sends to that target, so the hypotheses of the incident could not be distinguished.

Change: the adapter decodes the limit of a reply; RateLimits keeps it by incarnation and counts what this VM sends. A changed limit is logged with the number of VMs and counted. Nothing decides by it yet.

Result: tests/test_entry_target_signals.py passes with its seven new cases.

--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -336,6 +336,9 @@
             self._targets.mark_leaving(sub.target_id, sub.incarnation)
         if meta.hold_s:
             self._targets.hold(sub.target_id, sub.incarnation, meta.hold_s)
+        # A refusal may come before the target looks at its limit, so it only sets one.
+        if meta.limit_per_s is not None or not meta.not_run:
+            self._targets.limit_rate(sub.target_id, sub.incarnation, meta.limit_per_s)
 
     @staticmethod
     def _is_valid(response: Response, meta: TargetMeta) -> bool:
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -193,6 +193,15 @@
         self._loop.call_at(until, self._on_slot_free, target_id)
         self.pool.cancel_unsent(target_id)
 
+    def limit_rate(self, target_id: str, incarnation: int, per_s: float | None) -> None:
+        """Apply the rate that an incarnation of a target tolerates; None ends its limit."""
+        if self.policy.rate_limits.update(target_id, incarnation, per_s, self._clock()):
+            log.info(
+                "entry: target limits its rate",
+                extra={"target": target_id, "per_s": per_s, "vms": self._vm_count},
+            )
+            self._metrics.incr("entry.rate_limits")
+
     def is_remote(self, target_id: str) -> bool:
         """Return whether a target is in another failure domain."""
         return target_id in self._remote
--- a/bramleycrank/daemon/entry_types.py
+++ b/bramleycrank/daemon/entry_types.py
@@ -50,6 +50,8 @@
         Whether the target announces that it leaves.
     hold_s : float
         Duration of the hold that the target requests of this VM, in seconds; 0 for none.
+    limit_per_s : float or None
+        Requests per second that the target tolerates from all VMs together; None if unlimited.
     """
 
     request_id: bytes
@@ -60,6 +62,7 @@
     load: LoadReport | None
     leaving: bool = False
     hold_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 class EntryDialect(Protocol):
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -24,6 +24,7 @@
 PART_STAMPS = b"X-Part-Stamps"
 MISSING_PARTS = b"X-Missing-Parts"
 RETRY_AFTER = b"Retry-After"
+SERVER_LIMIT = b"server-limit"
 
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
@@ -65,9 +66,10 @@
             encoded=headers.get(b"content-encoding", b"identity") != b"identity",
             load=_parse_load(headers.get(b"x-backend-load")),
             leaving=headers.get(b"server-leaving", b"").strip() == b"1",
-            hold_s=_parse_seconds(headers.get(b"retry-after"))
+            hold_s=_parse_number(headers.get(b"retry-after", b"0"))
             if response.status == STATUS_UNAVAILABLE
             else 0.0,
+            limit_per_s=_parse_number(headers[SERVER_LIMIT]) if SERVER_LIMIT in headers else None,
         )
 
     def merged_headers(self, meta: CallerMeta, receipts: Sequence[bytes], missing: int) -> Headers:
@@ -87,10 +89,8 @@
         return headers
 
 
-def _parse_seconds(value: bytes | None) -> float:
-    """Return a duration in seconds: NaN if the value is not a number, 0 if it is missing."""
-    if value is None:
-        return 0.0
+def _parse_number(value: bytes) -> float:
+    """Return the number in a header, or NaN if its value is not a number."""
     try:
         return float(value)
     except ValueError:
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -13,6 +13,7 @@
 from bramleycrank.query.types import Snapshot as SnapshotKey
 from bramleycrank.routing import ServiceWarmup
 from bramleycrank.scatter.budget import RetryBudget, RetryBudgetConfig
+from bramleycrank.scatter.rate_limits import RateLimits
 from bramleycrank.scatter.retry_after import add_jitter, combined_retry_after, service_retry_after
 from bramleycrank.scatter.types import FailureKind, SubFailure, TargetReply
 from bramleycrank.scatter.warmup import WarmupBounds, WarmupShares
@@ -127,6 +128,7 @@
         self._pool_has_capacity = has_capacity
         self._vm_count = vm_count
         self.warmup = warmup or WarmupShares("", WarmupBounds(), 0.0)
+        self.rate_limits = RateLimits()
         self._regions = regions or {}
         self._warmups: Mapping[str, ServiceWarmup] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -275,6 +277,7 @@
     def on_sent(self, target_id: str, now: float) -> None:
         """Count a sub-request in flight."""
         self.table.on_sent(target_id, now)
+        self.rate_limits.on_sent(target_id, now)
         target = self.table.state(target_id)
         if target is not None and target.cold_until > now:
             self.warmup.on_sent(target_id, now)
@@ -337,6 +340,7 @@
         return {
             "targets": self.table.dump(now),
             "warmup": self.warmup.dump(),
+            "rate_limits": self.rate_limits.dump(now),
             "latencies": {name: item.dump() for name, item in self._latencies.items()},
             "budgets": {name: item.dump() for name, item in self._budgets.items()},
         }
--- a/tests/test_entry_target_signals.py
+++ b/tests/test_entry_target_signals.py
@@ -181,3 +181,46 @@
         assert len(vm.fakes["b1"].requests) == 1
 
     run(scenario, a1=ok, b1=sheds(b"20"))
+
+
+def limits(per_s: bytes):
+    """Return a script that answers and names a rate limit."""
+
+    def script(request: bytes) -> bytes:
+        return with_header(ok(request), b"Server-Limit: " + per_s + b"\r\n")
+
+    return script
+
+
+def test_the_dump_shows_the_limit_of_a_target_and_what_was_sent():
+    async def scenario(vm):
+        assert status(await vm.get()) == 200
+        assert status(await vm.get()) == 200
+        shown = vm.entry.dump()["targets"]["policy"]["rate_limits"]
+        assert shown["a1"] == {"per_s": 12.5, "sent_in_4_s": 1}
+
+    run(scenario, a1=limits(b"12.5"))
+
+
+@pytest.mark.parametrize("per_s", [b"many", b"-1", b"nan", b"inf", b""])
+def test_a_limit_that_is_not_a_rate_changes_nothing(per_s):
+    async def scenario(vm):
+        for _ in range(3):
+            assert status(await vm.get()) == 200
+        assert vm.entry.dump()["targets"]["policy"]["rate_limits"] == {}
+
+    run(scenario, a1=limits(per_s))
+
+
+def test_a_reply_without_a_limit_ends_it_and_a_refusal_does_not():
+    async def scenario(vm):
+        rates = vm.entry._targets.policy.rate_limits
+        assert status(await vm.get()) == 200
+        vm.fakes["a1"].script = sheds(b"0")
+        await vm.get()
+        assert rates.dump(0.0)["a1"]["per_s"] == 50.0
+        vm.fakes["a1"].script = ok
+        assert status(await vm.get()) == 200
+        assert rates.dump(0.0) == {}
+
+    run(scenario, a1=limits(b"50"))
