Rank the senders of a target in one place

The order of VMs by rendezvous hashing stood in the warm-up; limits of targets need it too. No change of behaviour: tests/test_scatter_warmup.py passes as it is.

--- a/bramleycrank/scatter/warmup.py
+++ b/bramleycrank/scatter/warmup.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 import attrs
-import xxhash
+
+from bramleycrank.scatter.senders import Senders
 
 SENDERS = 3
 """VMs that may send to a cold target; one of them may be down or not know the target."""
@@ -42,8 +43,7 @@
     Load pattern: the targets of a domain return cold together, and each VM of a large group has
     requests for them. A share of the rate for each VM would be far below one request a second, and
     all VMs could use it in the same second. Instead, a few VMs of the target's domain are its
-    senders, chosen by rendezvous hashing. All VMs that know the same VMs choose the same senders
-    without a message, also across a partition, since VMs that seem dead stay candidates.
+    senders; VMs of other domains only if it has none.
 
     Parameters
     ----------
@@ -56,19 +56,15 @@
     """
 
     def __init__(self, vm_id: str, bounds: WarmupBounds, started_at: float) -> None:
-        self._vm_id = vm_id
+        self.senders = Senders(vm_id)
         self._bounds = bounds
         self._started_at = started_at
-        self._vms: frozenset[tuple[str, str]] = frozenset()
-        self._is_sender: dict[tuple[str, int], bool] = {}
+        self._is_sender: dict[str, bool] = {}
         self._sent: dict[str, deque[float]] = {}
 
     def set_vms(self, vms: Iterable[tuple[str, str]]) -> None:
         """Set the id and the failure domain of each VM that serves callers."""
-        vms = frozenset(vms)
-        if vms != self._vms:
-            self._vms = vms
-            self._is_sender.clear()
+        self.senders.set_vms(vms)
 
     def admits(self, target_id: str, domain: str, per_s: float, now: float) -> bool:
         """Return whether this VM may send one more request to a cold target now.
@@ -102,10 +98,10 @@
     def retain(self, target_ids: Iterable[str]) -> None:
         """Forget all targets except the given ones."""
         known = set(target_ids)
-        for key in [key for key in self._is_sender if key[0] not in known]:
-            del self._is_sender[key]
-        for target_id in self._sent.keys() - known:
-            del self._sent[target_id]
+        self.senders.retain(known)
+        for by_target in (self._is_sender, self._sent):
+            for target_id in by_target.keys() - known:
+                del by_target[target_id]
 
     def _split(self, per_s: float) -> tuple[int, int]:
         """Return the number of senders and the requests per window of each."""
@@ -115,21 +111,15 @@
         return sender_count, total // sender_count
 
     def _sends_to(self, target_id: str, domain: str, sender_count: int) -> bool:
-        key = (target_id, sender_count)
-        known = self._is_sender.get(key)
-        if known is None:
-            local = [vm_id for vm_id, vm_domain in self._vms if vm_domain == domain]
-            candidates = local or [vm_id for vm_id, _ in self._vms]
-            candidates.sort(
-                key=lambda vm_id: xxhash.xxh64_intdigest(f"{target_id}/{vm_id}".encode())
-            )
-            known = self._is_sender[key] = self._vm_id in candidates[:sender_count]
-        return known
+        rank = self.senders.rank(target_id, domain)
+        sends = rank.position < min(sender_count, rank.local or rank.total)
+        self._is_sender[target_id] = sends
+        return sends
 
     def dump(self) -> dict[str, Any]:
         """Return the targets for which this VM was considered and those that it sends to."""
         return {
-            "vms": len(self._vms),
+            "vms": self.senders.vm_count,
             "considered": len(self._is_sender),
-            "sends_to": sorted({key[0] for key, sends in self._is_sender.items() if sends}),
+            "sends_to": sorted(name for name, sends in self._is_sender.items() if sends),
         }
