--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -387,6 +387,7 @@
             now,
             failed=partial or not 200 <= status < 300,
             status=status,
+            fingerprint=f"{call.exchange.request.fingerprint:016x}",
             route=route.name,
             routes_version=self._index.version,
             latency_ms=round(latency_s * 1000, 1),
--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 import attrs
+import xxhash
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -82,6 +83,13 @@
         """Path without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    @property
+    def fingerprint(self) -> int:
+        """64-bit hash of method, host, path, query and body; equal for a repeated request."""
+        digest = xxhash.xxh64(b"%b %b %b\n" % (self.method, self.host, self.target))
+        digest.update(self.body)
+        return digest.intdigest()
+
 
 @attrs.frozen(eq=False)
 class Response:
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -405,3 +405,16 @@
             return int(header(request, b"X-Deadline-Ms"))
 
     assert asyncio.run(body()) <= 600
+
+
+def test_attempts_of_one_request_have_one_fingerprint_in_the_log(caplog):
+    async def scenario(vm):
+        for number, path in enumerate(("/one/x", "/one/x", "/one/y", "/one/x?a=1")):
+            raw = f"GET {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: q{number}\r\n\r\n"
+            await call(vm.port, raw.encode())
+
+    caplog.set_level("INFO")
+    run(scenario, a1=lambda request: None)
+    prints = [record.fingerprint for record in caplog.records if hasattr(record, "fingerprint")]
+    assert len(prints) == 4 and prints[0] == prints[1]
+    assert len(set(prints)) == 3
