Stop a request that crashes the targets that run it

Callers saw half of their requests fail: one request that came about three times a second ended 130 to 149 targets in 9 s, and all replicas of all shards were down together.

Cause: a gather was sent to all shards at once, each lost sub-request went to another replica, and no VM remembered the request.

Change: until a target has replied, a lost sub-request holds its shard, and one sub-request at a time goes on; three lost rounds end the attempt. A hedge before the first reply goes to one shard only. The entry reports a crash if a target of a lost sub-request is down and the request stays unanswered. Crashes are merged by all VMs: sent to twelve VMs at once and on by them, attached to messages for 10 s, and part of each anti-entropy exchange. With three crashes a request is in quarantine for 600 s after its last attempt: 503 with that time, at once. While targets crash, gathers go to one target first, as a canary. A reply clears the crashes of its request. A target whose last connection ends is connected at once, so that all VMs learn of its end.

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -85,6 +85,7 @@
         self._sub_by_conn: dict[Connection, PooledSubRequest] = {}
         self._target_by_conn: dict[Connection, _Target] = {}
         self._connecting_since: dict[Connection, float] = {}
+        self._failed: set[Connection] = set()
         self._lingering: set[PooledSubRequest] = set()
         self.opened = 0
 
@@ -123,6 +124,11 @@
         used = len(target.all) - len(target.idle)
         return used < self._share(target.limit)
 
+    def is_down(self, target_id: str) -> bool:
+        """Return whether no connection to a target opens, or it is gone."""
+        target = self._targets.get(target_id)
+        return target is None or target.down
+
     # Sub-requests.
 
     def send(self, sub: PooledSubRequest) -> None:
@@ -255,21 +261,27 @@
             conn.close()
 
     def on_request_failed(self, conn: Connection, *, garbled: bool) -> None:
-        """Handle a connection that failed during a response."""
+        """Handle a connection that failed during a response; `on_closed` follows."""
+        self._failed.add(conn)
         self._report_lost(conn, garbled=garbled)
 
     def on_closed(self, conn: Connection) -> None:
         """Remove a closed connection."""
         target = self._target_by_conn.pop(conn, None)
+        failed = conn in self._failed
+        self._failed.discard(conn)
         if target is None:
             return
         target.all.discard(conn)
         if conn in target.idle:
+            failed |= conn.idle_until is None or self._clock() < conn.idle_until
             target.idle.remove(conn)
         open_failed = self._connecting_since.pop(conn, None) is not None
         self._report_lost(conn, garbled=False)
         if open_failed:
             self._set_down(target)
+        elif failed and not (target.all or target.down or target.retired):
+            self._open(target)  # finds out at once whether the target has ended
         if not target.retired:
             self._on_capacity(target.target_id)
 
--- a/bramleycrank/daemon/entry_call.py
+++ b/bramleycrank/daemon/entry_call.py
@@ -20,6 +20,7 @@
     exchange: Exchange
     meta: CallerMeta
     execution: ScatterExecution
+    fingerprint: int = 0
     template: RequestTemplate | None = None
     subs: dict[int, PooledSubRequest] = attrs.field(factory=dict)
     timer: asyncio.TimerHandle | None = None
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -15,6 +15,7 @@
 from bramleycrank.daemon.entry_call import Call, CallListener
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
 from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, Routes, TargetMeta
+from bramleycrank.daemon.suspect_exchange import SuspectExchange
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
@@ -26,12 +27,14 @@
     Forward,
     Merged,
     Refusal,
+    ReportLosses,
     ScatterExecution,
     SubFailure,
     TargetReply,
 )
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.delivery import DeliveryEstimate
+from bramleycrank.scatter.quarantine import Canary, Quarantine
 from bramleycrank.scatter.retry_after import add_jitter, startup_retry_after
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
@@ -40,6 +43,10 @@
 log = logging.getLogger(__name__)
 
 
+CRASH_CHECKS_S = (0.12, 0.3, 0.8)
+"""Times after a loss at which its target is checked, in seconds: a retry has replied by the first
+one unless it was lost too, and a target that does not respond to a connect is down by the last."""
+
 MAX_LOGGED_FAILURES = 8
 """Most failed sub-requests listed in the log line of a request, which must stay a short line."""
 
@@ -75,6 +82,8 @@
         Bound on the requests of all VMs to a cold target.
     regions : mapping of str to str, optional
         Region of each failure domain.
+    suspects : SuspectExchange, optional
+        Requests that are suspected to crash targets, shared with other VMs.
     """
 
     def __init__(
@@ -93,6 +102,7 @@
         traffic: Traffic | None = None,
         warmup: WarmupBounds | None = None,
         regions: Mapping[str, str] | None = None,
+        suspects: SuspectExchange | None = None,
     ) -> None:
         self._is_isolated = is_isolated
         self._loop = asyncio.get_running_loop()
@@ -116,6 +126,9 @@
             warmup,
             regions,
         )
+        self._suspects = suspects or SuspectExchange(self._clock)
+        self._quarantine = Quarantine(self._suspects.table)
+        self._targets.on_target_down = self._quarantine.on_target_down
         self._calls: set[Call] = set()
         self._waiting: dict[str, list[Call]] = defaultdict(list)
         self._sub_ids = itertools.count(1)
@@ -184,6 +197,7 @@
             self._refuse(exchange, meta, 404, 0.0, "no route matches")
             return
         wait_s = route.timeout_s if meta.wait_s is None else meta.wait_s
+        fingerprint = request.fingerprint
         execution = ScatterExecution(
             route,
             self._targets.policy,
@@ -191,8 +205,9 @@
             exchange.arrived - self._delivery.elapsed_before_arrival(route, meta.wait_s, now),
             exchange.arrived + wait_s,
             self._delivery.network_time(route, exchange.round_trip_s),
+            Canary(self._quarantine, fingerprint),
         )
-        call = Call(exchange, meta, execution)
+        call = Call(exchange, meta, execution, fingerprint)
         self._calls.add(call)
         exchange.on_disconnected = lambda: self._on_caller_disconnected(call)
         self._execute(call, execution.start(now))
@@ -235,6 +250,8 @@
                     sub = call.subs.pop(action.sub_id, None)
                     if sub is not None:
                         self._targets.pool.cancel(sub, superseded=action.superseded)
+                case ReportLosses():
+                    self._check_losses(call, action, 0)
                 case Answer() | Merged() | Refusal():
                     self._respond(call, action)
         if call.execution.ended:
@@ -314,6 +331,7 @@
             self._record_failure(call, sub, kind)
             self._execute(call, execution.on_failure(sub.sub_id, SubFailure(kind), now))
             return True
+        self._suspects.clear(call.fingerprint)
         reply = TargetReply(
             response.status, response.headers, response.body, meta.receipt, meta.load
         )
@@ -355,6 +373,32 @@
         actions = call.execution.on_failure(sub.sub_id, SubFailure(kind), self._clock())
         self._execute(call, actions)
 
+    def _check_losses(self, call: Call, action: ReportLosses, checks: int) -> None:
+        """Report a crash if targets of lost sub-requests are down and none has replied."""
+        if call.execution.proven:
+            return
+        down = next((loss for loss in action.losses if self._targets.pool.is_down(loss[1])), None)
+        if checks and down is not None:
+            service, target_id = down
+            log.info(
+                "entry: a target ended while it ran a request",
+                extra={
+                    "target": target_id,
+                    "service": service,
+                    "losses": len(action.losses),
+                    "fingerprint": f"{call.fingerprint:016x}",
+                    "path": call.exchange.request.path[:100],
+                },
+            )
+            self._metrics.incr("entry.crashes")
+            self._suspects.report(call.fingerprint, service)
+            return
+        if checks < len(CRASH_CHECKS_S):
+            elapsed_s = CRASH_CHECKS_S[checks - 1] if checks else 0.0
+            self._loop.call_later(
+                CRASH_CHECKS_S[checks] - elapsed_s, self._check_losses, call, action, checks + 1
+            )
+
     def on_cancel_completed(self, sub: PooledSubRequest, outcome: CancelOutcome) -> None:
         """Record that a cancelled sub-request no longer occupies a slot of its target."""
         now = self._clock()
@@ -387,7 +431,7 @@
             now,
             failed=partial or not 200 <= status < 300,
             status=status,
-            fingerprint=f"{call.exchange.request.fingerprint:016x}",
+            fingerprint=f"{call.fingerprint:016x}",
             route=route.name,
             routes_version=self._index.version,
             latency_ms=round(latency_s * 1000, 1),
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -125,6 +125,7 @@
         self._incarnations: dict[str, int] = {}
         self._record_keys: dict[str, tuple[int, int, int]] = {}
         self._covered: set[str] = set()
+        self.on_target_down: Callable[[str, str, float], None] = lambda *_: None
         self._domain = domain
         self._remote: set[str] = set()  # targets in other failure domains
         self._open_tasks: set[asyncio.Task[Any]] = set()
@@ -290,7 +291,9 @@
         )
         self.policy.table.set_down(target_id, down, self._clock())
         if service is not None:
-            if not down:
+            if down:
+                self.on_target_down(target_id, service, self._clock())
+            else:
                 self.policy.on_reachable_again(service, target_id, self._clock())
             self._loop.call_soon(self._on_capacity, service)
 
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -265,6 +265,7 @@
             parts.clients.traffic,
             self._cfg.warmup,
             self._cfg.regions,
+            parts.membership.suspects,
         )
         await entry.start()
         self._caller_server = Http1Server(entry, entry.limits, self._new_intake_budget())
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -12,6 +12,7 @@
 
 from bramleycrank.daemon.dead_vms import DeadVms
 from bramleycrank.daemon.subscribers import notify
+from bramleycrank.daemon.suspect_exchange import SuspectExchange
 from bramleycrank.exceptions import BramleycrankError, Draining, Outcome, Refused
 from bramleycrank.membership import (
     MembershipConfig,
@@ -60,6 +61,12 @@
 # Delay of the push of a new target, to batch it with others that report at the same time.
 NEW_TARGETS_BATCH_S = 0.03
 
+# Number of VMs to which a VM sends a suspicion that is new to it.
+SUSPECTS_FANOUT = 12
+
+# Limit of the call that sends a suspicion to one VM.
+SUSPECTS_TIMEOUT_S = 1.0
+
 # Retry-after for a target that announces before this VM has joined.
 JOIN_RETRY_MS = 500
 
@@ -108,6 +115,7 @@
         self.core = VmMembership.from_config(
             cfg, record, self.registry, tuple(seeds), rng or Random(), now
         )
+        self.suspects = SuspectExchange(clock, self._spread_suspects)
         self._config_status: Callable[[], ConfigStatus] | None = None
         self._status_callbacks: list[Callable[[str, ConfigStatus], None]] = []
         self._reply_callbacks: list[Callable[[str, ConfigStatus, float], None]] = []
@@ -255,7 +263,7 @@
         self._notify_status(request.gossip)
         reply, actions = self.core.on_sync(request, self._clock())
         self._execute(actions)
-        self._attach_status(reply.gossip)
+        self._attach_status(reply.gossip, complete=True)
         return reply
 
     async def announce(self, request: AnnounceRequest) -> AnnounceReply:
@@ -364,7 +372,7 @@
         has just closed. Every failure must be reported to the core, which otherwise waits for the
         reply forever.
         """
-        self._attach_status(action.request.gossip)
+        self._attach_status(action.request.gossip, complete=method == "Sync")
         sent_at = self._clock()
         try:
             reply = await self._clients.call(
@@ -407,11 +415,23 @@
         else:
             self._execute(self.core.on_sync_reply(action.sync_id, reply, self._clock()))
 
-    def _attach_status(self, gossip: Gossip) -> None:
+    def _spread_suspects(self) -> None:
+        """Send fresh suspicions to a few VMs; probes carry them to any that a call misses."""
+        for address in self.core.random_addresses(SUSPECTS_FANOUT, own_domain_only=False):
+            request = ProbeRequest(gossip=Gossip(sender=self.core.local), status_only=True)
+            self._spawn(self._send_suspects(address, request))
+
+    async def _send_suspects(self, address: str, request: ProbeRequest) -> None:
+        action = SendProbe(0, address, request, SUSPECTS_TIMEOUT_S, purpose="suspects")
+        await self._call("Probe", action)
+
+    def _attach_status(self, gossip: Gossip, *, complete: bool = False) -> None:
+        self.suspects.attach(gossip, complete=complete)
         if self._config_status is not None:
             gossip.config.CopyFrom(self._config_status())
 
     def _notify_status(self, gossip: Gossip, sent_at: float | None = None) -> None:
+        self.suspects.merge(gossip)
         if not (gossip.HasField("config") and gossip.HasField("sender")):
             return
         address = address_of(gossip.sender)
--- /dev/null
+++ b/bramleycrank/membership/suspects.py
@@ -0,0 +1,168 @@
+"""Requests that are suspected to crash the targets that run them, as all VMs report them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from bramleycrank.proto.peer_pb2 import SuspectRequest
+
+CRASHES_TO_QUARANTINE = 3
+"""Times that targets must have ended under a request before no target gets it any more."""
+
+QUARANTINE_S = 600.0
+"""Time since the last crash or attempt for which a request stays in quarantine, in seconds."""
+
+SUSPICION_S = 60.0
+"""The same for a request with fewer crashes."""
+
+FRESH_S = 10.0
+"""Time after a change for which a suspicion is attached to each message, in seconds. Later it
+travels with anti-entropy exchanges only."""
+
+MAX_SUSPECTS = 256
+"""Maximum number of suspicions; the oldest ones are forgotten first."""
+
+MAX_CRASH_IDS = 64
+"""Maximum number of crashes kept for one request, cleared ones included."""
+
+
+@attrs.define
+class _Suspect:
+    """What is known of one request; `seen_at` is the time of its last crash or attempt."""
+
+    service: str
+    seen_at: float
+    changed_at: float
+    crash_ids: set[int] = attrs.field(factory=set)
+    cleared_ids: set[int] = attrs.field(factory=set)
+
+    @property
+    def crashes(self) -> int:
+        """Times that targets ended under the request since one answered it."""
+        return len(self.crash_ids - self.cleared_ids)
+
+    @property
+    def in_quarantine(self) -> bool:
+        return self.crashes >= CRASHES_TO_QUARANTINE
+
+
+class SuspectTable:
+    """Merges the suspicions of all VMs.
+
+    A suspicion is a set of crashes with unique ids, and the set of those that an answer has
+    cleared. Both only grow, so VMs agree after they exchanged them in any order.
+    """
+
+    def __init__(self) -> None:
+        self._suspects: dict[int, _Suspect] = {}
+
+    def __contains__(self, fingerprint: int) -> bool:
+        return fingerprint in self._suspects
+
+    def crashes(self, fingerprint: int) -> int:
+        """Return how often targets ended under a request since one answered it."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect.crashes if suspect is not None else 0
+
+    def in_quarantine(self, fingerprint: int) -> bool:
+        """Return whether no target may get a request."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and suspect.in_quarantine
+
+    def renew(self, fingerprint: int, now: float) -> None:
+        """Begin the time of a quarantine anew, since the request came again."""
+        self._suspects[fingerprint].seen_at = now
+
+    def last_crash_at(self, services: Iterable[str]) -> float:
+        """Return when the last uncleared crash of a target of some services became known."""
+        wanted = set(services)
+        return max(
+            (s.changed_at for s in self._suspects.values() if s.crashes and s.service in wanted),
+            default=-math.inf,
+        )
+
+    def report(self, fingerprint: int, crash_id: int, service: str, now: float) -> SuspectRequest:
+        """Add a crash that this VM observed and return the suspicion for other VMs."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            suspect = self._add(fingerprint, service, now)
+        if len(suspect.crash_ids) < MAX_CRASH_IDS:
+            suspect.crash_ids.add(crash_id)
+        suspect.seen_at = suspect.changed_at = now
+        return self._outgoing(fingerprint, suspect, now)
+
+    def clear(self, fingerprint: int, now: float) -> SuspectRequest | None:
+        """Clear all crashes of a request that a target has answered; None if there are none."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.crashes:
+            return None
+        suspect.cleared_ids |= suspect.crash_ids
+        suspect.changed_at = now
+        return self._outgoing(fingerprint, suspect, now)
+
+    def merge(self, records: Iterable[SuspectRequest], now: float) -> list[SuspectRequest]:
+        """Add the suspicions of another VM; return those that changed here."""
+        changed = []
+        for record in records:
+            suspect = self._suspects.get(record.fingerprint)
+            if suspect is None:
+                suspect = self._add(record.fingerprint, record.service, now - record.age_s)
+            elif suspect.crash_ids.issuperset(record.crash_ids) and suspect.cleared_ids.issuperset(
+                record.cleared_ids
+            ):
+                continue
+            suspect.crash_ids.update(record.crash_ids)
+            suspect.cleared_ids.update(record.cleared_ids)
+            suspect.seen_at = max(suspect.seen_at, now - record.age_s)
+            suspect.changed_at = now
+            changed.append(self._outgoing(record.fingerprint, suspect, now))
+        return changed
+
+    def outgoing(self, now: float, *, fresh_only: bool) -> list[SuspectRequest]:
+        """Return the suspicions for a message to another VM."""
+        self._forget_old(now)
+        return [
+            self._outgoing(fingerprint, suspect, now)
+            for fingerprint, suspect in self._suspects.items()
+            if not fresh_only or now - suspect.changed_at < FRESH_S
+        ]
+
+    def _add(self, fingerprint: int, service: str, now: float) -> _Suspect:
+        while len(self._suspects) >= MAX_SUSPECTS:
+            oldest = min(self._suspects, key=lambda known: self._suspects[known].seen_at)
+            del self._suspects[oldest]
+        suspect = self._suspects[fingerprint] = _Suspect(service, now, now)
+        return suspect
+
+    def _forget_old(self, now: float) -> None:
+        for fingerprint, suspect in list(self._suspects.items()):
+            lifetime_s = QUARANTINE_S if suspect.in_quarantine else SUSPICION_S
+            if now - suspect.seen_at > lifetime_s:
+                del self._suspects[fingerprint]
+
+    @staticmethod
+    def _outgoing(fingerprint: int, suspect: _Suspect, now: float) -> SuspectRequest:
+        return SuspectRequest(
+            fingerprint=fingerprint,
+            crash_ids=sorted(suspect.crash_ids),
+            cleared_ids=sorted(suspect.cleared_ids),
+            age_s=math.ceil(max(0.0, now - suspect.seen_at)),
+            service=suspect.service,
+        )
+
+    def dump(self, now: float) -> dict[str, Any]:
+        """Return the suspicions by fingerprint."""
+        return {
+            f"{fingerprint:016x}": {
+                "crashes": suspect.crashes,
+                "cleared": len(suspect.cleared_ids),
+                "in_quarantine": suspect.in_quarantine,
+                "service": suspect.service,
+                "seen_before_s": round(now - suspect.seen_at, 1),
+            }
+            for fingerprint, suspect in self._suspects.items()
+        }
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -89,6 +89,9 @@
     _counter("entry.gone", "requests", "Requests whose caller disconnected before the answer."),
     _counter("entry.sub_requests", "sub-requests", "Sub-requests passed to the connection pool."),
     _counter("entry.holds", "holds", "Times that a target was held back at its own request."),
+    _counter(
+        "entry.crashes", "crashes", "Times that targets ended while they ran an unanswered request."
+    ),
     _counter(
         "entry.rate_limits", "changes", "Changes of the rates that targets tolerate from all VMs."
     ),
--- a/bramleycrank/scatter/__init__.py
+++ b/bramleycrank/scatter/__init__.py
@@ -13,6 +13,7 @@
     Merged,
     Part,
     Refusal,
+    ReportLosses,
     SubFailure,
     TargetReply,
 )
@@ -26,6 +27,7 @@
     "Merged",
     "Part",
     "Refusal",
+    "ReportLosses",
     "RetryBudget",
     "ScatterExecution",
     "ScatterPolicy",
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -11,6 +11,7 @@
 from bramleycrank.scatter.merge import trim_records
 from bramleycrank.scatter.policy import ScatterPolicy
 from bramleycrank.scatter.progress import OpenSubRequest, Shard
+from bramleycrank.scatter.quarantine import QUARANTINE_RETRY_AFTER_S, Canary, Verdict
 from bramleycrank.scatter.stream import LATEST_STREAM_SHARE, ReplyStream
 from bramleycrank.scatter.types import (
     NOT_RUN_KINDS,
@@ -23,6 +24,7 @@
     Merged,
     Part,
     Refusal,
+    ReportLosses,
     SubFailure,
     TargetReply,
 )
@@ -63,6 +65,8 @@
         Time at which the caller stops waiting, in seconds.
     network_s : float, optional
         Network time of the request and its answer, in seconds.
+    canary : Canary, optional
+        Decides whether the sub-requests may be sent together.
     """
 
     def __init__(
@@ -73,11 +77,13 @@
         arrived: float,
         deadline: float,
         network_s: float = ROUND_TRIP_S,
+        canary: Canary | None = None,
     ) -> None:
         self.route = route
         self.ended = False
         self.waiting: set[str] = set()  # services that wait for a target with free capacity
         self._policy = policy
+        self._canary = canary or Canary(None, 0)
         self._sub_ids = sub_ids
         self._arrived = arrived
         self._deadline = min(deadline, arrived + route.timeout_s)
@@ -115,6 +121,10 @@
         """
         if now >= self._deadline:
             return self._refuse("the deadline had passed on arrival", now)
+        self._canary.begin([shard.service for shard in self._shards], now)
+        if self._canary.verdict is Verdict.REFUSE:
+            refusal = Refusal(True, "the request crashes targets", QUARANTINE_RETRY_AFTER_S)
+            return self._end_with(refusal, now)
         for shard in self._shards:
             if not self._policy.has_targets(shard.service, self._excluded(shard), now):
                 self._mark_lost(shard)
@@ -123,7 +133,12 @@
         actions: list[Action] = []
         for shard in self._shards:
             self._policy.on_request(shard.service, now)
-            if not shard.ended:
+        unsent = [shard for shard in self._shards if not shard.ended]
+        if self._canary.goes_first_alone:
+            self._canary.hold(unsent)
+            self._send_canary(now, actions)
+        else:
+            for shard in unsent:
                 self._send_or_wait(shard, now, actions)
         return actions if self.ended else [*actions, *self._end_if_settled(now)]
 
@@ -134,6 +149,7 @@
             if shard.service == service and service in self.waiting:
                 self.waiting.discard(service)
                 self._send_or_wait(shard, now, actions)
+        self._resume_held(now, actions)
         return actions if self.ended else [*actions, *self._end_if_settled(now)]
 
     def on_reply(self, sub_id: int, reply: TargetReply, now: float) -> list[Action]:
@@ -148,6 +164,7 @@
         self._may_have_run = True
         self._policy.on_reply(self.route.name, sub.target_id, reply, now - sub.sent_at, now)
         if not self.route.gather:
+            self._canary.on_ran()
             return self._end_with(Answer(reply), now)
         # Other records cannot be in the answer; trimming saves memory until all shards replied.
         body = trim_records(reply.body, self.route.top_records)
@@ -155,6 +172,7 @@
         actions = self._cancel(shard, True, now)
         self._end_shard(shard)
         self._stream.on_reply(now)
+        self._release_held(now, actions)
         return [*actions, *self._end_if_settled(now)]
 
     def on_failure(self, sub_id: int, failure: SubFailure, now: float) -> list[Action]:
@@ -167,11 +185,15 @@
         shard.failure = failure
         self._may_have_run |= failure.kind not in NOT_RUN_KINDS
         self._policy.on_failure(sub.target_id, failure, now)
-        if shard.open:
-            return []
         actions: list[Action] = []
-        if not self._retry(shard, failure, now, actions):
-            self._mark_lost(shard)
+        lost = failure.kind is FailureKind.LOST
+        if lost and not self._canary.proven:
+            self._canary.on_lost(shard, sub.target_id)
+        elif not lost and failure.kind not in NOT_RUN_KINDS:
+            self._release_held(now, actions)
+        if not shard.open and shard not in self._canary.held:
+            self._retry_or_mark_lost(shard, failure, now, actions)
+        self._resume_held(now, actions)
         return [*actions, *self._end_if_settled(now)]
 
     def on_caller_disconnected(self, now: float) -> list[Action]:
@@ -179,7 +201,7 @@
         if self.ended:
             return []
         self.ended = True
-        return self._cancel_all(now)
+        return [*self._cancel_all(now), *self._report_losses()]
 
     def tick(self, now: float) -> list[Action]:
         """Send hedges that are due, and end the request when its time is up."""
@@ -255,10 +277,62 @@
         actions.append(Forward(sub.sub_id, target_id, shard.service, self._deadline))
 
     def _may_hedge(self, shard: Shard) -> bool:
+        if self._canary.held and not self._canary.proven:
+            return True  # another shard is sent in place of a hedge
         return self.route.idempotent and shard.sends < self.route.max_targets
 
+    # Sub-requests that are sent one at a time.
+
+    @property
+    def proven(self) -> bool:
+        """Whether a target has run the request and replied."""
+        return self._canary.proven
+
+    def _send_canary(self, now: float, actions: list[Action]) -> None:
+        """Send one held shard, or let it wait for a target with free capacity."""
+        while self._canary.held:
+            shard = self._canary.next_held()
+            if shard.failure is None:
+                self._send_or_wait(shard, now, actions)
+            else:
+                self._retry_or_mark_lost(shard, shard.failure, now, actions)
+            if not shard.ended:
+                return
+
+    def _resume_held(self, now: float, actions: list[Action]) -> None:
+        """Send one held shard if nothing is in flight, or give up after too many losses."""
+        if not self._canary.held or self._open_subs or self.waiting:
+            return
+        losses = self._report_losses()
+        actions += losses
+        if losses and self._canary.is_exhausted():
+            while self._canary.held:
+                self._mark_lost(self._canary.next_held())
+        else:
+            self._send_canary(now, actions)
+
+    def _release_held(self, now: float, actions: list[Action]) -> None:
+        """Send all held shards, since a target has run the request and replied."""
+        if not self._canary.proven:
+            self._next_hedge_at = now
+        for shard in self._canary.on_ran():
+            if shard.open or shard.ended:
+                continue
+            if shard.failure is None:
+                self._send_or_wait(shard, now, actions)
+            else:
+                self._retry_or_mark_lost(shard, shard.failure, now, actions)
+
+    def _report_losses(self) -> list[Action]:
+        losses = tuple(self._canary.victims)
+        self._canary.victims.clear()
+        return [ReportLosses(losses)] if losses else []
+
     def _send_hedges(self, now: float, actions: list[Action]) -> None:
         """Send the hedges that are due, unless replies are still streaming in."""
+        if not self._canary.proven:
+            self._send_first_hedge(now, actions)
+            return
         no_hedge_before = self._stream.next_reply_due(self._lost)
         unhedged_shards = sum(not s.ended and len(s.open) < 2 for s in self._shards)
         for shard in self._shards:
@@ -276,6 +350,21 @@
             (s.hedge_at for s in self._shards if not s.ended), default=math.inf
         )
 
+    def _send_first_hedge(self, now: float, actions: list[Action]) -> None:
+        """Send one more sub-request if no target has replied yet.
+
+        Load pattern: all targets of the first sub-requests are silent. One hedge shows whether the
+        request or the targets are the cause, before each shard sends one.
+        """
+        if self._canary.may_hedge():
+            due = [s for s in self._shards if not s.ended and s.open and now >= s.hedge_at]
+            if self._canary.held:
+                self._send_canary(now, actions)
+            elif due and self._may_hedge(due[0]):
+                self._try_hedge(due[0], len(due), now, actions)
+        delay_s = max(MIN_HEDGE_RECHECK_DELAY_S, HEDGE_RECHECK_AGE_SHARE * (now - self._arrived))
+        self._next_hedge_at = now + delay_s
+
     def _try_hedge(
         self, shard: Shard, unhedged_shards: int, now: float, actions: list[Action]
     ) -> bool:
@@ -294,6 +383,12 @@
         self._send(shard, target_id, now, actions)
         return True
 
+    def _retry_or_mark_lost(
+        self, shard: Shard, failure: SubFailure, now: float, actions: list[Action]
+    ) -> None:
+        if not self._retry(shard, failure, now, actions):
+            self._mark_lost(shard)
+
     def _retry(self, shard: Shard, failure: SubFailure, now: float, actions: list[Action]) -> bool:
         """Retry at another target after a failure; return whether it was sent or waits.
 
@@ -396,4 +491,4 @@
         # After a success, targets may finish the replies that are no longer needed, which keeps
         # their connections open.
         superseded = not isinstance(action, Refusal)
-        return [*self._cancel_all(now, superseded=superseded), action]
+        return [*self._cancel_all(now, superseded=superseded), *self._report_losses(), action]
--- /dev/null
+++ b/bramleycrank/scatter/quarantine.py
@@ -0,0 +1,187 @@
+"""Protection of the targets from requests that crash them."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import deque
+from collections.abc import Collection, Iterable
+from typing import Protocol
+
+from bramleycrank.scatter.progress import Shard
+
+CANARY_S = 10.0
+"""Time after a crash under a request for which requests to the same service are sent to one target
+first, in seconds."""
+
+BURST_TARGETS = 3
+"""Targets that become unreachable within `BURST_S` when a request has crashed those of many shards
+and no VM has reported it yet."""
+
+BURST_S = 1.0
+"""Time within which the targets of a burst become unreachable, in seconds."""
+
+BURST_CANARY_S = 3.0
+"""Time for which requests are sent to one target first after a burst, in seconds; by then a VM has
+reported the request if there is one."""
+
+MAX_LOST_ROUNDS = 3
+"""Rounds of sub-requests that one attempt may lose before it ends."""
+
+QUARANTINE_RETRY_AFTER_S = 600.0
+"""Retry-after for a request in quarantine, in seconds; only a change of the targets helps."""
+
+
+class Verdict(enum.Enum):
+    """How a request may be sent."""
+
+    FREE = enum.auto()
+    CANARY = enum.auto()  # to one target first, to the others after its reply
+    REFUSE = enum.auto()
+
+
+class Suspicions(Protocol):
+    """Suspicions of all VMs about requests, by fingerprint."""
+
+    def __contains__(self, fingerprint: int) -> bool:
+        """Return whether a request was ever suspected."""
+
+    def crashes(self, fingerprint: int) -> int:
+        """Return how often targets ended under a request since one answered it."""
+
+    def in_quarantine(self, fingerprint: int) -> bool:
+        """Return whether no target may get a request."""
+
+    def renew(self, fingerprint: int, now: float) -> None:
+        """Record an attempt of a request in quarantine."""
+
+    def last_crash_at(self, services: Iterable[str]) -> float:
+        """Return when the last crash of a target of some services became known."""
+
+
+class Quarantine:
+    """Decides which requests go to all targets at once, to one first, or to none.
+
+    Load pattern: a request ends each target that runs it, and comes again and again at all VMs. A
+    gather would end a target of each shard with each attempt. While targets crash, each gather goes
+    to one target first, as a canary.
+
+    Parameters
+    ----------
+    suspicions : Suspicions
+        Suspicions of all VMs.
+    """
+
+    def __init__(self, suspicions: Suspicions) -> None:
+        self._suspicions = suspicions
+        self._down: deque[tuple[float, str, str]] = deque()
+        self._canary_until: dict[str, float] = {}
+
+    def verdict(self, fingerprint: int, services: Collection[str], now: float) -> Verdict:
+        """Return how a request to some services may be sent."""
+        if self._suspicions.in_quarantine(fingerprint):
+            self._suspicions.renew(fingerprint, now)
+            return Verdict.REFUSE
+        if self._suspicions.crashes(fingerprint):
+            return Verdict.CANARY
+        if len(services) > 1 and (
+            now - self._suspicions.last_crash_at(services) < CANARY_S
+            or any(self._canary_until.get(service, -math.inf) > now for service in services)
+        ):
+            return Verdict.CANARY
+        return Verdict.FREE
+
+    def in_quarantine(self, fingerprint: int) -> bool:
+        """Return whether no target may get a request any more."""
+        return self._suspicions.in_quarantine(fingerprint)
+
+    def is_suspect(self, fingerprint: int) -> bool:
+        """Return whether targets ended under a request since one answered it."""
+        return self._suspicions.crashes(fingerprint) > 0
+
+    def on_target_down(self, target_id: str, service: str, now: float) -> None:
+        """Record that a target has become unreachable."""
+        while self._down and self._down[0][0] <= now - BURST_S:
+            self._down.popleft()
+        self._down.append((now, target_id, service))
+        if len({down_id for _, down_id, _ in self._down}) >= BURST_TARGETS:
+            for _, _, down_service in self._down:
+                self._canary_until[down_service] = now + BURST_CANARY_S
+
+
+class Canary:
+    """Order in which the sub-requests of one request are sent.
+
+    A sub-request that is lost before any target has replied may have crashed its target. Until
+    one has replied, lost and unsent shards are held, and one of them is sent at a time.
+
+    Parameters
+    ----------
+    quarantine : Quarantine or None
+        Decides how the request may be sent; None for no protection.
+    fingerprint : int
+        Fingerprint of the request.
+    """
+
+    def __init__(self, quarantine: Quarantine | None, fingerprint: int) -> None:
+        self._quarantine = quarantine
+        self._fingerprint = fingerprint
+        self.verdict = Verdict.FREE
+        self.proven = quarantine is None
+        self.held: list[Shard] = []
+        self.victims: list[tuple[str, str]] = []  # service and target of each loss of this round
+        self.lost_rounds = 0
+
+    def begin(self, services: Collection[str], now: float) -> None:
+        """Decide how the request is sent."""
+        if self._quarantine is not None:
+            self.verdict = self._quarantine.verdict(self._fingerprint, services, now)
+
+    @property
+    def goes_first_alone(self) -> bool:
+        """Whether the request goes to one target first."""
+        return not self.proven and self.verdict is Verdict.CANARY
+
+    def may_hedge(self) -> bool:
+        """Return whether a slow sub-request may be hedged before a target has replied.
+
+        A request under which targets have ended waits for the outcome of each sub-request.
+        """
+        return self.proven or not (
+            self.victims
+            or self.lost_rounds
+            or (self._quarantine is not None and self._quarantine.is_suspect(self._fingerprint))
+        )
+
+    def hold(self, shards: Collection[Shard]) -> None:
+        """Hold shards that have sent nothing; the request decides which one comes first."""
+        first = self._fingerprint % max(1, len(shards))
+        ordered = list(shards)
+        self.held = [*ordered[first:], *ordered[:first]]
+
+    def next_held(self) -> Shard:
+        """Return the shard to send next: one without a loss if there is any."""
+        unsent = (shard for shard in self.held if shard.failure is None)
+        shard = next(unsent, self.held[0])
+        self.held.remove(shard)
+        return shard
+
+    def on_lost(self, shard: Shard, target_id: str) -> None:
+        """Record the loss of a sub-request, and hold its shard if it was the only one in flight."""
+        if not shard.open:
+            self.held.append(shard)
+        self.victims.append((shard.service, target_id))
+
+    def is_exhausted(self) -> bool:
+        """Return whether the request has lost too many rounds, and count the last one."""
+        self.lost_rounds += 1
+        return self.lost_rounds >= MAX_LOST_ROUNDS or (
+            self._quarantine is not None and self._quarantine.in_quarantine(self._fingerprint)
+        )
+
+    def on_ran(self) -> list[Shard]:
+        """Record that a target has replied; return the shards that may be sent now."""
+        self.proven = True
+        self.victims.clear()
+        held, self.held = self.held, []
+        return held
--- a/bramleycrank/scatter/types.py
+++ b/bramleycrank/scatter/types.py
@@ -104,6 +104,19 @@
     superseded: bool
 
 
+@attrs.frozen
+class ReportLosses:
+    """Find out whether targets have ended under the request, of which none has replied.
+
+    Parameters
+    ----------
+    losses : tuple of (str, str)
+        Service and target of each lost sub-request.
+    """
+
+    losses: tuple[tuple[str, str], ...]
+
+
 @attrs.frozen
 class Answer:
     """Answer the caller with a target's reply."""
@@ -140,4 +153,4 @@
 
 
 FinalAction: TypeAlias = Answer | Merged | Refusal
-Action: TypeAlias = Forward | Cancel | FinalAction
+Action: TypeAlias = Forward | Cancel | ReportLosses | FinalAction
