--- /dev/null
+++ b/tests/test_scatter_quarantine.py
@@ -0,0 +1,141 @@
+"""Order of the sub-requests of a request that may crash its targets, and the verdict on it."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from scatter_fakes import FakePolicy, gather_route, single_route, target_reply
+
+from bramleycrank.membership.suspects import SuspectTable
+from bramleycrank.scatter import (
+    FailureKind,
+    Forward,
+    Merged,
+    Refusal,
+    ReportLosses,
+    ScatterExecution,
+    SubFailure,
+)
+from bramleycrank.scatter.quarantine import (
+    BURST_CANARY_S,
+    BURST_TARGETS,
+    CANARY_S,
+    Canary,
+    Quarantine,
+    Verdict,
+)
+
+LOST = SubFailure(FailureKind.LOST)
+REQUEST = 8
+
+
+class Attempt:
+    """One attempt of a request; collects what it sends and reports."""
+
+    def __init__(self, route, table: SuspectTable, now: float = 0.0, **policy) -> None:
+        self.policy = FakePolicy(**policy)
+        self.sent: list[Forward] = []
+        self.reported: list[ReportLosses] = []
+        self.final = None
+        self.execution = ScatterExecution(
+            route,
+            self.policy,
+            itertools.count(1),
+            now,
+            now + 2.0,
+            canary=Canary(Quarantine(table), REQUEST),
+        )
+        self.apply(self.execution.start(now))
+
+    def apply(self, actions) -> None:
+        self.sent += [a for a in actions if isinstance(a, Forward)]
+        self.reported += [a for a in actions if isinstance(a, ReportLosses)]
+        self.final = next((a for a in actions if isinstance(a, Merged | Refusal)), self.final)
+
+    def lose_all(self, now: float) -> None:
+        """Lose each sub-request, those that follow included."""
+        for forward in self.sent:
+            self.apply(self.execution.on_failure(forward.sub_id, LOST, now))
+
+
+def table_with(crashes: int, service: str = "s0", now: float = 0.0) -> SuspectTable:
+    table = SuspectTable()
+    for crash_id in range(crashes):
+        table.report(REQUEST, crash_id, service, now)
+    return table
+
+
+def test_an_attempt_that_loses_every_sub_request_ends_after_three_rounds():
+    """Load pattern: a request crashes what runs it; it went to two replicas of each shard."""
+    attempt = Attempt(gather_route(10), SuspectTable())
+    attempt.lose_all(0.05)
+    assert len(attempt.sent) == 10 + 2
+    assert [len(report.losses) for report in attempt.reported] == [10, 1, 1]
+    assert isinstance(attempt.final, Refusal) and not attempt.final.not_run
+
+
+def test_lost_shards_are_retried_together_once_a_target_has_replied():
+    """Load pattern: some targets crash, and not because of this request."""
+    attempt = Attempt(gather_route(4), SuspectTable())
+    for forward in attempt.sent[:2]:
+        attempt.apply(attempt.execution.on_failure(forward.sub_id, LOST, 0.02))
+    assert len(attempt.sent) == 4
+    attempt.apply(attempt.execution.on_reply(attempt.sent[2].sub_id, target_reply(), 0.03))
+    assert [forward.target_id for forward in attempt.sent[4:]] == ["s0-1", "s1-1"]
+    for forward in attempt.sent[3:]:
+        attempt.apply(attempt.execution.on_reply(forward.sub_id, target_reply(), 0.04))
+    assert attempt.final.missing == 0 and not attempt.reported
+
+
+@pytest.mark.parametrize("crashes", [1, 2])
+def test_a_suspect_goes_to_one_target_first_and_is_not_hedged(crashes):
+    attempt = Attempt(gather_route(10), table_with(crashes, "another"))
+    attempt.apply(attempt.execution.tick(0.5))
+    assert len(attempt.sent) == 1
+    attempt.apply(attempt.execution.on_reply(attempt.sent[0].sub_id, target_reply(), 0.6))
+    assert len(attempt.sent) == 10
+
+
+def test_while_targets_crash_other_gathers_send_a_canary_with_hedges():
+    table = SuspectTable()
+    table.report(REQUEST + 1, 1, "s3", 0.0)
+    attempt = Attempt(gather_route(10), table, now=CANARY_S / 2)
+    assert len(attempt.sent) == 1
+    attempt.apply(attempt.execution.tick(CANARY_S / 2 + 0.06))
+    assert len(attempt.sent) == 2
+    attempt.apply(
+        attempt.execution.on_reply(attempt.sent[1].sub_id, target_reply(), CANARY_S / 2 + 0.07)
+    )
+    assert len(attempt.sent) == 10
+    assert len(Attempt(gather_route(10), table, now=CANARY_S + 0.1).sent) == 10
+    assert len(Attempt(single_route(), table, now=0.1).sent) == 1
+
+
+def test_a_gather_without_any_reply_hedges_one_shard():
+    """Guards against hedges that double what a deadly request crashes (trial 0.594 of worth)."""
+    attempt = Attempt(gather_route(10), SuspectTable())
+    attempt.apply(attempt.execution.tick(0.06))
+    assert len(attempt.sent) == 11
+    attempt.apply(attempt.execution.on_reply(attempt.sent[0].sub_id, target_reply(), 0.061))
+    attempt.apply(attempt.execution.tick(attempt.execution.next_deadline()))
+    assert len(attempt.sent) == 11 + 9
+
+
+def test_a_request_in_quarantine_is_refused_at_once():
+    for route in (gather_route(4), single_route()):
+        attempt = Attempt(route, table_with(3, "elsewhere"))
+        assert not attempt.sent
+        assert attempt.final.not_run and attempt.final.retry_after_s > 60.0
+
+
+def test_many_targets_down_at_once_make_gathers_send_a_canary():
+    """Load pattern: another VM sent the request; its report has not arrived yet."""
+    quarantine = Quarantine(SuspectTable())
+    for number in range(BURST_TARGETS):
+        assert quarantine.verdict(1, ["s0", "s1"], 1.0) is Verdict.FREE
+        quarantine.on_target_down(f"t{number}", f"s{number}", 1.0 + number / 10)
+    assert quarantine.verdict(1, ["s0", "s1"], 1.5) is Verdict.CANARY
+    assert quarantine.verdict(1, ["s0"], 1.5) is Verdict.FREE
+    assert quarantine.verdict(1, ["x0", "x1"], 1.5) is Verdict.FREE
+    assert quarantine.verdict(1, ["s0", "s1"], 1.3 + BURST_CANARY_S) is Verdict.FREE
