Run the landed build and this one side by side, forward and back

Change: a process test takes the landed sources from the history, replaces an entry VM and a voter of a running fleet, makes a change and a suspicion in the mixed fleet, and rolls both back on the data that the new build wrote.

--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -65,14 +65,21 @@
             )
         )
 
-    def start(self, *, bootstrap: bool = False, seeds: list[str] | None = None) -> None:
-        """Write the settings file and start the process."""
+    def start(
+        self,
+        *,
+        bootstrap: bool = False,
+        seeds: list[str] | None = None,
+        tree: Path | None = None,
+    ) -> None:
+        """Write the settings file and start the process, of the build in `tree` if given."""
         self.write_settings(seeds or self.fleet.seeds, bootstrap=bootstrap)
         self.process = Process(
             [sys.executable, "-m", "bramleycrank.platform"],
             self.fleet.folder / f"{self.name}.err",
             {"BRAMLEYCRANK_NODE_FILE": str(self.settings)},
             self.fleet.folder / f"{self.name}.log",
+            tree,
         )
         self.fleet.processes.append(self.process)
 
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -80,6 +80,7 @@
         log: Path,
         env: dict[str, str] | None = None,
         output: Path | None = None,
+        folder: Path | None = None,
     ) -> None:
         self._log = log
         with contextlib.ExitStack() as files:
@@ -89,6 +90,7 @@
                 stdout=stdout,
                 stderr=files.enter_context(log.open("ab")),
                 env={**os.environ, **(env or {})},
+                cwd=folder,
             )
 
     @property
--- /dev/null
+++ b/tests/test_process_upgrade.py
@@ -0,0 +1,169 @@
+"""Processes of the landed build and of this one side by side: an upgrade and a rollback."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import signal
+import subprocess
+import tarfile
+import tomllib
+from pathlib import Path
+
+import pytest
+from http_fakes import FakeTarget, ok
+from test_entry_quarantine import CrashingTarget
+
+from harness.platform_fleet import ENTRY_PORT, READY_PORT, Fleet, PlatformVm
+from harness.processes import wait_until
+
+pytestmark = pytest.mark.process
+
+ROOT = Path(__file__).parent.parent
+
+
+def landed_build(folder: Path) -> Path:
+    """Return a folder with the sources of the build in production, from the history."""
+    commit = tomllib.loads((ROOT / "deploy/system.toml").read_text())["production"]
+    archive = subprocess.run(
+        ["git", "archive", commit, "bramleycrank"], cwd=ROOT, check=True, capture_output=True
+    ).stdout
+    with tarfile.open(fileobj=io.BytesIO(archive)) as sources:
+        sources.extractall(folder, filter="data")
+    return folder
+
+
+def document(version: int, top: int) -> dict:
+    """Return a configuration with a gather over two shards and a route to one service."""
+    common = {"Host": "h", "Type": "idempotent", "TimeoutMs": 1500, "MaxAttempts": 2}
+    gather = {
+        **common,
+        "Name": "all",
+        "PathPrefix": "/all/",
+        "Gather": ["a", "b"],
+        "TopK": top,
+        "MinCoverage": 1.0,
+    }
+    single = {**common, "Name": "one", "PathPrefix": "/one/", "Service": "p"}
+    services = [{"Name": name, "MaxConnections": 40} for name in "abp"]
+    return {"Version": version, "Routes": [gather, single], "Services": services, "Limits": {}}
+
+
+class Upgrade:
+    """A fleet whose VMs run one of two builds."""
+
+    def __init__(self, fleet: Fleet, old: Path) -> None:
+        self.fleet, self.old = fleet, old
+        self.vms = [*fleet.voters, *fleet.entries]
+        self.records = {"a": b"b" * 16 + b"a" * 16, "b": b"c" * 16}
+        self.fakes = {
+            name: FakeTarget(lambda request, body=body: ok(request, body, Server_Limit=b"500"))
+            for name, body in self.records.items()
+        }
+        self.deadly = CrashingTarget(self._crash)
+
+    def _crash(self, request: bytes) -> None:
+        self.deadly.crash()
+
+    async def report(self) -> None:
+        """Report all targets to the voters in turn, as targets do."""
+        targets = {**self.fakes, "p": self.deadly}
+        for sequence in range(1, 1000):
+            for name, fake in targets.items():
+                address = f"127.0.0.1:{fake.port}"
+                await self.fleet.report(name, f"t-{name}", address, sequence)
+            await asyncio.sleep(0.3)
+
+    async def serves(self, vm: PlatformVm, top: int) -> bool:
+        """Return whether a VM answers the gather with `top` records."""
+        reply = await self.fleet.send("GET", "/all/q", None, vm.ip, ENTRY_PORT)
+        merged = sorted((b"a" * 16, b"b" * 16, b"c" * 16), reverse=True)[:top]
+        return b" 200 " in reply[:20] and reply.endswith(b"\r\n\r\n" + b"".join(merged))
+
+    async def all_serve(self, top: int) -> None:
+        """Wait until all entry VMs answer by the route table with `top`."""
+        for vm in self.fleet.entries:
+            await wait_until(lambda vm=vm: self.serves(vm, top), f"{vm.name} serves {top} records")
+
+    async def replace(self, vm: PlatformVm, tree: Path | None) -> None:
+        """Stop a VM and start the build in `tree`, while the other entry VMs go on serving."""
+        vm.process.signal(signal.SIGTERM)
+        await wait_until(lambda: vm.process.exit_code is not None, f"{vm.name} stops", 20)
+        for other in self.fleet.entries:
+            if other is not vm:
+                await wait_until(lambda other=other: self.served(other), "the others serve", 5)
+        vm.start(tree=tree)
+        if vm.voter:
+            await wait_until(lambda: self.fleet.read_config(vm), f"{vm.name} is back", 20)
+        else:
+            await wait_until(lambda: self.is_ready(vm), f"{vm.name} is ready", 20)
+
+    async def served(self, vm: PlatformVm) -> bool:
+        reply = await self.fleet.send("GET", "/all/q", None, vm.ip, ENTRY_PORT)
+        return b" 200 " in reply[:20]
+
+    async def is_ready(self, vm: PlatformVm) -> bool:
+        reply = await self.fleet.send("GET", "/-/ready", None, vm.ip, READY_PORT)
+        return b" 200 " in reply[:20]
+
+
+async def scenario(upgrade: Upgrade) -> None:
+    fleet = upgrade.fleet
+    for vm in upgrade.vms:
+        vm.start(bootstrap=True, tree=upgrade.old)
+    await fleet.put_config(document(1, 1))
+    await upgrade.all_serve(1)
+    entry_x, entry_y = fleet.entries
+    for vm in (entry_x, fleet.voters[0]):
+        await upgrade.replace(vm, None)
+    # Old and new processes: a change, and a suspicion that old ones do not know.
+    await fleet.put_config(document(2, 2))
+    await upgrade.all_serve(2)
+    await fleet.send("GET", "/one/dead", None, entry_x.ip, ENTRY_PORT)
+    log = fleet.folder / f"{entry_x.name}.err"
+    output = fleet.folder / f"{entry_x.name}.log"
+    await wait_until(
+        lambda: "suspected to crash" in log.read_text() + output.read_text(), "a suspicion"
+    )
+    await wait_until(
+        lambda: (
+            "suspected to crash" in (fleet.folder / "core-x.log").read_text()
+            or "suspected to crash" in (fleet.folder / "core-x.err").read_text()
+        ),
+        "the new voter knows it",
+    )
+    await asyncio.sleep(1.5)
+    await upgrade.all_serve(2)
+    # The rollback, with the data that the new build wrote.
+    for vm in (fleet.voters[0], entry_x):
+        await upgrade.replace(vm, upgrade.old)
+    await fleet.put_config(document(3, 3))
+    await upgrade.all_serve(3)
+    assert (await fleet.read_config(fleet.voters[0]))["Version"] == 3
+    assert entry_y.process.exit_code is None
+    for vm in upgrade.vms:
+        text = (fleet.folder / f"{vm.name}.err").read_text()
+        assert "Traceback" not in text + (fleet.folder / f"{vm.name}.log").read_text(), vm.name
+
+
+def test_old_and_new_builds_serve_side_by_side_and_after_a_rollback(tmp_path):
+    """Guards against a message or file of this build that the landed one does not bear."""
+
+    async def body() -> None:
+        fleet = Fleet(tmp_path, entries=2)
+        upgrade = Upgrade(fleet, landed_build(tmp_path / "landed"))
+        fakes = [*upgrade.fakes.values(), upgrade.deadly]
+        for fake in fakes:
+            await fake.start()
+        reports = asyncio.create_task(upgrade.report())
+        try:
+            async with asyncio.timeout(110):
+                await scenario(upgrade)
+        finally:
+            reports.cancel()
+            for fake in fakes:
+                fake.stop()
+            for process in fleet.processes:
+                process.reap()
+
+    asyncio.run(body())
