Answer or refuse what arrives late in the grace time of a stop

Callers whose request was complete only after the notice of a planned stop were served as usual, and cut without an answer if it took longer than the rest of the grace time; so were all requests still in flight then, also those that may not be repeated.

Cause: a draining server closed idle connections, but passed on a request that it was reading, and the end of the grace time closed connections only.

Change: a request that is complete after the notice gets 503 with a retry-after of 0.05 s; other VMs serve it.

--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -147,6 +147,11 @@
         for call in list(self._calls):
             self._execute(call, call.execution.on_caller_disconnected(self._clock()))
 
+    def end_requests(self) -> None:
+        """Answer all requests in progress, since this VM stops before their targets reply."""
+        for call in list(self._calls):
+            self._execute(call, call.execution.stop(self._clock()))
+
     @property
     def in_flight(self) -> int:
         """Number of requests in progress."""
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -309,6 +309,9 @@
             await asyncio.sleep(POLL_PERIOD_S)
         if self._busy():
             log.warning("life cycle: requests are still in flight", extra={"after_s": limit_s})
+            if self._entry is not None:
+                self._entry.end_requests()
+                await asyncio.sleep(POLL_PERIOD_S)  # lets the answers leave
 
     def _busy(self) -> bool:
         control_busy = self._control is not None and self._control.in_flight > 0
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -203,6 +203,10 @@
         self.ended = True
         return [*self._cancel_all(now), *self._report_losses()]
 
+    def stop(self, now: float) -> list[Action]:
+        """End the request because this VM stops."""
+        return [] if self.ended else self._refuse("the VM stops", now)
+
     def tick(self, now: float) -> list[Action]:
         """Send hedges that are due, and end the request when its time is up."""
         if self.ended:
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -28,6 +28,9 @@
 MEMORY_RETRY_AFTER_S = 1
 """Retry-after of a request that is refused for lack of memory, in seconds."""
 
+STOP_RETRY_AFTER_S = 0.05
+"""Retry-after of a request that is refused since the VM stops, in seconds; others serve it."""
+
 WRITE_TIMEOUT_S = 10.0
 """Time after which a caller that does not read its response is disconnected, in seconds."""
 
@@ -116,7 +119,7 @@
         self._meter = MessageMeter(0)
         self._completed = False  # the data being parsed contains the end of a request
         self._closing = False  # a response with "Connection: close" was written or is due
-        self._error: tuple[int, str] | None = None
+        self._error: tuple[int, str, float] | None = None
         self._start_request()
         # Arrival of the first byte of an incomplete request.
         self._request_started_at: float | None = None
@@ -233,6 +236,10 @@
             return
         self._request_started_at = None
         self._completed = True
+        if self._server.draining:
+            # It may need longer than the rest of the grace time.
+            self._set_error(503, "the VM stops", STOP_RETRY_AFTER_S)
+            return
         hosts = [value for name, value in self._headers if name.lower() == b"host"]
         target, host = _split_target(self._url, hosts[0] if hosts else b"")
         if len(hosts) > 1 or not host:
@@ -254,7 +261,7 @@
 
     def abort_request(self) -> None:
         """Refuse the request being read, because the memory for requests is used up."""
-        self._set_error(503, "the memory for requests is used up")
+        self._set_error(503, "the memory for requests is used up", MEMORY_RETRY_AFTER_S)
         self._body = []
         self._loop.call_soon(self._respond_error)
 
@@ -294,9 +301,9 @@
         else:
             self._respond_error()
 
-    def _set_error(self, status: int, reason: str) -> None:
+    def _set_error(self, status: int, reason: str, retry_after_s: float = 0.0) -> None:
         if self._error is None:
-            self._error = (status, reason)
+            self._error = (status, reason, retry_after_s)
 
     def _respond_error(self) -> None:
         """Write the error response for an invalid request, after all earlier responses."""
@@ -304,7 +311,7 @@
             return
         if self._closing:
             return
-        status, reason = self._error
+        status, reason, retry_after_s = self._error
         now = self._loop.time()
         self._server.refusals.record(
             reason,
@@ -318,8 +325,8 @@
             bounds=attrs.asdict(self._server.limits()),
         )
         headers = [(b"Content-Type", b"text/plain")]
-        if status == 503:
-            headers.append((b"Retry-After", b"%d" % MEMORY_RETRY_AFTER_S))
+        if retry_after_s:
+            headers.append((b"Retry-After", b"%g" % retry_after_s))
         self._write(encode_response(status, headers, reason.encode(), close=True, head=False))
         self._close_after_write()
 
