Never send a request after its caller was answered

Callers whose request waited for a free target got 503 at the timeout of the route, or left, and the request could still be sent when a target became free: it ran although the 503 promised that it would not.

Cause: the end of a request did not take it out of the set of those that wait for its service, and free capacity resumes each of that set.

Change: the end clears the set, and free capacity changes nothing afterwards.

Result: found by the test of the stop, where the target ran the second request; that assertion stands now.

--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -144,6 +144,8 @@
 
     def on_capacity(self, service: str, now: float) -> list[Action]:
         """Send the waiting sub-request of a service whose targets may have free capacity."""
+        if self.ended:
+            return []
         actions: list[Action] = []
         for shard in self._shards:
             if shard.service == service and service in self.waiting:
@@ -201,6 +203,7 @@
         if self.ended:
             return []
         self.ended = True
+        self.waiting.clear()
         return [*self._cancel_all(now), *self._report_losses()]
 
     def stop(self, now: float) -> list[Action]:
@@ -492,6 +495,7 @@
 
     def _end_with(self, action: FinalAction, now: float) -> list[Action]:
         self.ended = True
+        self.waiting.clear()
         # After a success, targets may finish the replies that are no longer needed, which keeps
         # their connections open.
         superseded = not isinstance(action, Refusal)
--- a/tests/test_entry_cut_answers.py
+++ b/tests/test_entry_cut_answers.py
@@ -104,5 +104,6 @@
         vm.server.stop_listening()
         vm.entry.end_requests()
         assert [status(reply) for reply in await asyncio.gather(*waiting)] == [502, 503]
+        assert len(vm.fakes["a1"].requests) == 1
 
     run(scenario, a1=ok)
--- a/tests/test_scatter_execution.py
+++ b/tests/test_scatter_execution.py
@@ -291,3 +291,21 @@
     _, subs, actions = begin(gather_route(), policy)
     [refusal] = actions
     assert refusal.not_run and refusal.retry_after_s > 0 and not subs
+
+
+@pytest.mark.parametrize("end", ["timeout", "disconnect", "stop"])
+def test_a_request_that_ended_while_it_waited_is_not_sent_later(end):
+    """Guards against a request that runs after its caller got a 503."""
+    policy = FakePolicy(targets=1)
+    policy.busy = {"records-0"}
+    execution, sent, _ = begin(single_route(idempotent=False), policy)
+    assert not sent and execution.waiting
+    if end == "timeout":
+        assert execution.tick(2.0)[-1].not_run
+    elif end == "stop":
+        assert execution.stop(0.5)[-1].not_run
+    else:
+        execution.on_caller_disconnected(0.5)
+    policy.busy.clear()
+    assert not execution.on_capacity("records", 2.1)
+    assert not execution.waiting and not policy.sent
