Send canaries to the shard that can best bear a loss

Cause: canaries of one request began at the same shard each time.

Change: the held shard with the most targets that can be reached comes first.

--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -298,7 +298,7 @@
     def _send_canary(self, now: float, actions: list[Action]) -> None:
         """Send one held shard, or let it wait for a target with free capacity."""
         while self._canary.held:
-            shard = self._canary.next_held()
+            shard = self._canary.next_held(self._policy.usable_targets)
             if shard.failure is None:
                 self._send_or_wait(shard, now, actions)
             else:
@@ -313,8 +313,8 @@
         losses = self._report_losses()
         actions += losses
         if losses and self._canary.is_exhausted():
-            while self._canary.held:
-                self._mark_lost(self._canary.next_held())
+            for shard in self._canary.give_up():
+                self._mark_lost(shard)
         else:
             self._send_canary(now, actions)
 
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -61,6 +61,9 @@
     def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         """Return whether the service has an untried target, busy or not."""
 
+    def usable_targets(self, service: str) -> int:
+        """Return how many targets of a service can be reached."""
+
     def estimate_retry_after(self, services: Sequence[str], needed: int, now: float) -> float:
         """Return the time in seconds until enough of the services should accept requests."""
 
@@ -220,9 +223,13 @@
             for t in self.table.replicas(service, SINGLE_SHARD, 0)
         )
 
+    def usable_targets(self, service: str) -> int:
+        """Return how many targets of a service can be reached, also those that are held back."""
+        return sum(not t.down for t in self.table.replicas(service, SINGLE_SHARD, 0))
+
     def is_served(self, service: str) -> bool:
         """Return whether a target of the service can be reached, also one that is held back."""
-        return any(not t.down for t in self.table.replicas(service, SINGLE_SHARD, 0))
+        return self.usable_targets(service) > 0
 
     def estimate_retry_after(self, services: Sequence[str], needed: int, now: float) -> float:
         """Return the time in seconds until enough of the services should accept requests.
--- a/bramleycrank/scatter/quarantine.py
+++ b/bramleycrank/scatter/quarantine.py
@@ -5,7 +5,7 @@
 import enum
 import math
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
 from bramleycrank.scatter.progress import Shard
@@ -159,10 +159,17 @@
         ordered = list(shards)
         self.held = [*ordered[first:], *ordered[:first]]
 
-    def next_held(self) -> Shard:
-        """Return the shard to send next: one without a loss if there is any."""
-        unsent = (shard for shard in self.held if shard.failure is None)
-        shard = next(unsent, self.held[0])
+    def next_held(self, usable_targets: Callable[[str], int]) -> Shard:
+        """Return the shard to send next, which can best bear the loss of one more target.
+
+        Parameters
+        ----------
+        usable_targets : callable
+            Returns how many targets of a service can be reached.
+        """
+        shard = max(
+            self.held, key=lambda held: (usable_targets(held.service), held.failure is None)
+        )
         self.held.remove(shard)
         return shard
 
@@ -183,5 +190,9 @@
         """Record that a target has replied; return the shards that may be sent now."""
         self.proven = True
         self.victims.clear()
+        return self.give_up()
+
+    def give_up(self) -> list[Shard]:
+        """Return all held shards and hold none any more."""
         held, self.held = self.held, []
         return held
--- a/tests/test_scatter_quarantine.py
+++ b/tests/test_scatter_quarantine.py
@@ -17,6 +17,7 @@
     ScatterExecution,
     SubFailure,
 )
+from bramleycrank.scatter.progress import Shard
 from bramleycrank.scatter.quarantine import (
     BURST_CANARY_S,
     BURST_TARGETS,
@@ -139,3 +140,12 @@
     assert quarantine.verdict(1, ["s0"], 1.5) is Verdict.FREE
     assert quarantine.verdict(1, ["x0", "x1"], 1.5) is Verdict.FREE
     assert quarantine.verdict(1, ["s0", "s1"], 1.3 + BURST_CANARY_S) is Verdict.FREE
+
+
+def test_a_canary_goes_to_the_shard_that_can_best_bear_a_loss():
+    """Guards against attempts that end the last targets of one shard after another."""
+    counts = {"s0": 1, "s1": 2, "s2": 3, "s3": 2}
+    canary = Canary(Quarantine(SuspectTable()), REQUEST)
+    canary.hold([Shard(service) for service in counts])
+    order = [canary.next_held(counts.get).service for _ in counts]
+    assert order[0] == "s2" and order[-1] == "s0"
