Bound the connections to a target that closes its last one

Found when the change was read again: a target that resets each connection, as one over its cap does, would have been connected without a pause.

Change: at most one such connection in PROBE_INTERVAL_S, as for silent targets.

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -22,7 +22,8 @@
 """Silence of a target with sub-requests in flight after which a new connection is opened."""
 
 PROBE_INTERVAL_S = 1.0
-"""Interval between probe connections to a target that is silent but reachable."""
+"""Interval between probe connections to a target that is silent or closed the last connection, in
+seconds."""
 
 
 @attrs.define(eq=False)
@@ -200,9 +201,13 @@
             target = self._targets.get(target_id)
             if target is None or target.down or now - target.replied_at <= TARGET_SILENCE_S:
                 continue
-            if now - target.probed_at > PROBE_INTERVAL_S:
-                target.probed_at = now
-                self._open(target)
+            self._probe(target, now)
+
+    def _probe(self, target: _Target, now: float) -> None:
+        """Open a connection to find out whether a target has ended, unless it was done recently."""
+        if now - target.probed_at > PROBE_INTERVAL_S:
+            target.probed_at = now
+            self._open(target)
 
     def _pop_idle(self, target: _Target) -> Connection | None:
         now = self._clock()
@@ -281,7 +286,7 @@
         if open_failed:
             self._set_down(target)
         elif failed and not (target.all or target.down or target.retired):
-            self._open(target)  # finds out at once whether the target has ended
+            self._probe(target, self._clock())
         if not target.retired:
             self._on_capacity(target.target_id)
 
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -194,3 +194,25 @@
     assert not fixture.pool.has_capacity("t")
     fixture.conns[0].answer()
     assert fixture.events == [("response", 1)] and fixture.conns[0].closed
+
+
+def test_a_target_whose_last_connection_ends_is_connected_at_once_but_not_again_and_again():
+    """Guards against a storm of connections to a target that resets each of them."""
+    fixture = PoolFixture()
+    fixture.send()
+    fixture.conns[0].open()
+    fixture.conns[0].answer()
+    fixture.conns[0].close()
+    assert len(fixture.conns) == 2, "the target may have ended"
+    for _ in range(20):
+        fixture.conns[-1].open()
+        fixture.conns[-1].close()
+    assert len(fixture.conns) == 2
+    fixture.run(1.1)
+    fixture.send(2)
+    fixture.conns[-1].open()
+    fixture.pool.on_request_failed(fixture.conns[-1], garbled=False)
+    fixture.conns[-1].close()
+    assert len(fixture.conns) == 4 and ("lost", 2, True) in fixture.events
+    fixture.conns[-1].close()
+    assert fixture.down == [True]
