--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -243,7 +243,11 @@
     def dump(self) -> dict[str, Any]:
         """Return the state of both cores."""
         now = self._clock()
-        return {**self.core.dump(now), "registry": self.registry.dump(now)}
+        return {
+            **self.core.dump(now),
+            "registry": self.registry.dump(now),
+            "suspects": self.suspects.table.dump(now),
+        }
 
     # Calls from the servers of this VM.
 
