--- a/tests/test_entry_target_signals.py
+++ b/tests/test_entry_target_signals.py
@@ -112,8 +112,8 @@
     """Load pattern: a part of the targets ends, and targets of other services get the addresses."""
 
     async def scenario(vm):
-        # Each request on a connection that is kept open would take 0.6 s, and 12 of them longer than
-        # the target counts as absent.
+        # On connections that are kept open, 12 requests would take longer than the target counts as
+        # absent.
         close = "Connection: close\r\n"
         for _ in range(12):
             assert status(await vm.get(extra=close)) == 200
