--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -380,7 +380,7 @@
 
     def _check_losses(self, call: Call, action: ReportLosses, checks: int) -> None:
         """Report a crash if targets of lost sub-requests are down and none has replied."""
-        if call.execution.proven:
+        if call.execution.has_reply:
             return
         down = next((loss for loss in action.losses if self._targets.pool.is_down(loss[1])), None)
         if checks and down is not None:
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -134,8 +134,8 @@
         for shard in self._shards:
             self._policy.on_request(shard.service, now)
         unsent = [shard for shard in self._shards if not shard.ended]
-        if self._canary.goes_first_alone:
-            self._canary.hold(unsent)
+        if self._canary.needs_canary:
+            self._canary.defer(unsent)
             self._send_canary(now, actions)
         else:
             for shard in unsent:
@@ -151,7 +151,7 @@
             if shard.service == service and service in self.waiting:
                 self.waiting.discard(service)
                 self._send_or_wait(shard, now, actions)
-        self._resume_held(now, actions)
+        self._resume_deferred(now, actions)
         return actions if self.ended else [*actions, *self._end_if_settled(now)]
 
     def on_reply(self, sub_id: int, reply: TargetReply, now: float) -> list[Action]:
@@ -174,7 +174,7 @@
         actions = self._cancel(shard, True, now)
         self._end_shard(shard)
         self._stream.on_reply(now)
-        self._release_held(now, actions)
+        self._send_deferred(now, actions)
         return [*actions, *self._end_if_settled(now)]
 
     def on_failure(self, sub_id: int, failure: SubFailure, now: float) -> list[Action]:
@@ -189,13 +189,13 @@
         self._policy.on_failure(sub.target_id, failure, now)
         actions: list[Action] = []
         lost = failure.kind is FailureKind.LOST
-        if lost and not self._canary.proven:
+        if lost and not self._canary.has_reply:
             self._canary.on_lost(shard, sub.target_id)
         elif not lost and failure.kind not in NOT_RUN_KINDS:
-            self._release_held(now, actions)
-        if not shard.open and shard not in self._canary.held:
+            self._send_deferred(now, actions)
+        if not shard.open and shard not in self._canary.deferred:
             self._retry_or_mark_lost(shard, failure, now, actions)
-        self._resume_held(now, actions)
+        self._resume_deferred(now, actions)
         return [*actions, *self._end_if_settled(now)]
 
     def on_caller_disconnected(self, now: float) -> list[Action]:
@@ -284,21 +284,21 @@
         actions.append(Forward(sub.sub_id, target_id, shard.service, self._deadline))
 
     def _may_hedge(self, shard: Shard) -> bool:
-        if self._canary.held and not self._canary.proven:
+        if self._canary.deferred and not self._canary.has_reply:
             return True  # another shard is sent in place of a hedge
         return self.route.idempotent and shard.sends < self.route.max_targets
 
     # Sub-requests that are sent one at a time.
 
     @property
-    def proven(self) -> bool:
+    def has_reply(self) -> bool:
         """Whether a target has run the request and replied."""
-        return self._canary.proven
+        return self._canary.has_reply
 
     def _send_canary(self, now: float, actions: list[Action]) -> None:
-        """Send one held shard, or let it wait for a target with free capacity."""
-        while self._canary.held:
-            shard = self._canary.next_held(self._policy.usable_targets)
+        """Send one deferred shard, or let it wait for a target with free capacity."""
+        while self._canary.deferred:
+            shard = self._canary.next_deferred(self._policy.usable_targets)
             if shard.failure is None:
                 self._send_or_wait(shard, now, actions)
             else:
@@ -306,21 +306,21 @@
             if not shard.ended:
                 return
 
-    def _resume_held(self, now: float, actions: list[Action]) -> None:
-        """Send one held shard if nothing is in flight, or give up after too many losses."""
-        if not self._canary.held or self._open_subs or self.waiting:
+    def _resume_deferred(self, now: float, actions: list[Action]) -> None:
+        """Send one deferred shard if nothing is in flight, or give up after too many losses."""
+        if not self._canary.deferred or self._open_subs or self.waiting:
             return
         losses = self._report_losses()
         actions += losses
         if losses and self._canary.is_exhausted():
-            for shard in self._canary.give_up():
+            for shard in self._canary.take_deferred():
                 self._mark_lost(shard)
         else:
             self._send_canary(now, actions)
 
-    def _release_held(self, now: float, actions: list[Action]) -> None:
-        """Send all held shards, since a target has run the request and replied."""
-        if not self._canary.proven:
+    def _send_deferred(self, now: float, actions: list[Action]) -> None:
+        """Send all deferred shards, since a target has run the request and replied."""
+        if not self._canary.has_reply:
             self._next_hedge_at = now
         for shard in self._canary.on_ran():
             if shard.open or shard.ended:
@@ -331,13 +331,13 @@
                 self._retry_or_mark_lost(shard, shard.failure, now, actions)
 
     def _report_losses(self) -> list[Action]:
-        losses = tuple(self._canary.victims)
-        self._canary.victims.clear()
+        losses = tuple(self._canary.lost_targets)
+        self._canary.lost_targets.clear()
         return [ReportLosses(losses)] if losses else []
 
     def _send_hedges(self, now: float, actions: list[Action]) -> None:
         """Send the hedges that are due, unless replies are still streaming in."""
-        if not self._canary.proven:
+        if not self._canary.has_reply:
             self._send_first_hedge(now, actions)
             return
         no_hedge_before = self._stream.next_reply_due(self._lost)
@@ -365,7 +365,7 @@
         """
         if self._canary.may_hedge():
             due = [s for s in self._shards if not s.ended and s.open and now >= s.hedge_at]
-            if self._canary.held:
+            if self._canary.deferred:
                 self._send_canary(now, actions)
             elif due and self._may_hedge(due[0]):
                 self._try_hedge(due[0], len(due), now, actions)
--- a/bramleycrank/scatter/quarantine.py
+++ b/bramleycrank/scatter/quarantine.py
@@ -113,7 +113,7 @@
     """Order in which the sub-requests of one request are sent.
 
     A sub-request that is lost before any target has replied may have crashed its target. Until
-    one has replied, lost and unsent shards are held, and one of them is sent at a time.
+    one has replied, lost and unsent shards are deferred, and one of them is sent at a time.
 
     Parameters
     ----------
@@ -127,9 +127,11 @@
         self._quarantine = quarantine
         self._fingerprint = fingerprint
         self.verdict = Verdict.FREE
-        self.proven = quarantine is None
-        self.held: list[Shard] = []
-        self.victims: list[tuple[str, str]] = []  # service and target of each loss of this round
+        self.has_reply = quarantine is None
+        self.deferred: list[Shard] = []
+        self.lost_targets: list[
+            tuple[str, str]
+        ] = []  # service and target of each loss of this round
         self.lost_rounds = 0
 
     def begin(self, services: Collection[str], now: float) -> None:
@@ -138,28 +140,26 @@
             self.verdict = self._quarantine.verdict(self._fingerprint, services, now)
 
     @property
-    def goes_first_alone(self) -> bool:
+    def needs_canary(self) -> bool:
         """Whether the request goes to one target first."""
-        return not self.proven and self.verdict is Verdict.CANARY
+        return not self.has_reply and self.verdict is Verdict.CANARY
 
     def may_hedge(self) -> bool:
         """Return whether a slow sub-request may be hedged before a target has replied.
 
         A request under which targets have ended waits for the outcome of each sub-request.
         """
-        return self.proven or not (
-            self.victims
+        return self.has_reply or not (
+            self.lost_targets
             or self.lost_rounds
             or (self._quarantine is not None and self._quarantine.is_suspect(self._fingerprint))
         )
 
-    def hold(self, shards: Collection[Shard]) -> None:
-        """Hold shards that have sent nothing; the request decides which one comes first."""
-        first = self._fingerprint % max(1, len(shards))
-        ordered = list(shards)
-        self.held = [*ordered[first:], *ordered[:first]]
+    def defer(self, shards: Collection[Shard]) -> None:
+        """Defer shards that have sent nothing."""
+        self.deferred = list(shards)
 
-    def next_held(self, usable_targets: Callable[[str], int]) -> Shard:
+    def next_deferred(self, usable_targets: Callable[[str], int]) -> Shard:
         """Return the shard to send next, which can best bear the loss of one more target.
 
         Parameters
@@ -168,16 +168,16 @@
             Returns how many targets of a service can be reached.
         """
         shard = max(
-            self.held, key=lambda held: (usable_targets(held.service), held.failure is None)
+            self.deferred, key=lambda item: (usable_targets(item.service), item.failure is None)
         )
-        self.held.remove(shard)
+        self.deferred.remove(shard)
         return shard
 
     def on_lost(self, shard: Shard, target_id: str) -> None:
-        """Record the loss of a sub-request, and hold its shard if it was the only one in flight."""
+        """Record a lost sub-request, and defer its shard if no other one of it is in flight."""
         if not shard.open:
-            self.held.append(shard)
-        self.victims.append((shard.service, target_id))
+            self.deferred.append(shard)
+        self.lost_targets.append((shard.service, target_id))
 
     def is_exhausted(self) -> bool:
         """Return whether the request has lost too many rounds, and count the last one."""
@@ -188,11 +188,11 @@
 
     def on_ran(self) -> list[Shard]:
         """Record that a target has replied; return the shards that may be sent now."""
-        self.proven = True
-        self.victims.clear()
-        return self.give_up()
+        self.has_reply = True
+        self.lost_targets.clear()
+        return self.take_deferred()
 
-    def give_up(self) -> list[Shard]:
-        """Return all held shards and hold none any more."""
-        held, self.held = self.held, []
+    def take_deferred(self) -> list[Shard]:
+        """Return all deferred shards and defer none any more."""
+        held, self.deferred = self.deferred, []
         return held
