Report only requests that stay unanswered; send suspicions to fewer VMs

Cause, by reading: a single-target request that lost its target was reported 0.12 s later, before its retry could reply, and cleared again.

Change: a crash is reported once the attempt has ended without a reply or has lost two rounds. Suspicions go to three VMs and on, and at most 16 of the last 5 s are attached to a message. A suspicion that has expired is not taken back.

--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -43,9 +43,9 @@
 log = logging.getLogger(__name__)
 
 
-CRASH_CHECKS_S = (0.12, 0.3, 0.8)
-"""Times after a loss at which its target is checked, in seconds: a retry has replied by the first
-one unless it was lost too, and a target that does not respond to a connect is down by the last."""
+CRASH_CHECKS_S = (0.12, 0.3, 0.8, 2.0)
+"""Times after a loss at which its target is checked, in seconds; one that does not respond to a
+connect is down by the third."""
 
 MAX_LOGGED_FAILURES = 8
 """Most failed sub-requests listed in the log line of a request, which must stay a short line."""
@@ -383,7 +383,7 @@
         if call.execution.has_reply:
             return
         down = next((loss for loss in action.losses if self._targets.pool.is_down(loss[1])), None)
-        if checks and down is not None:
+        if checks and down is not None and call.execution.looks_deadly:
             service, target_id = down
             log.info(
                 "entry: a target ended while it ran a request",
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -61,8 +61,8 @@
 # Delay of the push of a new target, to batch it with others that report at the same time.
 NEW_TARGETS_BATCH_S = 0.03
 
-# Number of VMs to which a VM sends a suspicion that is new to it.
-SUSPECTS_FANOUT = 12
+# Number of VMs to which a VM sends a suspicion that is new to it; probes carry it to the others.
+SUSPECTS_FANOUT = 3
 
 # Limit of the call that sends a suspicion to one VM.
 SUSPECTS_TIMEOUT_S = 1.0
--- a/bramleycrank/membership/suspects.py
+++ b/bramleycrank/membership/suspects.py
@@ -19,7 +19,10 @@
 SUSPICION_S = 60.0
 """The same for a request with fewer crashes."""
 
-FRESH_S = 10.0
+MAX_FRESH = 16
+"""Maximum number of suspicions attached to a message; the ones that changed last are."""
+
+FRESH_S = 5.0
 """Time after a change for which a suspicion is attached to each message, in seconds. Later it
 travels with anti-entropy exchanges only."""
 
@@ -50,6 +53,12 @@
         return self.crashes >= CRASHES_TO_QUARANTINE
 
 
+def _lifetime_s(record: SuspectRequest) -> float:
+    """Return the time since its last crash for which a suspicion is kept, in seconds."""
+    crashes = len(set(record.crash_ids).difference(record.cleared_ids))
+    return QUARANTINE_S if crashes >= CRASHES_TO_QUARANTINE else SUSPICION_S
+
+
 class SuspectTable:
     """Merges the suspicions of all VMs.
 
@@ -110,6 +119,8 @@
         for record in records:
             suspect = self._suspects.get(record.fingerprint)
             if suspect is None:
+                if record.age_s >= _lifetime_s(record):
+                    continue  # it was forgotten here; taking it back would spread it again
                 suspect = self._add(record.fingerprint, record.service, now - record.age_s)
             elif suspect.crash_ids.issuperset(record.crash_ids) and suspect.cleared_ids.issuperset(
                 record.cleared_ids
@@ -125,11 +136,11 @@
     def outgoing(self, now: float, *, fresh_only: bool) -> list[SuspectRequest]:
         """Return the suspicions for a message to another VM."""
         self._forget_old(now)
-        return [
-            self._outgoing(fingerprint, suspect, now)
-            for fingerprint, suspect in self._suspects.items()
-            if not fresh_only or now - suspect.changed_at < FRESH_S
-        ]
+        selected = self._suspects.items()
+        if fresh_only:
+            fresh = [item for item in selected if now - item[1].changed_at < FRESH_S]
+            selected = sorted(fresh, key=lambda item: -item[1].changed_at)[:MAX_FRESH]
+        return [self._outgoing(fingerprint, suspect, now) for fingerprint, suspect in selected]
 
     def _add(self, fingerprint: int, service: str, now: float) -> _Suspect:
         while len(self._suspects) >= MAX_SUSPECTS:
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -295,6 +295,11 @@
         """Whether a target has run the request and replied."""
         return self._canary.has_reply
 
+    @property
+    def looks_deadly(self) -> bool:
+        """Whether losses without any reply are all that became of the request, more than once."""
+        return not self.has_reply and (self.ended or self._canary.lost_rounds > 1)
+
     def _send_canary(self, now: float, actions: list[Action]) -> None:
         """Send one deferred shard, or let it wait for a target with free capacity."""
         while self._canary.deferred:
