Tell targets that a VM cannot reach from targets that nobody knows

A refusal said 'no target is known' in both cases, so that a log did not show whether a VM was cut off, its targets had ended, or all were held back.

Refusals now say 'no target can be reached', 'no target is free' or 'no target is known'; a service whose targets all become unreachable is logged with the number of such services and of connections that still work, and counted in a gauge.

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -130,6 +130,11 @@
         target = self._targets.get(target_id)
         return target is None or target.down
 
+    @property
+    def connected(self) -> int:
+        """Number of open connections."""
+        return len(self._target_by_conn) - len(self._connecting_since)
+
     # Sub-requests.
 
     def send(self, sub: PooledSubRequest) -> None:
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -125,6 +125,8 @@
         self._incarnations: dict[str, int] = {}
         self._record_keys: dict[str, tuple[int, int, int]] = {}
         self._covered: set[str] = set()
+        self.unreached: frozenset[str] = frozenset()
+        """Services with known targets, none of which can be reached."""
         self.on_target_down: Callable[[str, str, float], None] = lambda *_: None
         self._domain = domain
         self._remote: set[str] = set()  # targets in other failure domains
@@ -247,8 +249,27 @@
             self._covered.add(service)
         else:
             self._covered.discard(service)
+        self._update_reach(service)
         self._on_capacity(service)
 
+    def _update_reach(self, service: str) -> None:
+        """Record whether a target of a service can be reached, and log each change."""
+        unreached = service in self._covered and not self.policy.is_served(service)
+        if unreached == (service in self.unreached):
+            return
+        self.unreached ^= {service}
+        self._metrics.gauge("entry.services_unreached", len(self.unreached))
+        log.info(
+            "entry: service is %s",
+            "out of reach" if unreached else "in reach",
+            extra={
+                "service": service,
+                "unreached": len(self.unreached),
+                "services": len(self._covered),
+                "kept_connections": self.pool.connected,
+            },
+        )
+
     def _update_warmth(self, record: TargetRecord) -> None:
         """Pass the warm-up of a target to the policy, if its record has changed."""
         target_id, key = record.target_id, record_key(record)
@@ -295,6 +316,7 @@
                 self.on_target_down(target_id, service, self._clock())
             else:
                 self.policy.on_reachable_again(service, target_id, self._clock())
+            self._update_reach(service)
             self._loop.call_soon(self._on_capacity, service)
 
     def _update_senders(self) -> None:
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -88,6 +88,11 @@
     _timing("entry.latency", "Time from the receipt of a forwarded request to its answer."),
     _counter("entry.gone", "requests", "Requests whose caller disconnected before the answer."),
     _counter("entry.sub_requests", "sub-requests", "Sub-requests passed to the connection pool."),
+    _gauge(
+        "entry.services_unreached",
+        "services",
+        "Services with known targets, none of which this VM can reach.",
+    ),
     _counter("entry.holds", "holds", "Times that a target was held back at its own request."),
     _counter(
         "entry.crashes", "crashes", "Times that targets ended while they ran an unanswered request."
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -480,8 +480,18 @@
         reply = failure.answer if failure is not None else None
         if not self.route.gather and reply is not None:
             return self._end_with(Answer(reply), now)
-        reason = f"sub-request {failure.kind}" if failure else "no target is known"
-        return self._refuse(reason, now)
+        return self._refuse(self._reason(failure), now)
+
+    def _reason(self, failure: SubFailure | None) -> str:
+        """Return why there is no answer, for the log."""
+        if failure is not None:
+            return f"sub-request {failure.kind}"
+        lost = [shard.service for shard in self._shards if shard.ended and shard.part is None]
+        known = any(self._policy.knows(service) for service in lost)
+        reached = any(self._policy.usable_targets(service) for service in lost)
+        if known and not reached:
+            return "no target can be reached"
+        return "no target is free" if reached else "no target is known"
 
     def _on_deadline(self, now: float) -> list[Action]:
         if self.route.gather and self._stream.count >= self._needed:
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -61,6 +61,9 @@
     def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         """Return whether the service has an untried target, busy or not."""
 
+    def knows(self, service: str) -> bool:
+        """Return whether a target of a service is known, reachable or not."""
+
     def usable_targets(self, service: str) -> int:
         """Return how many targets of a service can be reached."""
 
@@ -223,6 +226,10 @@
             for t in self.table.replicas(service, SINGLE_SHARD, 0)
         )
 
+    def knows(self, service: str) -> bool:
+        """Return whether a target of a service is known, reachable or not."""
+        return bool(self.table.replicas(service, SINGLE_SHARD, 0))
+
     def usable_targets(self, service: str) -> int:
         """Return how many targets of a service can be reached, also those that are held back."""
         return sum(not t.down for t in self.table.replicas(service, SINGLE_SHARD, 0))
--- a/tests/scatter_fakes.py
+++ b/tests/scatter_fakes.py
@@ -79,6 +79,9 @@
     def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         return any(name not in tried for name in self.target_ids(service))
 
+    def knows(self, service: str) -> bool:
+        return bool(self.target_ids(service))
+
     def usable_targets(self, service: str) -> int:
         return len(self.target_ids(service))
 
