Reproduce VMs that refuse while others reach the targets

Two of three entry VMs lose their links to all targets, by the harness that also partitions daemons; callers and the third VM stay connected. From 4 s after the cut they should serve what the third one serves; on this code they serve 0 of their requests with silent links. With refused connects the test passes, since it needs no new connections.

--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -5,7 +5,9 @@
 import asyncio
 import json
 import os
+import signal
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 
 from harness.processes import Process, wait_until
@@ -39,6 +41,7 @@
         self.fleet, self.name, self.ip, self.zone, self.voter = fleet, name, ip, zone, voter
         self.data_dir = fleet.folder / f"{name}-data"
         self.process: Process | None = None
+        self.partition_file: Path | None = None
 
     @property
     def settings(self) -> Path:
@@ -74,15 +77,32 @@
     ) -> None:
         """Write the settings file and start the process, of the build in `tree` if given."""
         self.write_settings(seeds or self.fleet.seeds, bootstrap=bootstrap)
+        program, env = ["bramleycrank.platform"], {"BRAMLEYCRANK_NODE_FILE": str(self.settings)}
+        if self.partition_file is not None:
+            program = ["harness.partitioned", "bramleycrank.platform.__main__"]
+            env["BRAMLEYCRANK_CUT"] = str(self.partition_file)
         self.process = Process(
-            [sys.executable, "-m", "bramleycrank.platform"],
+            [sys.executable, "-m", *program],
             self.fleet.folder / f"{self.name}.err",
-            {"BRAMLEYCRANK_NODE_FILE": str(self.settings)},
+            env,
             self.fleet.folder / f"{self.name}.log",
             tree,
         )
         self.fleet.processes.append(self.process)
 
+    def cut(self, addresses: Iterable[str], *, refuse: bool = False) -> None:
+        """Cut the links to addresses, or refuse only new connections to them.
+
+        The process must have been started with a `partition_file`.
+        """
+        prefix = "refuse " if refuse else ""
+        self.partition_file.write_text("".join(f"{prefix}{item}\n" for item in addresses))
+        self.process.signal(signal.SIGUSR1)
+
+    def end_cut(self) -> None:
+        """End the cut of this VM's links."""
+        self.process.signal(signal.SIGUSR2)
+
 
 class Fleet:
     """Three voters and some entry VMs, in three zones.
