--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -25,6 +26,9 @@
 """Interval between probe connections to a target that is silent or closed the last connection, in
 seconds."""
 
+RETRY_JITTER = 0.25
+"""Random part of the interval between attempts to connect, so that VMs do not return together."""
+
 
 @attrs.define(eq=False)
 class _Target:
@@ -67,6 +71,8 @@
         Called with the id of a target and whether it is down, after each change.
     clock : callable
         Monotonic time in seconds.
+    rng : random.Random
+        Source of random choices.
     """
 
     def __init__(
@@ -76,12 +82,18 @@
         on_capacity: Callable[[str], None],
         on_down: Callable[[str, bool], None],
         clock: Callable[[], float],
+        rng: random.Random,
     ) -> None:
         self._open_connection = open_connection
         self._share = share
         self._on_capacity = on_capacity
         self._on_down = on_down
         self._clock = clock
+        self._rng = rng
+        self.on_heard: Callable[[], None] = lambda: None
+        """Called when a target accepts a connection or responds."""
+        self.reconnecting = True
+        """Whether targets that are down are connected again."""
         self._targets: dict[str, _Target] = {}
         self._sub_by_conn: dict[Connection, PooledSubRequest] = {}
         self._target_by_conn: dict[Connection, _Target] = {}
@@ -190,11 +202,44 @@
         for target in list(self._targets.values()):
             for conn in [c for c in target.idle if not _is_usable(c, now)]:
                 conn.close()
-            if target.down and now >= target.retry_at:
-                target.retry_at = now + MAX_BACKOFF_S
+            if target.down and self.reconnecting and now >= target.retry_at:
+                target.retry_at = now + self._with_jitter(MAX_BACKOFF_S)
                 self._open(target)
         self._probe_silent_targets(now)
 
+    def _with_jitter(self, interval_s: float) -> float:
+        return interval_s * (1 + RETRY_JITTER * (2 * self._rng.random() - 1))
+
+    def overdue_targets(self, patience: Callable[[str], float]) -> int:
+        """Return how many targets owe a reply or a connection for longer than their patience.
+
+        Parameters
+        ----------
+        patience : callable
+            Returns the time in seconds for which a target may be silent.
+        """
+        now = self._clock()
+        oldest: dict[str, float] = {}
+        for sub in self._sub_by_conn.values():
+            if sub.linger_until is None:
+                started = oldest.setdefault(sub.target_id, sub.started)
+                oldest[sub.target_id] = min(started, sub.started)
+        return sum(now - started > patience(target_id) for target_id, started in oldest.items())
+
+    def probe(self, target_ids: Iterable[str]) -> None:
+        """Open a connection to each of these targets to find out whether it can be reached."""
+        for target_id in target_ids:
+            target = self._targets.get(target_id)
+            if target is not None:
+                target.probed_at = self._clock()
+                self._open(target)
+
+    def spread_reconnects(self) -> None:
+        """Connect to the targets that are down at random times within the longest interval."""
+        now = self._clock()
+        for target in self._targets.values():
+            target.retry_at = now + MAX_BACKOFF_S * self._rng.random()
+
     def _probe_silent_targets(self, now: float) -> None:
         """Open a probe connection to each silent target with sub-requests in flight."""
         silent = {
@@ -244,6 +289,7 @@
             conn.close()  # it opened after the connect timeout
             return
         target = self._target_by_conn[conn]
+        self.on_heard()
         self._set_up(target)
         sub = self._sub_by_conn.get(conn)
         if sub is not None:
@@ -254,6 +300,7 @@
     def on_response(self, conn: Connection, response: Any) -> None:
         """Pass a response to the listener and reuse the connection."""
         sub = self._sub_by_conn.pop(conn, None)
+        self.on_heard()
         if sub is None:
             conn.close()
             return
@@ -308,7 +355,7 @@
     def _set_down(self, target: _Target) -> None:
         backoff_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**target.failures)
         target.failures = min(target.failures + 1, 10)
-        target.retry_at = self._clock() + backoff_s
+        target.retry_at = self._clock() + self._with_jitter(backoff_s)
         if target.down or target.retired:
             return
         target.down = True
--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -47,6 +47,7 @@
         *,
         replace_damaged: bool = False,
         control_only: bool = False,
+        delegation_port: int = 0,
     ) -> ControlParts:
         """Build and connect the parts without starting them.
 
@@ -64,13 +65,15 @@
             Whether a damaged log is replaced by an empty one.
         control_only : bool, optional
             Whether the VM serves no callers and so sends nothing to targets.
+        delegation_port : int, optional
+            Port for requests of other VMs that cannot reach their targets; 0 for none.
         """
         traffic = Traffic(metrics)
         clients = PeerClients(traffic)
         seeds = [str(seed) for seed in cfg.peers.seeds]
         membership = MembershipController(
             membership_cfg or _membership_config(cfg),
-            _vm_record(cfg, control_only),
+            _vm_record(cfg, control_only, delegation_port),
             seeds,
             clients,
             rng=rng,
@@ -103,7 +106,7 @@
     )
 
 
-def _vm_record(cfg: Settings, control_only: bool) -> peer_pb2.VmRecord:
+def _vm_record(cfg: Settings, control_only: bool, delegation_port: int) -> peer_pb2.VmRecord:
     grpc = cfg.listen.grpc
     return peer_pb2.VmRecord(
         vm_id=cfg.vm.id,
@@ -111,6 +114,7 @@
         host=grpc.host,
         port=grpc.port,
         control_only=control_only,
+        delegation_port=delegation_port,
     )
 
 
--- /dev/null
+++ b/bramleycrank/daemon/delegator.py
@@ -0,0 +1,359 @@
+"""Offers requests that this VM cannot serve to VMs that can, and passes their answers on."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import attrs
+
+from bramleycrank.connections.http_pool import HttpPool
+from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
+from bramleycrank.daemon.delegation_headers import Offer, Reply
+from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
+from bramleycrank.observability.metrics import Metrics
+from bramleycrank.observability.request_log import RequestLog
+from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
+from bramleycrank.proto.peer_pb2 import VM_STATE_ALIVE, VmRecord
+from bramleycrank.routing import Route
+from bramleycrank.scatter.delegation import Peer, PeerChoice
+from bramleycrank.transport.http1 import (
+    Exchange,
+    ReceiveBudget,
+    RequestTemplate,
+    Response,
+    TargetConnection,
+)
+
+log = logging.getLogger(__name__)
+
+MAX_CONNECTIONS = 64
+"""Most requests that this VM has in progress at one other VM."""
+
+PEERS_MAX_AGE_S = 0.5
+"""Age at which the list of VMs is read again, in seconds."""
+
+NOT_STARTED_STATUSES = frozenset({408, 413, 421, 431, 503})
+"""Statuses with which a VM's server rejects a request before anything is done for it."""
+
+
+class Vms(Protocol):
+    """Source of the VMs."""
+
+    def vms(self) -> Iterable[VmRecord]:
+        """Return the VMs that may be alive."""
+
+
+@attrs.frozen(eq=False)
+class Delegation:
+    """A request that another VM shall serve.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The caller's request.
+    meta : CallerMeta
+        Its metadata.
+    route : Route
+        Its route.
+    offer : Offer
+        What the other VM has to know.
+    deadline : float
+        Time at which the caller stops waiting, in seconds.
+    on_unserved : callable
+        Called if no VM has started the request.
+    """
+
+    exchange: Exchange
+    meta: CallerMeta
+    route: Route
+    offer: Offer
+    deadline: float
+    on_unserved: Callable[[], None]
+
+
+@attrs.define(eq=False)
+class _Offered:
+    """A delegation in progress; listens to the outcome of its request."""
+
+    delegator: Delegator
+    request: Delegation
+    tried: list[str] = attrs.field(factory=list)
+    sub: PooledSubRequest | None = None
+    timer: asyncio.TimerHandle | None = None
+
+    def on_response(self, sub: PooledSubRequest, response: Response) -> bool:
+        return self.delegator.on_response(self, sub, response)
+
+    def on_lost(self, sub: PooledSubRequest, *, sent: bool, garbled: bool) -> None:
+        self.delegator.on_lost(self, sub, sent=sent)
+
+    def on_late(self, sub: PooledSubRequest, response: Response) -> None:
+        """Ignore a response; delegated requests are never superseded."""
+
+    def on_cancel_completed(self, sub: PooledSubRequest, outcome: CancelOutcome) -> None:
+        """Ignore the end of a cancelled request; it was counted when it was cancelled."""
+
+
+class Delegator:
+    """Delegates requests to other VMs by HTTP, over one hop.
+
+    A request that may have been started by another VM is offered to no further one, since that VM
+    counts the attempts at the targets.
+
+    Parameters
+    ----------
+    vm_id, domain : str
+        Id and failure domain of this VM.
+    dialect : EntryDialect
+        Reads and writes the protocol's headers.
+    vms : Vms
+        Source of the VMs.
+    metrics : Metrics
+        Receives the metrics.
+    rng : random.Random
+        Source of random choices.
+    traffic : Traffic
+        Counts the bytes and messages.
+    memory_bytes : int, optional
+        Memory limit of this VM in bytes, a part of which may hold answers; 0 if unknown.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        domain: str,
+        dialect: EntryDialect,
+        vms: Vms,
+        metrics: Metrics,
+        rng: random.Random,
+        traffic: Traffic,
+        memory_bytes: int = 0,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._clock = self._loop.time
+        self._domain = domain
+        self._dialect = dialect
+        self._vms = vms
+        self._metrics = metrics
+        self._traffic = traffic
+        self._requests = RequestLog(log, self._clock)
+        self._intake: ReceiveBudget[TargetConnection] = ReceiveBudget.from_memory(memory_bytes)
+        self.choice = PeerChoice(vm_id, rng)
+        self._remote: set[str] = set()
+        self._pool = HttpPool(
+            self._connect, lambda limit: limit, lambda vm_id: None, self._on_down, self._clock, rng
+        )
+        self._peers_read_at = float("-inf")
+        self._offered: set[_Offered] = set()
+        self._open_tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in progress at other VMs."""
+        return len(self._offered)
+
+    def tick(self) -> None:
+        """Apply the time limits of connections."""
+        self._pool.tick()
+
+    def on_report(self, vm_id: str, unreached: int) -> None:
+        """Record how many services another VM cannot reach."""
+        self.choice.on_report(vm_id, unreached, self._clock())
+
+    def can_delegate(self, own_unreached: int) -> bool:
+        """Return whether a VM is known that reaches more services than this one."""
+        return self._choose(own_unreached, ()) is not None
+
+    def offer(self, request: Delegation) -> bool:
+        """Offer a request to another VM; return False if there is none."""
+        item = _Offered(self, request)
+        if not self._send(item):
+            return False
+        self._offered.add(item)
+        request.exchange.on_disconnected = lambda: self._on_caller_disconnected(item)
+        item.timer = self._loop.call_at(request.deadline, self._on_deadline, item)
+        return True
+
+    def stop(self) -> None:
+        """Answer all requests that are at other VMs, since this VM stops."""
+        for item in list(self._offered):
+            self._cancel(item)
+            self._respond(item, 502, "the VM stops")
+
+    def dump(self) -> dict[str, Any]:
+        """Return the requests at other VMs, and what is known of these VMs."""
+        return {
+            "in_flight": len(self._offered),
+            "peers": self.choice.dump(self._clock()),
+            "connections": self._pool.dump(),
+        }
+
+    # Offers.
+
+    def _choose(self, own_unreached: int, tried: Iterable[str]) -> Peer | None:
+        now = self._clock()
+        if now - self._peers_read_at >= PEERS_MAX_AGE_S:
+            self._peers_read_at = now
+            self._read_peers()
+        full = (vm_id for vm_id in self.choice.peers if not self._pool.has_capacity(vm_id))
+        return self.choice.choose(own_unreached, list(tried), now, unusable=frozenset(full))
+
+    def _read_peers(self) -> None:
+        records = [
+            record
+            for record in self._vms.vms()
+            if record.delegation_port and record.state == VM_STATE_ALIVE
+        ]
+        known = set(self.choice.peers)
+        self.choice.set_peers(
+            Peer(record.vm_id, record.host, record.delegation_port) for record in records
+        )
+        self._remote = {record.vm_id for record in records if record.domain != self._domain}
+        for vm_id in known - set(self.choice.peers):
+            self._pool.remove(vm_id)
+        for peer in self.choice.peers.values():
+            self._pool.update(peer.vm_id, peer.host, peer.port, MAX_CONNECTIONS)
+
+    def _send(self, item: _Offered) -> bool:
+        """Offer a request to a VM that was not tried; return False if there is none."""
+        request = item.request
+        peer = self._choose(request.offer.unreached, item.tried)
+        if peer is None or self._clock() >= request.deadline:
+            return False
+        item.tried.append(peer.vm_id)
+        caller_request = request.exchange.request
+        headers = self._dialect.forwarded_headers(Offer.strip(caller_request))
+        template = RequestTemplate(caller_request, headers)
+
+        def encode() -> bytes:
+            left_s = request.deadline - request.offer.network_s - self._clock()
+            data = template.encode([*self._dialect.wait_headers(left_s), *request.offer.headers()])
+            self._record_traffic(peer.vm_id, len(data) + SEGMENT_BYTES, calls=1)
+            return data
+
+        item.sub = PooledSubRequest(
+            0, peer.vm_id, encode, caller_request.method == b"HEAD", item, self._clock()
+        )
+        self.choice.on_sent(peer.vm_id)
+        self._count("sent")
+        self._pool.send(item.sub)
+        return True
+
+    def _count(self, event: str) -> None:
+        self._metrics.incr(f"entry.delegations.{event}")
+
+    def _record_traffic(self, vm_id: str, size: int, calls: int) -> None:
+        self._traffic.record("delegations", vm_id in self._remote, size, calls=calls)
+
+    # Outcomes.
+
+    def on_response(self, item: _Offered, sub: PooledSubRequest, response: Response) -> bool:
+        """Pass an answer on, or offer the request to another VM if this one has not started it."""
+        self._record_traffic(sub.target_id, response.size, calls=0)
+        reply = Reply.from_response(response)
+        if reply is None or not reply.started:
+            if reply is None and response.status not in NOT_STARTED_STATUSES:
+                self.on_lost(item, sub, sent=True)
+                return False
+            if reply is not None:
+                self.choice.on_report(sub.target_id, reply.unreached, self._clock())
+            self._on_not_started(item, sub)
+            return True
+        self.choice.on_ended(sub.target_id)
+        self._count("answered")
+        self._respond(
+            item, response.status, "delegated", Reply.strip(response.headers), response.body
+        )
+        return True
+
+    def on_lost(self, item: _Offered, sub: PooledSubRequest, *, sent: bool) -> None:
+        """Offer an unsent request to another VM; one that was sent may have run."""
+        if not sent:
+            self._on_not_started(item, sub)
+            return
+        self.choice.on_ended(sub.target_id)
+        self.choice.on_returned(sub.target_id, self._clock())
+        self._count("lost")
+        self._respond(item, 502, "the answer of another VM is lost")
+
+    def _on_not_started(self, item: _Offered, sub: PooledSubRequest) -> None:
+        self.choice.on_ended(sub.target_id)
+        self.choice.on_returned(sub.target_id, self._clock())
+        self._count("returned")
+        item.sub = None
+        if item.request.exchange.disconnected or self._send(item):
+            return
+        self._forget(item)
+        item.request.on_unserved()
+
+    def _on_deadline(self, item: _Offered) -> None:
+        self._cancel(item)
+        self._respond(item, 504, "timeout")
+
+    def _on_caller_disconnected(self, item: _Offered) -> None:
+        self._metrics.incr("entry.gone")
+        self._cancel(item)
+
+    def _cancel(self, item: _Offered) -> None:
+        self._forget(item)
+        if item.sub is not None:
+            self.choice.on_ended(item.sub.target_id)
+            self._pool.cancel(item.sub, superseded=False)
+
+    def _forget(self, item: _Offered) -> None:
+        self._offered.discard(item)
+        if item.timer is not None:
+            item.timer.cancel()
+
+    def _respond(
+        self,
+        item: _Offered,
+        status: int,
+        outcome: str,
+        headers: list[tuple[bytes, bytes]] | None = None,
+        body: bytes = b"",
+    ) -> None:
+        self._forget(item)
+        request = item.request
+        if headers is None:
+            headers = self._dialect.refusal_headers(request.meta, 0.0)
+        request.exchange.respond(status, headers, body)
+        now = self._clock()
+        latency_s = now - request.exchange.arrived
+        self._metrics.incr(f"entry.answers.{status}")
+        self._metrics.timing("entry.latency", latency_s)
+        self._requests.record(
+            outcome,
+            request.meta.request_id,
+            now,
+            failed=not 200 <= status < 300,
+            status=status,
+            route=request.route.name,
+            routes_version=request.offer.routes_version,
+            latency_ms=round(latency_s * 1000, 1),
+            vms=item.tried,
+            unreached=request.offer.unreached,
+        )
+
+    # Connections.
+
+    def _connect(self, host: str, port: int, pool: HttpPool) -> TargetConnection:
+        conn = TargetConnection(pool, self._intake)
+        task = self._loop.create_task(self._open(conn, host, port))
+        self._open_tasks.add(task)
+        task.add_done_callback(self._open_tasks.discard)
+        return conn
+
+    async def _open(self, conn: TargetConnection, host: str, port: int) -> None:
+        try:
+            await self._loop.create_connection(lambda: conn, host, port)
+        except OSError as exc:
+            log.debug("entry: connecting to VM %s:%d failed: %s", host, port, exc)
+            self._pool.on_closed(conn)
+
+    def _on_down(self, vm_id: str, down: bool) -> None:
+        log.info("entry: VM is %s for requests", "down" if down else "up", extra={"peer": vm_id})
--- a/bramleycrank/daemon/entry_call.py
+++ b/bramleycrank/daemon/entry_call.py
@@ -15,12 +15,20 @@
 
 @attrs.define(eq=False)
 class Call:
-    """A caller's request in progress, with its open sub-requests."""
+    """A caller's request in progress, with its open sub-requests.
+
+    Parameters
+    ----------
+    delegated : bool
+        Whether the caller is another VM, which offered the request to this one.
+    """
 
     exchange: Exchange
     meta: CallerMeta
     execution: ScatterExecution
     fingerprint: int = 0
+    delegated: bool = False
+    offered: bool = False  # to other VMs, none of which has started it
     template: RequestTemplate | None = None
     subs: dict[int, PooledSubRequest] = attrs.field(factory=dict)
     timer: asyncio.TimerHandle | None = None
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import logging
 import random
@@ -10,7 +11,17 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+import attrs
+
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
+from bramleycrank.daemon.delegation_headers import (
+    KEEP_ALIVE_S,
+    MAX_OFFER_BYTES,
+    STATUS_RETURNED,
+    Offer,
+    Reply,
+)
+from bramleycrank.daemon.delegator import Delegation, Delegator
 from bramleycrank.daemon.entry_answers import missing_services, render
 from bramleycrank.daemon.entry_call import Call, CallListener
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
@@ -19,7 +30,7 @@
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
-from bramleycrank.routing import Limits, RouteIndex
+from bramleycrank.routing import Limits, Route, RouteIndex
 from bramleycrank.scatter import (
     Answer,
     Cancel,
@@ -84,6 +95,8 @@
         Region of each failure domain.
     suspects : SuspectExchange, optional
         Requests that are suspected to crash targets, shared with other VMs.
+    delegator : Delegator, optional
+        Offers requests to other VMs while this one cannot reach their targets.
     """
 
     def __init__(
@@ -103,6 +116,7 @@
         warmup: WarmupBounds | None = None,
         regions: Mapping[str, str] | None = None,
         suspects: SuspectExchange | None = None,
+        delegator: Delegator | None = None,
     ) -> None:
         self._is_isolated = is_isolated
         self._loop = asyncio.get_running_loop()
@@ -129,6 +143,10 @@
         self._suspects = suspects or SuspectExchange(self._clock)
         self._quarantine = Quarantine(self._suspects.table)
         self._targets.on_target_down = self._quarantine.on_target_down
+        self._targets.on_cut = self._hand_over_requests
+        self._delegator = delegator
+        if delegator is not None:
+            self._targets.on_tick = delegator.tick
         self._calls: set[Call] = set()
         self._waiting: dict[str, list[Call]] = defaultdict(list)
         self._sub_ids = itertools.count(1)
@@ -144,11 +162,15 @@
     async def stop(self) -> None:
         """Cancel all requests in progress."""
         self._targets.stop()
+        if self._delegator is not None:
+            self._delegator.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.on_caller_disconnected(self._clock()))
 
     def end_requests(self) -> None:
         """Answer all requests in progress, since this VM stops before their targets reply."""
+        if self._delegator is not None:
+            self._delegator.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.stop(self._clock()))
 
@@ -172,10 +194,32 @@
         """Whether each route reaches enough of its services for a success."""
         return self._index is not None and self._targets.can_serve(self._index)
 
+    @property
+    def unreached(self) -> int:
+        """Number of services with known targets, none of which this VM can reach."""
+        return len(self._targets.unreached)
+
+    @property
+    def is_stranded(self) -> bool:
+        """Whether this VM reaches no target and knows no VM that does."""
+        unreached = len(self._targets.unreached)
+        return self._targets.reach.is_cut and not (
+            self._delegator is not None and self._delegator.can_delegate(unreached)
+        )
+
     def limits(self) -> Limits:
         """Return the limits on callers' requests and connections."""
         return self._index.limits if self._index is not None else Limits()
 
+    def delegation_limits(self) -> Limits:
+        """Return the limits on the requests of other VMs, which have one more header."""
+        limits = self.limits()
+        return attrs.evolve(
+            limits,
+            header_bytes=limits.header_bytes + MAX_OFFER_BYTES,
+            idle_timeout_s=KEEP_ALIVE_S,
+        )
+
     def dump(self) -> dict[str, Any]:
         """Return routes, requests, targets and connections in JSON form."""
         now = self._clock()
@@ -184,6 +228,7 @@
             "in_flight": len(self._calls),
             "requests": [call.execution.dump(now) for call in list(self._calls)[:100]],
             "targets": self._targets.dump(now),
+            "delegation": self._delegator and self._delegator.dump(),
         }
 
     # Requests.
@@ -201,22 +246,135 @@
         if route is None:
             self._refuse(exchange, meta, 404, 0.0, "no route matches")
             return
-        wait_s = route.timeout_s if meta.wait_s is None else meta.wait_s
-        fingerprint = request.fingerprint
+        if not self._targets.serves(route, now):
+            serve = functools.partial(self._serve, exchange, meta, route, offered=True)
+            if self._delegate(exchange, meta, route, self._deadline(exchange, meta, route), serve):
+                return
+        self._serve(exchange, meta, route)
+
+    def on_delegated_request(self, exchange: Exchange) -> None:
+        """Serve a request for another VM, or return it at once if that VM may do better."""
+        request = exchange.request
+        offer = Offer.from_request(request)
+        exchange.request = Offer.strip(request)
+        index = self._index
+        route = index and index.find(request.host.decode("latin-1"), request.path)
+        if (
+            offer is None
+            or route is None
+            or offer.routes_version != index.version
+            or self._targets.reach.is_cut
+            or len(self._targets.unreached_of(route)) >= max(1, offer.unreached)
+        ):
+            self._count_offer("refused")
+            exchange.respond(STATUS_RETURNED, Reply(False, self.unreached).headers(), b"")
+            return
+        self._count_offer("served")
+        self._serve(exchange, self._dialect.caller_meta(request), route, offer)
+
+    def _count_offer(self, event: str) -> None:
+        self._metrics.incr(f"entry.delegations.{event}")
+
+    @staticmethod
+    def _deadline(exchange: Exchange, meta: CallerMeta, route: Route) -> float:
+        """Return the time at which the caller stops waiting, in seconds."""
+        return exchange.arrived + (route.timeout_s if meta.wait_s is None else meta.wait_s)
+
+    def _serve(
+        self,
+        exchange: Exchange,
+        meta: CallerMeta,
+        route: Route,
+        offer: Offer | None = None,
+        *,
+        offered: bool = False,
+    ) -> None:
+        """Send the sub-requests of a request from this VM.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        meta : CallerMeta
+            Its metadata.
+        route : Route
+            Its route.
+        offer : Offer or None
+            Offer of the VM for which the request is served; None if it came from a caller.
+        offered : bool
+            Whether the request was offered to other VMs, none of which has started it.
+        """
+        now = self._clock()
+        fingerprint = exchange.request.fingerprint
+        network_s = self._delivery.network_time(route, exchange.round_trip_s)
         execution = ScatterExecution(
             route,
             self._targets.policy,
             self._sub_ids,
             exchange.arrived - self._delivery.elapsed_before_arrival(route, meta.wait_s, now),
-            exchange.arrived + wait_s,
-            self._delivery.network_time(route, exchange.round_trip_s),
+            self._deadline(exchange, meta, route),
+            network_s + (offer.network_s if offer is not None else 0.0),
             Canary(self._quarantine, fingerprint),
+            offer.sends if offer is not None else (),
         )
-        call = Call(exchange, meta, execution, fingerprint)
+        call = Call(exchange, meta, execution, fingerprint, offer is not None, offered)
         self._calls.add(call)
         exchange.on_disconnected = lambda: self._on_caller_disconnected(call)
         self._execute(call, execution.start(now))
 
+    # Requests whose targets other VMs reach.
+
+    def _delegate(
+        self,
+        exchange: Exchange,
+        meta: CallerMeta,
+        route: Route,
+        deadline: float,
+        on_unserved: Callable[[], None],
+        sends: tuple[int, ...] = (),
+    ) -> bool:
+        """Offer a request to another VM; return whether one was found."""
+        if self._delegator is None:
+            return False
+        offer = Offer(
+            self._index.version,
+            self._delivery.network_time(route, exchange.round_trip_s),
+            max(1, len(self._targets.unreached)),
+            sends,
+        )
+        return self._delegator.offer(
+            Delegation(exchange, meta, route, offer, deadline, on_unserved)
+        )
+
+    def _hand_over_requests(self) -> None:
+        """Offer the requests in progress to other VMs, since this one has lost its targets."""
+        for call in [call for call in self._calls if not call.delegated]:
+            if self._delegator is None or not self._delegator.can_delegate(self.unreached):
+                return
+            sends = call.execution.sends
+            actions = call.execution.hand_over(self._clock())
+            if actions is not None:
+                self._execute(call, actions)
+                refusal = Refusal(False, "sub-request lost")
+                respond = functools.partial(self._respond, call, refusal)
+                if not self._delegate_call(call, respond, sends):
+                    respond()
+
+    def _delegate_call(
+        self, call: Call, on_unserved: Callable[[], None], sends: tuple[int, ...] = ()
+    ) -> bool:
+        route, deadline = call.execution.route, call.execution.deadline
+        return self._delegate(call.exchange, call.meta, route, deadline, on_unserved, sends)
+
+    def _delegate_unsent(self, call: Call, refusal: Refusal) -> bool:
+        """Offer a request that this VM gave up before anything was sent; return whether it did."""
+        route = call.execution.route
+        unserved = refusal.not_run and not self._targets.serves(route, self._clock())
+        if call.delegated or call.offered or not unserved:
+            return False
+        call.offered = True
+        return self._delegate_call(call, functools.partial(self._respond, call, refusal))
+
     def _on_caller_disconnected(self, call: Call) -> None:
         now = self._clock()
         self._metrics.incr("entry.gone")
@@ -257,6 +415,8 @@
                         self._targets.pool.cancel(sub, superseded=action.superseded)
                 case ReportLosses():
                     self._check_losses(call, action, 0)
+                case Refusal() if self._delegate_unsent(call, action):
+                    pass
                 case Answer() | Merged() | Refusal():
                     self._respond(call, action)
         if call.execution.ended:
@@ -380,8 +540,8 @@
 
     def _check_losses(self, call: Call, action: ReportLosses, checks: int) -> None:
         """Report a crash if targets of lost sub-requests are down and none has replied."""
-        if call.execution.has_reply:
-            return
+        if call.execution.has_reply or self._targets.reach.is_probing:
+            return  # targets that this VM cannot reach have not ended
         down = next((loss for loss in action.losses if self._targets.pool.is_down(loss[1])), None)
         if checks and down is not None and call.execution.looks_deadly:
             service, target_id = down
@@ -420,6 +580,8 @@
 
     def _respond(self, call: Call, action: Answer | Merged | Refusal) -> None:
         status, headers, body, outcome = render(self._dialect, call.meta, action)
+        if call.delegated:
+            headers = [*headers, *Reply(True).headers()]
         route = call.execution.route
         # On an open connection the caller's next request would reach this isolated VM again.
         close = isinstance(action, Refusal) and self._is_isolated()
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -6,16 +6,18 @@
 import itertools
 import logging
 import random
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
 
 from bramleycrank.connections import ConnectionBudget, ConnectionConfig
 from bramleycrank.connections.http_pool import HttpPool
+from bramleycrank.connections.reach import Reach, ReachMonitor
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto.peer_pb2 import VmRecord
 from bramleycrank.proto.target_pb2 import TargetRecord
 from bramleycrank.query.catalog import record_key
-from bramleycrank.routing import RouteIndex
+from bramleycrank.routing import Route, RouteIndex
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.policy import TargetPolicy
 from bramleycrank.scatter.warmup import WarmupBounds, WarmupShares
@@ -110,7 +112,12 @@
             self._on_slot_free,
             self._on_reachability_change,
             self._clock,
+            rng,
         )
+        self.pool.on_heard = self._on_heard
+        self.reach = ReachMonitor(rng, self._clock())
+        self.on_cut: Callable[[], None] = lambda: None
+        self.on_tick: Callable[[], None] = lambda: None
         self.policy = TargetPolicy(
             domain,
             retry_budget,
@@ -119,14 +126,14 @@
             rng,
             WarmupShares(vm_id, warmup or WarmupBounds(), self._clock()),
             regions,
+            lambda: self.reach.is_cut,
         )
         self._intake: ReceiveBudget[TargetConnection] = ReceiveBudget.from_memory(memory_bytes)
         self._services_of: dict[str, str] = {}
         self._incarnations: dict[str, int] = {}
         self._record_keys: dict[str, tuple[int, int, int]] = {}
         self._covered: set[str] = set()
-        self.unreached: frozenset[str] = frozenset()
-        """Services with known targets, none of which can be reached."""
+        self._unreached: frozenset[str] = frozenset()
         self.on_target_down: Callable[[str, str, float], None] = lambda *_: None
         self._domain = domain
         self._remote: set[str] = set()  # targets in other failure domains
@@ -150,6 +157,19 @@
         for service in index.services | self._covered:
             self._refresh(service)
 
+    @property
+    def unreached(self) -> frozenset[str]:
+        """Services with known targets, none of which can be reached."""
+        return frozenset(self._covered) if self.reach.is_cut else self._unreached
+
+    def unreached_of(self, route: Route) -> frozenset[str]:
+        """Return the services of a route with known targets, none of which can be reached."""
+        return self.unreached.intersection(route.services)
+
+    def serves(self, route: Route, now: float) -> bool:
+        """Return whether this VM should do the work of a request itself."""
+        return self.reach.serves_locally(now) and not self.unreached_of(route)
+
     def covers(self, index: RouteIndex) -> bool:
         """Return whether a target is known for each service of the routes."""
         return index.services <= self._covered
@@ -168,6 +188,7 @@
     def dump(self, now: float) -> dict[str, Any]:
         """Return the policy and the connections in JSON form."""
         return {
+            "reach": self.reach.dump(now),
             "policy": self.policy.dump(now),
             "connections": self.pool.dump(),
             "opened": self.pool.opened,
@@ -254,17 +275,17 @@
 
     def _update_reach(self, service: str) -> None:
         """Record whether a target of a service can be reached, and log each change."""
-        unreached = service in self._covered and not self.policy.is_served(service)
-        if unreached == (service in self.unreached):
+        unreached = service in self._covered and not self.policy.has_reachable(service)
+        if unreached == (service in self._unreached):
             return
-        self.unreached ^= {service}
-        self._metrics.gauge("entry.services_unreached", len(self.unreached))
+        self._unreached ^= {service}
+        self._metrics.gauge("entry.services_unreached", len(self._unreached))
         log.info(
             "entry: service is %s",
             "out of reach" if unreached else "in reach",
             extra={
                 "service": service,
-                "unreached": len(self.unreached),
+                "unreached": len(self._unreached),
                 "services": len(self._covered),
                 "kept_connections": self.pool.connected,
             },
@@ -313,12 +334,52 @@
         self.policy.table.set_down(target_id, down, self._clock())
         if service is not None:
             if down:
-                self.on_target_down(target_id, service, self._clock())
+                self.reach.on_target_down(self._clock())
+                if self.reach.state not in (Reach.SUSPECT, Reach.CUT):
+                    self.on_target_down(target_id, service, self._clock())
             else:
                 self.policy.on_reachable_again(service, target_id, self._clock())
             self._update_reach(service)
             self._loop.call_soon(self._on_capacity, service)
 
+    def _on_heard(self) -> None:
+        if self.reach.on_heard(self._clock()):
+            self._on_reach_change()
+
+    def _check_reach(self) -> None:
+        """Find out whether this VM has lost its links to all targets."""
+        now = self._clock()
+        overdue = self.pool.overdue_targets(self._patience)
+        if self.reach.check(overdue, now):
+            self._on_reach_change()
+        domains: dict[str, list[str]] = defaultdict(list)
+        if self.reach.is_probing:
+            for target_id in self._services_of:
+                domains[self.policy.table.state(target_id).domain].append(target_id)
+        self.pool.probe(self.reach.targets_to_probe(domains, now))
+
+    def _patience(self, target_id: str) -> float:
+        state = self.policy.table.state(target_id)
+        return ReachMonitor.patience(state.latency_s if state is not None else 0.0)
+
+    def _on_reach_change(self) -> None:
+        state = self.reach.state
+        log.info(
+            "entry: the links to the targets are %s",
+            state,
+            extra={
+                "services": len(self._covered),
+                "unreached": len(self._unreached),
+                "kept_connections": self.pool.connected,
+            },
+        )
+        self._metrics.gauge("entry.cut_off", float(self.reach.is_cut))
+        self.pool.reconnecting = not self.reach.is_probing
+        if state is Reach.CUT:
+            self.on_cut()
+        elif state is Reach.RETURNING:
+            self.pool.spread_reconnects()
+
     def _update_senders(self) -> None:
         """Update the VMs that share the rates of targets, if any rate is bounded."""
         warmups = self._index.warmups.values() if self._index is not None else ()
@@ -332,6 +393,8 @@
         for tick in itertools.count():
             try:
                 self.pool.tick()
+                self._check_reach()
+                self.on_tick()
                 if tick % VM_COUNT_TICKS == 0:
                     self._vm_count = max(1, self._source.vm_count())
                     self._budget.on_vm_count(self._vm_count, self._clock())
--- a/bramleycrank/daemon/entry_types.py
+++ b/bramleycrank/daemon/entry_types.py
@@ -74,6 +74,9 @@
     def forwarded_headers(self, request: Request) -> Headers:
         """Return the headers that all sub-requests of a request share."""
 
+    def wait_headers(self, timeout_s: float) -> Headers:
+        """Return the headers that tell another VM how long the caller waits."""
+
     def target_headers(self, target_id: str, timeout_s: float) -> Headers:
         """Return the headers that are specific to one sub-request."""
 
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -14,6 +14,7 @@
 from bramleycrank.daemon.control_parts import ControlParts
 from bramleycrank.daemon.control_service import ControlService
 from bramleycrank.daemon.control_steps import ControlSteps
+from bramleycrank.daemon.delegator import Delegator
 from bramleycrank.daemon.domain_isolation import DomainIsolation
 from bramleycrank.daemon.domain_orders import DomainOrders
 from bramleycrank.daemon.entry_controller import EntryController
@@ -29,7 +30,7 @@
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.settings import Address, Settings
 from bramleycrank.transport.http1 import Exchange, Http1Server, ReceiveBudget
-from bramleycrank.transport.http1.server_connection import ServerConnection
+from bramleycrank.transport.http1.server_connection import Handler, ServerConnection
 from bramleycrank.transport.peer_service import PeerService
 
 log = logging.getLogger(__name__)
@@ -73,6 +74,8 @@
         Options of the membership.
     entry : Address or None
         Listening address for callers, on a VM that serves them.
+    delegation : Address or None
+        Listening address for requests of other VMs that cannot reach their targets.
     readiness : Address or None
         Listening address for readiness checks of the load balancer.
     control : Address or None
@@ -98,6 +101,7 @@
     base: Settings
     membership: MembershipConfig
     entry: Address | None = None
+    delegation: Address | None = None
     readiness: Address | None = None
     control: Address | None = None
     metrics: Address | None = None
@@ -157,6 +161,7 @@
         self._grpc: Server | None = None
         self._servers: list[Http1Server] = []
         self._caller_server: Http1Server | None = None
+        self._delegation_server: Http1Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
         options = cfg.base.life_cycle
         self.life_cycle = LifeCycle(self, options.drain_notice_s, options.drain_limit_s)
@@ -193,10 +198,12 @@
         return "cut off from the targets of some routes" if self._is_isolated() else ""
 
     def _is_isolated(self) -> bool:
-        """Return whether VMs of other failure domains would serve callers better.
+        """Return whether callers should connect to other VMs.
 
         A service without any target does not count, because no VM can serve it.
         """
+        if self._entry.is_stranded:
+            return True
         return self._domain_isolation.is_isolated and not self._entry.can_serve
 
     # Steps of the life cycle.
@@ -214,6 +221,7 @@
             cfg.membership,
             replace_damaged=True,
             control_only=cfg.entry is None,
+            delegation_port=cfg.delegation.port if cfg.delegation is not None else 0,
         )
         loop = asyncio.get_running_loop()
         self._domain_isolation = DomainIsolation(cfg.base.vm.domain, parts.membership, loop.time)
@@ -250,6 +258,16 @@
 
     async def _start_entry(self, parts: ControlParts, rng: random.Random, address: Address) -> None:
         vm = self._cfg.base.vm
+        delegator = Delegator(
+            vm.id,
+            vm.domain,
+            self._adapter.dialect,
+            parts.membership,
+            self._metrics,
+            rng,
+            parts.clients.traffic,
+            self._cfg.memory_bytes,
+        )
         entry = self._entry = EntryController(
             vm.id,
             vm.domain,
@@ -266,11 +284,25 @@
             self._cfg.warmup,
             self._cfg.regions,
             parts.membership.suspects,
+            delegator,
         )
+        parts.membership.reach_report = lambda: entry.unreached
+        parts.membership.on_reach_report = delegator.on_report
         await entry.start()
-        self._caller_server = Http1Server(entry, entry.limits, self._new_intake_budget())
-        self._servers.append(self._caller_server)
-        await self._caller_server.start(address.host, address.port)
+        self._caller_server = await self._serve_requests(entry, entry.limits, address)
+        if self._cfg.delegation is not None:
+            handler = FunctionHandler(entry.on_delegated_request)
+            self._delegation_server = await self._serve_requests(
+                handler, entry.delegation_limits, self._cfg.delegation
+            )
+
+    async def _serve_requests(
+        self, handler: Handler, limits: Callable[[], Limits], address: Address
+    ) -> Http1Server:
+        server = Http1Server(handler, limits, self._new_intake_budget())
+        self._servers.append(server)
+        await server.start(address.host, address.port)
+        return server
 
     def _new_intake_budget(self) -> ReceiveBudget[ServerConnection]:
         return ReceiveBudget.from_memory(self._cfg.memory_bytes)
@@ -280,9 +312,7 @@
     ) -> None:
         if address is None:
             return
-        server = Http1Server(handler, lambda: limits or Limits(), self._new_intake_budget())
-        self._servers.append(server)
-        await server.start(address.host, address.port)
+        await self._serve_requests(handler, lambda: limits or Limits(), address)
 
     async def join(self) -> None:
         """Wait until routes are in force, and for a limited time until their targets are known."""
@@ -297,9 +327,10 @@
             await asyncio.sleep(POLL_PERIOD_S)
 
     async def stop_listening(self) -> None:
-        """Stop accepting requests of callers."""
-        if self._caller_server is not None:
-            self._caller_server.stop_listening()
+        """Stop accepting requests of callers and of other VMs."""
+        for server in (self._caller_server, self._delegation_server):
+            if server is not None:
+                server.stop_listening()
 
     async def finish_requests(self, limit_s: float) -> None:
         """Wait until no request is in flight and all answers are sent, for at most `limit_s`."""
@@ -315,7 +346,8 @@
 
     def _busy(self) -> bool:
         control_busy = self._control is not None and self._control.in_flight > 0
-        return control_busy or (self._caller_server is not None and self._caller_server.busy)
+        servers = (self._caller_server, self._delegation_server)
+        return control_busy or any(server is not None and server.busy for server in servers)
 
     async def close(self) -> None:
         """Close all parts that were started."""
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -116,6 +116,10 @@
             cfg, record, self.registry, tuple(seeds), rng or Random(), now
         )
         self.suspects = SuspectExchange(clock, self._spread_suspects)
+        self.reach_report: Callable[[], int] = lambda: 0
+        """Returns the number of services whose targets this VM cannot reach."""
+        self.on_reach_report: Callable[[str, int], None] = lambda vm_id, unreached: None
+        """Called with the id of another VM and the number that it reports."""
         self._config_status: Callable[[], ConfigStatus] | None = None
         self._status_callbacks: list[Callable[[str, ConfigStatus], None]] = []
         self._reply_callbacks: list[Callable[[str, ConfigStatus, float], None]] = []
@@ -431,11 +435,13 @@
 
     def _attach_status(self, gossip: Gossip, *, complete: bool = False) -> None:
         self.suspects.attach(gossip, complete=complete)
+        gossip.unreached_services = self.reach_report()
         if self._config_status is not None:
             gossip.config.CopyFrom(self._config_status())
 
     def _notify_status(self, gossip: Gossip, sent_at: float | None = None) -> None:
         self.suspects.merge(gossip)
+        self.on_reach_report(gossip.sender.vm_id, gossip.unreached_services)
         if not (gossip.HasField("config") and gossip.HasField("sender")):
             return
         address = address_of(gossip.sender)
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -93,6 +93,14 @@
         "services",
         "Services with known targets, none of which this VM can reach.",
     ),
+    _gauge("entry.cut_off", "1", "1 while this VM reaches no target, otherwise 0."),
+    _counter(
+        "entry.delegations.EVENT",
+        "requests",
+        "Requests that one VM serves for another. Of this VM's callers: `sent` to another VM, "
+        "`answered` by it, `returned` before it started them, `lost` there. Of other VMs: `served` "
+        "and `refused` before the start.",
+    ),
     _counter("entry.holds", "holds", "Times that a target was held back at its own request."),
     _counter(
         "entry.crashes", "crashes", "Times that targets ended while they ran an unanswered request."
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -47,12 +47,13 @@
         """Return the headers that all sub-requests share."""
         return end_to_end_headers(request.headers, _REPLACED_HEADERS)
 
+    def wait_headers(self, timeout_s: float) -> Headers:
+        """Return the headers that tell another VM how long the caller waits."""
+        return [(DEADLINE_MS, b"%d" % max(1, int(timeout_s * 1000)))]
+
     def target_headers(self, target_id: str, timeout_s: float) -> Headers:
         """Return the headers that differ between sub-requests."""
-        return [
-            (DEADLINE_MS, b"%d" % max(1, int(timeout_s * 1000))),
-            (EXPECT_INSTANCE, target_id.encode()),
-        ]
+        return [*self.wait_headers(timeout_s), (EXPECT_INSTANCE, target_id.encode())]
 
     def target_meta(self, response: Response) -> TargetMeta:
         """Return the metadata in the headers of a response."""
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -72,8 +72,11 @@
 def decode(entries: dict[str, str]) -> HttpNodeConfig:
     """Return the configuration for the entries of a settings file."""
     ip = entries["Ip"]
-    # All VMs have the same range of internal ports; the first one is used for gRPC.
-    internal_port = int(entries["InternalPortRange"].partition(",")[0])
+    # All VMs have the same range of internal ports; the first one is used for gRPC, and the second
+    # one for requests that other VMs cannot serve.
+    first_port, _, last_port = entries["InternalPortRange"].partition(",")
+    internal_port = int(first_port)
+    has_second_port = int(last_port or first_port) > internal_port
     # The ports of the seeds are for operators and targets; only the hosts are used here.
     seed_hosts = [_host(seed) for seed in entries.get("Seeds", "").split(",") if seed]
     seeds = tuple(f"{host}:{internal_port}" for host in seed_hosts)
@@ -104,6 +107,7 @@
         base=Settings.from_dict(base, source="node file"),
         membership=membership,
         entry=_address(entries.get("BindAddrs.EdgeAddr")),
+        delegation=Address(ip, internal_port + 1) if serves_callers and has_second_port else None,
         readiness=_address(entries.get("BindAddrs.ReadinessAddr")),
         control=_address(entries.get("BindAddrs.Control")),
         metrics=Address(ip, METRICS_PORT),
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 from bramleycrank.routing import Route
@@ -67,6 +68,8 @@
         Network time of the request and its answer, in seconds.
     canary : Canary, optional
         Decides whether the sub-requests may be sent together.
+    sends : sequence of int, optional
+        Sub-requests that another VM has sent to each service of the route; empty if none.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         deadline: float,
         network_s: float = ROUND_TRIP_S,
         canary: Canary | None = None,
+        sends: Sequence[int] = (),
     ) -> None:
         self.route = route
         self.ended = False
@@ -88,14 +92,19 @@
         self._arrived = arrived
         self._deadline = min(deadline, arrived + route.timeout_s)
         services = route.services if route.gather else (route.choose_service(),)
-        self._shards = [Shard(service) for service in services]
+        self._shards = [
+            Shard(service, sends=count)
+            for service, count in itertools.zip_longest(
+                services, sends[: len(services)], fillvalue=0
+            )
+        ]
         self._open_subs: dict[int, tuple[Shard, OpenSubRequest]] = {}
         stream_deadline = arrived + LATEST_STREAM_SHARE * route.objective_s
         self._stream = ReplyStream(len(self._shards), stream_deadline)
         self._lost = 0
         # Lower bound of the shards' hedge times; recomputed when it has passed.
         self._next_hedge_at = math.inf
-        self._may_have_run = False
+        self._may_have_run = any(sends)
         self._needed = route.needed
         objective_s = route.objective_s
         margin_s = network_s + DELIVERY_SHARE * objective_s
@@ -126,7 +135,8 @@
             refusal = Refusal(True, "the request crashes targets", QUARANTINE_RETRY_AFTER_S)
             return self._end_with(refusal, now)
         for shard in self._shards:
-            if not self._policy.has_targets(shard.service, self._excluded(shard), now):
+            exhausted = shard.sends >= max(1, self.route.max_targets)
+            if exhausted or not self._policy.has_targets(shard.service, self._excluded(shard), now):
                 self._mark_lost(shard)
         if len(self._shards) - self._lost < self._needed:
             return self._end_without_answer(now)
@@ -210,6 +220,32 @@
         """End the request because this VM stops."""
         return [] if self.ended else self._refuse("the VM stops", now)
 
+    @property
+    def sends(self) -> tuple[int, ...]:
+        """Sub-requests that may have run at each service of the route."""
+        return tuple(shard.sends for shard in self._shards)
+
+    @property
+    def deadline(self) -> float:
+        """Time at which the request times out, in seconds."""
+        return self._deadline
+
+    def hand_over(self, now: float) -> list[Action] | None:
+        """End the request at this VM, so that another one serves it with the attempts left.
+
+        Returns
+        -------
+        list of Action or None
+            The actions to execute; None if the request may run only here.
+        """
+        attempts_left = any(count < self.route.max_targets for count in self.sends)
+        repeatable = self.route.idempotent or not any(self.sends)
+        if self.ended or not (repeatable and attempts_left):
+            return None
+        self.ended = True
+        self.waiting.clear()
+        return self._cancel_all(now)
+
     def tick(self, now: float) -> list[Action]:
         """Send hedges that are due, and end the request when its time is up."""
         if self.ended:
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -14,7 +14,12 @@
 from bramleycrank.routing import ServiceWarmup
 from bramleycrank.scatter.budget import RetryBudget, RetryBudgetConfig
 from bramleycrank.scatter.rate_limits import RateLimits
-from bramleycrank.scatter.retry_after import add_jitter, combined_retry_after, service_retry_after
+from bramleycrank.scatter.retry_after import (
+    DOWN_RETRY_AFTER_S,
+    add_jitter,
+    combined_retry_after,
+    service_retry_after,
+)
 from bramleycrank.scatter.types import FailureKind, SubFailure, TargetReply
 from bramleycrank.scatter.warmup import WarmupBounds, WarmupShares
 
@@ -116,6 +121,8 @@
         Bounds the requests to cold targets.
     regions : mapping of str to str, optional
         Region of each failure domain.
+    is_cut : callable, optional
+        Returns whether this VM reaches no target at all.
     """
 
     def __init__(
@@ -127,7 +134,9 @@
         rng: random.Random,
         warmup: WarmupShares | None = None,
         regions: Mapping[str, str] | None = None,
+        is_cut: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_cut = is_cut
         self.table = ReplicaTable(domain, rng, warmup_s=0.0)
         self._budget_cfg = budget_cfg
         self._rng = rng
@@ -189,6 +198,8 @@
         Load pattern: overload. Concurrency limits keep the queues at the targets short. Requests
         wait on this VM instead, where they can be ordered and have not run yet.
         """
+        if self._is_cut():
+            return None
         exclude = set(tried)
         while (target_id := self.table.choose(service, SINGLE_SHARD, 0, exclude, now)) is not None:
             if (
@@ -218,7 +229,7 @@
 
     def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         """Return whether a usable target was not tried yet, busy or not."""
-        return any(
+        return not self._is_cut() and any(
             not t.down
             and not t.is_held(now)
             and t.target_id not in tried
@@ -232,12 +243,18 @@
 
     def usable_targets(self, service: str) -> int:
         """Return how many targets of a service can be reached, also those that are held back."""
+        if self._is_cut():
+            return 0
         return sum(not t.down for t in self.table.replicas(service, SINGLE_SHARD, 0))
 
     def is_served(self, service: str) -> bool:
         """Return whether a target of the service can be reached, also one that is held back."""
         return self.usable_targets(service) > 0
 
+    def has_reachable(self, service: str) -> bool:
+        """Return whether a target of the service is not down, whatever the links of this VM."""
+        return any(not t.down for t in self.table.replicas(service, SINGLE_SHARD, 0))
+
     def estimate_retry_after(self, services: Sequence[str], needed: int, now: float) -> float:
         """Return the time in seconds until enough of the services should accept requests.
 
@@ -250,6 +267,8 @@
         now : float
             Current time in seconds.
         """
+        if self._is_cut():
+            return add_jitter(DOWN_RETRY_AFTER_S, self._rng)
         waits_s = [
             service_retry_after(
                 self.table.replicas(name, SINGLE_SHARD, 0), now, self.rate_limits.wait_s
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -9,6 +9,7 @@
 import pytest
 from http_fakes import FakeTarget, call, header, ok
 
+from bramleycrank.daemon.delegator import Delegator
 from bramleycrank.daemon.entry_controller import EntryController
 from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.platform.headers import PlatformHeaders
@@ -65,6 +66,7 @@
         self.fakes = {name: FakeTarget(script) for name, script in scripts.items()}
         self.table: RouteTable | None = TABLE
         self.callbacks: list = []
+        self.delegator: Delegator | None = None
 
     def targets(self, service: str) -> list[TargetRecord]:
         return [
@@ -104,6 +106,7 @@
             RetryBudgetConfig(0.2, 10.0, 50.0),
             NullMetrics(),
             random.Random(1),
+            delegator=self.delegator,
         )
         await self.entry.start()
         self.server = Http1Server(self.entry, self.entry.limits)
--- /dev/null
+++ b/tests/test_entry_delegation.py
@@ -0,0 +1,221 @@
+"""Tests requests that one entry VM serves for another, over loopback with scripted targets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from http_fakes import call, header, ok
+from test_entry_controller import TABLE, EntryVm, run, status
+
+from bramleycrank.connections.reach import Reach
+from bramleycrank.daemon.delegation_headers import MAX_SENDS, Offer, Reply
+from bramleycrank.daemon.delegator import Delegator
+from bramleycrank.observability.metrics import NullMetrics
+from bramleycrank.observability.traffic import Traffic
+from bramleycrank.platform.headers import PlatformHeaders
+from bramleycrank.proto.log_pb2 import RouteTable
+from bramleycrank.proto.peer_pb2 import VM_STATE_ALIVE, VmRecord
+from bramleycrank.transport.http1 import Http1Server, Request
+
+PARTS = {name: lambda r, n=name: ok(r, n[0].encode() * 16) for name in ("a1", "b1")}
+
+
+class CutEntryVm(EntryVm):
+    """An entry VM that reaches no target, and a second one that reaches all of them."""
+
+    async def __aenter__(self):
+        self.records: list[VmRecord] = []
+        self.delegator = Delegator(
+            "vm1",
+            "d",
+            PlatformHeaders(),
+            SimpleNamespace(vms=lambda: self.records),
+            NullMetrics(),
+            random.Random(1),
+            Traffic(),
+        )
+        await super().__aenter__()
+        self.other = EntryVm()
+        await self.other.__aenter__()
+        self.other.fakes = self.fakes
+        for service in "ab":
+            self.other.entry._targets._refresh(service)
+        handler = SimpleNamespace(on_request=self.other.entry.on_delegated_request)
+        self.server_of_other = Http1Server(handler, self.other.entry.delegation_limits)
+        await self.server_of_other.start("127.0.0.1", 0)
+        port = self.server_of_other._server.sockets[0].getsockname()[1]
+        self.records = [
+            VmRecord(vm_id="vm2", state=VM_STATE_ALIVE, host="127.0.0.1", delegation_port=port)
+        ]
+        self.cut()
+        return self
+
+    def cut(self, entry=None):
+        """Cut a VM off from its targets, as its monitor does."""
+        monitor = (entry or self.entry)._targets.reach
+        monitor._enter(Reach.CUT, 0.0)
+        monitor._probe_at = float("inf")
+
+    async def __aexit__(self, *exc: object) -> None:
+        self.server_of_other.close()
+        self.other.fakes = {}
+        await self.other.__aexit__(*exc)
+        await super().__aexit__(*exc)
+
+    def requests(self) -> list[bytes]:
+        return [request for fake in self.fakes.values() for request in fake.requests]
+
+
+def test_another_vm_serves_all_kinds_of_requests_whole():
+    async def scenario(vm):
+        for _ in range(2):
+            response = await vm.get("/all/q", "X-Deadline-Ms: 900\r\nX-Own: v\r\n")
+            assert status(response) == 200 and header(response, b"X-Request-Id") == b"r1"
+            assert header(response, b"X-Part-Stamps") == b"stamp, stamp"
+            assert response.endswith(b"b" * 16 + b"a" * 16)
+            assert b"bramleycrank" not in response.lower()
+        head = b"POST /order/x?y HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\nContent-Length: 3\r\n"
+        assert status(await call(vm.port, head + b"\r\nabc")) == 200
+        first, order = vm.requests()[0], vm.fakes["a1"].requests[-1]
+        assert header(first, b"X-Own") == b"v" and int(header(first, b"X-Deadline-Ms")) <= 900
+        assert order.startswith(b"POST /order/x?y ") and order.endswith(b"\r\n\r\nabc")
+        assert all(b"bramleycrank" not in request.lower() for request in vm.requests())
+        assert vm.delegator.in_flight == 0
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_a_request_is_never_passed_on_twice():
+    """Guards against VMs that hand a request to each other while neither reaches a target."""
+
+    async def scenario(vm):
+        vm.cut(vm.other.entry)
+        started = asyncio.get_running_loop().time()
+        response = await vm.get("/all/q")
+        assert status(response) == 503 and float(header(response, b"Retry-After")) > 0
+        assert asyncio.get_running_loop().time() - started < 0.9, "0.6 s are the caller's own wait"
+        assert vm.delegator.dump()["peers"]["vm2"]["unreached"] == 2
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_nothing_is_started_by_other_routes():
+    """Guards against an answer by routes that the offering VM has replaced."""
+
+    async def scenario(vm):
+        vm.other.table = RouteTable()
+        vm.other.table.CopyFrom(TABLE)
+        vm.other.table.version = 2
+        vm.other.callbacks[0]()
+        assert status(await vm.get("/all/q")) == 503
+        assert vm.requests() == []
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_a_vm_without_the_call_is_passed_over():
+    """Guards against requests to VMs of a build that does not listen for them."""
+
+    async def scenario(vm):
+        older = VmRecord(vm_id="vm3", state=VM_STATE_ALIVE, host="127.0.0.1")
+        closed = VmRecord(vm_id="vm4", state=VM_STATE_ALIVE, host="127.0.0.1", delegation_port=1)
+        vm.records += [older, closed]
+        for _ in range(6):
+            assert status(await vm.get("/order/x")) == 200
+        assert "vm3" not in vm.delegator.choice.peers
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_a_request_that_is_lost_at_the_other_vm_is_not_sent_again():
+    """Guards against a request that runs twice because its answer was lost between VMs."""
+
+    async def scenario(vm):
+        vm.fakes["a1"].delay_s = 0.3
+        response = asyncio.ensure_future(vm.get("/order/x"))
+        await asyncio.sleep(0.1)
+        for conn in list(vm.server_of_other.connections):
+            conn.abort()
+        assert status(await response) == 502
+        assert len(vm.requests()) == 1
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_a_stopping_vm_rejects_and_another_one_serves():
+    """Load pattern: a VM gets SIGTERM while others hand it their work."""
+
+    async def scenario(vm):
+        assert status(await vm.get("/order/x")) == 200
+        vm.server_of_other.draining = True  # its connections are still open
+        assert status(await vm.get("/order/x")) == 503
+        assert len(vm.requests()) == 1
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_targets_stop_when_the_caller_of_the_other_vm_disconnects():
+    async def scenario(vm):
+        for fake in vm.fakes.values():
+            fake.delay_s = 0.8
+        _, writer = await asyncio.open_connection("127.0.0.1", vm.port)
+        writer.write(b"GET /all/q HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n\r\n")
+        await asyncio.sleep(0.2)
+        assert vm.other.entry.in_flight == 1
+        writer.close()
+        await asyncio.sleep(0.2)
+        assert vm.delegator.in_flight == 0 and vm.other.entry.in_flight == 0
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_the_caller_is_answered_at_its_deadline():
+    async def scenario(vm):
+        vm.fakes["a1"].delay_s = 2.0
+        started = asyncio.get_running_loop().time()
+        assert status(await vm.get("/order/x", "X-Deadline-Ms: 300\r\n")) == 504
+        assert asyncio.get_running_loop().time() - started < 1.1
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_requests_in_progress_go_to_another_vm_within_their_attempts():
+    """Load pattern: links go silent under requests in flight; one attempt of two is left."""
+
+    async def scenario(vm):
+        vm.entry._targets.reach._enter(Reach.CONNECTED, 0.0)
+        for fake in vm.fakes.values():
+            fake.delay_s = 0.3
+        answers = [asyncio.ensure_future(vm.get(path)) for path in ("/all/q", "/one/q", "/order/q")]
+        await asyncio.sleep(0.1)
+        for fake in vm.fakes.values():
+            fake.delay_s = 0.0
+        vm.cut()
+        vm.entry._hand_over_requests()
+        gathered, single, order = await asyncio.gather(*answers)
+        assert status(gathered) == status(single) == status(order) == 200
+        sent = [request.split()[1] for request in vm.requests()]
+        assert sent.count(b"/order/q") == 1, "it may run once only"
+        assert sent.count(b"/all/q") == 4 and sent.count(b"/one/q") == 2
+        budgets = vm.other.entry._targets.policy._budgets
+        assert {name: budget.used for name, budget in budgets.items()} == {"a": 2, "b": 1}
+
+    # A VM that has just joined opens one connection to each target.
+    run(scenario, CutEntryVm, **PARTS, a2=PARTS["a1"], a3=PARTS["a1"])
+
+
+def test_malformed_offers_and_replies_are_rejected():
+    def offer(value: bytes) -> Offer | None:
+        return Offer.from_request(
+            Request(b"GET", b"/", b"h", [(b"bramleycrank-offer", value)], b"")
+        )
+
+    assert offer(b"7;12;3;1,0,999") == Offer(7, 0.012, 3, (1, 0, MAX_SENDS))
+    assert offer(Offer(1, 0.0, 2).headers()[0][1]) == Offer(1, 0.0, 2)
+    for value in (b"", b"7;12;3", b"7;x;3;", b"7;12;3;-1", b"7;12;3;1,,2", b"9" * 30 + b";1;1;"):
+        assert offer(value) is None
+    replies = {b"started": Reply(True), b"3": Reply(False, 3), b"": None, b"-1": None, b"x": None}
+    for value, reply in replies.items():
+        assert Reply.from_response(SimpleNamespace(fields={b"bramleycrank-reply": value})) == reply
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 from bramleycrank.connections.http_pool import (
     CONNECT_TIMEOUT_S,
     LINGER_S,
@@ -51,6 +53,7 @@
             self.room_reports.append,
             lambda target, down: self.down.append(down),
             lambda: self.now,
+            SimpleNamespace(random=lambda: 0.5),  # no jitter
         )
         self.pool.update("t", "10.0.0.1", 80, 8)
 
