Keep open connections in use while new ones are refused

Cause: one refused connect marked the target as down and closed its open connections, which still worked. The class of the fault: one failed probe is taken for the state of all that it stands for.

Change: a failed attempt to connect delays the next one. The target is down only if no open connection is left, or if these are silent. Two tests, of which the first failed before (it needs the new argument to tell a refusal from a timeout).

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -52,7 +52,8 @@
     """Sends sub-requests on pooled connections within the connection limit of each target.
 
     A target to which no connection can be opened is down: its sub-requests in flight are lost, and
-    it receives no others until a connection opens. If a target with sub-requests in flight is
+    it receives no others until a connection opens. If only new connections fail, while open ones
+    give no sign of trouble, the open ones stay in use. If a target with sub-requests in flight is
     silent, a new connection is opened to distinguish a slow target from an unreachable one.
 
     The connection that became idle last is used first, so that surplus connections reach the idle
@@ -133,6 +134,8 @@
         now = self._clock()
         if any(_is_usable(conn, now) for conn in target.idle):
             return True
+        if target.failures:
+            return False  # the last attempt to connect has failed
         # Expired idle connections do not count, since they are replaced by new ones.
         used = len(target.all) - len(target.idle)
         return used < self._share(target.limit)
@@ -202,7 +205,7 @@
         for target in list(self._targets.values()):
             for conn in [c for c in target.idle if not _is_usable(c, now)]:
                 conn.close()
-            if target.down and self.reconnecting and now >= target.retry_at:
+            if target.failures and self.reconnecting and now >= target.retry_at:
                 target.retry_at = now + self._with_jitter(MAX_BACKOFF_S)
                 self._open(target)
         self._probe_silent_targets(now)
@@ -237,7 +240,7 @@
     def spread_reconnects(self) -> None:
         """Connect to the targets that are down at random times within the longest interval."""
         now = self._clock()
-        for target in self._targets.values():
+        for target in filter(lambda target: target.failures, self._targets.values()):
             target.retry_at = now + MAX_BACKOFF_S * self._rng.random()
 
     def _probe_silent_targets(self, now: float) -> None:
@@ -322,8 +325,16 @@
         self._failed.add(conn)
         self._report_lost(conn, garbled=garbled)
 
-    def on_closed(self, conn: Connection) -> None:
-        """Remove a closed connection."""
+    def on_closed(self, conn: Connection, *, refused: bool = False) -> None:
+        """Remove a closed connection.
+
+        Parameters
+        ----------
+        conn : Connection
+            The connection.
+        refused : bool, optional
+            Whether the target's host refused it.
+        """
         target = self._target_by_conn.pop(conn, None)
         failed = conn in self._failed
         self._failed.discard(conn)
@@ -333,10 +344,12 @@
         if conn in target.idle:
             failed |= conn.idle_until is None or self._clock() < conn.idle_until
             target.idle.remove(conn)
-        open_failed = self._connecting_since.pop(conn, None) is not None
+        opening_since = self._connecting_since.pop(conn, None)
         self._report_lost(conn, garbled=False)
-        if open_failed:
-            self._set_down(target)
+        if opening_since is not None:
+            self._on_open_failed(target, opening_since, refused=refused)
+        elif target.failures and not (target.all or target.down or target.retired):
+            self._set_down(target)  # the last connection, and no new one opens
         elif failed and not (target.all or target.down or target.retired):
             self._probe(target, self._clock())
         if not target.retired:
@@ -352,10 +365,29 @@
         else:
             sub.listener.on_lost(sub, sent=sub.sent, garbled=garbled)
 
-    def _set_down(self, target: _Target) -> None:
+    def _on_open_failed(self, target: _Target, since: float, *, refused: bool) -> None:
+        """Delay the next attempt, and set the target down unless its open connections work."""
         backoff_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**target.failures)
         target.failures = min(target.failures + 1, 10)
         target.retry_at = self._clock() + self._with_jitter(backoff_s)
+        if not self._has_working_connection(target, since, refused=refused):
+            self._set_down(target)
+
+    def _has_working_connection(self, target: _Target, since: float, *, refused: bool) -> bool:
+        if not any(conn.connected for conn in target.all):
+            return False
+        return target.replied_at > since or (refused and not self._is_silent(target))
+
+    def _is_silent(self, target: _Target) -> bool:
+        """Return whether a target has owed a reply for longer than `TARGET_SILENCE_S`."""
+        now = self._clock()
+        return now - target.replied_at > TARGET_SILENCE_S and any(
+            sub.sent and now - sub.sent_at > TARGET_SILENCE_S
+            for sub in map(self._sub_by_conn.get, target.all)
+            if sub is not None
+        )
+
+    def _set_down(self, target: _Target) -> None:
         if target.down or target.retired:
             return
         target.down = True
--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -353,7 +353,7 @@
             await self._loop.create_connection(lambda: conn, host, port)
         except OSError as exc:
             log.debug("entry: connecting to VM %s:%d failed: %s", host, port, exc)
-            self._pool.on_closed(conn)
+            self._pool.on_closed(conn, refused=isinstance(exc, ConnectionError))
 
     def _on_down(self, vm_id: str, down: bool) -> None:
         log.info("entry: VM is %s for requests", "down" if down else "up", extra={"peer": vm_id})
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -317,7 +317,7 @@
             await self._loop.create_connection(lambda: conn, host, port)
         except OSError as exc:
             log.debug("entry: connecting to %s:%d failed: %s", host, port, exc)
-            self.pool.on_closed(conn)
+            self.pool.on_closed(conn, refused=isinstance(exc, ConnectionError))
 
     def _on_slot_free(self, target_id: str) -> None:
         service = self._services_of.get(target_id)
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -61,6 +61,10 @@
         self.conns.append(FakeConnection(self))
         return self.conns[-1]
 
+    def refuse(self, conn):
+        conn.closed = True
+        self.pool.on_closed(conn, refused=True)
+
     def send(self, number=1):
         sub = PooledSubRequest(number, "t", lambda: b"data", False, self)
         self.pool.send(sub)
@@ -133,6 +137,40 @@
     assert fixture.down == [True, False] and fixture.pool.has_capacity("t")
 
 
+def test_open_connections_stay_in_use_while_new_ones_are_refused():
+    """Guards against a refused connect that closes the connections that still work."""
+    fixture = PoolFixture(share=3)
+    for number in (1, 2):
+        fixture.send(number)
+        fixture.conns[-1].open()
+    fixture.send(3)
+    fixture.refuse(fixture.conns[2])
+    assert fixture.events == [("lost", 3, False)] and fixture.down == []
+    fixture.conns[0].answer()
+    assert fixture.pool.has_capacity("t"), "on the idle connection"
+    fixture.send(4)
+    assert fixture.conns[0].busy and not fixture.pool.has_capacity("t")
+    fixture.conns[0].answer()
+    fixture.conns[1].answer()
+    fixture.run(0.4)
+    assert len(fixture.conns) == 4, "one attempt after the back-off"
+    fixture.refuse(fixture.conns[3])
+    assert fixture.down == []
+    for conn in fixture.conns[:2]:
+        conn.close()
+    assert fixture.down == [True], "the last connection is gone"
+
+
+def test_silent_connections_do_not_keep_a_target_that_refuses_new_ones():
+    """Guards against requests that wait for a target that has restarted without a word."""
+    fixture = PoolFixture()
+    fixture.send(1)
+    fixture.conns[0].open()
+    fixture.run(TARGET_SILENCE_S + 0.1)
+    fixture.refuse(fixture.conns[1])
+    assert fixture.down == [True] and fixture.events == [("lost", 1, True)]
+
+
 def test_opening_a_connection_times_out():
     fixture = PoolFixture()
     fixture.send(1)
