--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -351,7 +351,7 @@
     async def _open(self, conn: TargetConnection, host: str, port: int) -> None:
         try:
             await self._loop.create_connection(lambda: conn, host, port)
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:  # the latter two: no valid address
             log.debug("entry: connecting to VM %s:%d failed: %s", host, port, exc)
             self._pool.on_closed(conn, refused=isinstance(exc, ConnectionError))
 
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -13,6 +13,7 @@
 from bramleycrank.connections import ConnectionBudget, ConnectionConfig
 from bramleycrank.connections.http_pool import HttpPool
 from bramleycrank.connections.reach import Reach, ReachMonitor
+from bramleycrank.membership.records import is_addressable
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto.peer_pb2 import VmRecord
 from bramleycrank.proto.target_pb2 import TargetRecord
@@ -241,7 +242,7 @@
     def _refresh(self, service: str) -> None:
         """Copy the current targets of a service into the policy and the pool."""
         wanted = self._index is not None and service in self._index.services
-        records = self._source.targets(service) if wanted else []
+        records = list(filter(is_addressable, self._source.targets(service))) if wanted else []
         limit = self._index.connections.get(service, 0) if wanted else 0
         current = {record.target_id for record in records}
         removed = [
@@ -315,7 +316,7 @@
         self._metrics.incr("entry.connections_opened")
         try:
             await self._loop.create_connection(lambda: conn, host, port)
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:  # the latter two: no valid address
             log.debug("entry: connecting to %s:%d failed: %s", host, port, exc)
             self.pool.on_closed(conn, refused=isinstance(exc, ConnectionError))
 
--- a/bramleycrank/membership/records.py
+++ b/bramleycrank/membership/records.py
@@ -29,6 +29,7 @@
 )
 
 BUCKETS = 256
+MAX_PORT = 65_535
 LIVE_STATES = frozenset({VM_STATE_ALIVE, VM_STATE_DRAINING, VM_STATE_SUSPECT})
 DEPARTED_STATES = frozenset({VM_STATE_DEAD, VM_STATE_LEFT})
 ENDED_STATES = frozenset({TARGET_STATE_LEAVING, TARGET_STATE_EXPIRED})
@@ -53,6 +54,19 @@
     return f"{record.host}:{record.port}"
 
 
+def is_addressable(record: TargetRecord) -> bool:
+    """Return whether requests can be sent to a target: by its address, and by its id in a header.
+
+    A VM of another build may have taken over a record that this one would reject.
+    """
+    return (
+        bool(record.host)
+        and 0 < record.port <= MAX_PORT
+        and record.target_id.isascii()
+        and record.target_id.isprintable()
+    )
+
+
 def vm_key(record: VmRecord) -> Key:
     """Return the order key of a VM record: incarnation, state, 0, content hash."""
     return record.incarnation, record.state, 0, _content_hash(record)
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -8,7 +8,13 @@
 
 from bramleycrank.exceptions import InvalidRequest, Outcome
 from bramleycrank.membership.gossip import GossipQueue
-from bramleycrank.membership.records import ENDED_STATES, LIVE_STATES, Key, target_key
+from bramleycrank.membership.records import (
+    ENDED_STATES,
+    LIVE_STATES,
+    Key,
+    is_addressable,
+    target_key,
+)
 from bramleycrank.membership.target_table import TargetTable
 from bramleycrank.membership.types import Action, MembershipConfig, PushRecords, TargetChanged
 from bramleycrank.proto.peer_pb2 import VmRecord
@@ -424,7 +430,7 @@
         for is_invalid, message in (
             (not record.target_id, "target_id is empty"),
             (not record.service, "service is empty"),
-            (not record.host or not 0 < record.port < 65536, "host or port is missing"),
+            (not is_addressable(record), "host, port or id is missing or invalid"),
             (
                 record.state
                 not in (TARGET_STATE_WARMING, TARGET_STATE_SERVING, TARGET_STATE_LEAVING),
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -12,7 +12,7 @@
 from bramleycrank.exceptions import BramleycrankError, InvalidRequest, MalformedBody, NotFound
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.platform import documents
-from bramleycrank.platform.fields import Fields
+from bramleycrank.platform.fields import Fields, is_token, malformed
 from bramleycrank.platform.headers import RETRY_AFTER, PlatformHeaders
 from bramleycrank.transport.http1 import Exchange
 
@@ -111,7 +111,11 @@
 
 
 def _target_id(path: str) -> str:
-    return _last_segment(path, INSTANCES_PATH, "instance id")
+    """Return the id of a target, which becomes a header of each request to it."""
+    target_id = _last_segment(path, INSTANCES_PATH, "instance id")
+    if not is_token(target_id):
+        raise malformed("the instance id is too long or has characters that no header bears")
+    return target_id
 
 
 def _last_segment(path: str, prefix: str, meaning: str) -> str:
--- a/bramleycrank/platform/documents.py
+++ b/bramleycrank/platform/documents.py
@@ -5,10 +5,14 @@
 from bramleycrank.platform.fields import Fields, malformed
 from bramleycrank.proto import log_pb2, target_pb2
 from bramleycrank.scatter.policy import SINGLE_SHARD_REPLICAS
+from bramleycrank.settings import Address
 
 IDEMPOTENT, NON_IDEMPOTENT = "idempotent", "non_idempotent"
 READY, DRAINING = "ready", "draining"
 
+UINT32 = 2**32
+"""Limit of the numbers that a message carries in 32 bits."""
+
 
 def decode_routes(body: bytes) -> log_pb2.RouteTable:
     """Return the route table of a configuration document.
@@ -27,17 +31,17 @@
             log_pb2.HttpService(
                 # Applies to all callers of one target together.
                 name=item.text("Name"),
-                connections=item.count("MaxConnections", 0),
+                connections=item.count("MaxConnections", 0, UINT32),
                 warmup_ms=_rounded_ms(item, "WarmupS", 0, unit_ms=1000),
                 warmup_per_s=item.number("WarmupPerS", 0.0),
             )
             for item in fields.objects("Services")
         ],
         limits=log_pb2.CallerLimits(
-            header_bytes=limits.count("MaxHeaderBytes", 0),
-            body_bytes=limits.count("MaxBodyBytes", 0),
-            header_timeout_ms=limits.count("HeaderTimeoutMs", 0),
-            idle_timeout_ms=limits.count("IdleTimeoutMs", 0),
+            header_bytes=limits.count("MaxHeaderBytes", 0, UINT32),
+            body_bytes=limits.count("MaxBodyBytes", 0, UINT32),
+            header_timeout_ms=limits.count("HeaderTimeoutMs", 0, UINT32),
+            idle_timeout_ms=limits.count("IdleTimeoutMs", 0, UINT32),
         ),
         document=fields.canonical(),
     )
@@ -60,19 +64,20 @@
         idempotent=kind == IDEMPOTENT,
         timeout_ms=_rounded_ms(fields, "TimeoutMs"),
         objective_ms=_rounded_ms(fields, "TargetLatencyMs", 0),
-        rank=fields.count("Priority", 0),
+        rank=fields.count("Priority", 0, UINT32),
         # Includes the first target.
-        max_targets=fields.count("MaxAttempts", 1),
+        max_targets=fields.count("MaxAttempts", 1, UINT32),
         split=split,
         shards=fields.texts("Gather"),
-        top_records=fields.count("TopK", 0),
+        top_records=fields.count("TopK", 0, UINT32),
         min_coverage=fields.number("MinCoverage", 0.0),
         regions=fields.texts("AllowedRegions"),
     )
 
 
 def _rounded_ms(fields: Fields, name: str, default: int | None = None, *, unit_ms: int = 1) -> int:
-    return min(round(fields.number(name, default) * unit_ms), 2**32 - 1)
+    value = fields.number(name, default) * unit_ms
+    return round(min(value, UINT32 - 1))
 
 
 def decode_report(target_id: str, body: bytes) -> target_pb2.TargetRecord:
@@ -84,9 +89,9 @@
         A field is missing, has another type or an unknown value.
     """
     fields = Fields.from_json(body, "report")
-    host, colon, port = fields.text("Address").rpartition(":")
-    if not (host and colon and port.isdigit()):
-        raise malformed("report.Address is not a valid host:port")
+    address = Address.parse(fields.text("Address"))
+    if address is None:
+        raise malformed("report.Address is not an IP address with a port")
     state = fields.text("State")
     if state not in (READY, DRAINING):
         raise malformed(f"report.State {state!r} is unknown")
@@ -96,10 +101,10 @@
         incarnation=decode_incarnation(fields),
         sequence=fields.count("Sequence"),
         state=target_pb2.TARGET_STATE_LEAVING if leaving else target_pb2.TARGET_STATE_SERVING,
-        service=fields.text("Service"),
-        host=host,
-        port=int(port),
-        domain=fields.text("Zone"),
+        service=fields.token("Service"),
+        host=address.host,
+        port=address.port,
+        domain=fields.token("Zone"),
         slots=min(fields.count("Slots", 1), 2**31),
         replicas=SINGLE_SHARD_REPLICAS,
         warmup_left_ms=min(fields.count("WarmupLeftMs", 0), 2**31),
--- a/bramleycrank/platform/fields.py
+++ b/bramleycrank/platform/fields.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import json
+import math
+import re
 from collections.abc import Iterator
 from typing import Any
 
 from bramleycrank.exceptions import MalformedBody, Outcome
 
+MAX_TOKEN_CHARS = 255
+"""Longest id of a target and longest name of a service or zone."""
+
+_TOKEN = re.compile(r"[!-~]+")
+
 
 class Fields:
     """Typed access to a JSON object; a missing field or one of another type is an error.
@@ -41,20 +48,30 @@
             raise malformed(f"{where}: {exc}") from exc
 
     def text(self, name: str, default: str | None = None) -> str:
-        """Return a string."""
-        return self._get(name, str, default)
+        """Return a string that can be encoded."""
+        return self._checked(name, self._get(name, str, default))
+
+    def token(self, name: str, default: str | None = None) -> str:
+        """Return a short string of printable ASCII characters without spaces."""
+        value = self._get(name, str, default)
+        if value and not is_token(value):
+            raise malformed(f"{self._where}.{name} is too long or has characters that are no token")
+        return value
 
-    def count(self, name: str, default: int | None = None) -> int:
-        """Return a non-negative integer."""
+    def count(self, name: str, default: int | None = None, limit: int = 2**63) -> int:
+        """Return a non-negative integer below a limit."""
         value = self._get(name, int, default)
-        if value < 0 or value >= 2**63:
+        if not 0 <= value < limit:
             raise malformed(f"{self._where}.{name} is out of range")
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
         """Return a finite number."""
-        value = float(self._get(name, (int, float), default))
-        if value - value != 0:
+        try:
+            value = float(self._get(name, (int, float), default))
+        except OverflowError as exc:
+            raise malformed(f"{self._where}.{name} is out of range") from exc
+        if not math.isfinite(value):
             raise malformed(f"{self._where}.{name} must be finite")
         return value
 
@@ -67,7 +84,7 @@
         values = self._get(name, list, [])
         if not all(isinstance(value, str) for value in values):
             raise malformed(f"{self._where}.{name} must contain only strings")
-        return values
+        return [self._checked(name, value) for value in values]
 
     def objects(self, name: str) -> Iterator[Fields]:
         """Yield the objects of a list."""
@@ -88,9 +105,29 @@
             raise malformed(f"{self._where}.{name} has the wrong type")
         return value
 
+    def _checked(self, name: str, value: str) -> str:
+        """Return a string unless it has half of a character, which a JSON escape can state."""
+        if any("\ud800" <= char <= "\udfff" for char in value):
+            raise malformed(f"{self._where}.{name} has an invalid character")
+        return value
+
     def canonical(self) -> bytes:
-        """Return the object as JSON with sorted keys and without spaces."""
-        return json.dumps(self._data, sort_keys=True, separators=(",", ":")).encode()
+        """Return the object as JSON with sorted keys and without spaces.
+
+        Raises
+        ------
+        MalformedBody
+            The object is nested too deeply.
+        """
+        try:
+            return json.dumps(self._data, sort_keys=True, separators=(",", ":")).encode()
+        except RecursionError as exc:
+            raise malformed(f"{self._where} is nested too deeply") from exc
+
+
+def is_token(value: str) -> bool:
+    """Return whether a string may name a target or service in a header: short, no spaces."""
+    return bool(value) and len(value) <= MAX_TOKEN_CHARS and bool(_TOKEN.fullmatch(value))
 
 
 def malformed(message: str) -> MalformedBody:
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -26,6 +26,9 @@
 RETRY_AFTER = b"Retry-After"
 SERVER_LIMIT = b"server-limit"
 
+MAX_DIGITS = 9
+"""Digits of a number that count; more of them mean a value without any meaning."""
+
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 
@@ -40,7 +43,7 @@
         headers = values_by_name(request.headers)
         # The header contains a duration from now on, not a point in time.
         wait_ms = headers.get(b"x-deadline-ms", b"")
-        wait_s = int(wait_ms) / 1000 if wait_ms.isdigit() else None
+        wait_s = int(wait_ms[:MAX_DIGITS]) / 1000 if wait_ms.isdigit() else None
         return CallerMeta(headers.get(b"x-request-id", b""), wait_s)
 
     def forwarded_headers(self, request: Request) -> Headers:
@@ -103,5 +106,5 @@
     numbers = value.split(b",") if value else []
     if len(numbers) < 3 or not all(number.strip().isdigit() for number in numbers[:3]):
         return None
-    running, waiting, slots = (int(number) for number in numbers[:3])
+    running, waiting, slots = (int(number.strip()[:MAX_DIGITS]) for number in numbers[:3])
     return LoadReport(in_flight=running, queued=waiting, slots=slots)
--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -35,7 +35,7 @@
 _receive_buffer = bytearray(RECEIVE_BUFFER_BYTES)
 """Buffer of all connections; received data is parsed before the next read."""
 
-_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d+)")
+_TIMEOUT_PATTERN = re.compile(rb"timeout=(\d{1,9})")
 
 _rejection_log = RequestLog(log, time.monotonic)
 
