Cut entries off from the targets in the soak; scale the retry-after of a cut

The soak cuts one entry VM at a time off from all targets, silently or for new connections only, beside all other faults, and checks that it serves two thirds as often as the others from 4 s on.

A VM that is cut off and finds no other VM told callers to come back after 0.25 s to 0.38 s, at a time when the same was likely to be refused again. It now names the time for which the cut has lasted, up to 1 s, since an outage is expected to last as long again and a caller has few attempts.

--- a/bramleycrank/connections/reach.py
+++ b/bramleycrank/connections/reach.py
@@ -73,6 +73,10 @@
         """Whether this VM reaches no target."""
         return self.state is Reach.CUT
 
+    def cut_for(self, now: float) -> float | None:
+        """Return for how long this VM has been cut off, in seconds; None if it is not."""
+        return now - self._since if self.is_cut else None
+
     @property
     def is_probing(self) -> bool:
         """Whether a few targets are connected to find out whether any can be reached."""
--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -183,6 +183,8 @@
         for item in list(self._offered):
             self._cancel(item)
             self._respond(item, 502, "the VM stops")
+        for task in self._open_tasks:
+            task.cancel()
 
     def dump(self) -> dict[str, Any]:
         """Return the requests at other VMs, and what is known of these VMs."""
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -127,7 +127,7 @@
             rng,
             WarmupShares(vm_id, warmup or WarmupBounds(), self._clock()),
             regions,
-            lambda: self.reach.is_cut,
+            lambda: self.reach.cut_for(self._clock()),
         )
         self._intake: ReceiveBudget[TargetConnection] = ReceiveBudget.from_memory(memory_bytes)
         self._services_of: dict[str, str] = {}
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -15,9 +15,9 @@
 from bramleycrank.scatter.budget import RetryBudget, RetryBudgetConfig
 from bramleycrank.scatter.rate_limits import RateLimits
 from bramleycrank.scatter.retry_after import (
-    DOWN_RETRY_AFTER_S,
     add_jitter,
     combined_retry_after,
+    cut_retry_after,
     service_retry_after,
 )
 from bramleycrank.scatter.types import FailureKind, SubFailure, TargetReply
@@ -121,8 +121,8 @@
         Bounds the requests to cold targets.
     regions : mapping of str to str, optional
         Region of each failure domain.
-    is_cut : callable, optional
-        Returns whether this VM reaches no target at all.
+    cut_for : callable, optional
+        Returns for how long this VM has reached no target at all, in seconds; None if it does.
     """
 
     def __init__(
@@ -134,9 +134,9 @@
         rng: random.Random,
         warmup: WarmupShares | None = None,
         regions: Mapping[str, str] | None = None,
-        is_cut: Callable[[], bool] = lambda: False,
+        cut_for: Callable[[], float | None] = lambda: None,
     ) -> None:
-        self._is_cut = is_cut
+        self._cut_for = cut_for
         self.table = ReplicaTable(domain, rng, warmup_s=0.0)
         self._budget_cfg = budget_cfg
         self._rng = rng
@@ -198,7 +198,7 @@
         Load pattern: overload. Concurrency limits keep the queues at the targets short. Requests
         wait on this VM instead, where they can be ordered and have not run yet.
         """
-        if self._is_cut():
+        if self._cut_for() is not None:
             return None
         exclude = set(tried)
         while (target_id := self.table.choose(service, SINGLE_SHARD, 0, exclude, now)) is not None:
@@ -229,7 +229,7 @@
 
     def has_targets(self, service: str, tried: Collection[str], now: float) -> bool:
         """Return whether a usable target was not tried yet, busy or not."""
-        return not self._is_cut() and any(
+        return self._cut_for() is None and any(
             not t.down
             and not t.is_held(now)
             and t.target_id not in tried
@@ -243,7 +243,7 @@
 
     def usable_targets(self, service: str) -> int:
         """Return how many targets of a service can be reached, also those that are held back."""
-        if self._is_cut():
+        if self._cut_for() is not None:
             return 0
         return sum(not t.down for t in self.table.replicas(service, SINGLE_SHARD, 0))
 
@@ -267,8 +267,9 @@
         now : float
             Current time in seconds.
         """
-        if self._is_cut():
-            return add_jitter(DOWN_RETRY_AFTER_S, self._rng)
+        cut_s = self._cut_for()
+        if cut_s is not None:
+            return add_jitter(cut_retry_after(cut_s), self._rng)
         waits_s = [
             service_retry_after(
                 self.table.replicas(name, SINGLE_SHARD, 0), now, self.rate_limits.wait_s
--- a/bramleycrank/scatter/retry_after.py
+++ b/bramleycrank/scatter/retry_after.py
@@ -14,6 +14,9 @@
 DOWN_RETRY_AFTER_S = 0.25
 """Retry-after for a target that is down, in seconds; equals the pool's first reconnect delay."""
 
+MAX_CUT_RETRY_AFTER_S = 1.0
+"""Maximum retry-after of a VM that is cut off, in seconds; another VM may serve the retry."""
+
 MAX_RATE_RETRY_AFTER_S = 1.0
 """Maximum retry-after for a rate limit, in seconds; other VMs may have shares left."""
 
@@ -73,6 +76,15 @@
     return sorted(waits_s)[max(1, min(needed, len(waits_s))) - 1]
 
 
+def cut_retry_after(cut_s: float) -> float:
+    """Return the time in seconds until a cut should have ended that has lasted for `cut_s`.
+
+    Load pattern: all VMs are cut off, and each caller has one more attempt. An outage is expected
+    to last as long again as it has lasted, and an early retry would be refused as well.
+    """
+    return min(MAX_CUT_RETRY_AFTER_S, max(DOWN_RETRY_AFTER_S, cut_s))
+
+
 def startup_retry_after(uptime_s: float) -> float:
     """Return the time in seconds until a VM that is starting should have its routes."""
     return max(MIN_STARTUP_RETRY_AFTER_S, EXPECTED_STARTUP_S - uptime_s)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,7 +10,7 @@
 import attrs
 
 from soak.callers import Outcome
-from soak.faults import Event
+from soak.faults import CUT, Event
 from soak.targets import HOLD_S, RECORD_BYTES, TargetObservations, records
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -32,6 +32,12 @@
 DRAIN_S = 3.0
 """Time after which a leaving target may get no more requests; `Bounds.DrainTimeoutMs`."""
 
+CONTACT_S = 4.0
+"""Time from the beginning of a cut after which a cut VM has to serve; `ContactMs`."""
+
+MIN_CUT_SHARE = 2 / 3
+"""Least share of requests that a cut VM serves, as a multiple of that of the others."""
+
 MAX_LISTED_VIOLATIONS = 20
 """Maximum number of violations that a report lists."""
 
@@ -60,6 +66,7 @@
         *_check_planned_stops(evidence),
         *_check_retry_budgets(evidence),
         *_check_holds_and_leaving(evidence),
+        *_check_cut_vms(evidence),
     ]
     return found[:MAX_LISTED_VIOLATIONS] + (
         [f"and {len(found) - MAX_LISTED_VIOLATIONS} more"]
@@ -148,6 +155,30 @@
                 yield f"{target_id}: requests after it announced that it leaves: {unwanted_ids}"
 
 
+def _check_cut_vms(evidence: Evidence) -> Iterator[str]:
+    """Yield VMs that were cut off from the targets and served far less than the others."""
+    for event in evidence.events:
+        if not event.what.startswith(CUT):
+            continue
+        since = event.since + CONTACT_S
+        period = [o for o in evidence.outcomes if since < o.sent and o.ended < event.until]
+        disturbed = {
+            other.where
+            for other in evidence.events
+            if other is not event
+            and other.since < event.until
+            and (other.until or math.inf) > event.since
+        }
+        at_cut = [o.status == 200 for o in period if o.entry == event.where]
+        at_others = [o.status == 200 for o in period if o.entry not in (event.where, *disturbed)]
+        if event.where in disturbed or not at_cut or not at_others:
+            continue
+        failed = len(at_cut) - sum(at_cut)
+        served_share, usual_share = (sum(r) / len(r) for r in (at_cut, at_others))
+        if served_share < MIN_CUT_SHARE * usual_share and failed > 10 + len(period) / 50:
+            yield f"{event.where}: {failed} of {len(at_cut)} requests not served while cut off"
+
+
 def _requests_in_period(
     evidence: Evidence,
     entry_by_request: dict[str, str],
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,8 @@
 GRACE_S = 6.0
 """Time limit for the end of a process after SIGTERM; `Bounds.GraceS` of the fleet."""
 
+CUT = "cut off from the targets"
+
 
 @attrs.define
 class Event:
@@ -32,6 +34,7 @@
     """Injects faults concurrently, at most one per target.
 
     At most one voter and one entry VM have a fault at a time, which the fleet has to tolerate.
+    Besides, the links of one entry VM to all targets may be cut.
 
     Parameters
     ----------
@@ -50,6 +53,7 @@
         self._targets = targets
         self._rng = rng
         self._busy: set[object] = set()
+        self._faulty_entry: PlatformVm | None = None  # the one with the last fault
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -62,8 +66,10 @@
         await asyncio.gather(*self._tasks)
 
     def _start_random_fault(self) -> None:
-        kind = self._rng.choices(("target", "entry", "voter"), (5, 2, 2))[0]
-        if kind == "target":
+        kind = self._rng.choices(("target", "entry", "voter", "cut"), (5, 2, 2, 2))[0]
+        if kind == "cut":
+            self._start_cut()
+        elif kind == "target":
             healthy = [t for t in self._targets if t not in self._busy]
             if len(healthy) * 3 > len(self._targets) * 2:
                 self._start_fault(self._rng.choice(healthy), self._inject_target_fault)
@@ -89,6 +95,23 @@
         task = asyncio.ensure_future(run_fault())
         self._tasks.add(task)
 
+    def _start_cut(self) -> None:
+        """Cut one entry VM off from the targets, unless it may still be starting."""
+        calm = [vm for vm in self._fleet.entries if vm is not self._faulty_entry]
+        if CUT not in self._busy:
+            self._start_fault(self._rng.choice(calm), self._inject_cut, CUT)
+
+    async def _inject_cut(self, vm: PlatformVm) -> None:
+        process = vm.process
+        refuse = self._rng.random() < 0.4
+        event = self._record_event(f"{CUT}, refused" if refuse else CUT, vm.name)
+        vm.cut([target.address for target in self._targets], refuse=refuse)
+        await self._sleep_random(1.0, 8.0)
+        if vm.process is process:  # one that was started meanwhile is not cut
+            vm.end_cut()
+        event.until = self._loop.time()
+        await self._sleep_random(0.2, 2.0)
+
     def _record_event(self, what: str, where: str) -> Event:
         event = Event(what, where, self._loop.time())
         self.events.append(event)
@@ -122,6 +145,8 @@
         event.until = self._loop.time()
 
     async def _inject_vm_fault(self, vm: PlatformVm) -> None:
+        if not vm.voter:
+            self._faulty_entry = vm
         kinds = ["stop", "kill", "freeze", "hup"]
         if vm.voter:
             kinds += ["kill and lose the disk", "kill and tear the log"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,6 +54,8 @@
         self._folder = folder
         self._rng = random.Random(seed)
         self._fleet = Fleet(folder, ENTRY_VMS)
+        for vm in self._fleet.entries:
+            vm.partition_file = folder / f"{vm.name}.cut"
         self._observations = TargetObservations()
         self._outcomes: list[Outcome] = []
         self._violations: list[str] = []
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -87,7 +87,7 @@
         self.reporting = True
         self.incarnation = 1
         self.proxy: Proxy | None = None
-        self._address = ""
+        self.address = ""
         self._observations = observations
         self._rng = rng
         self._count = itertools.count(1)
@@ -97,7 +97,7 @@
         """Start the target and the proxy in front of it."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.proxy = Proxy(self._server.sockets[0].getsockname()[1])
-        self._address = await self.proxy.start()
+        self.address = await self.proxy.start()
 
     async def stop(self) -> None:
         """Stop the proxy and the target."""
@@ -111,7 +111,7 @@
                 await fleet.report(
                     self.service,
                     self.target_id,
-                    self._address,
+                    self.address,
                     sequence,
                     self.zone,
                     self.incarnation,
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -94,7 +94,8 @@
         vm.cut(vm.other.entry)
         started = asyncio.get_running_loop().time()
         response = await vm.get("/all/q")
-        assert status(response) == 503 and float(header(response, b"Retry-After")) > 0
+        assert status(response) == 503
+        assert 1.0 <= float(header(response, b"Retry-After")) <= 1.5, "the cut has lasted long"
         assert asyncio.get_running_loop().time() - started < 0.9, "0.6 s are the caller's own wait"
         assert vm.delegator.dump()["peers"]["vm2"]["unreached"] == 2
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -8,7 +8,7 @@
 
 from soak.callers import Outcome
 from soak.checks import DRAIN_S, SHARDS, SINGLE, Evidence, violations
-from soak.faults import Event
+from soak.faults import CUT, Event
 from soak.report import build, classify_outcome
 from soak.targets import HOLD_S, RECORD_BYTES, TargetObservations, records
 
@@ -66,6 +66,20 @@
     evidence.outcomes[0].body = greatest_records("r1", SHARDS[:2])
 
 
+def cut_vm_that_refuses(evidence):
+    evidence.events.append(Event(CUT, "edge-y", 10.0, 18.0))
+    evidence.outcomes += [
+        outcome(f"{entry}{n}", "/one/q", status, entry=entry, sent=15.0, ended=15.1)
+        for entry, status in (("edge-y", 503), ("edge-z", 200))
+        for n in range(20)
+    ]
+    for n in range(20):
+        body, receipt = records(SINGLE, f"edge-z{n}"), f"{SINGLE}.{n}"
+        evidence.observations.receipts[receipt] = (SINGLE, f"edge-z{n}")
+        evidence.outcomes[-20 + n].body = body
+        evidence.outcomes[-20 + n].headers = {"x-server-stamp": receipt}
+
+
 def refused_but_run(evidence):
     evidence.observations.runs["r2"].append(f"{SINGLE}-x")
 
@@ -131,6 +145,7 @@
         duplicate_part,
         missing_part_not_counted,
         too_few_parts,
+        cut_vm_that_refuses,
         refused_but_run,
         run_twice,
         too_many_attempts,
