Run the landed build and this one side by side while an entry is cut off

A new VM that is cut off finds only VMs of the landed build: it refuses at once, and the old ones serve as before. Once another new VM is there, that one serves its requests; after it has gone back to the landed build, all serve.

--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -78,7 +78,7 @@
         """Write the settings file and start the process, of the build in `tree` if given."""
         self.write_settings(seeds or self.fleet.seeds, bootstrap=bootstrap)
         program, env = ["bramleycrank.platform"], {"BRAMLEYCRANK_NODE_FILE": str(self.settings)}
-        if self.partition_file is not None:
+        if self.partition_file is not None and tree is None:  # other builds may lack the harness
             program = ["harness.partitioned", "bramleycrank.platform.__main__"]
             env["BRAMLEYCRANK_CUT"] = str(self.partition_file)
         self.process = Process(
