Take only targets that have ended for a sign of a deadly request

Cause: any three targets that became unreachable within a second made all gathers to their services send a canary first for seconds, also when the VM itself was cut off, a domain was dark, or one service lost a part of its targets. Lost sub-requests to targets that do not respond were reported as crashes to all VMs.

Change: a target counts as ended if its host refuses connections; a burst is three services of which a target ends within a second, since a deadly gather ends one of each shard. Connections are opened in one place for both pools; what concerns other VMs has a module of its own, and a stopped VM opens no connection (a task of such a one, destroyed by the garbage collector while a test parsed code, ended that test once: SystemError in test_sent_metrics_are_those_listed).

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -42,6 +42,7 @@
     all: set[Connection] = attrs.field(factory=set)
     failures: int = 0
     down: bool = False
+    refused: bool = False
     retry_at: float = 0.0
     replied_at: float = 0.0
     probed_at: float = 0.0
@@ -145,6 +146,14 @@
         target = self._targets.get(target_id)
         return target is None or target.down
 
+    def has_ended(self, target_id: str) -> bool:
+        """Return whether a target is gone, or its host refuses connections.
+
+        A target that is cut off, or whose host is down, does not respond to a connect.
+        """
+        target = self._targets.get(target_id)
+        return target is None or (target.down and target.refused)
+
     @property
     def connected(self) -> int:
         """Number of open connections."""
@@ -369,6 +378,7 @@
         """Delay the next attempt, and set the target down unless its open connections work."""
         backoff_s = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**target.failures)
         target.failures = min(target.failures + 1, 10)
+        target.refused = refused
         target.retry_at = self._clock() + self._with_jitter(backoff_s)
         if not self._has_working_connection(target, since, refused=refused):
             self._set_down(target)
--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -21,11 +21,11 @@
 from bramleycrank.routing import Route
 from bramleycrank.scatter.delegation import Peer, PeerChoice
 from bramleycrank.transport.http1 import (
+    Connector,
     Exchange,
     ReceiveBudget,
     RequestTemplate,
     Response,
-    TargetConnection,
 )
 
 log = logging.getLogger(__name__)
@@ -147,15 +147,19 @@
         self._metrics = metrics
         self._traffic = traffic
         self._requests = RequestLog(log, self._clock)
-        self._intake: ReceiveBudget[TargetConnection] = ReceiveBudget.from_memory(memory_bytes)
+        self._connector = Connector(ReceiveBudget.from_memory(memory_bytes))
         self.choice = PeerChoice(vm_id, rng)
         self._remote: set[str] = set()
         self._pool = HttpPool(
-            self._connect, lambda limit: limit, lambda vm_id: None, self._on_down, self._clock, rng
+            self._connector.connect,
+            lambda limit: limit,
+            lambda vm_id: None,
+            self._on_down,
+            self._clock,
+            rng,
         )
         self._peers_read_at = float("-inf")
         self._offered: set[_Offered] = set()
-        self._open_tasks: set[asyncio.Task[Any]] = set()
 
     @property
     def in_flight(self) -> int:
@@ -189,8 +193,7 @@
         for item in list(self._offered):
             self._cancel(item)
             self._respond(item, 502, "the VM stops")
-        for task in self._open_tasks:
-            task.cancel()
+        self._connector.close()
 
     def dump(self) -> dict[str, Any]:
         """Return the requests at other VMs, and what is known of these VMs."""
@@ -366,21 +369,5 @@
             unreached=request.offer.unreached,
         )
 
-    # Connections.
-
-    def _connect(self, host: str, port: int, pool: HttpPool) -> TargetConnection:
-        conn = TargetConnection(pool, self._intake)
-        task = self._loop.create_task(self._open(conn, host, port))
-        self._open_tasks.add(task)
-        task.add_done_callback(self._open_tasks.discard)
-        return conn
-
-    async def _open(self, conn: TargetConnection, host: str, port: int) -> None:
-        try:
-            await self._loop.create_connection(lambda: conn, host, port)
-        except (OSError, ValueError, OverflowError) as exc:  # the latter two: no valid address
-            log.debug("entry: connecting to VM %s:%d failed: %s", host, port, exc)
-            self._pool.on_closed(conn, refused=isinstance(exc, ConnectionError))
-
     def _on_down(self, vm_id: str, down: bool) -> None:
         log.info("entry: VM is %s for requests", "down" if down else "up", extra={"peer": vm_id})
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -11,19 +11,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-import attrs
-
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
-from bramleycrank.daemon.delegation_headers import (
-    KEEP_ALIVE_S,
-    MAX_OFFER_BYTES,
-    STATUS_RETURNED,
-    Offer,
-    Reply,
-)
-from bramleycrank.daemon.delegator import Delegation, Delegator
+from bramleycrank.daemon.delegation_headers import Offer, Reply
+from bramleycrank.daemon.delegator import Delegator
 from bramleycrank.daemon.entry_answers import missing_services, render
 from bramleycrank.daemon.entry_call import Call, CallListener
+from bramleycrank.daemon.entry_delegation import EntryDelegation
 from bramleycrank.daemon.entry_targets import EntryTargets, Targets
 from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, Routes, TargetMeta
 from bramleycrank.daemon.suspect_exchange import SuspectExchange
@@ -145,15 +138,13 @@
         )
         self._suspects = suspects or SuspectExchange(self._clock)
         self._quarantine = Quarantine(self._suspects.table)
-        self._targets.on_target_down = self._quarantine.on_target_down
+        self._targets.on_target_ended = self._quarantine.on_target_ended
         self._targets.on_cut = self._hand_over_requests
-        self._delegator = delegator
-        if delegator is not None:
-            self._targets.on_tick = delegator.tick
         self._calls: set[Call] = set()
         self._waiting: dict[str, list[Call]] = defaultdict(list)
         self._sub_ids = itertools.count(1)
         self._delivery = DeliveryEstimate(link_bytes_per_s)
+        self._delegation = EntryDelegation(self._targets, self._delivery, delegator, metrics)
         self._traffic = traffic or Traffic()
 
     async def start(self) -> None:
@@ -165,15 +156,13 @@
     async def stop(self) -> None:
         """Cancel all requests in progress."""
         self._targets.stop()
-        if self._delegator is not None:
-            self._delegator.stop()
+        self._delegation.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.on_caller_disconnected(self._clock()))
 
     def end_requests(self) -> None:
         """Answer all requests in progress, since this VM stops before their targets reply."""
-        if self._delegator is not None:
-            self._delegator.stop()
+        self._delegation.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.stop(self._clock()))
 
@@ -200,28 +189,20 @@
     @property
     def unreached(self) -> int:
         """Number of services with known targets, none of which this VM can reach."""
-        return len(self._targets.unreached)
+        return self._delegation.unreached
 
     @property
     def is_stranded(self) -> bool:
         """Whether this VM reaches no target and knows no VM that does."""
-        unreached = len(self._targets.unreached)
-        return self._targets.reach.is_cut and not (
-            self._delegator is not None and self._delegator.can_delegate(unreached)
-        )
+        return self._targets.reach.is_cut and not self._delegation.is_possible
 
     def limits(self) -> Limits:
         """Return the limits on callers' requests and connections."""
         return self._index.limits if self._index is not None else Limits()
 
     def delegation_limits(self) -> Limits:
-        """Return the limits on the requests of other VMs, which have one more header."""
-        limits = self.limits()
-        return attrs.evolve(
-            limits,
-            header_bytes=limits.header_bytes + MAX_OFFER_BYTES,
-            idle_timeout_s=KEEP_ALIVE_S,
-        )
+        """Return the limits on the requests of other VMs."""
+        return self._delegation.limits(self.limits())
 
     def dump(self) -> dict[str, Any]:
         """Return routes, requests, targets and connections in JSON form."""
@@ -231,7 +212,7 @@
             "in_flight": len(self._calls),
             "requests": [call.execution.dump(now) for call in list(self._calls)[:100]],
             "targets": self._targets.dump(now),
-            "delegation": self._delegator and self._delegator.dump(),
+            "delegation": self._delegation.dump(),
         }
 
     # Requests.
@@ -258,38 +239,25 @@
             self._refuse(exchange, meta, 404, 0.0, "no route matches")
             return
         if not self._targets.serves(route, now):
-            serve = functools.partial(self._serve, exchange, meta, route, offered=True)
             again = functools.partial(self.on_request, exchange, routes_waits - 1)
-            deadline = self._deadline(exchange, meta, route)
-            wait = again if routes_waits else None
-            if self._delegate(exchange, meta, route, deadline, serve, on_other_routes=wait):
+            if self._delegation.offer(
+                exchange,
+                meta,
+                route,
+                self._index.version,
+                self._deadline(exchange, meta, route),
+                functools.partial(self._serve, exchange, meta, route, offered=True),
+                on_other_routes=again if routes_waits else None,
+            ):
                 return
         self._serve(exchange, meta, route)
 
     def on_delegated_request(self, exchange: Exchange) -> None:
         """Serve a request for another VM, or return it at once if that VM may do better."""
-        request = exchange.request
-        offer = Offer.from_request(request)
-        exchange.request = Offer.strip(request)
-        index = self._index
-        route = index and index.find(request.host.decode("latin-1"), request.path)
-        if (
-            offer is None
-            or route is None
-            or offer.routes_version != index.version
-            or self._targets.reach.is_cut
-            or len(self._targets.unreached_of(route)) >= max(1, offer.unreached)
-        ):
-            self._count_offer("refused")
-            version = index.version if index is not None else 0
-            reply = Reply(False, self.unreached, version)
-            exchange.respond(STATUS_RETURNED, reply.headers(), b"")
-            return
-        self._count_offer("served")
-        self._serve(exchange, self._dialect.caller_meta(request), route, offer)
-
-    def _count_offer(self, event: str) -> None:
-        self._metrics.incr(f"entry.delegations.{event}")
+        admitted = self._delegation.admit(exchange, self._index)
+        if admitted is not None:
+            route, offer = admitted
+            self._serve(exchange, self._dialect.caller_meta(exchange.request), route, offer)
 
     @staticmethod
     def _deadline(exchange: Exchange, meta: CallerMeta, route: Route) -> float:
@@ -338,59 +306,38 @@
         exchange.on_disconnected = lambda: self._on_caller_disconnected(call)
         self._execute(call, execution.start(now))
 
-    # Requests whose targets other VMs reach.
-
-    def _delegate(
-        self,
-        exchange: Exchange,
-        meta: CallerMeta,
-        route: Route,
-        deadline: float,
-        on_unserved: Callable[[], None],
-        sends: tuple[int, ...] = (),
-        on_other_routes: Callable[[], None] | None = None,
-    ) -> bool:
-        """Offer a request to another VM; return whether one was found."""
-        if self._delegator is None:
-            return False
-        offer = Offer(
-            self._index.version,
-            self._delivery.network_time(route, exchange.round_trip_s),
-            max(1, len(self._targets.unreached)),
-            sends,
-        )
-        return self._delegator.offer(
-            Delegation(exchange, meta, route, offer, deadline, on_unserved, on_other_routes)
-        )
-
     def _hand_over_requests(self) -> None:
         """Offer the requests in progress to other VMs, since this one has lost its targets."""
         for call in [call for call in self._calls if not call.delegated]:
-            if self._delegator is None or not self._delegator.can_delegate(self.unreached):
+            if not self._delegation.is_possible:
                 return
             sends = call.execution.sends
             actions = call.execution.hand_over(self._clock())
             if actions is not None:
                 self._execute(call, actions)
-                refusal = Refusal(False, "sub-request lost")
-                respond = functools.partial(self._respond, call, refusal)
-                if not self._delegate_call(call, respond, sends):
-                    respond()
-
-    def _delegate_call(
-        self, call: Call, on_unserved: Callable[[], None], sends: tuple[int, ...] = ()
-    ) -> bool:
-        route, deadline = call.execution.route, call.execution.deadline
-        return self._delegate(call.exchange, call.meta, route, deadline, on_unserved, sends)
-
-    def _delegate_unsent(self, call: Call, refusal: Refusal) -> bool:
+                refusal = Refusal(not any(sends), "sub-request lost")
+                if not self._offer_call(call, refusal, sends):
+                    self._respond(call, refusal)
+
+    def _offer_unsent(self, call: Call, refusal: Refusal) -> bool:
         """Offer a request that this VM gave up before anything was sent; return whether it did."""
-        route = call.execution.route
-        unserved = refusal.not_run and not self._targets.serves(route, self._clock())
+        unserved = refusal.not_run and not self._targets.serves(call.execution.route, self._clock())
         if call.delegated or call.offered or not unserved:
             return False
         call.offered = True
-        return self._delegate_call(call, functools.partial(self._respond, call, refusal))
+        return self._offer_call(call, refusal)
+
+    def _offer_call(self, call: Call, refusal: Refusal, sends: tuple[int, ...] = ()) -> bool:
+        """Offer a request that has ended here; it is refused if no VM starts it."""
+        return self._delegation.offer(
+            call.exchange,
+            call.meta,
+            call.execution.route,
+            self._index.version,
+            call.execution.deadline,
+            functools.partial(self._respond, call, refusal),
+            sends=sends,
+        )
 
     def _on_caller_disconnected(self, call: Call) -> None:
         now = self._clock()
@@ -432,7 +379,7 @@
                         self._targets.pool.cancel(sub, superseded=action.superseded)
                 case ReportLosses():
                     self._check_losses(call, action, 0)
-                case Refusal() if self._delegate_unsent(call, action):
+                case Refusal() if self._offer_unsent(call, action):
                     pass
                 case Answer() | Merged() | Refusal():
                     self._respond(call, action)
@@ -556,12 +503,14 @@
         self._execute(call, actions)
 
     def _check_losses(self, call: Call, action: ReportLosses, checks: int) -> None:
-        """Report a crash if targets of lost sub-requests are down and none has replied."""
+        """Report a crash if targets of lost sub-requests have ended and none has replied."""
         if call.execution.has_reply or self._targets.reach.is_probing:
             return  # targets that this VM cannot reach have not ended
-        down = next((loss for loss in action.losses if self._targets.pool.has_ended(loss[1])), None)
-        if checks and down is not None and call.execution.looks_deadly:
-            service, target_id = down
+        ended = next(
+            (loss for loss in action.losses if self._targets.pool.has_ended(loss[1])), None
+        )
+        if checks and ended is not None and call.execution.looks_deadly:
+            service, target_id = ended
             log.info(
                 "entry: a target ended while it ran a request",
                 extra={
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -22,7 +22,7 @@
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.policy import TargetPolicy
 from bramleycrank.scatter.warmup import WarmupBounds, WarmupShares
-from bramleycrank.transport.http1 import ReceiveBudget, TargetConnection
+from bramleycrank.transport.http1 import Connector, ReceiveBudget
 
 log = logging.getLogger(__name__)
 
@@ -107,8 +107,12 @@
         self._index: RouteIndex | None = None
         self._budget = ConnectionBudget(ConnectionConfig(), self._clock())
         self._vm_count = 1
+        self._connector = Connector(
+            ReceiveBudget.from_memory(memory_bytes),
+            lambda: metrics.incr("entry.connections_opened"),
+        )
         self.pool = HttpPool(
-            self._connect,
+            self._connector.connect,
             self._connection_share,
             self._on_slot_free,
             self._on_reachability_change,
@@ -129,16 +133,14 @@
             regions,
             lambda: self.reach.cut_for(self._clock()),
         )
-        self._intake: ReceiveBudget[TargetConnection] = ReceiveBudget.from_memory(memory_bytes)
         self._services_of: dict[str, str] = {}
         self._incarnations: dict[str, int] = {}
         self._record_keys: dict[str, tuple[int, int, int]] = {}
         self._covered: set[str] = set()
         self._unreached: frozenset[str] = frozenset()
-        self.on_target_down: Callable[[str, str, float], None] = lambda *_: None
+        self.on_target_ended: Callable[[str, float], None] = lambda *_: None
         self._domain = domain
         self._remote: set[str] = set()  # targets in other failure domains
-        self._open_tasks: set[asyncio.Task[Any]] = set()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -147,7 +149,8 @@
         self._task = asyncio.create_task(self._run())
 
     def stop(self) -> None:
-        """Stop the periodic checks."""
+        """Stop the periodic checks, and open no more connections."""
+        self._connector.close()
         if self._task is not None:
             self._task.cancel()
 
@@ -193,7 +196,7 @@
             "policy": self.policy.dump(now),
             "connections": self.pool.dump(),
             "opened": self.pool.opened,
-            "held_bytes": self._intake.held_bytes,
+            "held_bytes": self._connector.receive_budget.held_bytes,
         }
 
     def incarnation(self, target_id: str) -> int:
@@ -305,21 +308,6 @@
     def _connection_share(self, limit: int) -> int:
         return self._budget.share(limit, self._clock())
 
-    def _connect(self, host: str, port: int, pool: HttpPool) -> TargetConnection:
-        conn = TargetConnection(pool, self._intake)
-        task = self._loop.create_task(self._open(conn, host, port))
-        self._open_tasks.add(task)
-        task.add_done_callback(self._open_tasks.discard)
-        return conn
-
-    async def _open(self, conn: TargetConnection, host: str, port: int) -> None:
-        self._metrics.incr("entry.connections_opened")
-        try:
-            await self._loop.create_connection(lambda: conn, host, port)
-        except (OSError, ValueError, OverflowError) as exc:  # the latter two: no valid address
-            log.debug("entry: connecting to %s:%d failed: %s", host, port, exc)
-            self.pool.on_closed(conn, refused=isinstance(exc, ConnectionError))
-
     def _on_slot_free(self, target_id: str) -> None:
         service = self._services_of.get(target_id)
         if service is not None:
@@ -336,8 +324,8 @@
         if service is not None:
             if down:
                 self.reach.on_target_down(self._clock())
-                if self.reach.state not in (Reach.SUSPECT, Reach.CUT):
-                    self.on_target_down(target_id, service, self._clock())
+                if self.pool.has_ended(target_id) and not self.reach.is_probing:
+                    self.on_target_ended(service, self._clock())
             else:
                 self.policy.on_reachable_again(service, target_id, self._clock())
             self._update_reach(service)
--- a/bramleycrank/scatter/quarantine.py
+++ b/bramleycrank/scatter/quarantine.py
@@ -14,12 +14,12 @@
 """Time after a crash under a request for which requests to the same service are sent to one target
 first, in seconds."""
 
-BURST_TARGETS = 3
-"""Targets that become unreachable within `BURST_S` when a request has crashed those of many shards
+BURST_SERVICES = 3
+"""Services of which a target ends within `BURST_S` when a request has crashed those of many shards
 and no VM has reported it yet."""
 
 BURST_S = 1.0
-"""Time within which the targets of a burst become unreachable, in seconds."""
+"""Time within which the targets of a burst end, in seconds."""
 
 BURST_CANARY_S = 3.0
 """Time for which requests are sent to one target first after a burst, in seconds; by then a VM has
@@ -74,7 +74,7 @@
 
     def __init__(self, suspicions: Suspicions) -> None:
         self._suspicions = suspicions
-        self._down: deque[tuple[float, str, str]] = deque()
+        self._ended: deque[tuple[float, str]] = deque()  # time and service of each target
         self._canary_until: dict[str, float] = {}
 
     def verdict(self, fingerprint: int, services: Collection[str], now: float) -> Verdict:
@@ -99,14 +99,15 @@
         """Return whether targets ended under a request since one answered it."""
         return self._suspicions.crashes(fingerprint) > 0
 
-    def on_target_down(self, target_id: str, service: str, now: float) -> None:
-        """Record that a target has become unreachable."""
-        while self._down and self._down[0][0] <= now - BURST_S:
-            self._down.popleft()
-        self._down.append((now, target_id, service))
-        if len({down_id for _, down_id, _ in self._down}) >= BURST_TARGETS:
-            for _, _, down_service in self._down:
-                self._canary_until[down_service] = now + BURST_CANARY_S
+    def on_target_ended(self, service: str, now: float) -> None:
+        """Record that a target of a service has ended, as opposed to one that is cut off."""
+        while self._ended and self._ended[0][0] <= now - BURST_S:
+            self._ended.popleft()
+        self._ended.append((now, service))
+        services = {ended_service for _, ended_service in self._ended}
+        if len(services) >= BURST_SERVICES:
+            for ended_service in services:
+                self._canary_until[ended_service] = now + BURST_CANARY_S
 
 
 class Canary:
--- a/bramleycrank/transport/http1/__init__.py
+++ b/bramleycrank/transport/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on plain asyncio transports with a C parser, for requests that this VM forwards."""
 
 from bramleycrank.transport.http1.client import ConnectionListener, TargetConnection
+from bramleycrank.transport.http1.connector import Connector
 from bramleycrank.transport.http1.messages import Request, RequestTemplate, Response
 from bramleycrank.transport.http1.receive_budget import ReceiveBudget
 from bramleycrank.transport.http1.server import Http1Server
@@ -8,6 +9,7 @@
 
 __all__ = [
     "ConnectionListener",
+    "Connector",
     "Exchange",
     "Http1Server",
     "ReceiveBudget",
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -169,6 +169,7 @@
     fixture.run(TARGET_SILENCE_S + 0.1)
     fixture.refuse(fixture.conns[1])
     assert fixture.down == [True] and fixture.events == [("lost", 1, True)]
+    assert fixture.pool.has_ended("t")
 
 
 def test_opening_a_connection_times_out():
@@ -185,6 +186,7 @@
     fixture.conns[0].open()
     fixture.run(TARGET_SILENCE_S + CONNECT_TIMEOUT_S + 0.2)
     assert fixture.events == [("lost", 1, True)] and fixture.down == [True]
+    assert not fixture.pool.has_ended("t"), "it may only be cut off"
 
 
 def test_a_slow_target_that_accepts_connections_keeps_its_requests():
