Give up a VM that does not respond to an offer after 0.15 s

A VM that is cut off from targets and from the VMs that reach them (a domain cut) would have held each request for 0.5 s for each VM that it offers it to, before it refuses: what can't be served is to be rejected at once. The kernel of a VM in reach accepts within a round trip. Targets are grouped by domain only when a probe is due.

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -75,6 +75,8 @@
         Monotonic time in seconds.
     rng : random.Random
         Source of random choices.
+    connect_timeout_s : float, optional
+        Timeout for opening a connection, in seconds.
     """
 
     def __init__(
@@ -85,7 +87,9 @@
         on_down: Callable[[str, bool], None],
         clock: Callable[[], float],
         rng: random.Random,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
+        self._connect_timeout_s = connect_timeout_s
         self._open_connection = open_connection
         self._share = share
         self._on_capacity = on_capacity
@@ -208,7 +212,7 @@
             sub.conn.close()
             sub.listener.on_cancel_completed(sub, CancelOutcome.SILENT)
         for conn, opened_at in list(self._connecting_since.items()):
-            if now - opened_at >= CONNECT_TIMEOUT_S:
+            if now - opened_at >= self._connect_timeout_s:
                 conn.close()
                 self.on_closed(conn)
         for target in list(self._targets.values()):
--- a/bramleycrank/connections/reach.py
+++ b/bramleycrank/connections/reach.py
@@ -77,6 +77,10 @@
         """Return for how long this VM has been cut off, in seconds; None if it is not."""
         return now - self._since if self.is_cut else None
 
+    def is_probe_due(self, now: float) -> bool:
+        """Return whether `targets_to_probe` names targets now."""
+        return self.is_probing and now >= self._probe_at
+
     @property
     def is_probing(self) -> bool:
         """Whether a few targets are connected to find out whether any can be reached."""
@@ -161,7 +165,7 @@
         now : float
             Current time in seconds.
         """
-        if not self.is_probing or now < self._probe_at:
+        if not self.is_probe_due(now):
             return []
         jitter = 1 + PROBE_JITTER * (2 * self._rng.random() - 1)
         self._probe_at = now + PROBE_PERIOD_S * jitter
--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -33,6 +33,9 @@
 MAX_CONNECTIONS = 64
 """Most requests that this VM has in progress at one other VM."""
 
+CONNECT_TIMEOUT_S = 0.15
+"""Timeout for opening a connection to another VM, in seconds; the request then goes to a third."""
+
 PEERS_MAX_AGE_S = 0.5
 """Age at which the list of VMs is read again, in seconds."""
 
@@ -157,6 +160,7 @@
             self._on_down,
             self._clock,
             rng,
+            CONNECT_TIMEOUT_S,
         )
         self._peers_read_at = float("-inf")
         self._offered: set[_Offered] = set()
--- a/bramleycrank/daemon/entry_targets.py
+++ b/bramleycrank/daemon/entry_targets.py
@@ -341,11 +341,11 @@
         overdue = self.pool.overdue_targets(self._patience)
         if self.reach.check(overdue, now):
             self._on_reach_change()
-        domains: dict[str, list[str]] = defaultdict(list)
-        if self.reach.is_probing:
+        if self.reach.is_probe_due(now):
+            domains: dict[str, list[str]] = defaultdict(list)
             for target_id in self._services_of:
                 domains[self.policy.table.state(target_id).domain].append(target_id)
-        self.pool.probe(self.reach.targets_to_probe(domains, now))
+            self.pool.probe(self.reach.targets_to_probe(domains, now))
 
     def _patience(self, target_id: str) -> float:
         state = self.policy.table.state(target_id)
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -135,6 +135,26 @@
     run(scenario, CutEntryVm, **PARTS)
 
 
+def test_a_vm_that_does_not_respond_is_passed_over_at_once():
+    """Load pattern: the only VMs that reach the targets are behind a partition."""
+
+    async def scenario(vm):
+        async with await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0, backlog=0) as full:
+            port = full.sockets[0].getsockname()[1]
+            full.get_loop().remove_reader(full.sockets[0].fileno())
+            fillers = [asyncio.open_connection("127.0.0.1", port) for _ in range(4)]
+            filling = [asyncio.ensure_future(filler) for filler in fillers]
+            await asyncio.sleep(0.1)
+            vm.records[0].delegation_port = port
+            started = asyncio.get_running_loop().time()
+            assert status(await vm.get("/all/q")) == 503
+            assert asyncio.get_running_loop().time() - started < 0.6 + 0.3, "0.6 s: the idle wait"
+            for task in filling:
+                task.cancel()
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
 def test_a_request_that_is_lost_at_the_other_vm_is_not_sent_again():
     """Guards against a request that runs twice because its answer was lost between VMs."""
 
