--- a/review/5/case.py
+++ b/review/5/case.py
@@ -11,7 +11,7 @@
 
 TIMEOUT_S = 1.0
 SLACK_S = 0.5
-DEADLINE_MS = 10_000
+DEADLINE_MS = 4_000
 RECORD = {
     "Name": "cast-record",
     "PathPrefix": "/record/",
