--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,6 +36,16 @@
 MARGIN_S = 0.3
 DOWN_S = 1.0
 READ_S = 30.0
+CHANGE_S = 15.0
+
+
+async def is_accepted(fleet: Fleet, change: dict[str, object]) -> bool:
+    """Return whether a change is acknowledged within `CHANGE_S`."""
+    try:
+        await fleet.put_manifest(change, CHANGE_S)
+    except TimeoutError:
+        return False
+    return True
 
 
 async def scenario(folder: Path, trouble: bool) -> None:
@@ -73,6 +83,8 @@
                 version = max(version, found)
             await asyncio.sleep(0.3)
         if version < 2:
+            changed = await is_accepted(fleet, manifest(3, [RECORD], ["fonderia"]))
+            fleet.record.line("change", accepted=changed)
             raise Broken(f"LOST: the acknowledged manifest 2 can't be read for {READ_S:.0f} s")
     finally:
         removed.reap()
