Exchange a voter before the VM that is replaced ends

Cause: the successor of a core VM stayed a learner until the removed voter had been silent for 3 s. In these 3 s a quorum of two of three counted a VM that never returns, so the next allowed loss, a disk, ended the log. Ruled out by the logs: a successor without a log (a learner 0.13 s after its start) and too few voters (the change was acknowledged).

A rolling restart exchanges nobody. Several dead voters of five or more go without learners to replace them. A new leader counts the silence of the one before it from its last message. Logs and metrics name silent members.

--- a/bramleycrank/consensus/core.py
+++ b/bramleycrank/consensus/core.py
@@ -49,6 +49,7 @@
         self.voted_for = durable.hard_state.voted_for
         self.state = State.FOLLOWER
         self.leader_id = ""
+        self.last_leader_id = ""  # sender of the message received at `heard_at`
         self.commit_index = self.log.snapshot_index
         self.heard_at = now
         self.started_at = now
@@ -127,6 +128,7 @@
     def record_leader_contact(self) -> None:
         """Record a message from the leader and restart the election timeout."""
         self.had_leader_contact = True
+        self.last_leader_id = self.leader_id
         self.heard_at = self.now
         self.leader_presumed_until = self.now + self.cfg.election_timeout_s[0]
         self.reset_election()
--- a/bramleycrank/consensus/node.py
+++ b/bramleycrank/consensus/node.py
@@ -10,6 +10,7 @@
 from bramleycrank.consensus.election import Election
 from bramleycrank.consensus.follower import FollowerLog
 from bramleycrank.consensus.leadership import Leadership
+from bramleycrank.consensus.progress import Progress
 from bramleycrank.consensus.types import (
     Action,
     DurableState,
@@ -211,9 +212,28 @@
 
     @property
     def members_last_reply_at(self) -> dict[str, float]:
-        """Time of the last reply of each other member, in seconds; empty unless leading."""
-        progress = self._leadership.replication.progress if self._leadership else {}
-        return {i: item.heard_at for i, item in progress.items() if i != self._core.node_id}
+        """Time of the last reply of each other member, in seconds; empty unless leading.
+
+        Until a member has replied to this leader, it is the start of the leadership, but for the
+        leader before, whose silence began with its last message.
+        """
+        core = self._core
+        return {
+            node_id: core.heard_at
+            if node_id == core.last_leader_id and not progress.acked_round
+            else progress.heard_at
+            for node_id, progress in self._progress.items()
+            if node_id != core.node_id
+        }
+
+    @property
+    def unsynced_members(self) -> frozenset[str]:
+        """Members that have not acknowledged any entry to this leader; empty unless leading."""
+        return frozenset(i for i, item in self._progress.items() if not item.match_index)
+
+    @property
+    def _progress(self) -> dict[str, Progress]:
+        return self._leadership.replication.progress if self._leadership else {}
 
     @property
     def term(self) -> int:
--- a/bramleycrank/consensus/quorum.py
+++ b/bramleycrank/consensus/quorum.py
@@ -7,6 +7,7 @@
 from bramleycrank.consensus.types import (
     MAX_VOTERS,
     AddLearner,
+    Demote,
     MembershipChange,
     Promote,
     Remove,
@@ -64,6 +65,8 @@
             _add_learner(result, member)
         case Promote(node_id):
             _promote(result, node_id)
+        case Demote(node_id):
+            _demote(result, node_id)
         case Remove(node_id):
             _remove(result, node_id)
     return result
@@ -88,6 +91,15 @@
     member.voter = True
 
 
+def _demote(membership: Membership, node_id: str) -> None:
+    member = find_member(membership, node_id)
+    if member is None or not member.voter:
+        raise _invalid_change(f"{node_id} is not a voter")
+    if voter_ids(membership) == [node_id]:
+        raise _invalid_change("the last voter cannot be demoted")
+    member.voter = False
+
+
 def _remove(membership: Membership, node_id: str) -> None:
     member = find_member(membership, node_id)
     if member is None:
--- a/bramleycrank/consensus/types.py
+++ b/bramleycrank/consensus/types.py
@@ -110,6 +110,13 @@
     node_id: str
 
 
+@attrs.frozen
+class Demote:
+    """Makes a voter a learner; it keeps its place in the order of the members."""
+
+    node_id: str
+
+
 @attrs.frozen
 class Remove:
     """Removes a voter or learner."""
@@ -117,7 +124,7 @@
     node_id: str
 
 
-MembershipChange = AddLearner | Promote | Remove
+MembershipChange = AddLearner | Promote | Demote | Remove
 
 
 @attrs.frozen
@@ -225,6 +232,7 @@
     "Action",
     "AddLearner",
     "Apply",
+    "Demote",
     "DurableState",
     "Membership",
     "MembershipChange",
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -222,6 +222,10 @@
         replied_at = self._node.members_last_reply_at if self._node else {}
         return {node_id: now - at for node_id, at in replied_at.items()}
 
+    def unsynced_members(self) -> frozenset[str]:
+        """Return the members that have acknowledged no entry to this leader."""
+        return self._node.unsynced_members if self._node else frozenset()
+
     def leader_silence_s(self) -> float:
         """Return the seconds since the last message of a leader; 0 if no Raft node runs."""
         if self._node is None:
--- a/bramleycrank/daemon/directory.py
+++ b/bramleycrank/daemon/directory.py
@@ -53,6 +53,14 @@
         ]
         return known or self._seeds
 
+    def departed(self) -> frozenset[str]:
+        """Return the ids of the VMs that announced that they have left."""
+        return frozenset(
+            record.vm_id
+            for record in self._membership.all_vms()
+            if record.state == peer_pb2.VM_STATE_LEFT
+        )
+
     def sample_across_domains(self, count: int) -> Sequence[str]:
         """Return the addresses of some VMs, spread over the failure domains."""
         return self._membership.core.random_addresses(count, own_domain_only=False) or self._seeds
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -231,7 +231,13 @@
         await parts.consensus.start()
         await parts.config.start()
         self._voter_manager = VoterManager(
-            cfg.voting, parts.consensus, parts.voters, parts.clients, parts.peers, rng
+            cfg.voting,
+            parts.consensus,
+            parts.voters,
+            parts.clients,
+            parts.peers,
+            rng,
+            self._metrics,
         )
         peer = PeerService(parts.membership, parts.config, parts.consensus, self._voter_manager)
         self._grpc = Server([peer])
--- a/bramleycrank/daemon/voter_manager.py
+++ b/bramleycrank/daemon/voter_manager.py
@@ -5,20 +5,27 @@
 import asyncio
 import logging
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Protocol
 
 import attrs
 
-from bramleycrank.consensus import MAX_VOTERS, AddLearner, Promote, Remove
+from bramleycrank.consensus import Demote, MembershipChange, Remove
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.voter_changes import VoterChanges
+from bramleycrank.daemon.voter_choice import (
+    READY_SILENCE_S,
+    MemberSignals,
+    RecentMembers,
+    next_membership_change,
+)
 from bramleycrank.exceptions import (
     BramleycrankError,
     LearnerNotCaughtUp,
     MembershipChangeInProgress,
     NotLeader,
 )
+from bramleycrank.observability.metrics import Metrics, NullMetrics
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.transport.peer_client import PeerClients
 
@@ -33,13 +40,6 @@
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call to another VM and of a change of the members, in seconds."""
 
-DEAD_AFTER_S = 3.0
-"""Silence after which a ready learner replaces a voter, in seconds.
-
-Even a long election after a partition or a frozen VM has ended by then. A voter that returns later
-joins again as a learner and keeps its log.
-"""
-
 LEADER_SILENCE_S = 2.0
 """Silence of the leader after which a member requests to join again, in seconds.
 
@@ -49,11 +49,14 @@
 
 
 class Peers(Protocol):
-    """Source of the addresses of other VMs."""
+    """What is known of other VMs."""
 
     def addresses(self) -> Sequence[str]:
         """Return the addresses of VMs that may be alive, without this one."""
 
+    def departed(self) -> Collection[str]:
+        """Return the ids of the VMs that announced that they have left."""
+
 
 @attrs.frozen
 class VotingConfig:
@@ -65,75 +68,13 @@
         Whether the cluster has to be formed, because the system starts for the first time.
     seeds : tuple of str
         gRPC addresses of the first voters; the same on all VMs at the first start.
+    catch_up_s : float
+        Time that a new VM has until the one it succeeds may no longer be counted, in seconds.
     """
 
     bootstrap: bool = False
     seeds: tuple[str, ...] = ()
-
-
-def next_membership_change(
-    members: Sequence[log_pb2.Member],
-    own_id: str,
-    silent_s: dict[str, float],
-    newcomers: Sequence[log_pb2.Member],
-) -> object | None:
-    """Return the next change of the members that the leader should make, or None.
-
-    - A member whose VM returned with another disk, or whose address another VM uses, is removed
-      immediately, because that node never returns. It is removed before its successor is added,
-      so that the quorum does not count it.
-    - A newcomer is added as a learner.
-    - The number of voters is odd: with an even number, a partition into two halves leaves neither
-      of them with a quorum.
-    - A silent voter is replaced by a learner that responds.
-
-    Parameters
-    ----------
-    members : sequence of Member
-        Members of the log.
-    own_id : str
-        Node id of the leader.
-    silent_s : dict
-        Time since the last message of each member, in seconds, by node id.
-    newcomers : sequence of Member
-        VMs that requested to become members.
-    """
-    ids = {member.node_id for member in members}
-    unadmitted = [item for item in newcomers if item.node_id not in ids]
-    for newcomer in unadmitted:
-        for member in members:
-            if member.node_id != own_id and _replaces(newcomer, member):
-                return Remove(member.node_id)
-    if unadmitted:
-        return AddLearner(unadmitted[0])
-    voters = [member for member in members if member.voter]
-    ready = [
-        m for m in members if not m.voter and silent_s.get(m.node_id, 0.0) < CHECK_PERIOD_S * 5
-    ]
-    dead = [m for m in voters if silent_s.get(m.node_id, 0.0) > DEAD_AFTER_S]
-    if ready and dead:
-        return Remove(dead[0].node_id)
-    if ready and len(voters) < _desired_voter_count(len(voters) + len(ready)):
-        return Promote(min(ready, key=lambda m: _promotion_order(m, voters)).node_id)
-    return None
-
-
-def _replaces(newcomer: log_pb2.Member, member: log_pb2.Member) -> bool:
-    same_vm = _vm_of(newcomer.node_id) == _vm_of(member.node_id)
-    return same_vm or (newcomer.host, newcomer.port) == (member.host, member.port)
-
-
-def _vm_of(node_id: str) -> str:
-    return node_id.partition("/")[0]
-
-
-def _desired_voter_count(candidates: int) -> int:
-    return min(candidates - (candidates + 1) % 2, MAX_VOTERS)
-
-
-def _promotion_order(member: log_pb2.Member, voters: Sequence[log_pb2.Member]) -> tuple[int, str]:
-    """Return the sort key of a learner: the number of voters in its domain, then its node id."""
-    return sum(voter.domain == member.domain for voter in voters), member.node_id
+    catch_up_s: float = 4.0
 
 
 class VoterManager:
@@ -150,9 +91,11 @@
     clients : PeerClients
         Connections to other VMs.
     peers : Peers
-        Source of the addresses of other VMs.
+        What is known of other VMs.
     rng : random.Random
         Source of random choices.
+    metrics : Metrics, optional
+        Receiver of metrics.
     """
 
     def __init__(
@@ -163,6 +106,7 @@
         clients: PeerClients,
         peers: Peers,
         rng: random.Random,
+        metrics: Metrics | None = None,
     ) -> None:
         self._cfg = cfg
         self._consensus = consensus
@@ -170,6 +114,9 @@
         self._clients = clients
         self._peers = peers
         self._rng = rng
+        self._metrics = metrics or NullMetrics()
+        self._recent = RecentMembers(cfg.bootstrap)
+        self._silent: frozenset[str] = frozenset()
         self._newcomers: dict[str, log_pb2.Member] = {}
         self._task: asyncio.Task[None] | None = None
         self._started_at = asyncio.get_running_loop().time()
@@ -202,8 +149,12 @@
         )
 
     def dump(self) -> dict[str, object]:
-        """Return the VMs that wait to become members, in JSON form."""
-        return {"newcomers": sorted(m.node_id for m in self._newcomers.values())}
+        """Return the VMs that wait to become members and the newest members, in JSON form."""
+        return {
+            "newcomers": sorted(m.node_id for m in self._newcomers.values()),
+            "recent": sorted(self._recent.ids()),
+            "silent": sorted(self._silent),
+        }
 
     async def _run(self) -> None:
         while True:
@@ -220,6 +171,9 @@
     async def _check_members(self) -> None:
         consensus = self._consensus
         membership = consensus.membership
+        if membership is not None:
+            # Each member remembers the newest ones, since it may become the leader.
+            self._recent.update(membership.members, asyncio.get_running_loop().time())
         if membership is None and self._may_bootstrap():
             await self._bootstrap()
         elif membership is None or consensus.node_id not in {m.node_id for m in membership.members}:
@@ -262,20 +216,67 @@
                 await stub.Join(request, timeout=CALL_TIMEOUT_S)
 
     async def _change_members(self, membership: log_pb2.Membership) -> None:
-        change = next_membership_change(
-            membership.members,
-            self._consensus.node_id,
-            self._consensus.member_silence_s(),
-            list(self._newcomers.values()),
+        """Make changes until none is due: between two of them, fewer losses can be borne."""
+        while self._consensus.is_leader:
+            signals = self._signals(membership)
+            change = next_membership_change(
+                membership.members,
+                self._consensus.node_id,
+                signals,
+                list(self._newcomers.values()),
+            )
+            if change is None:
+                return
+            if change in (Demote(self._consensus.node_id), Remove(self._consensus.node_id)):
+                log.info("voters: another voter has to lead, since this one gives up its vote")
+                await self._consensus.transfer_leadership()
+                return
+            membership = await self._consensus.change_membership(change, CALL_TIMEOUT_S)
+            self._on_changed(change, membership, signals)
+
+    def _signals(self, membership: log_pb2.Membership) -> MemberSignals:
+        consensus, recent = self._consensus, self._recent.ids()
+        signals = MemberSignals(
+            consensus.member_silence_s(),
+            recent,
+            consensus.unsynced_members(),
+            self._peers.departed() if recent else frozenset(),
+            self._cfg.catch_up_s,
         )
-        if change is None:
-            return
-        after = await self._consensus.change_membership(change, CALL_TIMEOUT_S)
+        self._record_silent(membership, signals)
+        return signals
+
+    def _record_silent(self, membership: log_pb2.Membership, signals: MemberSignals) -> None:
+        """Count the silent members, and log each change of them."""
+        silence = signals.silent_s
+        silent = frozenset(
+            m.node_id for m in membership.members if silence.get(m.node_id, 0.0) > READY_SILENCE_S
+        )
+        if silent != self._silent:
+            log.info(
+                "voters: members that do not respond",
+                extra={
+                    "silent": sorted(silent),
+                    "recent": sorted(signals.recent),
+                    "departed": sorted(signals.departed),
+                },
+            )
+        self._silent = silent
+        voters = {m.node_id for m in membership.members if m.voter}
+        self._metrics.gauge("consensus.voters", len(voters))
+        self._metrics.gauge("consensus.voters_silent", len(voters & silent))
+
+    def _on_changed(
+        self, change: MembershipChange, after: log_pb2.Membership, signals: MemberSignals
+    ) -> None:
+        self._recent.update(after.members, asyncio.get_running_loop().time())
         log.info(
             "voters: changed the members",
             extra={
                 "change": repr(change)[:200],
                 "voters": [m.node_id for m in after.members if m.voter],
+                "silent_s": {i: round(s, 2) for i, s in signals.silent_s.items()},
+                "recent": sorted(signals.recent),
             },
         )
         ids = {m.node_id for m in after.members}
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -135,6 +135,8 @@
     _gauge("membership.vms", "VMs", "VMs in the state alive."),
     _gauge("membership.targets", "targets", "Known targets that are usable."),
     _counter("consensus.role_changes", "changes", "Changes of the VM's role in the log."),
+    _gauge("consensus.voters", "voters", "Voters of the log, on the leader."),
+    _gauge("consensus.voters_silent", "voters", "Voters that do not respond to the leader."),
     _timing("consensus.propose", "Time from a proposal to its result."),
     _timing("storage.sync", "Time to write and sync records of the log."),
 )
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -128,7 +128,11 @@
             if name.startswith(DOMAIN_PREFIX)
         },
         order_resend_window_s=float(entries.get("Bounds.AckTimeoutMs") or 6000) / 1000,
-        voting=VotingConfig(bootstrap=entries.get("Bootstrap") == "true", seeds=seeds),
+        voting=VotingConfig(
+            bootstrap=entries.get("Bootstrap") == "true",
+            seeds=seeds,
+            catch_up_s=float(entries.get("Bounds.CatchUpS") or 4),
+        ),
     )
 
 
--- a/tests/consensus_cluster.py
+++ b/tests/consensus_cluster.py
@@ -157,7 +157,10 @@
         self.ids = itertools.count(1)
         self.reads: dict[str, int] = {}
         self.outcomes: dict[str, object] = {}
-        members = [pb.Member(node_id=f"vm{i}/0", voter=True) for i in range(size)]
+        members = [
+            pb.Member(node_id=f"vm{i}/0", host=f"vm{i}", domain=f"d{i}", voter=True)
+            for i in range(size)
+        ]
         self.initial_membership = pb.Membership(cluster_id="cluster", members=members)
         self.oracle.membership = self.initial_membership
         for member in members:
