End a request at another VM at the timeout of its route

Cause: _deadline took the caller's deadline alone where the caller named one, and the delegator waits for the other VM until then. A request that this VM serves itself ends at the earlier of both, since ScatterExecution takes the minimum. Looked at on the same path: requests handed over after a cut have the deadline of their execution; the waits for a route table, for the leader and for a confirmed read have timeouts of their own (0.03 s eight times, 1 s, 1 s).

Change: _deadline is the earlier of the caller's deadline and the route's timeout.

--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -68,7 +68,7 @@
     offer : Offer
         What the other VM has to know.
     deadline : float
-        Time at which the caller stops waiting, in seconds.
+        Time at which the request ends, in seconds.
     on_unserved : callable
         Called if no VM has started the request.
     on_other_routes : callable or None
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/daemon/entry_controller.py
@@ -6,6 +6,7 @@
 import functools
 import itertools
 import logging
+import math
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
@@ -261,8 +262,12 @@
 
     @staticmethod
     def _deadline(exchange: Exchange, meta: CallerMeta, route: Route) -> float:
-        """Return the time at which the caller stops waiting, in seconds."""
-        return exchange.arrived + (route.timeout_s if meta.wait_s is None else meta.wait_s)
+        """Return the time at which a request ends on each path, in seconds.
+
+        It is the earlier of the caller's deadline and the route's timeout.
+        """
+        wait_s = math.inf if meta.wait_s is None else meta.wait_s
+        return exchange.arrived + min(route.timeout_s, wait_s)
 
     def _serve(
         self,
--- a/bramleycrank/daemon/entry_delegation.py
+++ b/bramleycrank/daemon/entry_delegation.py
@@ -87,7 +87,7 @@
         routes_version : int
             Version of the route table that has the route.
         deadline : float
-            Time at which the caller stops waiting, in seconds.
+            Time at which the request ends, in seconds.
         on_unserved : callable
             Called if no VM has started the request.
         sends : tuple of int, optional
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from types import SimpleNamespace
 
@@ -197,6 +198,64 @@
     run(scenario, CutEntryVm, **PARTS)
 
 
+class FrozenVm:
+    """A VM whose kernel accepts connections while its process does not run."""
+
+    def __init__(self, vm_id: str = "vm3") -> None:
+        self.vm_id = vm_id
+        self.requests: list[bytes] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                self.requests.append(head)
+        writer.close()
+
+    @contextlib.asynccontextmanager
+    async def known_to(self, vm: CutEntryVm, *, alone: bool = True):
+        """Listen as a VM that others know; as the only one if `alone` is set."""
+        async with await asyncio.start_server(self._serve, "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            record = VmRecord(
+                vm_id=self.vm_id, state=VM_STATE_ALIVE, host="127.0.0.1", delegation_port=port
+            )
+            vm.records = [*([] if alone else vm.records), record]
+            vm.delegator._peers_read_at = float("-inf")
+            yield self
+            for writer in self.writers:
+                writer.transport.abort()
+            await asyncio.sleep(0.01)
+
+    @property
+    def offers(self) -> int:
+        """Number of requests that were offered, without checks."""
+        return sum(b"bramleycrank-offer" in head.lower() for head in self.requests)
+
+
+async def timed_answer(vm: CutEntryVm, path: str, extra: str = "") -> tuple[int, float]:
+    """Send one request; return its status and the time until its first byte, in seconds."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    reader, writer = await asyncio.open_connection("127.0.0.1", vm.port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n{extra}\r\n".encode())
+    answer = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return status(answer), loop.time() - started
+
+
+def test_a_request_offered_to_a_frozen_vm_ends_at_the_timeout_of_its_route():
+    """Guards against requests that wait for another VM until their callers leave."""
+
+    async def scenario(vm):
+        async with FrozenVm().known_to(vm):
+            answer, elapsed_s = await timed_answer(vm, "/order/x", "X-Deadline-Ms: 4000\r\n")
+        assert answer == 504 and 0.6 < elapsed_s < 0.7 + 0.5
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
 def test_the_caller_is_answered_at_its_deadline():
     async def scenario(vm):
         vm.fakes["a1"].delay_s = 2.0
