Bound the memory of requests in progress

Cause: the budget for received bytes evicted the connection that holds most even if its request was in progress. Its bytes left the budget and not the memory, and the connection later sent a 503 that nobody had asked for. Each request was held three times.

Change: complete requests are counted apart and are not evicted; one that does not fit is refused at once with a retry-after, small ones have an eighth more. The addresses of a VM share one budget. A request is held once. A refused request is read on for a moment, since closing a connection with unread data resets it and the caller may lose the response. Answers without end from another VM are given up, which a new test shows for offers and checks; that needed no change.

The new test fails before: requests in progress are evicted.

--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -160,6 +160,9 @@
         self._control: ControlService | None = None
         self._grpc: Server | None = None
         self._servers: list[Http1Server] = []
+        self._receive_budget: ReceiveBudget[ServerConnection] = ReceiveBudget.from_memory(
+            cfg.memory_bytes
+        )
         self._caller_server: Http1Server | None = None
         self._delegation_server: Http1Server | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -305,14 +308,11 @@
     async def _serve_requests(
         self, handler: Handler, limits: Callable[[], Limits], address: Address
     ) -> Http1Server:
-        server = Http1Server(handler, limits, self._new_intake_budget())
+        server = Http1Server(handler, limits, self._receive_budget)
         self._servers.append(server)
         await server.start(address.host, address.port)
         return server
 
-    def _new_intake_budget(self) -> ReceiveBudget[ServerConnection]:
-        return ReceiveBudget.from_memory(self._cfg.memory_bytes)
-
     async def _listen(
         self, address: Address | None, handler: FunctionHandler, limits: Limits | None = None
     ) -> None:
--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -137,11 +137,12 @@
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
             lines.append(b"Content-Length: %d" % len(request.body))
         self._start = b"\r\n".join(lines)
-        self._end = b"\r\n\r\n" + request.body
+        self._body = request.body
 
     def encode(self, headers: Headers) -> bytes:
         """Return the bytes of a copy with these additional headers."""
-        return self._start + b"".join(b"\r\n%b: %b" % item for item in headers) + self._end
+        lines = [self._start, *(b"%b: %b" % item for item in headers), b"", self._body]
+        return b"\r\n".join(lines)
 
 
 def encode_response(
--- a/bramleycrank/transport/http1/receive_budget.py
+++ b/bramleycrank/transport/http1/receive_budget.py
@@ -13,7 +13,13 @@
 """Memory for incomplete messages of a VM whose memory limit is unknown."""
 
 MEMORY_SHARE = 1 / 8
-"""Part of a VM's memory for incomplete messages; parsing and forwarding copy them up to twice."""
+"""Part of a VM's memory for messages; parsing and forwarding copy them up to twice."""
+
+RESERVE_SHARE = 1 / 8
+"""Part of the memory that is added for small messages once large ones in progress use all of it."""
+
+SMALL_SHARE = 1 / 1024
+"""Largest size of a small message, as a part of the memory."""
 
 
 @attrs.define
@@ -52,20 +58,31 @@
 
 
 class ReceiveBudget(Generic[Holder]):
-    """Shares the memory for incomplete messages among the connections that receive them.
+    """Shares the memory for messages among the connections that receive them.
 
     Load pattern: some peers send endless messages while others send valid ones. The connection that
     uses the most memory is evicted first, so one within an equal share of the limit never is.
 
+    Load pattern: targets hang, so that large requests are in progress for seconds. A complete
+    message cannot be evicted; a further one is refused, unless it is small.
+
     Parameters
     ----------
     limit_bytes : int
         Limit for the bytes of all connections together.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Bytes of incomplete messages.
+    kept_bytes : int
+        Bytes of complete messages that are in progress.
     """
 
     def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.kept_bytes = 0
         self._held: dict[Holder, int] = {}
 
     @classmethod
@@ -78,7 +95,8 @@
         self._held[holder] = self._held.get(holder, 0) + count
         self.held_bytes += count
         evicted = []
-        while self.held_bytes > self.limit_bytes:
+        free_bytes = max(self.limit_bytes - self.kept_bytes, RESERVE_SHARE * self.limit_bytes)
+        while self.held_bytes > free_bytes:
             largest = max(self._held, key=self._held.__getitem__)
             self.release(largest)
             evicted.append(largest)
@@ -91,3 +109,22 @@
         self.held_bytes -= held - remaining
         if remaining:
             self._held[holder] = remaining
+
+    def admits(self, count: int) -> bool:
+        """Return whether a message of this many bytes may be in progress beside the others."""
+        limit = self.limit_bytes
+        if count <= SMALL_SHARE * limit:
+            limit *= 1 + RESERVE_SHARE
+        return self.kept_bytes + count <= limit
+
+    def keep(self, holder: Holder, count: int) -> bool:
+        """Move a complete message out of reach of evictions; return whether it was admitted."""
+        self.release(holder, count)
+        admitted = self.admits(count)
+        if admitted:
+            self.kept_bytes += count
+        return admitted
+
+    def drop(self, count: int) -> None:
+        """Release the bytes of messages that are no longer in progress."""
+        self.kept_bytes -= count
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -31,6 +31,12 @@
 STOP_RETRY_AFTER_S = 0.05
 """Retry-after of a request that is refused since the VM stops, in seconds; others serve it."""
 
+LINGER_S = 1.0
+"""Time for which the rest of a refused request is read and dropped, in seconds."""
+
+LINGER_BYTES = 1024 * 1024
+"""Most bytes of a refused request that are read and dropped."""
+
 WRITE_TIMEOUT_S = 10.0
 """Time after which a caller that does not read its response is disconnected, in seconds."""
 
@@ -117,6 +123,9 @@
         self._current: Exchange | None = None
         self._keep_alive = True
         self._meter = MessageMeter(0)
+        self._linger_until: float | None = None
+        self._dropped_bytes = 0
+        self._kept_bytes = 0  # of the requests in progress and waiting
         self._completed = False  # the data being parsed contains the end of a request
         self._closing = False  # a response with "Connection: close" was written or is due
         self._error: tuple[int, str, float] | None = None
@@ -160,7 +169,8 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
         if self._closing or self._error:
-            return  # Data after the last request of a connection is ignored.
+            self._drop(len(data))
+            return
         if self._request_started_at is None:
             self._request_started_at = self._loop.time()
         self._completed = False
@@ -175,6 +185,12 @@
         self._check_framing_size()
         self._respond_error()
 
+    def _drop(self, count: int) -> None:
+        """Ignore data after the last request of a connection, up to a limit."""
+        self._dropped_bytes += count
+        if self._linger_until is not None and self._dropped_bytes > LINGER_BYTES:
+            self._transport.abort()
+
     def _check_framing_size(self) -> None:
         header_bytes = self._server.limits().header_bytes
         if self._completed:
@@ -211,9 +227,13 @@
             return
         self._reserve_memory(self._head_bytes)
         lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
-        if lengths and lengths[0].isdigit() and int(lengths[0]) > limits.body_bytes:
+        length = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
+        if length > limits.body_bytes:
             self._set_error(413, "the body is too large")
             return
+        if not self._server.receive_budget.admits(self._head_bytes + length):
+            self._refuse_for_memory()
+            return
         expects = any(name.lower() == b"expect" for name, _ in self._headers)
         if expects and self._current is None and not self._waiting:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -248,8 +268,13 @@
         request = Request(
             self._parser.get_method(), target, host, self._headers, b"".join(self._body)
         )
+        self._body = []
         keep_alive = self._parser.should_keep_alive()
         size = self._head_bytes + self._body_bytes
+        if not self._server.receive_budget.keep(self, size):
+            self._refuse_for_memory()
+            return
+        self._kept_bytes += size
         self._waiting.append((Exchange(request, self, self._loop.time(), size), keep_alive))
         if len(self._waiting) > MAX_PIPELINED:
             self._transport.pause_reading()
@@ -259,9 +284,18 @@
         for conn in self._server.receive_budget.add(self, count):
             conn.abort_request()
 
+    def _refuse_for_memory(self) -> None:
+        self._set_error(503, "the memory for requests is used up", MEMORY_RETRY_AFTER_S)
+
+    def _release_memory(self) -> None:
+        """Release the memory of all requests of this connection, incomplete or in progress."""
+        self._server.receive_budget.release(self)
+        self._server.receive_budget.drop(self._kept_bytes)
+        self._kept_bytes = 0
+
     def abort_request(self) -> None:
         """Refuse the request being read, because the memory for requests is used up."""
-        self._set_error(503, "the memory for requests is used up", MEMORY_RETRY_AFTER_S)
+        self._refuse_for_memory()
         self._body = []
         self._loop.call_soon(self._respond_error)
 
@@ -288,7 +322,8 @@
         if self.closed or self._current is not exchange:
             return
         self._current = None
-        self._server.receive_budget.release(self, exchange.size)
+        self._kept_bytes -= exchange.size
+        self._server.receive_budget.drop(exchange.size)
         close = close or not self._keep_alive or self._server.draining
         head = exchange.request.method == b"HEAD"
         self._write(encode_response(status, headers, body, close=close, head=head))
@@ -322,23 +357,38 @@
             framing_bytes=self._meter.framing,
             body_bytes=self._body_bytes,
             held_bytes=self._server.receive_budget.held_bytes,
+            kept_bytes=self._server.receive_budget.kept_bytes,
             bounds=attrs.asdict(self._server.limits()),
         )
         headers = [(b"Content-Type", b"text/plain")]
         if retry_after_s:
             headers.append((b"Retry-After", b"%g" % retry_after_s))
         self._write(encode_response(status, headers, reason.encode(), close=True, head=False))
-        self._close_after_write()
+        self._close_after_write(linger=self._request_started_at is not None)
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def _close_after_write(self) -> None:
+    def _close_after_write(self, *, linger: bool = False) -> None:
+        """Close the connection after the response.
+
+        Parameters
+        ----------
+        linger : bool, optional
+            Whether a part of the request may still arrive. To close a connection with unread data
+            resets it, and the caller may lose the response.
+        """
         self._closing = True
-        self._server.receive_budget.release(self)
+        self._release_memory()
         self._waiting.clear()
-        if self._transport is not None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        if linger:
+            self._request_started_at = None
+            self._linger_until = self._loop.time() + LINGER_S
+            self._transport.write_eof()
+        else:
             self._transport.close()
 
     def _on_disconnect(self) -> None:
@@ -346,7 +396,7 @@
             return
         self.closed = True
         self._server.connections.discard(self)
-        self._server.receive_budget.release(self)
+        self._release_memory()
         self._waiting.clear()
         exchange, self._current = self._current, None
         if exchange is not None and exchange.on_disconnected is not None:
@@ -371,10 +421,9 @@
     def check_timeouts(self, now: float) -> None:
         """Apply the timeouts."""
         limits = self._server.limits()
-        if (
-            self._write_blocked_since is not None
-            and now - self._write_blocked_since > WRITE_TIMEOUT_S
-        ):
+        blocked_since = self._write_blocked_since
+        is_blocked = blocked_since is not None and now - blocked_since > WRITE_TIMEOUT_S
+        if is_blocked or (self._linger_until is not None and now > self._linger_until):
             self._transport.abort()
         elif self._current is not None or self._waiting or self._closing:
             return
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -7,6 +7,7 @@
 import random
 from types import SimpleNamespace
 
+import pytest
 from http_fakes import call, header, ok
 from test_entry_controller import TABLE, EntryVm, run, status
 
@@ -18,7 +19,9 @@
 from bramleycrank.platform.headers import PlatformHeaders
 from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.proto.peer_pb2 import VM_STATE_ALIVE, VmRecord
+from bramleycrank.scatter.peer_watch import CHECK_TIMEOUT_S
 from bramleycrank.transport.http1 import Http1Server, Request
+from bramleycrank.transport.http1.client import MAX_RESPONSE_BYTES
 
 PARTS = {name: lambda r, n=name: ok(r, n[0].encode() * 16) for name in ("a1", "b1")}
 
@@ -304,6 +307,45 @@
     run(scenario, CutEntryVm, **PARTS)
 
 
+@pytest.mark.parametrize(
+    "reply",
+    [
+        (b"HTTP/1.1 200 OK\r\na: ", b"b" * 65536),
+        (b"HTTP/1.1 200 OK\r\nBramleycrank-Reply: started\r\n\r\n", b"c" * 65536),
+        (b"", b"HTTP/1.1 103 Early Hints\r\na: b\r\n\r\n" * 1000),
+    ],
+    ids=["head", "body", "interim responses"],
+)
+def test_an_answer_of_another_vm_without_end_is_given_up(reply):
+    """Guards against bytes without end from another VM, for a request and for a check."""
+
+    class EndlessVm(FrozenVm):
+        sent = 0
+
+        async def _serve(self, reader, writer):
+            self.writers.append(writer)
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(reply[0])
+                while True:
+                    writer.write(reply[1])
+                    await writer.drain()
+                    self.sent += len(reply[1])
+
+    async def scenario(vm):
+        endless = EndlessVm()
+        async with endless.known_to(vm):
+            answer, elapsed_s = await timed_answer(vm, "/order/x")
+            assert answer == 502 and elapsed_s < 0.9
+            await asyncio.sleep(CHECK_TIMEOUT_S + 0.1)
+            assert endless.offers == 1 and len(endless.requests) == 2, "one of them is a check"
+            assert endless.sent < 2 * (MAX_RESPONSE_BYTES + 8 * 1024 * 1024)
+            assert vm.delegator._connector.receive_budget.held_bytes == 0
+            assert (await timed_answer(vm, "/order/x"))[0] == 503
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
 def test_a_vm_that_works_for_long_is_not_given_up():
     """Guards against the loss of requests whose work takes longer than a check."""
 
--- a/tests/test_http_endless.py
+++ b/tests/test_http_endless.py
@@ -10,9 +10,10 @@
 from http_fakes import ok
 from hypothesis import given
 from hypothesis import strategies as st
-from test_entry_controller import run, status
+from test_entry_controller import TABLE, run, status
 
 from bramleycrank.daemon.http_node import CONTROL_LIMITS, FunctionHandler
+from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.transport.http1 import Http1Server, ReceiveBudget
 from bramleycrank.transport.http1.client import MAX_RESPONSE_BYTES
 from bramleycrank.transport.http1.receive_budget import CHUNK_FRAMING_FACTOR, MessageMeter
@@ -211,6 +212,45 @@
     run(scenario, a1=ok)
 
 
+def test_large_requests_in_progress_are_bounded_and_small_ones_are_served():
+    """Load pattern: the targets of one service hang, under large bodies.
+
+    Guards against requests in progress that no budget counts, and against a response that nobody
+    asked for behind that of a request whose memory was given away.
+    """
+
+    async def scenario(world):
+        world.server.receive_budget.limit_bytes = 4000 * 1024
+        world.fakes["a1"].delay_s = 5.0
+        world.table = RouteTable()
+        world.table.CopyFrom(TABLE)
+        world.table.version, world.table.limits.body_bytes = 2, 10**6
+        world.callbacks[0]()
+        head = HEAD.replace(b"/one/", b"/order/") + b"Content-Length: 999000\r\n\r\n"
+        conns = [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(12)]
+        for _, writer in conns:
+            writer.write(head + b"x" * 999_000)
+        responses = [asyncio.ensure_future(reader.read(PIECE_BYTES)) for reader, _ in conns]
+        await asyncio.sleep(0.4)
+        refused = [task.result() for task in responses if task.done()]
+        assert len(refused) == 8, "four are in progress"
+        assert all(status(response) == 503 for response in refused)
+        assert all(b"Retry-After: 1\r\n" in response for response in refused)
+        assert 3 * 10**6 < world.server.receive_budget.kept_bytes <= 4000 * 1024
+        small = await world.get("/all/x")
+        assert status(small) == 200
+        served = [task for task in responses if not task.done()]
+        for response in await asyncio.gather(*served):
+            assert status(response) == 504 and response.count(b"HTTP/1.1 ") == 1
+        for reader, writer in conns:
+            writer.close()
+            assert not await reader.read(PIECE_BYTES)
+        await asyncio.sleep(0.05)
+        assert world.server.receive_budget.kept_bytes == 0
+
+    run(scenario, a1=ok, b1=ok)
+
+
 @given(st.lists(st.tuples(st.integers(0, 6), st.integers(1, 300)), max_size=80))
 def test_largest_holder_is_evicted_and_an_equal_share_never_is(steps):
     budget, held = ReceiveBudget(500), {}
