Move the checks of other VMs into a class of their own

The delegator offers requests; PeerChecks asks whether VMs that hold them respond. Names of the memory budget say what is released and discarded.

--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -15,6 +15,7 @@
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
 from bramleycrank.daemon.delegation_headers import Offer, Reply
 from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
+from bramleycrank.daemon.peer_checks import PeerChecks
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
@@ -43,9 +44,6 @@
 ROUTES_WAIT_S = 0.03
 """Time after which a request is offered again that met another route table, in seconds."""
 
-CHECK_REQUEST = b"GET / HTTP/1.1\r\nHost: bramleycrank\r\n\r\n"
-"""Request that has no offer; a VM returns it unstarted and tells what it reaches."""
-
 NOT_STARTED_STATUSES = frozenset({408, 413, 421, 431, 503})
 """Statuses with which a VM's server rejects a request before anything is done for it."""
 
@@ -87,8 +85,8 @@
     on_unserved: Callable[[], None]
     on_other_routes: Callable[[], None] | None = None
 
-    def sends_after_one_more(self) -> tuple[int, ...]:
-        """Return the sub-requests to each service if one more has run at another VM."""
+    def sends_with_unknown_outcome(self) -> tuple[int, ...]:
+        """Return the sub-requests to each service if another VM may have sent one to each."""
         services = len(self.route.services) if self.route.gather else 1
         counts = zip_longest(self.offer.sends, range(services), fillvalue=0)
         return tuple(count + 1 for count, _ in counts)
@@ -118,26 +116,6 @@
         """Ignore the end of a cancelled request; it was counted when it was cancelled."""
 
 
-@attrs.frozen(eq=False)
-class _Check:
-    """Listens to the answer of a VM that is asked whether it responds."""
-
-    delegator: Delegator
-
-    def on_response(self, sub: PooledSubRequest, response: Response) -> bool:
-        self.delegator.on_check_answered(sub.target_id, response)
-        return True
-
-    def on_lost(self, sub: PooledSubRequest, *, sent: bool, garbled: bool) -> None:
-        """Wait for the check to time out, as for a VM that does not answer."""
-
-    def on_late(self, sub: PooledSubRequest, response: Response) -> None:
-        """Ignore a response; checks are never superseded."""
-
-    def on_cancel_completed(self, sub: PooledSubRequest, outcome: CancelOutcome) -> None:
-        """Ignore the end of a check that was given up."""
-
-
 class Delegator:
     """Delegates requests to other VMs by HTTP, over one hop.
 
@@ -195,7 +173,7 @@
         )
         self._peers_read_at = float("-inf")
         self._offered: set[_Offered] = set()
-        self._checks: dict[str, PooledSubRequest] = {}
+        self._checks = PeerChecks(self.choice, self._pool, self._clock, self._record_traffic)
 
     @property
     def in_flight(self) -> int:
@@ -205,17 +183,14 @@
     def tick(self) -> None:
         """Apply the time limits of connections and of checks."""
         self._pool.tick()
-        now = self._clock()
-        for vm_id in self.choice.watch.newly_silent(now):
+        for vm_id in self._checks.tick():
             self._on_silent(vm_id)
-        for vm_id in self.choice.watch.due(now):
-            self._check(vm_id)
 
     def on_report(self, vm_id: str, unreached: int) -> None:
         """Record how many services another VM cannot reach, as it has just told."""
         self.choice.on_report(vm_id, unreached, self._clock())
         if vm_id in self.choice.peers:
-            self._on_heard(vm_id)
+            self._checks.on_heard(vm_id)
 
     def can_delegate(self, own_unreached: int) -> bool:
         """Return whether a VM is known that reaches more services than this one."""
@@ -296,7 +271,7 @@
         self._count("sent")
         self._pool.send(item.sub)
         if unheard:
-            self._check(peer.vm_id)
+            self._checks.check(peer.vm_id)
         return True
 
     def _count(self, event: str) -> None:
@@ -305,31 +280,7 @@
     def _record_traffic(self, vm_id: str, size: int, calls: int) -> None:
         self._traffic.record("delegations", vm_id in self._remote, size, calls=calls)
 
-    # Checks of VMs that hold requests.
-
-    def _check(self, vm_id: str) -> None:
-        """Ask a VM whether it responds; any build returns a request without an offer at once."""
-        if previous := self._checks.pop(vm_id, None):
-            self._pool.cancel(previous, superseded=False)
-        now = self._clock()
-        self.choice.watch.on_checked(vm_id, now)
-        sub = PooledSubRequest(0, vm_id, lambda: CHECK_REQUEST, False, _Check(self), now)
-        self._checks[vm_id] = sub
-        self._record_traffic(vm_id, len(CHECK_REQUEST) + SEGMENT_BYTES, calls=1)
-        self._pool.send(sub)
-
-    def on_check_answered(self, vm_id: str, response: Response) -> None:
-        """Record the answer to a check, which also tells how many services the VM reaches."""
-        self._record_traffic(vm_id, response.size, calls=0)
-        self._checks.pop(vm_id, None)
-        reply = Reply.from_response(response)
-        if reply is not None and not reply.started:
-            self.choice.on_report(vm_id, reply.unreached, self._clock())
-        self._on_heard(vm_id)
-
-    def _on_heard(self, vm_id: str) -> None:
-        if self.choice.watch.on_heard(vm_id, self._clock()):
-            log.info("entry: VM responds again", extra={"peer": vm_id})
+    # VMs that do not respond.
 
     def _on_silent(self, vm_id: str) -> None:
         """Withdraw the requests at a VM that does not respond, if they may run elsewhere."""
@@ -355,7 +306,7 @@
             return
         self.choice.on_ended(sub.target_id)
         item.sub, item.may_have_run = None, True
-        sends = request.sends_after_one_more()
+        sends = request.sends_with_unknown_outcome()
         item.request = attrs.evolve(request, offer=attrs.evolve(request.offer, sends=sends))
         if min(sends) >= request.route.max_targets or not self._send(item):
             self._respond(item, 502, "another VM does not respond")
@@ -364,7 +315,7 @@
 
     def on_response(self, item: _Offered, sub: PooledSubRequest, response: Response) -> bool:
         """Pass an answer on, or offer the request to another VM if this one has not started it."""
-        self._on_heard(sub.target_id)
+        self._checks.on_heard(sub.target_id)
         self._record_traffic(sub.target_id, response.size, calls=0)
         reply = Reply.from_response(response)
         if reply is None or not reply.started:
--- a/bramleycrank/transport/http1/receive_budget.py
+++ b/bramleycrank/transport/http1/receive_budget.py
@@ -125,6 +125,6 @@
             self.kept_bytes += count
         return admitted
 
-    def drop(self, count: int) -> None:
+    def release_kept(self, count: int) -> None:
         """Release the bytes of messages that are no longer in progress."""
         self.kept_bytes -= count
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -32,10 +32,10 @@
 """Retry-after of a request that is refused since the VM stops, in seconds; others serve it."""
 
 LINGER_S = 1.0
-"""Time for which the rest of a refused request is read and dropped, in seconds."""
+"""Time for which the rest of a refused request is read and discarded, in seconds."""
 
 LINGER_BYTES = 1024 * 1024
-"""Most bytes of a refused request that are read and dropped."""
+"""Most bytes of a refused request that are read and discarded."""
 
 WRITE_TIMEOUT_S = 10.0
 """Time after which a caller that does not read its response is disconnected, in seconds."""
@@ -124,7 +124,7 @@
         self._keep_alive = True
         self._meter = MessageMeter(0)
         self._linger_until: float | None = None
-        self._dropped_bytes = 0
+        self._discarded_bytes = 0
         self._kept_bytes = 0  # of the requests in progress and waiting
         self._completed = False  # the data being parsed contains the end of a request
         self._closing = False  # a response with "Connection: close" was written or is due
@@ -169,7 +169,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
         if self._closing or self._error:
-            self._drop(len(data))
+            self._discard(len(data))
             return
         if self._request_started_at is None:
             self._request_started_at = self._loop.time()
@@ -185,10 +185,10 @@
         self._check_framing_size()
         self._respond_error()
 
-    def _drop(self, count: int) -> None:
+    def _discard(self, count: int) -> None:
         """Ignore data after the last request of a connection, up to a limit."""
-        self._dropped_bytes += count
-        if self._linger_until is not None and self._dropped_bytes > LINGER_BYTES:
+        self._discarded_bytes += count
+        if self._linger_until is not None and self._discarded_bytes > LINGER_BYTES:
             self._transport.abort()
 
     def _check_framing_size(self) -> None:
@@ -290,7 +290,7 @@
     def _release_memory(self) -> None:
         """Release the memory of all requests of this connection, incomplete or in progress."""
         self._server.receive_budget.release(self)
-        self._server.receive_budget.drop(self._kept_bytes)
+        self._server.receive_budget.release_kept(self._kept_bytes)
         self._kept_bytes = 0
 
     def abort_request(self) -> None:
@@ -323,7 +323,7 @@
             return
         self._current = None
         self._kept_bytes -= exchange.size
-        self._server.receive_budget.drop(exchange.size)
+        self._server.receive_budget.release_kept(exchange.size)
         close = close or not self._keep_alive or self._server.draining
         head = exchange.request.method == b"HEAD"
         self._write(encode_response(status, headers, body, close=close, head=head))
