Hand over the lead before the leader's own successor is promoted

Cause: the leader promoted its successor and then handed over. If a voter of the landed build led next, it found an even number of voters, which it does not change as long as none is dead and a learner waits. Change: the leader hands over first; the next one makes both changes.

--- a/bramleycrank/daemon/voter_choice.py
+++ b/bramleycrank/daemon/voter_choice.py
@@ -136,13 +136,15 @@
     members : sequence of Member
         Members of the log, in the order in which they joined.
     own_id : str
-        Node id of the leader. The change may be to take away its own vote, as another leader can.
+        Node id of the leader. The change may be to take away its own vote, which another voter
+        makes once it leads. A leader hands over before its successor is promoted, so that a leader
+        of a build without exchanges does not find an even number of voters.
     signals : MemberSignals
         What the leader knows of the members.
     newcomers : sequence of Member, optional
         VMs that requested to become members.
     """
-    return _admission(members, own_id, newcomers) or _Choice(members, signals).change()
+    return _admission(members, own_id, newcomers) or _Choice(members, own_id, signals).change()
 
 
 def _admission(
@@ -165,7 +167,8 @@
 class _Choice:
     """The voters and learners of a log, and who may take whose place."""
 
-    def __init__(self, members: Sequence[Member], signals: MemberSignals) -> None:
+    def __init__(self, members: Sequence[Member], own_id: str, signals: MemberSignals) -> None:
+        self._own_id = own_id
         self._signals = signals
         self._voters = [member for member in members if member.voter]
         self._learners = [member for member in members if not member.voter]
@@ -185,6 +188,9 @@
         if lost := self._lost_voter_to_remove():
             return Remove(lost.node_id)
         if promoted := self._learner_to_promote():
+            predecessor = self._predecessors.get(promoted.node_id)
+            if predecessor and predecessor.node_id == self._own_id and not self._lost:
+                return Demote(self._own_id)  # another leader makes both changes
             return Promote(promoted.node_id)
         gone = (m for m in self._learners if self._silence(m) > GONE_AFTER_S)
         return next((Remove(member.node_id) for member in gone), None)
--- a/tests/test_voter_manager.py
+++ b/tests/test_voter_manager.py
@@ -102,6 +102,14 @@
     assert next_membership_change(members, "a/1", gone, []) == Remove("c/1")
 
 
+def test_leader_hands_over_before_its_successor_is_promoted():
+    """Guards against an even number of voters under a leader of a build without exchanges."""
+    members = [*THREE, Member(node_id="s/1", host="host-s", port=7, domain="c")]
+    signals = {"recent": {"s/1"}}
+    assert next_membership_change(members, "c/1", {}, [], **signals) == Demote("c/1")
+    assert next_membership_change(members, "a/1", {}, [], **signals) == Promote("s/1")
+
+
 def test_learner_that_has_no_log_yet_takes_no_place():
     successor = Member(node_id="s/1", host="host-s", port=7, domain="c")
     signals = {"recent": {"s/1"}, "unsynced": {"s/1"}}
