Replace voters and take services down in the soak

Voters are replaced in series, stopped or killed up to 2 s after the start of their successors, and the next fault of a voter comes as soon as the one that ended no longer counts. All targets of a service refuse connections beside all other faults. New check: VMs without a fault of their own answer within half a second after the timeout of the route.

--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -121,6 +121,7 @@
         ip_prefix = f"127.{64 + os.getpid() // 250 % 128}.{os.getpid() % 250}"
         self.seeds = [f"{ip_prefix}.{number}" for number in (11, 12, 13)]
         self.unused_ip = f"{ip_prefix}.99"
+        self._new_ips = (f"{ip_prefix}.{number}" for number in range(31, 99))
         zones = "xyz"
         self.voters = [
             PlatformVm(self, f"core-{zone}", ip, zone, True)
@@ -131,6 +132,19 @@
             for n, zone in enumerate(zones[:entries])
         ]
 
+    def add_voter(self, replaced: PlatformVm, tree: Path | None = None) -> PlatformVm:
+        """Start a voter at a new address that shall replace another one."""
+        ip = next(self._new_ips)
+        name = f"core-{replaced.zone}-{ip.rpartition('.')[2]}"
+        vm = PlatformVm(self, name, ip, replaced.zone, True)
+        vm.start(tree=tree)
+        return vm
+
+    def remove_voter(self, removed: PlatformVm, successor: PlatformVm) -> None:
+        """Put the successor of a voter in its place, also among the seeds of VMs that start."""
+        self.voters[self.voters.index(removed)] = successor
+        self.seeds = [vm.ip for vm in self.voters]
+
     async def send(self, method: str, path: str, body: object, ip: str, port: int) -> bytes:
         """Send one HTTP request and return the raw response, or b"" if there is none."""
         data = json.dumps(body).encode() if body is not None else b""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,6 +38,12 @@
 MIN_CUT_SHARE = 2 / 3
 """Least share of requests that a cut VM serves, as a multiple of that of the others."""
 
+TIMEOUT_S = 2.0
+"""Timeout of the routes; callers wait half a second longer."""
+
+MAX_UNANSWERED, MAX_UNANSWERED_SHARE = 7, 1 / 4
+"""Most requests beyond the timeout that may have no answer while their callers wait."""
+
 MAX_LISTED_VIOLATIONS = 20
 """Maximum number of violations that a report lists."""
 
@@ -67,6 +73,7 @@
         *_check_retry_budgets(evidence),
         *_check_holds_and_leaving(evidence),
         *_check_cut_vms(evidence),
+        *_check_timeouts(evidence),
     ]
     return found[:MAX_LISTED_VIOLATIONS] + (
         [f"and {len(found) - MAX_LISTED_VIOLATIONS} more"]
@@ -179,6 +186,25 @@
             yield f"{event.where}: {failed} of {len(at_cut)} requests not served while cut off"
 
 
+def _check_timeouts(evidence: Evidence) -> Iterator[str]:
+    """Yield that requests to VMs without a fault of their own outlast the timeout."""
+    slow = [
+        outcome
+        for outcome in evidence.outcomes
+        if outcome.ended - outcome.sent > TIMEOUT_S
+        and not any(
+            event.where == outcome.entry
+            and not event.what.startswith(CUT)
+            and event.since < outcome.ended
+            and (event.until or math.inf) > outcome.sent - CONTACT_S
+            for event in evidence.events
+        )
+    ]
+    late = [outcome.request_id for outcome in slow if outcome.status == -2]
+    if len(late) > max(MAX_UNANSWERED, MAX_UNANSWERED_SHARE * len(slow)):
+        yield f"{len(late)} of {len(slow)} requests have no answer {TIMEOUT_S} s on: {late[:5]}"
+
+
 def _requests_in_period(
     evidence: Evidence,
     entry_by_request: dict[str, str],
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,12 @@
 GRACE_S = 6.0
 """Time limit for the end of a process after SIGTERM; `Bounds.GraceS` of the fleet."""
 
+CATCH_UP_S, CATCH_UP_MARGIN_S = 4.0, 0.2
+"""Time after the start of a new voter from which the one that it replaces no longer counts."""
+
+MAX_REMOVAL_S = 2.0
+"""Longest time between the start of a new voter and the end of the one that it replaces."""
+
 CUT = "cut off from the targets"
 
 
@@ -34,7 +40,8 @@
     """Injects faults concurrently, at most one per target.
 
     At most one voter and one entry VM have a fault at a time, which the fleet has to tolerate.
-    Besides, the links of one entry VM to all targets may be cut.
+    Besides, the links of one entry VM to all targets may be cut, and one service may have no
+    target. Voters are replaced in series.
 
     Parameters
     ----------
@@ -43,16 +50,27 @@
     targets : list of SoakTarget
         The targets.
     rng : random.Random
-        Random numbers for all choices.
+        Random numbers for faults of single VMs and targets.
+    wide_rng : random.Random
+        Random numbers for replacements of voters and outages of services. It is a second one, so
+        that seeds of older runs still lead to the same faults of the first kind.
     """
 
-    def __init__(self, fleet: Fleet, targets: list[SoakTarget], rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        targets: list[SoakTarget],
+        rng: random.Random,
+        wide_rng: random.Random,
+    ) -> None:
         self.events: list[Event] = []
         self.problems: list[str] = []
         self._fleet = fleet
         self._targets = targets
         self._rng = rng
+        self._wide_rng = wide_rng
         self._busy: set[object] = set()
+        self._service_down = ""
         self._faulty_entry: PlatformVm | None = None  # the one with the last fault
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -60,17 +78,33 @@
     async def run(self, seconds: float) -> None:
         """Start faults for the given time, then wait until all of them have ended."""
         end = self._loop.time() + seconds
+        wide_faults = asyncio.ensure_future(self._run_wide_faults(end))
         while self._loop.time() < end:
             await asyncio.sleep(self._rng.uniform(0.2, 1.2))
             self._start_random_fault()
+        await wide_faults
         await asyncio.gather(*self._tasks)
 
+    async def _run_wide_faults(self, end: float) -> None:
+        while self._loop.time() < end:
+            await asyncio.sleep(self._wide_rng.uniform(0.5, 4.0))
+            if self._wide_rng.random() < 0.5:
+                services = sorted({target.service for target in self._targets})
+                if "service" not in self._busy:
+                    service = self._wide_rng.choice(services)
+                    self._start_fault(service, self._inject_outage, "service")
+            elif "voter" not in self._busy:
+                voter = self._wide_rng.choice(self._fleet.voters)
+                self._start_fault(voter, self._replace_voter, "voter")
+
     def _start_random_fault(self) -> None:
         kind = self._rng.choices(("target", "entry", "voter", "cut"), (5, 2, 2, 2))[0]
         if kind == "cut":
             self._start_cut()
         elif kind == "target":
-            healthy = [t for t in self._targets if t not in self._busy]
+            healthy = [
+                t for t in self._targets if t not in self._busy and t.service != self._service_down
+            ]
             if len(healthy) * 3 > len(self._targets) * 2:
                 self._start_fault(self._rng.choice(healthy), self._inject_target_fault)
         elif kind not in self._busy:
@@ -79,7 +113,7 @@
 
     def _start_fault(
         self,
-        subject: SoakTarget | PlatformVm,
+        subject: SoakTarget | PlatformVm | str,
         fault: Callable[..., Awaitable[None]],
         key: object = None,
     ) -> None:
@@ -112,6 +146,35 @@
         event.until = self._loop.time()
         await self._sleep_random(0.2, 2.0)
 
+    async def _inject_outage(self, service: str) -> None:
+        """Have all targets of a service refuse connections."""
+        targets = [t for t in self._targets if t.service == service and t not in self._busy]
+        self._service_down = service
+        event = self._record_event("service down", service)
+        for target in targets:
+            target.proxy.set(Mode.REFUSE)
+        await asyncio.sleep(self._wide_rng.uniform(0.5, 4.0))
+        for target in targets:
+            target.proxy.set(Mode.PASS)
+        self._service_down = ""
+        event.until = self._loop.time()
+
+    async def _replace_voter(self, vm: PlatformVm) -> None:
+        """Start a successor of a voter, and end the voter before the successor has caught up."""
+        stop = self._wide_rng.random() < 0.5
+        event = self._record_event("replace, stop" if stop else "replace, kill", vm.name)
+        successor = self._fleet.add_voter(vm)
+        started = self._loop.time()
+        await asyncio.sleep(self._wide_rng.uniform(0.2, MAX_REMOVAL_S))
+        if stop:
+            await self._stop_vm(vm)
+        else:
+            vm.process.signal(signal.SIGKILL)
+        self._fleet.remove_voter(vm, successor)
+        # The voter that ended counts until its successor has had this time.
+        await asyncio.sleep(started + CATCH_UP_S + CATCH_UP_MARGIN_S - self._loop.time())
+        event.until = self._loop.time()
+
     def _record_event(self, what: str, where: str) -> Event:
         event = Event(what, where, self._loop.time())
         self.events.append(event)
--- a/soak/run.py
+++ b/soak/run.py
@@ -74,7 +74,8 @@
     async def execute(self) -> dict[str, Any]:
         """Execute the run, write the report and return it."""
         started_at = asyncio.get_running_loop().time()
-        injector = Injector(self._fleet, self._targets, self._rng)
+        wide_rng = random.Random(self._seed + 2)
+        injector = Injector(self._fleet, self._targets, self._rng, wide_rng)
         try:
             await self._start()
             await injector.run(self._seconds)
@@ -155,8 +156,9 @@
 
     async def _check_reads_repeatedly(self) -> None:
         """Check that no voter returns a version older than an acknowledged one."""
-        for voter in itertools.cycle(self._fleet.voters):
+        for number in itertools.count():
             await asyncio.sleep(0.2)
+            voter = self._fleet.voters[number % len(self._fleet.voters)]
             least_version = self._acknowledged_version
             version = (await self._fleet.read_config(voter)).get("Version", least_version)
             if version < least_version:
--- a/tests/test_process_replacement.py
+++ b/tests/test_process_replacement.py
@@ -57,14 +57,11 @@
 
     The successor runs the build in `tree` if given.
     """
-    position = fleet.voters.index(removed)
-    ip = removed.ip.rpartition(".")[0] + f".{31 + len(fleet.processes)}"
-    successor = PlatformVm(fleet, f"{removed.name}-{len(fleet.processes)}", ip, removed.zone, True)
-    successor.start(tree=tree)
+    successor = fleet.add_voter(removed, tree)
     started = time.monotonic()
     await asyncio.sleep(REMOVED_AFTER_S)
     removed.process.signal(number)
-    fleet.voters[position] = successor
+    fleet.remove_voter(removed, successor)
     return started
 
 
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -174,3 +174,16 @@
     assert report["by_second"] == {"0": {"served": 1, "refused": 1}, "1": {"late": 1}}
     assert report["faults"] == [{"what": "stop", "where": "edge-x", "since": 4.0, "until": 7.0}]
     assert classify_outcome(outcome(headers={"x-missing-parts": "1"})) == "partial"
+
+
+def test_requests_without_an_answer_after_the_timeout_are_found_at_undisturbed_vms():
+    evidence = sound_evidence()
+    waits = {"sent": 20.0, "ended": 22.5, "entry": "edge-y"}
+    late = [outcome(f"l{number}", "/one/q", -2, **waits) for number in range(8)]
+    evidence.outcomes += late[:7]
+    assert violations(evidence) == []
+    evidence.outcomes += late[7:]
+    [found] = violations(evidence)
+    assert found.startswith("8 of 8 requests have no answer")
+    evidence.events.append(Event("freeze", "edge-y", 19.0, 21.0))
+    assert violations(evidence) == []
