Do not take a pause of this VM for silence of another one

What was seen: soak, load average 28: a cut-off entry VM that had not run for 0.6 s refused 18 of 18 requests for half a second. Its log shows requests of 530 to 790 ms at the moment at which its only partner was passed over; connects to it had timed out (0.15 s) while the VM itself did not run. Checks open connections too, so they would make this more frequent. Change: the time between two ticks beyond 0.15 s counts neither for connections being opened to other VMs nor for checks. Also: a request whose answer is lost with the other VM moves to a third one if it may run twice, with one more attempt counted, as for a silent VM. Tests: pool and watch with a pause; a request that moves on when the other VM ends.

--- a/bramleycrank/connections/http_pool.py
+++ b/bramleycrank/connections/http_pool.py
@@ -203,9 +203,18 @@
             conn.close()
             sub.listener.on_cancel_completed(sub, CancelOutcome.CANCELLED)
 
-    def tick(self) -> None:
-        """Enforce the timeouts, and connect to targets that are down or silent."""
+    def tick(self, paused_s: float = 0.0) -> None:
+        """Enforce the timeouts, and connect to targets that are down or silent.
+
+        Parameters
+        ----------
+        paused_s : float, optional
+            Time for which this process did not run, in seconds; it does not count for connections
+            that are being opened.
+        """
         now = self._clock()
+        for conn in self._connecting_since if paused_s else ():
+            self._connecting_since[conn] += paused_s
         for sub in [s for s in self._lingering if now >= s.linger_until]:
             self._lingering.discard(sub)
             self._sub_by_conn.pop(sub.conn, None)
--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -38,6 +38,9 @@
 CONNECT_TIMEOUT_S = 0.15
 """Timeout for opening a connection to another VM, in seconds; the request then goes to a third."""
 
+PAUSE_S = 0.15
+"""Time between two ticks from which this VM counts as paused, in seconds; three ticks."""
+
 PEERS_MAX_AGE_S = 0.5
 """Age at which the list of VMs is read again, in seconds."""
 
@@ -172,6 +175,7 @@
             CONNECT_TIMEOUT_S,
         )
         self._peers_read_at = float("-inf")
+        self._ticked_at = self._clock()
         self._offered: set[_Offered] = set()
         self._checks = PeerChecks(self.choice, self._pool, self._clock, self._record_traffic)
 
@@ -182,7 +186,11 @@
 
     def tick(self) -> None:
         """Apply the time limits of connections and of checks."""
-        self._pool.tick()
+        now = self._clock()
+        late_s, self._ticked_at = now - self._ticked_at, now
+        paused_s = late_s if late_s > PAUSE_S else 0.0
+        self.choice.watch.on_own_pause(paused_s)
+        self._pool.tick(paused_s)
         for vm_id in self._checks.tick():
             self._on_silent(vm_id)
 
@@ -305,11 +313,15 @@
             self._on_not_started(item, sub)
             return
         self.choice.on_ended(sub.target_id)
-        item.sub, item.may_have_run = None, True
+        self._offer_again(item, "another VM does not respond")
+
+    def _offer_again(self, item: _Offered, reason: str) -> None:
+        """Offer a request to a further VM after one that may have run it."""
+        request, item.sub, item.may_have_run = item.request, None, True
         sends = request.sends_with_unknown_outcome()
         item.request = attrs.evolve(request, offer=attrs.evolve(request.offer, sends=sends))
         if min(sends) >= request.route.max_targets or not self._send(item):
-            self._respond(item, 502, "another VM does not respond")
+            self._respond(item, 502, reason)
 
     # Outcomes.
 
@@ -337,14 +349,18 @@
         return True
 
     def on_lost(self, item: _Offered, sub: PooledSubRequest, *, sent: bool) -> None:
-        """Offer an unsent request to another VM; one that was sent may have run."""
+        """Offer a request to another VM, unless it was sent and may not run twice."""
         if not sent:
             self._on_not_started(item, sub)
             return
         self.choice.on_ended(sub.target_id)
         self.choice.on_returned(sub.target_id, self._clock())
         self._count("lost")
-        self._respond(item, 502, "the answer of another VM is lost")
+        reason = "the answer of another VM is lost"
+        if item.request.route.idempotent:
+            self._offer_again(item, reason)
+        else:
+            self._respond(item, 502, reason)
 
     def _on_other_routes(self, item: _Offered, sub: PooledSubRequest) -> None:
         """Wait until the route table has reached both VMs, which takes a moment."""
--- a/bramleycrank/scatter/peer_watch.py
+++ b/bramleycrank/scatter/peer_watch.py
@@ -79,6 +79,15 @@
         """Record that a check was sent to a VM."""
         self._vms.setdefault(vm_id, _Watched()).checked_at = now
 
+    def on_own_pause(self, paused_s: float) -> None:
+        """Do not count a time for which this VM did not run, in seconds, as silence of others."""
+        for vm in self._vms.values():
+            vm.heard_at += paused_s
+            if vm.owes_since is not None:
+                vm.owes_since += paused_s
+            if vm.checked_at is not None:
+                vm.checked_at += paused_s
+
     def is_usable(self, vm_id: str, now: float) -> bool:
         """Return whether a VM may be offered requests."""
         vm = self._vms.get(vm_id)
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -174,6 +174,22 @@
     run(scenario, CutEntryVm, **PARTS)
 
 
+def test_a_request_that_may_run_twice_moves_on_when_the_other_vm_ends():
+    """Load pattern: a VM is killed with requests of others, which a third one can serve."""
+
+    async def scenario(vm):
+        frozen = FrozenVm()
+        async with frozen.known_to(vm, alone=False):
+            while not frozen.offers:
+                answer = asyncio.ensure_future(timed_answer(vm, "/all/x"))
+                await asyncio.sleep(0.05)
+            for writer in frozen.writers:
+                writer.transport.abort()
+            assert (await answer)[0] == 200
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
 def test_a_stopping_vm_rejects_and_another_one_serves():
     """Load pattern: a VM gets SIGTERM while others hand it their work."""
 
--- a/tests/test_http_pool.py
+++ b/tests/test_http_pool.py
@@ -259,3 +259,17 @@
     assert len(fixture.conns) == 4 and ("lost", 2, True) in fixture.events
     fixture.conns[-1].close()
     assert fixture.down == [True]
+
+
+def test_a_pause_of_the_own_process_does_not_count_for_connections_being_opened():
+    """Guards against a target that is given up because this process did not run for a moment."""
+    fixture = PoolFixture()
+    fixture.send()
+    fixture.now += 3 * CONNECT_TIMEOUT_S
+    fixture.pool.tick(3 * CONNECT_TIMEOUT_S)
+    assert fixture.down == [] and fixture.events == []
+    fixture.conns[0].open()
+    assert fixture.conns[0].sent == [b"data"]
+    fixture.send(2)
+    fixture.run(CONNECT_TIMEOUT_S + 0.1)
+    assert fixture.conns[1].closed, "a silence of the other side counts"
--- a/tests/test_scatter_delegation.py
+++ b/tests/test_scatter_delegation.py
@@ -120,6 +120,17 @@
         peers.watch.on_checked("vm1", now)
 
 
+def test_a_pause_of_the_own_vm_makes_no_other_one_silent():
+    """Guards against requests that are withdrawn because this VM did not run for a moment."""
+    peers = choice("vm0", 2)
+    peers.on_sent("vm1", 10.0)
+    peers.watch.on_checked("vm1", 10.0)
+    peers.watch.on_own_pause(0.7)
+    assert peers.watch.newly_silent(10.72) == []
+    assert peers.choose(12, (), 10.72).vm_id == "vm1"
+    assert peers.watch.newly_silent(10.72 + CHECK_TIMEOUT_S) == ["vm1"]
+
+
 def test_a_burst_at_the_moment_of_a_cut_is_not_refused_for_want_of_a_check():
     """Load pattern: links to all targets fail under many requests, which all move at once."""
     peers = choice("vm0", 195)
