Offer a request of a silent VM to no other one

What was seen: soak, one request ran three times for a service although its route allows two attempts. Its log: it was offered to a VM that then froze, given up there after 0.5 s and served by a third VM; the frozen one had sent it, hedged it when it ran again and finished it. Cause: how often a silent VM sends a request, before or after the silence, cannot be known, and one more attempt was counted.

--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/daemon/delegator.py
@@ -6,7 +6,6 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
-from itertools import zip_longest
 from typing import Any, Protocol
 
 import attrs
@@ -88,12 +87,6 @@
     on_unserved: Callable[[], None]
     on_other_routes: Callable[[], None] | None = None
 
-    def sends_with_unknown_outcome(self) -> tuple[int, ...]:
-        """Return the sub-requests to each service if another VM may have sent one to each."""
-        services = len(self.route.services) if self.route.gather else 1
-        counts = zip_longest(self.offer.sends, range(services), fillvalue=0)
-        return tuple(count + 1 for count, _ in counts)
-
 
 @attrs.define(eq=False)
 class _Offered:
@@ -102,7 +95,6 @@
     delegator: Delegator
     request: Delegation
     tried: list[str] = attrs.field(factory=list)
-    may_have_run: bool = False  # at a VM that became silent
     sub: PooledSubRequest | None = None
     timer: asyncio.TimerHandle | None = None
 
@@ -291,7 +283,7 @@
     # VMs that do not respond.
 
     def _on_silent(self, vm_id: str) -> None:
-        """Withdraw the requests at a VM that does not respond, if they may run elsewhere."""
+        """Give up the requests at a VM that does not respond, if their callers may repeat them."""
         held = [item for item in self._offered if item.sub and item.sub.target_id == vm_id]
         log.info("entry: VM does not respond", extra={"peer": vm_id, "requests": len(held)})
         self._count("silent")
@@ -299,29 +291,21 @@
             self._withdraw(item, item.sub)
 
     def _withdraw(self, item: _Offered, sub: PooledSubRequest) -> None:
-        """Offer a request of a silent VM to another one, or answer that its outcome is unknown.
+        """Give up a request at a VM that does not respond, if its caller may repeat it.
 
-        The silent VM may have sent it to one target of each service, and may do so when it runs
-        again. A request that may not run twice stays where it is until its deadline.
+        The silent VM may have sent it as often as the route allows, or do so when it runs again, so
+        it is offered to no other VM. A request that may not run twice stays where it is until its
+        deadline: the answer may still come, and its caller cannot repeat it.
         """
-        request = item.request
-        if sub.sent and not request.route.idempotent:
+        if sub.sent and not item.request.route.idempotent:
             return
         self._count("withdrawn")
         self._pool.cancel(sub, superseded=False)
-        if not sub.sent:
+        if sub.sent:
+            self.choice.on_ended(sub.target_id)
+            self._respond(item, 502, "another VM does not respond")
+        else:
             self._on_not_started(item, sub)
-            return
-        self.choice.on_ended(sub.target_id)
-        self._offer_again(item, "another VM does not respond")
-
-    def _offer_again(self, item: _Offered, reason: str) -> None:
-        """Offer a request to a further VM after one that may have run it."""
-        request, item.sub, item.may_have_run = item.request, None, True
-        sends = request.sends_with_unknown_outcome()
-        item.request = attrs.evolve(request, offer=attrs.evolve(request.offer, sends=sends))
-        if min(sends) >= request.route.max_targets or not self._send(item):
-            self._respond(item, 502, reason)
 
     # Outcomes.
 
@@ -349,23 +333,19 @@
         return True
 
     def on_lost(self, item: _Offered, sub: PooledSubRequest, *, sent: bool) -> None:
-        """Offer a request to another VM, unless it was sent and may not run twice."""
+        """Offer an unsent request to another VM; one that was sent may have run."""
         if not sent:
             self._on_not_started(item, sub)
             return
         self.choice.on_ended(sub.target_id)
         self.choice.on_returned(sub.target_id, self._clock())
         self._count("lost")
-        reason = "the answer of another VM is lost"
-        if item.request.route.idempotent:
-            self._offer_again(item, reason)
-        else:
-            self._respond(item, 502, reason)
+        self._respond(item, 502, "the answer of another VM is lost")
 
     def _on_other_routes(self, item: _Offered, sub: PooledSubRequest) -> None:
         """Wait until the route table has reached both VMs, which takes a moment."""
         request = item.request
-        if request.on_other_routes is None or item.may_have_run:
+        if request.on_other_routes is None:
             self._on_not_started(item, sub)
             return
         self.choice.on_ended(sub.target_id)
@@ -385,9 +365,6 @@
         item.sub = None
         if item.request.exchange.disconnected or self._send(item):
             return
-        if item.may_have_run:
-            self._respond(item, 502, "another VM does not respond")
-            return
         self._forget(item)
         item.request.on_unserved()
 
