Let a successor that leads know that it is new

Its log: the leadership went to the successor 2 s after its start; it had learned of all members at once, took none of them for new, and waited for 3 s of silence. Change: a VM that starts with an empty log, and does not form the cluster, counts itself as new. Tests: the decision; simulated successors start in other domains too in three of ten replacements.

--- a/bramleycrank/daemon/voter_choice.py
+++ b/bramleycrank/daemon/voter_choice.py
@@ -77,10 +77,14 @@
     ----------
     forms_cluster : bool
         Whether this VM takes part in the first start of the system.
+    own_vm : str, optional
+        Id of this VM if it started with an empty log; it is then a new member itself, and all
+        others are known when it learns of itself.
     """
 
-    def __init__(self, forms_cluster: bool) -> None:
+    def __init__(self, forms_cluster: bool, own_vm: str = "") -> None:
         self._forms_cluster = forms_cluster
+        self._own_vm = "" if forms_cluster else own_vm
         self._initial_until: float | None = None
         self._known_vms: set[str] = set()
         self._joined_at: dict[str, float] = {}
@@ -95,7 +99,7 @@
             vm_id = vm_of(member.node_id)
             if vm_id not in self._known_vms:
                 self._known_vms.add(vm_id)
-                if not initial:
+                if not initial or vm_id == self._own_vm:
                     self._joined_at[member.node_id] = now
 
     def ids(self) -> frozenset[str]:
--- a/bramleycrank/daemon/voter_manager.py
+++ b/bramleycrank/daemon/voter_manager.py
@@ -18,6 +18,7 @@
     MemberSignals,
     RecentMembers,
     next_membership_change,
+    vm_of,
 )
 from bramleycrank.exceptions import (
     BramleycrankError,
@@ -115,7 +116,8 @@
         self._peers = peers
         self._rng = rng
         self._metrics = metrics or NullMetrics()
-        self._recent = RecentMembers(cfg.bootstrap)
+        own_vm = "" if consensus.membership else vm_of(consensus.node_id)
+        self._recent = RecentMembers(cfg.bootstrap, own_vm)
         self._silent: frozenset[str] = frozenset()
         self._newcomers: dict[str, log_pb2.Member] = {}
         self._task: asyncio.Task[None] | None = None
--- a/tests/test_voter_exchange.py
+++ b/tests/test_voter_exchange.py
@@ -49,20 +49,22 @@
         self.departed: set[str] = set()
         self.vms: list[Vm] = []
         for member in self.cluster.initial_membership.members:
-            self._add(member.host, member.domain, self.cluster.nodes[member.node_id], True)
+            self._add(member.host, member.domain, self.cluster.nodes[member.node_id])
         self.changes = 0
         self.started = size
 
-    def _add(self, name: str, domain: str, node: SimNode, forms_cluster: bool) -> Vm:
-        recent = voter_choice.RecentMembers(forms_cluster)
+    def _add(self, name: str, domain: str, node: SimNode, *, forms_cluster: bool = True) -> Vm:
+        recent = voter_choice.RecentMembers(forms_cluster, own_vm=name)
         self.vms.append(Vm(name, domain, node, recent, self.cluster.now))
         return self.vms[-1]
 
     def start_successor(self, removed: Vm) -> Vm:
-        """Start a VM at a new address with an empty disk, in the domain of another one."""
+        """Start a VM at a new address with an empty disk, mostly in the domain of another one."""
         name = f"vm{self.started}"
         self.started += 1
-        return self._add(name, removed.domain, self.cluster.add(f"{name}/0"), False)
+        others = sorted({vm.domain for vm in self.vms})
+        domain = removed.domain if self.rng.random() < 0.7 else self.rng.choice(others)
+        return self._add(name, domain, self.cluster.add(f"{name}/0"), forms_cluster=False)
 
     def stop(self, vm: Vm, *, announced: bool) -> None:
         """End a VM for good, as by SIGTERM or by a kill."""
@@ -79,7 +81,8 @@
             vm.disks += 1
         else:
             self.cluster.restart(vm.node)
-        vm.recent, vm.newcomers = voter_choice.RecentMembers(False), {}
+        own_vm = vm.name if wiped else ""
+        vm.recent, vm.newcomers = voter_choice.RecentMembers(False, own_vm), {}
         vm.started_at, vm.pending = self.cluster.now, ""
 
     def run(self, seconds: float) -> None:
@@ -225,7 +228,7 @@
     fleet = ManagedCluster(3, 7)
     for number in range(size - 3):
         node = fleet.cluster.add(f"spare{number}/0")
-        fleet._add(f"spare{number}", f"d{number}", node, True)
+        fleet._add(f"spare{number}", f"d{number}", node)
     fleet.run(6.0)
     before = fleet.changes
     for vm in list(fleet.vms):
--- a/tests/test_voter_manager.py
+++ b/tests/test_voter_manager.py
@@ -179,6 +179,16 @@
     assert not recent.ids()
 
 
+def test_a_successor_that_leads_knows_that_it_is_new():
+    """Guards against a successor that takes the lead and waits as if no VM was replaced."""
+    recent = RecentMembers(forms_cluster=False, own_vm="d")
+    recent.update([*THREE, member("d")], 10.0)
+    assert recent.ids() == {"d/1"}
+    returned = RecentMembers(forms_cluster=False)
+    returned.update([*THREE, member("d")], 10.0)
+    assert not returned.ids()
+
+
 def test_silent_voter_stays_a_member_while_no_learner_can_replace_it():
     assert next_membership_change(THREE, "a/1", {"b/1": 60.0, "c/1": 0.1}, []) is None
 
