Move the entry path into a package of its own

The modules entry_*, delegat*, peer_checks, usable_targets and suspect_exchange move to bramleycrank/entry; only their paths and imports change.

--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -14,14 +14,14 @@
 from bramleycrank.daemon.control_parts import ControlParts
 from bramleycrank.daemon.control_service import ControlService
 from bramleycrank.daemon.control_steps import ControlSteps
-from bramleycrank.daemon.delegator import Delegator
 from bramleycrank.daemon.domain_isolation import DomainIsolation
 from bramleycrank.daemon.domain_orders import DomainOrders
-from bramleycrank.daemon.entry_controller import EntryController
-from bramleycrank.daemon.entry_types import EntryDialect
 from bramleycrank.daemon.life_cycle import LifeCycle
-from bramleycrank.daemon.usable_targets import UsableTargets
 from bramleycrank.daemon.voter_manager import VoterManager, VotingConfig
+from bramleycrank.entry.controller import EntryController
+from bramleycrank.entry.delegator import Delegator
+from bramleycrank.entry.types import EntryDialect
+from bramleycrank.entry.usable_targets import UsableTargets
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.traffic import Traffic
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -12,7 +12,7 @@
 
 from bramleycrank.daemon.dead_vms import DeadVms
 from bramleycrank.daemon.subscribers import notify
-from bramleycrank.daemon.suspect_exchange import SuspectExchange
+from bramleycrank.entry.suspect_exchange import SuspectExchange
 from bramleycrank.exceptions import BramleycrankError, Draining, Outcome, Refused
 from bramleycrank.membership import (
     MembershipConfig,
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -20,8 +20,8 @@
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.daemon.query_controller import QueryController
 from bramleycrank.daemon.session_controller import SessionController
-from bramleycrank.daemon.usable_targets import UsableTargets
 from bramleycrank.daemon.voter_changes import VoterChanges
+from bramleycrank.entry.usable_targets import UsableTargets
 from bramleycrank.observability import metrics as metrics_module
 from bramleycrank.query.types import QueryConfig
 from bramleycrank.settings import Settings
--- a/bramleycrank/daemon/entry_answers.py
+++ b/bramleycrank/entry/answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
+from bramleycrank.entry.types import CallerMeta, EntryDialect
 from bramleycrank.routing import Route
 from bramleycrank.scatter import Answer, Merged, Refusal, merge_records
 from bramleycrank.scatter.types import FinalAction
--- a/bramleycrank/daemon/entry_call.py
+++ b/bramleycrank/entry/call.py
@@ -8,7 +8,7 @@
 import attrs
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
-from bramleycrank.daemon.entry_types import CallerMeta
+from bramleycrank.entry.types import CallerMeta
 from bramleycrank.scatter import ScatterExecution
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
 
--- a/bramleycrank/daemon/entry_controller.py
+++ b/bramleycrank/entry/controller.py
@@ -13,14 +13,14 @@
 from typing import Any
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
-from bramleycrank.daemon.delegation_headers import Offer, Reply
-from bramleycrank.daemon.delegator import Delegator
-from bramleycrank.daemon.entry_answers import missing_services, render
-from bramleycrank.daemon.entry_call import Call, CallListener
-from bramleycrank.daemon.entry_delegation import EntryDelegation
-from bramleycrank.daemon.entry_targets import EntryTargets, Targets
-from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect, Routes, TargetMeta
-from bramleycrank.daemon.suspect_exchange import SuspectExchange
+from bramleycrank.entry.answers import missing_services, render
+from bramleycrank.entry.call import Call, CallListener
+from bramleycrank.entry.delegation import EntryDelegation
+from bramleycrank.entry.delegation_headers import Offer, Reply
+from bramleycrank.entry.delegator import Delegator
+from bramleycrank.entry.suspect_exchange import SuspectExchange
+from bramleycrank.entry.targets import EntryTargets, Targets
+from bramleycrank.entry.types import CallerMeta, EntryDialect, Routes, TargetMeta
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
--- a/bramleycrank/daemon/entry_delegation.py
+++ b/bramleycrank/entry/delegation.py
@@ -7,16 +7,16 @@
 
 import attrs
 
-from bramleycrank.daemon.delegation_headers import (
+from bramleycrank.entry.delegation_headers import (
     KEEP_ALIVE_S,
     MAX_OFFER_BYTES,
     STATUS_RETURNED,
     Offer,
     Reply,
 )
-from bramleycrank.daemon.delegator import Delegation, Delegator
-from bramleycrank.daemon.entry_targets import EntryTargets
-from bramleycrank.daemon.entry_types import CallerMeta
+from bramleycrank.entry.delegator import Delegation, Delegator
+from bramleycrank.entry.targets import EntryTargets
+from bramleycrank.entry.types import CallerMeta
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.routing import Limits, Route, RouteIndex
 from bramleycrank.scatter.delivery import DeliveryEstimate
--- a/bramleycrank/daemon/delegator.py
+++ b/bramleycrank/entry/delegator.py
@@ -12,9 +12,9 @@
 
 from bramleycrank.connections.http_pool import HttpPool
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
-from bramleycrank.daemon.delegation_headers import Offer, Reply
-from bramleycrank.daemon.entry_types import CallerMeta, EntryDialect
-from bramleycrank.daemon.peer_checks import PeerChecks
+from bramleycrank.entry.delegation_headers import Offer, Reply
+from bramleycrank.entry.peer_checks import PeerChecks
+from bramleycrank.entry.types import CallerMeta, EntryDialect
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
--- a/bramleycrank/daemon/peer_checks.py
+++ b/bramleycrank/entry/peer_checks.py
@@ -7,7 +7,7 @@
 
 from bramleycrank.connections.http_pool import HttpPool
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
-from bramleycrank.daemon.delegation_headers import Reply
+from bramleycrank.entry.delegation_headers import Reply
 from bramleycrank.observability.traffic import SEGMENT_BYTES
 from bramleycrank.scatter.delegation import PeerChoice
 from bramleycrank.transport.http1 import Response
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Sequence
 
-from bramleycrank.daemon.entry_types import CallerMeta, TargetMeta
+from bramleycrank.entry.types import CallerMeta, TargetMeta
 from bramleycrank.proto.target_pb2 import LoadReport
 from bramleycrank.transport.http1.messages import (
     Headers,
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -9,8 +9,8 @@
 import pytest
 from http_fakes import FakeTarget, call, header, ok
 
-from bramleycrank.daemon.delegator import Delegator
-from bramleycrank.daemon.entry_controller import EntryController
+from bramleycrank.entry.controller import EntryController
+from bramleycrank.entry.delegator import Delegator
 from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.platform.headers import PlatformHeaders
 from bramleycrank.proto.log_pb2 import CallerLimits, HttpService, Route, RouteTable, WeightedService
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -12,8 +12,8 @@
 from test_entry_controller import TABLE, EntryVm, run, status
 
 from bramleycrank.connections.reach import Reach
-from bramleycrank.daemon.delegation_headers import MAX_SENDS, Offer, Reply
-from bramleycrank.daemon.delegator import Delegator
+from bramleycrank.entry.delegation_headers import MAX_SENDS, Offer, Reply
+from bramleycrank.entry.delegator import Delegator
 from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.platform.headers import PlatformHeaders
--- a/tests/test_entry_evacuation.py
+++ b/tests/test_entry_evacuation.py
@@ -8,7 +8,7 @@
 from http_fakes import header, ok
 from test_entry_controller import TABLE, EntryVm, run, status
 
-from bramleycrank.daemon.usable_targets import UsableTargets
+from bramleycrank.entry.usable_targets import UsableTargets
 from bramleycrank.proto.log_pb2 import RouteTable
 
 DOMAINS = {"a1": "north", "a2": "south", "b1": "north", "b2": "south"}
--- a/tests/test_membership_suspects.py
+++ b/tests/test_membership_suspects.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bramleycrank.daemon.membership_controller import SUSPECTS_FANOUT
-from bramleycrank.daemon.suspect_exchange import SuspectExchange
+from bramleycrank.entry.suspect_exchange import SuspectExchange
 from bramleycrank.membership.suspects import (
     CRASHES_TO_QUARANTINE,
     FRESH_S,
