--- a/bramleycrank/proto/peer_grpc.py
+++ b/bramleycrank/proto/peer_grpc.py
@@ -48,6 +48,10 @@
     async def Join(self, stream: 'grpclib.server.Stream[bramleycrank.proto.peer_pb2.JoinRequest, bramleycrank.proto.peer_pb2.Ack]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Grant(self, stream: 'grpclib.server.Stream[bramleycrank.proto.peer_pb2.GrantRequest, bramleycrank.proto.peer_pb2.GrantReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/bramleycrank.peer.Peer/Probe': grpclib.const.Handler(
@@ -98,6 +102,12 @@
                 bramleycrank.proto.peer_pb2.JoinRequest,
                 bramleycrank.proto.peer_pb2.Ack,
             ),
+            '/bramleycrank.peer.Peer/Grant': grpclib.const.Handler(
+                self.Grant,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                bramleycrank.proto.peer_pb2.GrantRequest,
+                bramleycrank.proto.peer_pb2.GrantReply,
+            ),
         }
 
 
@@ -152,3 +162,9 @@
             bramleycrank.proto.peer_pb2.JoinRequest,
             bramleycrank.proto.peer_pb2.Ack,
         )
+        self.Grant = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/bramleycrank.peer.Peer/Grant',
+            bramleycrank.proto.peer_pb2.GrantRequest,
+            bramleycrank.proto.peer_pb2.GrantReply,
+        )
--- a/bramleycrank/routing/table.py
+++ b/bramleycrank/routing/table.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from bramleycrank.customers import CustomerIndex
 from bramleycrank.proto.log_pb2 import Route as RouteMessage
 from bramleycrank.proto.log_pb2 import RouteTable
 
@@ -92,6 +93,8 @@
         Minimum share of the shards in a merged answer.
     regions : frozenset of str
         Regions whose targets may receive the requests; empty for all.
+    public : bool
+        Whether callers need no key.
     """
 
     name: str
@@ -106,6 +109,7 @@
     top_records: int = 0
     min_coverage: float = 0.0
     regions: frozenset[str] = frozenset()
+    public: bool = False
     _cumulative: tuple[float, ...] = ()
     _sequence_value: float = 0.0
 
@@ -127,6 +131,7 @@
             top_records=message.top_records,
             min_coverage=message.min_coverage,
             regions=frozenset(message.regions),
+            public=message.public,
             cumulative=() if gather else tuple(accumulate(weights)),
         )
 
@@ -180,6 +185,7 @@
             service.name: ServiceWarmup(service.warmup_ms / 1000, service.warmup_per_s)
             for service in table.services
         }
+        self.customers = CustomerIndex(table.customers)
         self._by_host: dict[str, list[Route]] = defaultdict(list)
         for message in table.routes:
             self._by_host[message.host.lower()].append(Route.from_message(message))
