Identify callers by their keys at the VM that takes a request

Cause: keys were not looked at, and targets received them together with any customer that a caller wrote into the header itself.

Change: the adapter decodes customers and public routes, reads the key and writes the customer's header. A pure module decides who calls: 401 for an unknown key if this VM knows of no newer table and is within its lease, 503 otherwise. Another VM that serves a request receives the customer's name in the header of the targets. A table that an older build decoded is decoded again. Customers are checked when a table is put; errors have no key. A customer's rank goes before its route's.

--- /dev/null
+++ b/bramleycrank/customers/identification.py
@@ -0,0 +1,113 @@
+"""Decides which customer sends a request, and what a request without a valid key is told."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from bramleycrank.customers.directory import CustomerIndex
+from bramleycrank.customers.types import Customer
+
+NEWER_TABLE_RETRY_AFTER_S = 0.25
+"""Retry-after while this VM may hold an outdated table, in seconds: a newer one arrives within
+0.5 s unless the VM is cut off."""
+
+
+@attrs.frozen
+class Identity:
+    """Who sends a request, according to the table in force.
+
+    Parameters
+    ----------
+    customer : Customer or None
+        The customer whose key the caller presented; None without one.
+    keys_in_use : bool
+        Whether the table has customers, so that targets must receive neither the caller's key nor a
+        customer that the caller names itself.
+    """
+
+    customer: Customer | None = None
+    keys_in_use: bool = False
+
+
+ANONYMOUS = Identity()
+"""Identity of all requests while the table has no customers."""
+
+
+@attrs.frozen
+class KeyRefusal:
+    """Refusal of a request whose key this VM does not know.
+
+    Parameters
+    ----------
+    final : bool
+        Whether the key is known to be invalid; otherwise a newer table may have it.
+    reason : str
+        Reason for the log.
+    retry_after_s : float
+        Time after which the caller may retry, in seconds; 0 if that is useless.
+    """
+
+    final: bool
+    reason: str
+    retry_after_s: float = 0.0
+
+
+def identify(
+    customers: CustomerIndex,
+    key: bytes | None,
+    *,
+    public: bool,
+    is_newest: Callable[[], bool],
+) -> Identity | KeyRefusal:
+    """Identify a caller by its key.
+
+    Parameters
+    ----------
+    customers : CustomerIndex
+        Customers of the table in force.
+    key : bytes or None
+        Key that the request has; None without exactly one.
+    public : bool
+        Whether the route needs no key.
+    is_newest : callable
+        Returns whether no newer table can be in force elsewhere, as far as this VM can know.
+    """
+    if not customers:
+        return ANONYMOUS
+    customer = customers.identify(key) if key is not None else None
+    if customer is not None or public:
+        return Identity(customer, keys_in_use=True)
+    if is_newest():
+        return KeyRefusal(True, "no valid key" if key is None else "the key is unknown")
+    return KeyRefusal(
+        False, "a newer route table may have the key", retry_after_s=NEWER_TABLE_RETRY_AFTER_S
+    )
+
+
+def identify_offered(
+    customers: CustomerIndex, name: str, key: bytes | None, *, public: bool
+) -> Identity | None:
+    """Identify the caller of a request that another VM offers; None if it must not be served.
+
+    A VM that identifies callers removes the key and names the customer. If there is a key, the
+    other VM runs a build that does not, and the name comes from the caller.
+
+    Parameters
+    ----------
+    customers : CustomerIndex
+        Customers of the table in force, which the other VM has as well.
+    name : str
+        Customer that the other VM names; empty without one.
+    key : bytes or None
+        Key that the request has; None without exactly one.
+    public : bool
+        Whether the route needs no key.
+    """
+    if not customers:
+        return ANONYMOUS
+    customer = customers.by_name(name) if key is None else customers.identify(key)
+    if customer is None and not public:
+        return None
+    return Identity(customer, keys_in_use=True)
--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -21,6 +21,7 @@
     UnknownService,
 )
 from bramleycrank.proto import log_pb2, peer_pb2
+from bramleycrank.routing import to_current_format
 from bramleycrank.routing.packing import unpack
 from bramleycrank.settings import ConfigSettings
 from bramleycrank.state import (
@@ -86,6 +87,8 @@
         File with the configuration in force, on VMs with a data folder.
     rng : random.Random
         Source of all randomness.
+    decode_routes : callable, optional
+        Decodes the operator's document of a route table that an older build accepted.
     """
 
     def __init__(
@@ -96,7 +99,9 @@
         clients: PeerClients,
         cache: ConfigCache | None,
         rng: random.Random,
+        decode_routes: Callable[[bytes], log_pb2.RouteTable] | None = None,
     ) -> None:
+        self._decode_routes = decode_routes
         self._consensus = consensus
         self._peers = peers
         self._clients = clients
@@ -199,6 +204,10 @@
         """Return whether a leader confirmed the revision within the lease."""
         return self._follower.is_current(self._loop.time())
 
+    def is_newest(self) -> bool:
+        """Return whether the revision is current and this VM knows of no higher one."""
+        return self._follower.is_newest(self._loop.time())
+
     def status(self) -> peer_pb2.ConfigStatus:
         """Return the revisions and the leader known to this VM, for gossip."""
         return self._follower.status(self._loop.time())
@@ -232,7 +241,10 @@
         if not (self._follower.is_ready and packed.version):
             return None
         if self._routes.version != packed.version:
-            self._routes = unpack(packed)
+            table = unpack(packed)
+            if self._decode_routes is not None:
+                table = to_current_format(table, self._decode_routes)
+            self._routes = table
         return self._routes
 
     async def confirm(self) -> None:
--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -17,7 +18,7 @@
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.traffic import Traffic
-from bramleycrank.proto import peer_pb2
+from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.settings import Settings
 from bramleycrank.storage import ConfigCache
 from bramleycrank.transport.peer_client import PeerClients
@@ -48,6 +49,7 @@
         replace_damaged: bool = False,
         control_only: bool = False,
         delegation_port: int = 0,
+        decode_routes: Callable[[bytes], log_pb2.RouteTable] | None = None,
     ) -> ControlParts:
         """Build and connect the parts without starting them.
 
@@ -67,6 +69,8 @@
             Whether the VM serves no callers and so sends nothing to targets.
         delegation_port : int, optional
             Port for requests of other VMs that cannot reach their targets; 0 for none.
+        decode_routes : callable, optional
+            Decodes the operator's document of a route table that an older build accepted.
         """
         traffic = Traffic(metrics)
         clients = PeerClients(traffic)
@@ -84,7 +88,7 @@
             _identity_of(cfg, replace_damaged), directory, clients, rng, metrics, traffic
         )
         config = ConfigController(
-            cfg.config, consensus, directory, clients, _open_config_cache(cfg), rng
+            cfg.config, consensus, directory, clients, _open_config_cache(cfg), rng, decode_routes
         )
         directory.leader_address = config.leader_address
         membership.set_config_status(config.status)
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -25,6 +25,7 @@
 from bramleycrank.membership import MembershipConfig
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.traffic import Traffic
+from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.routing import Limits
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.warmup import WarmupBounds
@@ -119,6 +120,9 @@
 
     dialect: EntryDialect
 
+    def decode_routes(self, document: bytes) -> RouteTable:
+        """Decode an operator's document again that an older build accepted."""
+
     def readiness(self, exchange: Exchange, reason: str) -> None:
         """Respond to a readiness check; `reason` is empty if the VM is ready."""
 
@@ -225,6 +229,7 @@
             replace_damaged=True,
             control_only=cfg.entry is None,
             delegation_port=cfg.delegation.port if cfg.delegation is not None else 0,
+            decode_routes=self._adapter.decode_routes,
         )
         loop = asyncio.get_running_loop()
         self._domain_isolation = DomainIsolation(cfg.base.vm.domain, parts.membership, loop.time)
--- a/bramleycrank/entry/call.py
+++ b/bramleycrank/entry/call.py
@@ -8,6 +8,7 @@
 import attrs
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
+from bramleycrank.customers import ANONYMOUS, Customer, Identity
 from bramleycrank.entry.types import CallerMeta
 from bramleycrank.scatter import ScatterExecution
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
@@ -19,6 +20,8 @@
 
     Parameters
     ----------
+    identity : Identity
+        Who sends the request.
     delegated : bool
         Whether the caller is another VM, which offered the request to this one.
     """
@@ -26,6 +29,7 @@
     exchange: Exchange
     meta: CallerMeta
     execution: ScatterExecution
+    identity: Identity = ANONYMOUS
     fingerprint: int = 0
     delegated: bool = False
     offered: bool = False  # to other VMs, none of which has started it
@@ -36,6 +40,11 @@
     sends: int = 0
     failures: list[str] = attrs.field(factory=list)
 
+    @property
+    def customer(self) -> Customer | None:
+        """Customer that sends the request, or None if it is not known."""
+        return self.identity.customer
+
 
 class SubRequestObserver(Protocol):
     """Receives the outcomes of the sub-requests of all requests."""
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
+from bramleycrank.customers import Identity, KeyRefusal, identify
 from bramleycrank.entry.answers import missing_services, render
 from bramleycrank.entry.call import Call, CallListener
 from bramleycrank.entry.delegation import EntryDelegation
@@ -218,47 +219,95 @@
 
     # Requests.
 
-    def on_request(self, exchange: Exchange, routes_waits: int = MAX_ROUTES_WAITS) -> None:
-        """Forward a caller's request, or refuse it if no route matches.
+    def on_request(self, exchange: Exchange) -> None:
+        """Forward a caller's request, or refuse it if no route matches or its key is unknown."""
+        meta = self._dialect.caller_meta(exchange.request)
+        route = self._find_route(exchange, meta)
+        if route is None:
+            return
+        identity = self._identify(exchange, meta, route)
+        if identity is None:
+            return
+        self._place(exchange, meta, route, identity, MAX_ROUTES_WAITS)
 
-        Parameters
-        ----------
-        exchange : Exchange
-            The request.
-        routes_waits : int, optional
-            How often the request may wait for equal route tables of this VM and another one.
-        """
-        now = self._clock()
-        request = exchange.request
-        meta = self._dialect.caller_meta(request)
+    def _find_route(self, exchange: Exchange, meta: CallerMeta) -> Route | None:
+        """Return the route of a request; refuse the request if there is none."""
         if self._index is None:
-            retry_s = add_jitter(startup_retry_after(now - self._started_at), self._rng)
+            running_s = self._clock() - self._started_at
+            retry_s = add_jitter(startup_retry_after(running_s), self._rng)
             self._refuse(exchange, meta, 503, retry_s, "no routes are known yet")
-            return
+            return None
+        request = exchange.request
         route = self._index.find(request.host.decode("latin-1"), request.path)
         if route is None:
             self._refuse(exchange, meta, 404, 0.0, "no route matches")
-            return
-        if not self._targets.serves(route, now):
-            again = functools.partial(self.on_request, exchange, routes_waits - 1)
+        return route
+
+    def _identify(self, exchange: Exchange, meta: CallerMeta, route: Route) -> Identity | None:
+        """Return who sends a request; refuse the request if it needs a key and has none."""
+        result = identify(
+            self._index.customers, meta.key, public=route.public, is_newest=self._routes.is_newest
+        )
+        if not isinstance(result, KeyRefusal):
+            return result
+        if result.final:
+            self._refuse(exchange, meta, 401, 0.0, result.reason)
+        else:
+            retry_s = add_jitter(result.retry_after_s, self._rng)
+            self._refuse(exchange, meta, 503, retry_s, result.reason)
+        return None
+
+    def _place(
+        self,
+        exchange: Exchange,
+        meta: CallerMeta,
+        route: Route,
+        identity: Identity,
+        routes_waits: int,
+    ) -> None:
+        """Serve a request here, or offer it to another VM if this one reaches too few targets.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        meta : CallerMeta
+            Its metadata.
+        route : Route
+            Its route.
+        identity : Identity
+            Who sends it.
+        routes_waits : int
+            How often it may wait for equal route tables of this VM and another one.
+        """
+        if not self._targets.serves(route, self._clock()):
+            again = functools.partial(self._place_again, exchange, meta, routes_waits - 1)
             if self._delegation.offer(
                 exchange,
                 meta,
                 route,
+                identity,
                 self._index.version,
                 self._deadline(exchange, meta, route),
-                functools.partial(self._serve, exchange, meta, route, offered=True),
+                functools.partial(self._serve, exchange, meta, route, identity, offered=True),
                 on_other_routes=again if routes_waits else None,
             ):
                 return
-        self._serve(exchange, meta, route)
+        self._serve(exchange, meta, route, identity)
+
+    def _place_again(self, exchange: Exchange, meta: CallerMeta, routes_waits: int) -> None:
+        """Place a request by the table in force now, which may have lost its route or key."""
+        route = self._find_route(exchange, meta)
+        identity = route and self._identify(exchange, meta, route)
+        if identity is not None:
+            self._place(exchange, meta, route, identity, routes_waits)
 
     def on_delegated_request(self, exchange: Exchange) -> None:
         """Serve a request for another VM, or return it at once if that VM may do better."""
-        admitted = self._delegation.admit(exchange, self._index)
+        meta = self._dialect.caller_meta(exchange.request)
+        admitted = self._delegation.admit(exchange, meta, self._index)
         if admitted is not None:
-            route, offer = admitted
-            self._serve(exchange, self._dialect.caller_meta(exchange.request), route, offer)
+            self._serve(exchange, meta, admitted.route, admitted.identity, admitted.offer)
 
     @staticmethod
     def _deadline(exchange: Exchange, meta: CallerMeta, route: Route) -> float:
@@ -274,6 +323,7 @@
         exchange: Exchange,
         meta: CallerMeta,
         route: Route,
+        identity: Identity,
         offer: Offer | None = None,
         *,
         offered: bool = False,
@@ -288,6 +338,8 @@
             Its metadata.
         route : Route
             Its route.
+        identity : Identity
+            Who sends it.
         offer : Offer or None
             Offer of the VM for which the request is served; None if it came from a caller.
         offered : bool
@@ -305,8 +357,9 @@
             network_s + (offer.network_s if offer is not None else 0.0),
             Canary(self._quarantine, fingerprint),
             offer.sends if offer is not None else (),
+            identity.customer.rank if identity.customer is not None else None,
         )
-        call = Call(exchange, meta, execution, fingerprint, offer is not None, offered)
+        call = Call(exchange, meta, execution, identity, fingerprint, offer is not None, offered)
         self._calls.add(call)
         exchange.on_disconnected = lambda: self._on_caller_disconnected(call)
         self._execute(call, execution.start(now))
@@ -338,6 +391,7 @@
             call.exchange,
             call.meta,
             call.execution.route,
+            call.identity,
             self._index.version,
             call.execution.deadline,
             functools.partial(self._respond, call, refusal),
@@ -371,7 +425,12 @@
             path=exchange.request.path[:100],
             routes_version=version,
         )
-        exchange.respond(status, self._dialect.refusal_headers(meta, retry_s), b"")
+        headers = (
+            self._dialect.unauthorized_headers(meta)
+            if status == 401
+            else self._dialect.refusal_headers(meta, retry_s)
+        )
+        exchange.respond(status, headers, b"")
 
     def _execute(self, call: Call, actions: Iterable[object]) -> None:
         for action in actions:
@@ -420,7 +479,8 @@
     def _forward(self, call: Call, action: Forward) -> None:
         request = call.exchange.request
         if call.template is None:
-            call.template = RequestTemplate(request, self._dialect.forwarded_headers(request))
+            headers = self._dialect.forwarded_headers(request, call.identity)
+            call.template = RequestTemplate(request, headers)
 
         def encode() -> bytes:
             left_s = action.deadline - self._clock()
@@ -571,6 +631,7 @@
             status=status,
             fingerprint=f"{call.fingerprint:016x}",
             route=route.name,
+            customer=call.customer.name if call.customer is not None else "",
             routes_version=self._index.version,
             latency_ms=round(latency_s * 1000, 1),
             sends=call.sends,
--- a/bramleycrank/entry/delegation.py
+++ b/bramleycrank/entry/delegation.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bramleycrank.customers import Identity, identify_offered
 from bramleycrank.entry.delegation_headers import (
     KEEP_ALIVE_S,
     MAX_OFFER_BYTES,
@@ -23,6 +24,15 @@
 from bramleycrank.transport.http1 import Exchange
 
 
+@attrs.frozen
+class Admitted:
+    """A request that this VM serves for another one."""
+
+    route: Route
+    identity: Identity
+    offer: Offer
+
+
 class EntryDelegation:
     """Offers requests whose targets this VM does not reach, and admits the offers of others.
 
@@ -67,6 +77,7 @@
         exchange: Exchange,
         meta: CallerMeta,
         route: Route,
+        identity: Identity,
         routes_version: int,
         deadline: float,
         on_unserved: Callable[[], None],
@@ -84,6 +95,8 @@
             Its metadata.
         route : Route
             Its route.
+        identity : Identity
+            Who sends it.
         routes_version : int
             Version of the route table that has the route.
         deadline : float
@@ -100,23 +113,30 @@
         network_s = self._delivery.network_time(route, exchange.round_trip_s)
         offer = Offer(routes_version, network_s, max(1, self.unreached), sends)
         return self._delegator.offer(
-            Delegation(exchange, meta, route, offer, deadline, on_unserved, on_other_routes)
+            Delegation(
+                exchange, meta, route, identity, offer, deadline, on_unserved, on_other_routes
+            )
         )
 
-    def admit(self, exchange: Exchange, index: RouteIndex | None) -> tuple[Route, Offer] | None:
-        """Return the route and the offer of another VM's request, or return it unstarted.
+    def admit(
+        self, exchange: Exchange, meta: CallerMeta, index: RouteIndex | None
+    ) -> Admitted | None:
+        """Return how another VM's request is served here, or return it unstarted.
 
-        The request is served only by the same route table, and if this VM reaches more of the
-        route's services than the other one.
+        The request is served only by the same route table, for a caller that may use the route, and
+        if this VM reaches more of the route's services than the other one.
         """
         request = exchange.request
         offer = Offer.from_request(request)
         exchange.request = Offer.strip(request)
         version = index.version if index is not None else 0
         route = index and index.find(request.host.decode("latin-1"), request.path)
+        identity = route and identify_offered(
+            index.customers, meta.named_customer, meta.key, public=route.public
+        )
         if (
             offer is None
-            or route is None
+            or identity is None
             or offer.routes_version != version
             or self._targets.reach.is_cut
             or len(self._targets.unreached_of(route)) >= max(1, offer.unreached)
@@ -126,7 +146,7 @@
             exchange.respond(STATUS_RETURNED, reply.headers(), b"")
             return None
         self._count("served")
-        return route, offer
+        return Admitted(route, identity, offer)
 
     def _count(self, event: str) -> None:
         self._metrics.incr(f"entry.delegations.{event}")
--- a/bramleycrank/entry/delegator.py
+++ b/bramleycrank/entry/delegator.py
@@ -12,6 +12,7 @@
 
 from bramleycrank.connections.http_pool import HttpPool
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
+from bramleycrank.customers import Identity
 from bramleycrank.entry.delegation_headers import Offer, Reply
 from bramleycrank.entry.peer_checks import PeerChecks
 from bramleycrank.entry.types import CallerMeta, EntryDialect
@@ -69,6 +70,8 @@
         Its metadata.
     route : Route
         Its route.
+    identity : Identity
+        Who sends it.
     offer : Offer
         What the other VM has to know.
     deadline : float
@@ -82,6 +85,7 @@
     exchange: Exchange
     meta: CallerMeta
     route: Route
+    identity: Identity
     offer: Offer
     deadline: float
     on_unserved: Callable[[], None]
@@ -255,7 +259,7 @@
             return False
         item.tried.append(peer.vm_id)
         caller_request = request.exchange.request
-        headers = self._dialect.forwarded_headers(Offer.strip(caller_request))
+        headers = self._dialect.forwarded_headers(Offer.strip(caller_request), request.identity)
         template = RequestTemplate(caller_request, headers)
 
         def encode() -> bytes:
--- a/bramleycrank/entry/types.py
+++ b/bramleycrank/entry/types.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bramleycrank.customers import Identity
 from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.proto.target_pb2 import LoadReport
 from bramleycrank.transport.http1.messages import Headers, Request, Response
@@ -22,10 +23,16 @@
         Identifier of this attempt by the caller; empty if there is none.
     wait_s : float or None
         Time that the caller waits for an answer, in seconds, or None if not given.
+    key : bytes or None
+        Key that the caller presents; None without exactly one.
+    named_customer : str
+        Customer that the request names; empty if none. Trusted only in offers of other VMs.
     """
 
     request_id: bytes
     wait_s: float | None
+    key: bytes | None = attrs.field(default=None, repr=False)
+    named_customer: str = ""
 
 
 @attrs.frozen
@@ -71,8 +78,11 @@
     def caller_meta(self, request: Request) -> CallerMeta:
         """Return the metadata of a caller's request."""
 
-    def forwarded_headers(self, request: Request) -> Headers:
-        """Return the headers that all sub-requests of a request share."""
+    def forwarded_headers(self, request: Request, identity: Identity) -> Headers:
+        """Return the headers that all sub-requests of a request share.
+
+        If keys are in use, they have the customer and no key.
+        """
 
     def wait_headers(self, timeout_s: float) -> Headers:
         """Return the headers that tell another VM how long the caller waits."""
@@ -89,6 +99,9 @@
     def refusal_headers(self, meta: CallerMeta, retry_after_s: float) -> Headers:
         """Return the headers of an error response of this VM."""
 
+    def unauthorized_headers(self, meta: CallerMeta) -> Headers:
+        """Return the headers of the response to a request whose key is unknown."""
+
 
 class Routes(Protocol):
     """Source of the routes in force."""
@@ -96,5 +109,8 @@
     def routes(self) -> RouteTable | None:
         """Return the table in force, or None while there is none."""
 
+    def is_newest(self) -> bool:
+        """Return whether no newer table can be in force elsewhere, as far as this VM can know."""
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each change."""
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -14,6 +14,7 @@
 from bramleycrank.platform import documents
 from bramleycrank.platform.fields import Fields, is_token, malformed
 from bramleycrank.platform.headers import RETRY_AFTER, PlatformHeaders
+from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.transport.http1 import Exchange
 
 log = logging.getLogger(__name__)
@@ -40,6 +41,16 @@
         self._refusals = RequestLog(log, time.monotonic)
         self._report_response = json.dumps({"HeartbeatAddr": control_address}).encode()
 
+    def decode_routes(self, document: bytes) -> RouteTable:
+        """Decode an operator's document again, which may have fields that an older build ignored.
+
+        Raises
+        ------
+        MalformedBody
+            The document cannot be read in full.
+        """
+        return documents.decode_routes(document)
+
     def readiness(self, exchange: Exchange, reason: str) -> None:
         """Respond to a readiness check of the load balancer."""
         if exchange.request.path != READY_PATH:
--- a/bramleycrank/platform/documents.py
+++ b/bramleycrank/platform/documents.py
@@ -4,6 +4,7 @@
 
 from bramleycrank.platform.fields import Fields, malformed
 from bramleycrank.proto import log_pb2, target_pb2
+from bramleycrank.routing import ROUTES_FORMAT
 from bramleycrank.scatter.policy import SINGLE_SHARD_REPLICAS
 from bramleycrank.settings import Address
 
@@ -44,6 +45,18 @@
             idle_timeout_ms=limits.count("IdleTimeoutMs", 0, UINT32),
         ),
         document=fields.canonical(),
+        customers=[_customer(item) for item in fields.objects("Tenants")],
+        format=ROUTES_FORMAT,
+    )
+
+
+def _customer(fields: Fields) -> log_pb2.Customer:
+    return log_pb2.Customer(
+        name=fields.text("Name"),
+        keys=fields.texts("ApiKeys"),
+        rank=fields.count("Priority", limit=UINT32) if fields.has("Priority") else None,
+        per_s=fields.number("RatePerS", 0.0),
+        burst=fields.number("Burst", 0.0),
     )
 
 
@@ -72,6 +85,7 @@
         top_records=fields.count("TopK", 0, UINT32),
         min_coverage=fields.number("MinCoverage", 0.0),
         regions=fields.texts("AllowedRegions"),
+        public=fields.flag("Public"),
     )
 
 
--- a/bramleycrank/platform/fields.py
+++ b/bramleycrank/platform/fields.py
@@ -75,6 +75,10 @@
             raise malformed(f"{self._where}.{name} must be finite")
         return value
 
+    def flag(self, name: str) -> bool:
+        """Return a truth value; False if it is missing."""
+        return self._get(name, bool, False)
+
     def has(self, name: str) -> bool:
         """Return whether a field is present and not null."""
         return self._data.get(name) is not None
--- a/bramleycrank/platform/headers.py
+++ b/bramleycrank/platform/headers.py
@@ -5,12 +5,14 @@
 import math
 from collections.abc import Sequence
 
+from bramleycrank.customers import Identity
 from bramleycrank.entry.types import CallerMeta, TargetMeta
 from bramleycrank.proto.target_pb2 import LoadReport
 from bramleycrank.transport.http1.messages import (
     Headers,
     Request,
     Response,
+    distinct_values,
     end_to_end_headers,
     values_by_name,
 )
@@ -24,6 +26,9 @@
 PART_STAMPS = b"X-Part-Stamps"
 MISSING_PARTS = b"X-Missing-Parts"
 RETRY_AFTER = b"Retry-After"
+CUSTOMER = b"X-Tenant"
+AUTHORIZATION = b"Authorization"
+KEY_SCHEME = b"Token"
 SERVER_LIMIT = b"server-limit"
 
 MAX_DIGITS = 9
@@ -44,11 +49,22 @@
         # The header contains a duration from now on, not a point in time.
         wait_ms = headers.get(b"x-deadline-ms", b"")
         wait_s = int(wait_ms[:MAX_DIGITS]) / 1000 if wait_ms.isdigit() else None
-        return CallerMeta(headers.get(b"x-request-id", b""), wait_s)
+        return CallerMeta(
+            headers.get(b"x-request-id", b""),
+            wait_s,
+            _parse_key(request.headers),
+            headers.get(CUSTOMER.lower(), b"").decode(errors="replace"),
+        )
 
-    def forwarded_headers(self, request: Request) -> Headers:
+    def forwarded_headers(self, request: Request, identity: Identity) -> Headers:
         """Return the headers that all sub-requests share."""
-        return end_to_end_headers(request.headers, _REPLACED_HEADERS)
+        headers = end_to_end_headers(request.headers, _REPLACED_HEADERS)
+        if not identity.keys_in_use:
+            return headers
+        headers = [item for item in headers if not _states_identity(*item)]
+        if identity.customer is not None:
+            headers.append((CUSTOMER, identity.customer.name.encode()))
+        return headers
 
     def wait_headers(self, timeout_s: float) -> Headers:
         """Return the headers that tell another VM how long the caller waits."""
@@ -92,6 +108,31 @@
             headers.append((RETRY_AFTER, b"%.3f" % retry_after_s))
         return headers
 
+    def unauthorized_headers(self, meta: CallerMeta) -> Headers:
+        """Return the headers of the response to a request whose key is unknown."""
+        return [*self.refusal_headers(meta, 0.0), (b"WWW-Authenticate", KEY_SCHEME)]
+
+
+def _parse_key(headers: Headers) -> bytes | None:
+    """Return the key of a request, or None if it has none or several credentials that differ."""
+    values = distinct_values(headers, AUTHORIZATION.lower())
+    if len(values) != 1:
+        return None
+    scheme, *key = values.pop().split(maxsplit=1) or [b""]
+    return key[0] if key and scheme.lower() == KEY_SCHEME.lower() else None
+
+
+def _states_identity(name: bytes, value: bytes) -> bool:
+    """Return whether a header of a caller has a key, or would be read as the customer's name.
+
+    A misspelt credential such as ``Token:KEY`` counts as a key. Targets with a CGI-like interface
+    cannot tell an underscore from a hyphen in a name.
+    """
+    name = name.lower().replace(b"_", b"-")
+    if name == AUTHORIZATION.lower():
+        return value.lstrip().lower().startswith(KEY_SCHEME.lower())
+    return name == CUSTOMER.lower()
+
 
 def _parse_number(value: bytes) -> float:
     """Return the number in a header, or NaN if its value is not a number."""
--- a/bramleycrank/routing/validation.py
+++ b/bramleycrank/routing/validation.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 
 from bramleycrank.exceptions import InvalidChange, Outcome
-from bramleycrank.proto.log_pb2 import Route, RouteTable
+from bramleycrank.proto.log_pb2 import Customer, Route, RouteTable
 
 MAX_ROUTES = 10_000
 """Maximum number of routes in a table, so that it fits into a message between VMs."""
@@ -49,6 +50,38 @@
         yield from (
             f"route {route.name!r}: {text}" for text in _find_route_problems(route, services)
         )
+    yield from _find_customer_problems(table.customers)
+
+
+def _find_customer_problems(customers: Iterable[Customer]) -> Iterable[str]:
+    """Yield what is wrong with the customers; no text has a key."""
+    names = Counter(customer.name for customer in customers)
+    yield from (f"customer {name!r} is listed twice" for name, count in names.items() if count > 1)
+    holders: dict[str, Customer] = {}
+    for customer in customers:
+        label = f"customer {customer.name!r}"
+        if not _is_header_value(customer.name):
+            yield f"{label}: the name is empty or has characters that no header bears"
+        if not all(customer.keys):
+            yield f"{label}: a key is empty"
+        if not all(math.isfinite(x) and x >= 0 for x in (customer.per_s, customer.burst)):
+            yield f"{label}: the rate and the burst must be finite and not negative"
+        for key in filter(None, customer.keys):
+            holder = holders.setdefault(key, customer)
+            if holder is not customer:
+                yield f"{label} shares a key with customer {holder.name!r}"
+        if len(set(customer.keys)) != len(customer.keys):
+            yield f"{label}: a key is listed twice"
+
+
+def _is_header_value(text: str) -> bool:
+    """Return whether a header transports a text unchanged."""
+    value = text.encode()
+    return (
+        bool(value)
+        and value == value.strip()
+        and all(char >= 0x20 and char != 0x7F for char in value)
+    )
 
 
 def _find_route_problems(route: Route, services: Counter[str]) -> Iterable[str]:
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -70,6 +70,8 @@
         Decides whether the sub-requests may be sent together.
     sends : sequence of int, optional
         Sub-requests that another VM has sent to each service of the route; empty if none.
+    rank : int, optional
+        Priority rank of the customer, which goes before that of the route; 0 is the most urgent.
     """
 
     def __init__(
@@ -82,8 +84,10 @@
         network_s: float = ROUND_TRIP_S,
         canary: Canary | None = None,
         sends: Sequence[int] = (),
+        rank: int | None = None,
     ) -> None:
         self.route = route
+        self.rank = route.rank if rank is None else rank
         self.ended = False
         self.waiting: set[str] = set()  # services that wait for a target with free capacity
         self._policy = policy
@@ -120,7 +124,7 @@
         ones, then the more urgent class precedes, then the newest: oldest first would make every
         request late.
         """
-        return now >= self._answer_at, self.route.rank, -self._arrived
+        return now >= self._answer_at, self.rank, -self._arrived
 
     def start(self, now: float) -> list[Action]:
         """Send the first sub-request of every service.
--- a/bramleycrank/state/follower.py
+++ b/bramleycrank/state/follower.py
@@ -237,6 +237,12 @@
         """Return whether a leader confirmed the revision in force within the lease."""
         return self._ready and self.stale_s(now) <= self._cfg.lease_s
 
+    def is_newest(self, now: float) -> bool:
+        """Return whether the configuration is current and no higher revision is known."""
+        confirmed = self._confirmation.revision if self._confirmation is not None else 0
+        known = max(self._hints.highest_revision, confirmed)
+        return known <= self.config.revision and self.is_current(now)
+
     def dump(self) -> dict[str, object]:
         """Return the state of the follower for operators."""
         return {
--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -40,6 +40,11 @@
     return {name.lower(): value for name, value in headers}
 
 
+def distinct_values(headers: Headers, name: bytes) -> set[bytes]:
+    """Return the different values of a header, by its name in lower case."""
+    return {value.strip() for key, value in headers if key.lower() == name}
+
+
 def headers_size(headers: Headers) -> int:
     """Return the size of headers in bytes, without their separators."""
     return sum(len(name) + len(value) for name, value in headers)
@@ -75,8 +80,8 @@
     method: bytes
     target: bytes
     host: bytes
-    headers: Headers
-    body: bytes
+    headers: Headers = attrs.field(repr=False)  # may have a caller's key
+    body: bytes = attrs.field(repr=False)
 
     @property
     def path(self) -> str:
--- a/tests/test_entry_controller.py
+++ b/tests/test_entry_controller.py
@@ -65,6 +65,7 @@
     def __init__(self, **scripts) -> None:
         self.fakes = {name: FakeTarget(script) for name, script in scripts.items()}
         self.table: RouteTable | None = TABLE
+        self.is_newest = True
         self.callbacks: list = []
         self.delegator: Delegator | None = None
 
@@ -88,7 +89,11 @@
     async def __aenter__(self) -> EntryVm:
         for fake in self.fakes.values():
             await fake.start()
-        routes = SimpleNamespace(routes=lambda: self.table, subscribe=self.callbacks.append)
+        routes = SimpleNamespace(
+            routes=lambda: self.table,
+            subscribe=self.callbacks.append,
+            is_newest=lambda: self.is_newest,
+        )
         targets = SimpleNamespace(
             targets=self.targets,
             subscribe_targets=lambda callback: None,
