Test what is checked of customers, and the table of an older build

Cause: the checks of customers, the repeated decoding and the question whether this VM holds the newest table were covered by the path of a request only.

Change: tables of invalid customers and of malformed documents, each with a recognisable key that no answer and no log line may have; a document that an older build accepted; a peer with a higher revision.

--- a/tests/test_daemon_config_controller.py
+++ b/tests/test_daemon_config_controller.py
@@ -9,12 +9,14 @@
 from bramleycrank.daemon.config_controller import PUSH_FANOUT, RELAY_FANOUT, ConfigController
 from bramleycrank.exceptions import (
     ConfigurationUnavailable,
+    MalformedBody,
     NotLeader,
     PeerUnreachable,
     StorageError,
     UnknownService,
 )
 from bramleycrank.proto import log_pb2, peer_pb2
+from bramleycrank.routing.packing import pack
 from bramleycrank.settings import ConfigSettings
 from bramleycrank.state import ReplicatedState
 
@@ -22,7 +24,7 @@
 class FakeVoter:
     """A voter with a real `ReplicatedState`; fakes the consensus, peers, clients and cache."""
 
-    def __init__(self, peers=20, cached=None):
+    def __init__(self, peers=20, cached=None, decode_routes=None):
         self.cached = cached
         self.state = ReplicatedState()
         self.confirmed = False
@@ -35,7 +37,7 @@
         self.index = 0
         self._peers = [f"127.0.0.1:{9000 + n}" for n in range(peers)]
         self.controller = ConfigController(
-            ConfigSettings(), self, self, self, self, random.Random(1)
+            ConfigSettings(), self, self, self, self, random.Random(1), decode_routes
         )
 
     # Consensus.
@@ -269,3 +271,53 @@
         assert reply.status.confirmed and [d.revision for d in reply.deltas] == [1]
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("decoded", "format", "customers"),
+    [
+        ([{"name": "a", "keys": ["key-a"]}], 0, 1),
+        ([{"name": "a", "keys": ["key-a"]}], 99, 0),
+        ([{"name": "a", "keys": ["key-a"]}, {"name": "b", "keys": ["key-a"]}], 0, 0),
+        (None, 0, 0),
+    ],
+    ids=["older build", "newer build", "refused by this build", "malformed for this build"],
+)
+def test_the_document_of_an_older_build_is_decoded_again(decoded, format, customers, caplog):
+    """Guards against a table without customers since a VM of an older build accepted it."""
+
+    def decode(document: bytes) -> log_pb2.RouteTable:
+        assert document == b"doc with key-a"
+        if decoded is None:
+            raise MalformedBody("config.Tenants has the wrong type")
+        items = [log_pb2.Customer(**fields) for fields in decoded]
+        return log_pb2.RouteTable(version=4, document=document, customers=items, format=1)
+
+    async def scenario(voter, controller):
+        voter.confirmed = True
+        table = log_pb2.RouteTable(version=4, document=b"doc with key-a", format=format)
+        change = log_pb2.Change(change_id="c", put_routes=pack(table))
+        voter.apply(log_pb2.Command(change=change))
+        assert controller.routes().version == 4
+        assert len(controller.routes().customers) == customers
+        assert "key-a" not in repr(controller.dump()) + caplog.text
+        assert ("routes:" in caplog.text) == (format == 0 and not customers)
+
+    run(scenario, decode_routes=decode)
+
+
+def test_a_table_is_not_known_to_be_the_newest_if_a_peer_names_a_higher_revision():
+    """Guards against 401 for a key that a newer table has."""
+
+    async def scenario(voter, controller):
+        assert not controller.is_newest(), "nothing is confirmed"
+        voter.confirmed = True
+        voter.put_service("a")
+        assert controller.is_newest()
+        status = peer_pb2.ConfigStatus(revision=controller.revision + 1)
+        controller.on_gossip("127.0.0.1:9001", status)
+        assert controller.is_current() and not controller.is_newest()
+        voter.put_service("b")
+        assert controller.is_newest()
+
+    run(scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -21,6 +21,7 @@
 from bramleycrank.platform.adapter import PlatformAdapter
 from bramleycrank.platform.headers import PlatformHeaders
 from bramleycrank.proto.target_pb2 import TARGET_STATE_LEAVING, TARGET_STATE_SERVING
+from bramleycrank.routing import ROUTES_FORMAT, RouteIndex
 from bramleycrank.transport.http1 import Request, Response
 
 EDGE_SETTINGS = {
@@ -86,6 +87,19 @@
     "Unknown": {"kept": True},
 }
 
+KEY = "key-of-acme"
+
+ODD_CUSTOMERS = [
+    {"ApiKeys": KEY},
+    {"ApiKeys": [KEY, 1]},
+    {"ApiKeys": [KEY, "\ud800"]},
+    {"ApiKeys": [KEY], "Priority": -1},
+    {"ApiKeys": [KEY], "Priority": KEY},
+    {"ApiKeys": [KEY], "RatePerS": "1"},
+    {"ApiKeys": [KEY], "RatePerS": float("inf")},
+    {"ApiKeys": [KEY], "Burst": [KEY]},
+]
+
 REPORT = {
     "Service": "s1",
     "Address": "10.128.0.9:8080",
@@ -164,11 +178,33 @@
         dumped({**CONFIG, "Routes": [{**CONFIG["Routes"][0], "Gather": [1]}]}),
         b'{"Version": 1, "Routes": [{"Host": "h", "PathPrefix": "/", "TimeoutMs": NaN}]}',
         b"[" * 100_000,
+        *(dumped({**CONFIG, "Tenants": [{"Name": "a", **item}]}) for item in ODD_CUSTOMERS),
+        dumped({**CONFIG, "Tenants": [{"ApiKeys": [KEY]}]}),
+        dumped({**CONFIG, "Tenants": {"a": KEY}}),
+        dumped({**CONFIG, "Routes": [{**CONFIG["Routes"][0], "Public": "yes"}]}),
+        dumped({**CONFIG, "Tenants": [{"Name": "a", "ApiKeys": [KEY]}]})[:-9],
+        dumped({"ApiKeys": KEY}).replace(b"ApiKeys", b"ApiKeys\xff"),
     ],
 )
-def test_invalid_configuration_document_is_rejected(body):
-    with pytest.raises(MalformedBody):
-        documents.decode_routes(body)
+def test_invalid_configuration_document_is_rejected_without_stating_a_key(body, caplog):
+    status, answer = respond(ADAPTER, b"PUT", b"/-/config", body, put_routes=accept)
+    assert status == 400 and b"MalformedBody" in answer
+    assert KEY not in answer.decode() + repr([record.__dict__ for record in caplog.records])
+
+
+def test_customers_are_decoded():
+    tenants = [
+        {"Name": "a", "ApiKeys": [KEY, "k2"], "Priority": 0, "RatePerS": 2.5, "Burst": 7},
+        {"Name": "b", "ApiKeys": []},
+    ]
+    routes = [{**CONFIG["Routes"][0], "Public": True}, CONFIG["Routes"][1]]
+    document = dumped({**CONFIG, "Tenants": tenants, "Routes": routes})
+    table = ADAPTER.decode_routes(document)
+    assert [route.public for route in table.routes] == [True, False]
+    first, second = RouteIndex(table).customers
+    assert (first.rank, first.per_s, first.burst) == (0, 2.5, 7.0)
+    assert (second.rank, second.is_limited) == (None, False)
+    assert table.format == ROUTES_FORMAT and json.loads(table.document)["Tenants"] == tenants
 
 
 def test_report_is_decoded_into_a_target_record():
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bramleycrank.exceptions import InvalidChange, Outcome
-from bramleycrank.proto.log_pb2 import HttpService, Route, RouteTable, WeightedService
+from bramleycrank.proto.log_pb2 import Customer, HttpService, Route, RouteTable, WeightedService
 from bramleycrank.routing import RouteIndex, check_routes
 
 
@@ -83,3 +83,26 @@
 
 def test_a_table_without_routes_is_valid():
     check_routes(table())
+
+
+@pytest.mark.parametrize(
+    ("customers", "problem"),
+    [
+        ([{"keys": ["secret"]}], "the name is empty"),
+        ([{"name": " a", "keys": ["secret"]}], "no header bears"),
+        ([{"name": "a\r\nb", "keys": ["secret"]}], "no header bears"),
+        ([{"name": "a", "keys": ["secret"]}, {"name": "a"}], "'a' is listed twice"),
+        ([{"name": "a", "keys": ["secret"]}, {"name": "b", "keys": ["secret"]}], "shares a key"),
+        ([{"name": "a", "keys": ["secret", "secret"]}], "a key is listed twice"),
+        ([{"name": "a", "keys": ["secret", ""]}], "a key is empty"),
+        ([{"name": "a", "keys": ["secret"], "per_s": -1}], "the rate and the burst"),
+        ([{"name": "a", "keys": ["secret"], "per_s": float("nan")}], "the rate and the burst"),
+        ([{"name": "a", "keys": ["secret"], "burst": float("inf")}], "the rate and the burst"),
+    ],
+)
+def test_invalid_customers_are_refused_without_naming_a_key(customers, problem):
+    invalid_table = table(route())
+    invalid_table.customers.extend(Customer(**fields) for fields in customers)
+    with pytest.raises(InvalidChange, match=problem) as exc_info:
+        check_routes(invalid_table)
+    assert "secret" not in str(exc_info.value)
