--- a/bramleycrank/transport/peer_service.py
+++ b/bramleycrank/transport/peer_service.py
@@ -111,3 +111,8 @@
             raise InvalidMembershipChange("automatic admission is off; an operator must add the VM")
         await self._admission.on_join(request.identity)
         return peer_pb2.Ack()
+
+    @unary
+    async def Grant(self, request: peer_pb2.GrantRequest) -> peer_pb2.GrantReply:  # noqa: N802
+        """Refuse a call for grants, since this VM owns no allowances."""
+        raise InvalidRequest("this VM grants no allowances", outcome=Outcome.NOT_RUN)
