Show that a table keeps its customers at VMs of the landed build

Cause: a VM of the landed build decodes a document without the customers, and it must not drop them from a table that it passes on or stores.

Change: a test with processes of both builds puts tables at an old voter and at a new one, lets an old VM serve for a new one that is cut off, and rolls all voters back; each time the new entry VM knows the keys in force and no others, targets receive the customer and no key, and no log has one.

--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -145,11 +145,13 @@
         self.voters[self.voters.index(removed)] = successor
         self.seeds = [vm.ip for vm in self.voters]
 
-    async def send(self, method: str, path: str, body: object, ip: str, port: int) -> bytes:
+    async def send(
+        self, method: str, path: str, body: object, ip: str, port: int, headers: str = ""
+    ) -> bytes:
         """Send one HTTP request and return the raw response, or b"" if there is none."""
         data = json.dumps(body).encode() if body is not None else b""
         request = f"{method} {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
-        request += f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n"
+        request += f"{headers}Content-Length: {len(data)}\r\nConnection: close\r\n\r\n"
         reader, writer = None, None
         try:
             async with asyncio.timeout(4):
--- a/tests/test_process_upgrade.py
+++ b/tests/test_process_upgrade.py
@@ -9,10 +9,11 @@
 import tarfile
 import time
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
-from http_fakes import FakeTarget, ok
+from http_fakes import FakeTarget, header, ok
 from test_entry_quarantine import CrashingTarget
 from test_process_replacement import (
     CATCH_UP_S,
@@ -22,7 +23,7 @@
     wipe_after_change,
 )
 
-from harness.platform_fleet import ENTRY_PORT, READY_PORT, Fleet, PlatformVm
+from harness.platform_fleet import CONTROL_PORT, ENTRY_PORT, READY_PORT, Fleet, PlatformVm
 from harness.processes import wait_until
 
 pytestmark = pytest.mark.process
@@ -218,12 +219,89 @@
             process.reap()
 
 
-def test_old_and_new_builds_serve_side_by_side_and_after_a_rollback(tmp_path):
-    """Guards against a message or file of this build that the landed one does not bear."""
+KEY = "key-of-acme"
+
+
+class Customers(Upgrade):
+    """A fleet of both builds whose configuration has customers."""
+
+    async def put(self, vm: PlatformVm, version: int, *keys: str) -> dict:
+        """Put a configuration with a customer at one voter, and return it."""
+        customers = [{"Name": "acme", "ApiKeys": [*keys]}]
+        config = {**document(version, 1), "Tenants": customers}
+        send = self.fleet.send
+
+        async def is_accepted() -> bool:
+            return b" 200 " in (await send("PUT", "/-/config", config, vm.ip, CONTROL_PORT))[:20]
+
+        await wait_until(is_accepted, f"{vm.name} accepts version {version}", 20)
+        return config
+
+    async def identifies(self, vm: PlatformVm, key: str) -> bool:
+        """Return whether a VM knows a key and no other one, and targets see only the customer."""
+        replies = [
+            await self.fleet.send(
+                "GET", "/all/q", None, vm.ip, ENTRY_PORT, f"Authorization: Token {item}\r\n"
+            )
+            for item in (key, "no-key")
+        ]
+        if [reply[9:12] for reply in replies] != [b"200", b"401"]:
+            return False
+        requests = [fake.requests[-1] for fake in self.fakes.values()]
+        return all(
+            header(request, b"X-Tenant") == b"acme" and key.encode() not in request
+            for request in requests
+        )
+
+    async def wait_identifies(self, vm: PlatformVm, key: str) -> None:
+        await wait_until(lambda: self.identifies(vm, key), f"{vm.name} knows {key} only", 20)
+
+    async def restart(self, vm: PlatformVm, tree: Path | None = None) -> None:
+        """Restart a VM with the build in `tree`."""
+        vm.process.signal(signal.SIGTERM)
+        await wait_until(lambda: vm.process.exit_code is not None, f"{vm.name} stops", 20)
+        vm.start(tree=tree)
+
+
+async def customers_scenario(upgrade: Customers) -> None:
+    fleet = upgrade.fleet
+    (entry_x, entry_y), voters = fleet.entries, fleet.voters
+    for vm in upgrade.vms:
+        vm.start(bootstrap=True, tree=None if vm is entry_x else upgrade.old)
+    # Decoded by the old build, which does not know the customers.
+    config = await upgrade.put(voters[0], 1, KEY)
+    await upgrade.wait_identifies(entry_x, KEY)
+    # An old VM serves for a new one that is cut off.
+    await upgrade.cut(entry_x)
+    await upgrade.wait_identifies(entry_x, KEY)
+    entry_x.end_cut()
+    for voter in voters[:2]:
+        await upgrade.restart(voter)
+        await wait_until(lambda v=voter: fleet.read_config(v), f"{voter.name} is back", 20)
+    assert await upgrade.put(voters[0], 1, KEY) == config, "a resend is accepted"
+    # Decoded by the new build, passed on and stored by both.
+    await upgrade.put(voters[1], 2, "key-2")
+    await upgrade.wait_identifies(entry_x, "key-2")
+    # The rollback of all voters, from which a new entry VM reads the table.
+    for voter in voters[:2]:
+        await upgrade.restart(voter, upgrade.old)
+        await wait_until(lambda v=voter: fleet.read_config(v), f"{voter.name} is back", 20)
+    assert (await fleet.read_config(voters[2]))["Tenants"][0]["ApiKeys"] == ["key-2"]
+    await upgrade.restart(entry_x)
+    await upgrade.wait_identifies(entry_x, "key-2")
+    await upgrade.put(voters[0], 3, "key-3")
+    await upgrade.wait_identifies(entry_x, "key-3")
+    assert await upgrade.serves(entry_y, 1), "a VM of the old build serves without keys"
+    logs = [path.read_text() for path in (*fleet.folder.glob("*.log"), *fleet.folder.glob("*.err"))]
+    assert not any(key in text for key in (KEY, "key-2", "key-3", "Traceback") for text in logs)
+
+
+def run_upgrade(tmp_path: Path, kind: type[Upgrade], steps: Callable[[Upgrade], Awaitable]) -> None:
+    """Run the steps of an upgrade with real processes and scripted targets."""
 
     async def body() -> None:
         fleet = Fleet(tmp_path, entries=2)
-        upgrade = Upgrade(fleet, landed_build(tmp_path / "landed"))
+        upgrade = kind(fleet, landed_build(tmp_path / "landed"))
         fleet.entries[0].partition_file = tmp_path / "x.cut"
         fakes = [*upgrade.fakes.values(), upgrade.deadly]
         for fake in fakes:
@@ -231,7 +309,7 @@
         reports = asyncio.create_task(upgrade.report())
         try:
             async with asyncio.timeout(150):
-                await scenario(upgrade)
+                await steps(upgrade)
         finally:
             reports.cancel()
             for fake in fakes:
@@ -240,3 +318,13 @@
                 process.reap()
 
     asyncio.run(body())
+
+
+def test_old_and_new_builds_serve_side_by_side_and_after_a_rollback(tmp_path):
+    """Guards against a message or file of this build that the landed one does not bear."""
+    run_upgrade(tmp_path, Upgrade, scenario)
+
+
+def test_a_table_keeps_its_customers_at_vms_of_the_landed_build(tmp_path):
+    """Guards against customers that are lost when an old VM accepts, passes on or stores them."""
+    run_upgrade(tmp_path, Customers, customers_scenario)
