--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-from bench import control, messages
+from bench import control, customers, messages
 from bench.fleet import BenchFleet, resident_mb
 from bench.runner import WARMUP_S, ScenarioRunner
 from bench.shapes import ServiceShape, Shape
@@ -304,6 +304,7 @@
     ),
     "queries": query_slopes,
     "messages": messages.measure,
+    "customers": lambda: customers.measure(resident_bytes, min_processor_s),
     "spread": propagation_slopes,
     "claims": lambda: asyncio.run(_run_with_fleet(_slope_shape(3, 1, 3), _measure_claims)),
 }
