Refuse a key for good only after a recent confirmation

Cause: a VM that had lost its contact counted as current for the lease of 6 s, in which it could refuse a key that a table acknowledged up to 6 s ago has; users expect a table to be in force after 4 s.

Change: 401 needs a confirmation within two thirds of the lease; until then 503.

--- a/bramleycrank/state/follower.py
+++ b/bramleycrank/state/follower.py
@@ -24,6 +24,9 @@
 _ASK_REMOTE_SHARE = 0.5
 _ASK_LEADER_SHARE = 0.6
 
+# Share of the lease within which a confirmation shows that no older change is missing: 4 s of 6 s,
+# the time in which users expect a key to be in force everywhere.
+_NEWEST_SHARE = 2 / 3
 
 # Upper bound of the random time that a VM waits for a peer of its own domain to have a revision
 # before it fetches the revision from another domain. In a domain of many VMs one of them draws a
@@ -238,10 +241,15 @@
         return self._ready and self.stale_s(now) <= self._cfg.lease_s
 
     def is_newest(self, now: float) -> bool:
-        """Return whether the configuration is current and no higher revision is known."""
+        """Return whether no higher revision is known and none can have been in force for long.
+
+        A leader has confirmed the revision within two thirds of the lease, so it lacks no change
+        that is older.
+        """
         confirmed = self._confirmation.revision if self._confirmation is not None else 0
         known = max(self._hints.highest_revision, confirmed)
-        return known <= self.config.revision and self.is_current(now)
+        confirmed_recently = self.stale_s(now) <= self._cfg.lease_s * _NEWEST_SHARE
+        return self._ready and known <= self.config.revision and confirmed_recently
 
     def dump(self) -> dict[str, object]:
         """Return the state of the follower for operators."""
--- a/tests/test_state_follower.py
+++ b/tests/test_state_follower.py
@@ -19,6 +19,9 @@
 
 SEEDS = st.integers(0, 2**32)
 
+KEY_IN_FORCE_S = 4.0
+"""Time after which no VM may refuse a new key for good, in seconds."""
+
 
 @attrs.define(eq=False)
 class Vm:
@@ -179,6 +182,8 @@
         assert follower.config.revision >= vm.revision
         vm.revision = follower.config.revision
         assert self.revision_at(self.time - follower.stale_s(now)) <= follower.config.revision
+        if follower.is_newest(now):  # a key that is unknown here is refused for good
+            assert self.revision_at(self.time - KEY_IN_FORCE_S) <= follower.config.revision
         status = follower.status(now)
         if status.confirmed:
             covered = self.revision_at(self.time - status.leader_age_ms / 1000)
@@ -237,6 +242,7 @@
     for _ in range(30):
         simulation.run(1)
         assert all(simulation.current_flags())
+        assert all(vm.follower.is_newest(vm.clock(simulation.time)) for vm in simulation.vms)
     simulation.commit()
     # Gossip alone, since the leader's push is part of the daemon.
     simulation.run(4)
