Name the customer in the log lines of its requests

Cause: a line told the route but not whose request it was; lines of other VMs' answers had none.

Change: lines about requests of a known customer have `customer`; without customers they are as before.

--- a/bramleycrank/customers/identification.py
+++ b/bramleycrank/customers/identification.py
@@ -30,6 +30,10 @@
     customer: Customer | None = None
     keys_in_use: bool = False
 
+    def log_fields(self) -> dict[str, str]:
+        """Return the fields of log lines about the request."""
+        return {"customer": self.customer.name} if self.customer is not None else {}
+
 
 ANONYMOUS = Identity()
 """Identity of all requests while the table has no customers."""
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -407,6 +407,7 @@
             now,
             failed=True,
             route=call.execution.route.name,
+            **call.identity.log_fields(),
         )
         self._execute(call, call.execution.on_caller_disconnected(now))
 
@@ -631,12 +632,12 @@
             status=status,
             fingerprint=f"{call.fingerprint:016x}",
             route=route.name,
-            customer=call.customer.name if call.customer is not None else "",
             routes_version=self._index.version,
             latency_ms=round(latency_s * 1000, 1),
             sends=call.sends,
             missing=missing_services(route, action),
             target_failures=call.failures,
+            **call.identity.log_fields(),
         )
 
     # Changes of routes and of free slots at targets.
--- a/bramleycrank/entry/delegator.py
+++ b/bramleycrank/entry/delegator.py
@@ -419,6 +419,7 @@
             latency_ms=round(latency_s * 1000, 1),
             vms=item.tried,
             unreached=request.offer.unreached,
+            **request.identity.log_fields(),
         )
 
     def _on_down(self, vm_id: str, down: bool) -> None:
--- a/tests/test_entry_customers.py
+++ b/tests/test_entry_customers.py
@@ -225,7 +225,7 @@
         loop.call_soon(failed, item, "one argument too many")
         await asyncio.sleep(0)
         lines = [repr(record.__dict__) + caplog.handler.format(record) for record in caplog.records]
-        assert len(lines) > 4
+        assert len(lines) > 4 and "'customer': 'Acme é'" in "".join(lines)
         assert KEY not in "\n".join([*texts, *lines])
 
     run(scenario, KeyedVm, a1=ok)
