Test canaries and requests handed over with customers

Change: a canary before other shards, and a request in progress that moves to another VM, carry the customer and no key, as hedges and retries do.

--- a/tests/test_entry_customers.py
+++ b/tests/test_entry_customers.py
@@ -10,6 +10,7 @@
 from test_entry_controller import TABLE, EntryVm, run, status
 from test_entry_delegation import CutEntryVm
 
+from bramleycrank.connections.reach import Reach
 from bramleycrank.entry.call import Call
 from bramleycrank.proto.log_pb2 import Customer, Route, RouteTable, WeightedService
 
@@ -166,20 +167,41 @@
 
 
 def test_repeats_of_a_request_carry_the_customer_and_never_the_key():
-    """Guards against hedges and retries that are built from the caller's headers."""
+    """Guards against hedges, retries, canaries and requests handed over that have the key."""
+    headers = AUTH + "X-Tenant: Bolt\r\n"
 
-    async def scenario(vm):
-        vm.fakes["a1"].delay_s = vm.fakes["a2"].delay_s = 0.3
-        assert status(await ask(vm, "/one/x", AUTH + "X-Tenant: Bolt\r\n")) == 200
-        vm.fakes["b1"].script = lambda request: None
-        assert status(await ask(vm, "/all/q", AUTH + "X-Tenant: Bolt\r\n")) == 200
+    def check(vm) -> list[bytes]:
         requests = [request for fake in vm.fakes.values() for request in fake.requests]
-        assert sum(b"/one/" in request for request in requests) == 2, "one is a hedge"
-        assert len(vm.fakes["b1"].requests) + len(vm.fakes["b2"].requests) > 1, "one is a retry"
         for request in requests:
             assert values(request, b"x-tenant") == [NAME] and KEY.encode() not in request
+        return requests
+
+    async def scenario(vm):
+        vm.fakes["a1"].delay_s = vm.fakes["a2"].delay_s = 0.3
+        vm.entry._quarantine._canary_until["a"] = float("inf")
+        canary = asyncio.ensure_future(ask(vm, "/all/q", headers))
+        await asyncio.sleep(0.05)
+        assert len(check(vm)) == 1, "the canary"
+        assert status(await canary) == 200
+        del vm.entry._quarantine._canary_until["a"]
+        assert status(await ask(vm, "/one/x", headers)) == 200
+        vm.fakes["b1"].script = vm.fakes["b2"].script = lambda request: None
+        before = len(vm.fakes["b1"].requests + vm.fakes["b2"].requests)
+        assert status(await ask(vm, "/all/q", headers)) == 200
+        assert sum(b"/one/" in request for request in check(vm)) == 2, "one is a hedge"
+        assert len(vm.fakes["b1"].requests + vm.fakes["b2"].requests) == before + 2, "a retry"
+
+    async def hand_over(vm):
+        vm.entry._targets.reach._enter(Reach.CONNECTED, 0.0)
+        vm.fakes["a1"].delay_s = 0.3
+        answer = asyncio.ensure_future(ask(vm, "/one/x", headers))
+        await asyncio.sleep(0.1)
+        vm.cut()
+        vm.entry._hand_over_requests()
+        assert status(await answer) == 200 and len(check(vm)) == 2
 
     run(scenario, KeyedVm, a1=ok, a2=ok, b1=ok, b2=ok)
+    run(hand_over, CutKeyedVm, a1=ok, a2=ok, b1=ok)
 
 
 def test_a_vm_of_an_older_build_offers_a_request_with_the_key():
