Apply shares and early refusals at entries whose table has customers

Cause: the order and the refusals by customer were not wired. Change: WaitingCalls orders what waits for slots; a request that would get room too late is refused before it is sent, checked on arrival and while it waits. Tables without customers keep the order of the executions and refuse nothing early. Log line, metric and dump tell the rule and the share.

--- a/bramleycrank/customers/returns.py
+++ b/bramleycrank/customers/returns.py
@@ -21,6 +21,9 @@
 MAX_RETURN_S = 5.0
 """Longest time of return, in seconds; room is not foreseen further than a flood lasts."""
 
+UNKNOWN_RETURN_S = 0.25
+"""Time of return while no target takes requests, in seconds."""
+
 MAX_RETURNS = 4096
 """Largest number of refused requests that are remembered."""
 
@@ -30,6 +33,17 @@
 RETURN_WINDOW_S = 2.0
 """Time after its time of return for which a refused request is remembered, in seconds."""
 
+MIN_CHECK_DELAY_S = 0.005
+"""Least time between two checks of a waiting request, in seconds."""
+
+CHECK_SHARE = 0.8
+"""Share of the time for a worthwhile refusal after which a request is checked; the rest is for a
+timer that fires late."""
+
+MIN_SLOTS_SEEN = 2.0
+"""Slots that must have become free while a request did not advance, before it counts as one that
+will not; a single slow reply tells nothing."""
+
 EARLY_TOLERANCE_S = 0.005
 """How much too early a caller may return, in seconds; its clock may tick coarsely."""
 
@@ -144,6 +158,7 @@
             Current time in seconds.
         """
         if not 0 < needed <= len(queues):
+            waiter.checked_at, waiter.checked_ahead = now, 0
             return None
         waits = []
         for queue in queues:
@@ -155,7 +170,7 @@
         room = queue.room
         return_s = self._times.estimate(queue.service, waiter, wait_s, room.per_s, now)
         if waiter.may_return(now) or waiter.is_late(room.latency_s, now):
-            wait_s = max(wait_s, _extrapolate(waiter, ahead, now))
+            wait_s = max(wait_s, _extrapolate(waiter, ahead, room.per_s, now))
         waiter.checked_at, waiter.checked_ahead = now, ahead
         rule = find_missed(waiter, wait_s, room.latency_s, now)
         if rule is None:
@@ -164,16 +179,29 @@
         return EarlyRefusal(rule, return_s, queue.service, ahead)
 
 
-def _extrapolate(waiter: Waiter, ahead: int, now: float) -> float:
+def _extrapolate(waiter: Waiter, ahead: int, per_s: float, now: float) -> float:
     """Return the wait in seconds if the request goes on to advance as since the last check.
 
     Load pattern: sustained overload, in which newer and more urgent requests overtake those that
     wait. One that has not advanced will not get room while the overload lasts.
     """
-    if not ahead or math.isinf(waiter.checked_at):
+    elapsed_s = max(0.0, now - waiter.checked_at)
+    if not ahead or elapsed_s * per_s < MIN_SLOTS_SEEN:
         return 0.0
     advanced = waiter.checked_ahead - ahead
-    return ahead * (now - waiter.checked_at) / advanced if advanced > 0 else math.inf
+    return ahead * elapsed_s / advanced if advanced > 0 else math.inf
+
+
+def next_check(waiter: Waiter, now: float) -> float:
+    """Return the time at which to decide next about a waiting request, in seconds.
+
+    It is the last time at which a refusal leaves its caller another attempt, and then half of the
+    time left, so that the checks of a request stay few.
+    """
+    last_call = waiter.arrived + CHECK_SHARE * (waiter.refuse_by - waiter.arrived)
+    if now < last_call:
+        return last_call
+    return now + max(MIN_CHECK_DELAY_S, (waiter.deadline - now) / 2)
 
 
 class ReturnTimes:
@@ -205,9 +233,11 @@
         now : float
             Current time in seconds.
         """
+        if not per_s:
+            return UNKNOWN_RETURN_S
         due = self._last_due.get(service, {})
         sharing = {name for (rank, name), at in due.items() if rank <= waiter.rank and at > now}
-        interval_s = len(sharing | {waiter.name}) / (RETURN_SHARE * per_s) if per_s else math.inf
+        interval_s = len(sharing | {waiter.name}) / (RETURN_SHARE * per_s)
         last = max(now, due.get((waiter.rank, waiter.name), now))
         earliest_s = max(MIN_RETURN_S, wait_s)
         return min(MAX_RETURN_S, max(earliest_s, last + interval_s - now))
--- a/bramleycrank/customers/shares.py
+++ b/bramleycrank/customers/shares.py
@@ -18,9 +18,15 @@
 MIN_WORK_S = 0.001
 """Least work that a sub-request counts as, in seconds, also for a route without any reply yet."""
 
+TIMER_DELAY_S = 0.01
+"""How late a timer may fire on a busy VM, in seconds; a refusal is then still better than none."""
+
 MAX_USES = 20_000
 """Largest number of pairs of service and customer whose use is kept."""
 
+MAX_DUMPED = 20
+"""Largest number of customers in a dump."""
+
 NO_CUSTOMER = ""
 """Name under which requests of all callers without a customer count together."""
 
@@ -32,12 +38,12 @@
     Parameters
     ----------
     per_s : float
-        Sub-requests per second; infinite if no reply has shown the latency yet.
+        Sub-requests per second; 0 if none are taken or no reply has shown the latency yet.
     latency_s : float
         Least time that one sub-request needs, in seconds.
     """
 
-    per_s: float = math.inf
+    per_s: float = 0.0
     latency_s: float = 0.0
 
 
@@ -49,8 +55,8 @@
     ----------
     customer : Customer or None
         Customer of the caller.
-    route_rank : int
-        Priority rank of the route; 0 is the most urgent.
+    rank : int
+        Priority rank; 0 is the most urgent.
     arrived : float
         Time at which the caller sent the request, in seconds.
     answer_at : float
@@ -68,7 +74,7 @@
     """
 
     customer: Customer | None
-    route_rank: int
+    rank: int
     arrived: float
     answer_at: float
     deadline: float
@@ -77,12 +83,6 @@
     checked_at: float = math.inf
     checked_ahead: int = 0
 
-    @property
-    def rank(self) -> int:
-        """Priority rank; that of the customer goes before that of the route."""
-        own = self.customer.rank if self.customer is not None else None
-        return self.route_rank if own is None else own
-
     @property
     def name(self) -> str:
         """Name under which the use of room counts."""
@@ -95,7 +95,7 @@
 
     def may_return(self, now: float) -> bool:
         """Return whether a refusal leaves the caller its first time for another attempt."""
-        return now <= self.refuse_by and not self.has_returned
+        return now <= self.refuse_by + TIMER_DELAY_S and not self.has_returned
 
     def is_late(self, latency_s: float, now: float) -> bool:
         """Return whether the request can no longer meet its objective."""
@@ -154,6 +154,14 @@
         used_s, at = self._uses.get((service, name), (0.0, now))
         return used_s * math.exp((at - now) / USE_DECAY_S)
 
+    def dump(self, now: float) -> dict[str, float]:
+        """Return the customers with the greatest use at all services, in seconds of work."""
+        by_customer: dict[str, float] = defaultdict(float)
+        for service, name in self._uses:
+            by_customer[name] += self.use(service, name, now)
+        greatest = heapq.nlargest(MAX_DUMPED, by_customer.items(), key=lambda item: item[1])
+        return {name: round(used_s, 4) for name, used_s in greatest}
+
     def _forget(self, now: float) -> None:
         """Remove the lesser half of the uses."""
         uses = sorted(self._uses, key=lambda key: self.use(*key, now), reverse=True)
--- a/bramleycrank/entry/call.py
+++ b/bramleycrank/entry/call.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import Protocol
 
 import attrs
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
 from bramleycrank.customers import ANONYMOUS, Customer, Identity
+from bramleycrank.customers.returns import EarlyRefusal
+from bramleycrank.customers.shares import Waiter
 from bramleycrank.entry.types import CallerMeta
 from bramleycrank.scatter import ScatterExecution
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
@@ -24,6 +27,12 @@
         Who sends the request.
     delegated : bool
         Whether the caller is another VM, which offered the request to this one.
+    waiter : Waiter or None
+        The request as decisions see it while it waits for room.
+    check_at : float
+        When to decide next whether it is refused early, in seconds.
+    early_refusal : EarlyRefusal or None
+        Its early refusal.
     """
 
     exchange: Exchange
@@ -39,6 +48,9 @@
     timer_at: float = 0.0
     sends: int = 0
     failures: list[str] = attrs.field(factory=list)
+    waiter: Waiter | None = None
+    check_at: float = math.inf
+    early_refusal: EarlyRefusal | None = None
 
     @property
     def customer(self) -> Customer | None:
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -8,7 +8,6 @@
 import logging
 import math
 import random
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -22,6 +21,7 @@
 from bramleycrank.entry.suspect_exchange import SuspectExchange
 from bramleycrank.entry.targets import EntryTargets, Targets
 from bramleycrank.entry.types import CallerMeta, EntryDialect, Routes, TargetMeta
+from bramleycrank.entry.waiting import WaitingCalls
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
@@ -42,6 +42,7 @@
 from bramleycrank.scatter.delivery import DeliveryEstimate
 from bramleycrank.scatter.quarantine import Canary, Quarantine
 from bramleycrank.scatter.retry_after import add_jitter, startup_retry_after
+from bramleycrank.scatter.types import Action
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
 from bramleycrank.transport.http1.messages import headers_size
@@ -143,7 +144,7 @@
         self._targets.on_target_ended = self._quarantine.on_target_ended
         self._targets.on_cut = self._hand_over_requests
         self._calls: set[Call] = set()
-        self._waiting: dict[str, list[Call]] = defaultdict(list)
+        self._waiting = WaitingCalls(self._targets.policy, metrics)
         self._sub_ids = itertools.count(1)
         self._delivery = DeliveryEstimate(link_bytes_per_s)
         self._delegation = EntryDelegation(self._targets, self._delivery, delegator, metrics)
@@ -214,6 +215,7 @@
             "in_flight": len(self._calls),
             "requests": [call.execution.dump(now) for call in list(self._calls)[:100]],
             "targets": self._targets.dump(now),
+            "waiting": self._waiting.dump(now),
             "delegation": self._delegation.dump(),
         }
 
@@ -362,7 +364,15 @@
         call = Call(exchange, meta, execution, identity, fingerprint, offer is not None, offered)
         self._calls.add(call)
         exchange.on_disconnected = lambda: self._on_caller_disconnected(call)
-        self._execute(call, execution.start(now))
+        self._execute(call, self._refuse_early(call, now) or execution.start(now))
+
+    def _refuse_early(self, call: Call, now: float) -> list[Action]:
+        """Refuse a request to which no target was offered, if it would get room too late."""
+        refusal = self._waiting.find_refusal(call, now)
+        if refusal is None:
+            return []
+        reason = f"no room in time for the {refusal.rule}"
+        return call.execution.refuse(reason, refusal.return_s, now)
 
     def _hand_over_requests(self) -> None:
         """Offer the requests in progress to other VMs, since this one has lost its targets."""
@@ -454,10 +464,8 @@
 
     def _schedule(self, call: Call) -> None:
         """Queue a request for free slots and set the timer for its next deadline."""
-        for service in call.execution.waiting:
-            if call not in self._waiting[service]:
-                self._waiting[service].append(call)
-        due = call.execution.next_deadline()
+        self._waiting.add(call)
+        due = min(call.execution.next_deadline(), self._waiting.next_check(call))
         if call.timer is None or due != call.timer_at:
             if call.timer is not None:
                 call.timer.cancel()
@@ -468,7 +476,8 @@
         call.timer = None
         # The event loop may run a timer up to one clock tick early.
         now = max(self._clock(), call.timer_at)
-        self._execute(call, call.execution.tick(now))
+        refused = self._refuse_early(call, now) if now >= self._waiting.next_check(call) else []
+        self._execute(call, refused or call.execution.tick(now))
 
     def _finish(self, call: Call) -> None:
         if call.timer is not None:
@@ -500,6 +509,7 @@
         )
         call.subs[action.sub_id] = sub
         call.sends += 1
+        self._waiting.on_sent(call, action.service, self._clock())
         self._metrics.incr("entry.sub_requests")
         self._targets.pool.send(sub)
 
@@ -622,6 +632,8 @@
         latency_s = now - call.exchange.arrived
         self._metrics.incr(f"entry.answers.{status}")
         self._metrics.timing("entry.latency", latency_s)
+        if isinstance(action, Refusal) and action.not_run:
+            self._waiting.on_refused(call, action.retry_after_s, now)
         partial = isinstance(action, Merged) and action.missing > 0
         self._requests.record(
             outcome,
@@ -637,6 +649,7 @@
             sends=call.sends,
             missing=missing_services(route, action),
             target_failures=call.failures,
+            **self._waiting.explain(call, now),
         )
 
     # Changes of routes and of free slots at targets.
@@ -647,19 +660,14 @@
             return
         self._index = RouteIndex(table)
         log.info("entry: routes in force", extra={"routes_version": table.version})
+        self._waiting.set_customers(self._index.customers)
         self._targets.apply_routes(self._index)
         self._delivery.retain({route.name for route in self._index.routes()})
 
     def _resume_waiting(self, service: str) -> None:
         """Resume requests that wait for a service, most urgent first, while slots are free."""
-        waiting = self._waiting.get(service)
-        if not waiting:
-            return
-        waiting[:] = [c for c in waiting if service in c.execution.waiting]
         now = self._clock()
-        waiting.sort(key=lambda c: c.execution.wait_order(now))
-        while waiting:
-            call = waiting.pop(0)
+        for call in self._waiting.in_order(service, now):
             self._execute(call, call.execution.on_capacity(service, now))
             if service in call.execution.waiting:
                 break
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -85,6 +85,12 @@
         "requests",
         "Forwarded requests that were answered, by HTTP status.",
     ),
+    _counter(
+        "entry.refused_early.RULE",
+        "requests",
+        "Requests refused while they waited for room, or instead of waiting: `deadline` or "
+        "`objective` could not be met.",
+    ),
     _timing("entry.latency", "Time from the receipt of a forwarded request to its answer."),
     _counter("entry.gone", "requests", "Requests whose caller disconnected before the answer."),
     _counter("entry.sub_requests", "sub-requests", "Sub-requests passed to the connection pool."),
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -33,6 +33,10 @@
 DELIVERY_SHARE = 0.08
 """Share of the latency objective reserved for building the answer, in addition to network time."""
 
+REFUSAL_SHARE = 0.25
+"""Share of the latency objective within which a refusal leaves the caller time for another attempt.
+"""
+
 LATE_FACTOR = 2.0
 """Multiple of the objective up to which an answer that already misses it waits for more parts."""
 
@@ -114,6 +118,7 @@
         margin_s = network_s + DELIVERY_SHARE * objective_s
         # An answer that misses the objective only by its network time is still late.
         self._answer_at = arrived + max(objective_s - margin_s, objective_s / 2)
+        self.refuse_by = arrived + REFUSAL_SHARE * objective_s - network_s
         if not objective_s:
             self._answer_at = math.inf
 
@@ -234,6 +239,35 @@
         """Time at which the request times out, in seconds."""
         return self._deadline
 
+    @property
+    def arrived(self) -> float:
+        """Estimated time at which the caller sent the request, in seconds."""
+        return self._arrived
+
+    @property
+    def answer_at(self) -> float:
+        """Time at which the answer must be ready for the objective, in seconds; or infinite."""
+        return self._answer_at
+
+    @property
+    def needed(self) -> int:
+        """Number of services whose replies the answer needs."""
+        return self._needed
+
+    @property
+    def open_services(self) -> list[str]:
+        """Services whose reply is missing and not given up."""
+        return [shard.service for shard in self._shards if not shard.ended]
+
+    @property
+    def is_unsent(self) -> bool:
+        """Whether no target works on the request or may have done so."""
+        return not (self.ended or self._may_have_run or self._open_subs)
+
+    def refuse(self, reason: str, retry_after_s: float, now: float) -> list[Action]:
+        """Refuse a request that is not sent, since it would get room too late."""
+        return self._end_with(Refusal(True, reason, retry_after_s), now) if self.is_unsent else []
+
     def hand_over(self, now: float) -> list[Action] | None:
         """End the request at this VM, so that another one serves it with the attempts left.
 
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Any, Protocol
 
+from bramleycrank.customers.shares import Room
 from bramleycrank.proto.target_pb2 import Replica, Snapshot, TargetRecord
 from bramleycrank.query.latency import LatencyEstimate
 from bramleycrank.query.replicas import ReplicaTable
@@ -278,6 +279,21 @@
         ]
         return add_jitter(combined_retry_after(waits_s, needed), self._rng)
 
+    def room(self, service: str, now: float) -> Room:
+        """Return what the usable targets of a service can take from this VM."""
+        usable = [
+            target
+            for target in self.table.replicas(service, SINGLE_SHARD, 0)
+            if target.latency_s and not target.down and not target.is_held(now)
+        ]
+        per_s = sum(max(1.0, target.limit) / target.expected_s(now) for target in usable)
+        return Room(per_s, min((target.latency_s for target in usable), default=0.0))
+
+    def typical_latency(self, route: str) -> float:
+        """Return the median latency of the sub-requests of a route, in seconds."""
+        latency = self._latencies.get(route)
+        return latency.quantile(0.5) if latency is not None else 0.0
+
     def hedge_delay(self, route: str, objective_s: float, *, scarce: bool) -> float:
         """Return the delay in seconds after which to send a hedge.
 
--- a/tests/test_customers_shares.py
+++ b/tests/test_customers_shares.py
@@ -19,6 +19,7 @@
     Queue,
     RefusedRequests,
     ReturnTimes,
+    next_check,
 )
 from bramleycrank.customers.shares import Room, Shares, Waiter
 
@@ -58,12 +59,8 @@
     @property
     def met(self) -> bool:
         """Whether an attempt met the objective, after refusals that came early."""
-        kind, early = self.kind, self.refused_s <= self.kind.objective_s / 4 + CHECK_S
-        return self.latency_s <= kind.objective_s and early
-
-
-CHECK_S = 0.005
-"""Least time between two checks of a waiting request, in seconds."""
+        objective_s = self.kind.objective_s
+        return self.latency_s <= objective_s and self.refused_s <= objective_s / 4
 
 
 class NewestFirst:
@@ -177,9 +174,7 @@
         room = Room(self.slots(now) / self.work_s, caller.kind.work_s)
         refusal = self.policy.decide(waiter, self.waiting, room, now)
         if refusal is None and now < waiter.deadline:
-            later = waiter.refuse_by if now < waiter.refuse_by else (now + waiter.deadline) / 2
-            at = min(waiter.deadline, max(later, now + CHECK_S))
-            self.push(at, self.check, caller)
+            self.push(min(waiter.deadline, next_check(waiter, now)), self.check, caller)
             return
         del self.waiting[waiter]
         return_s = 0.05 if refusal is None else refusal.return_s
@@ -314,9 +309,13 @@
 
 
 def test_return_after_a_loss_of_power():
-    """Load: nothing is served for 1 s, and then all callers return."""
-    before, after = compare(load(rates(), rates()), lambda now: 0 if now < 1.0 else 3)
-    assert after.met >= before.met
+    """Load: the callers of one second come within 0.2 s, since no VM has served them."""
+    callers = load(rates(), rates())
+    for caller in callers:
+        if caller.first_at < 1.0:
+            caller.first_at = 1.0 + 0.2 * caller.first_at
+    before, after = compare(callers)
+    assert after.met > before.met and after.worst_tenth > before.worst_tenth
 
 
 def test_callers_that_leave_early_lose_nothing_in_a_flood():
@@ -326,9 +325,9 @@
 
 
 def waiter(name="a", refused_at=math.inf, arrived=0.0, **fields):
-    defaults = {"route_rank": 1, "answer_at": 1.0, "deadline": 2.0}
-    customer = Customer(name, fields.pop("rank", None))
-    return Waiter(customer, arrived=arrived, refused_at=refused_at, **{**defaults, **fields})
+    defaults = {"rank": 1, "answer_at": 1.0, "deadline": 2.0}
+    fields = {**defaults, **fields}
+    return Waiter(Customer(name), arrived=arrived, refused_at=refused_at, **fields)
 
 
 def test_order_goes_by_objective_rank_use_and_return():
