Count only the queue that a waiting request needs longest

Cause: a request over 36 shards counted the requests before it in each of their queues on arrival. Change: queues are compared by their length, and only the longest that the answer needs is counted.

--- a/bramleycrank/customers/returns.py
+++ b/bramleycrank/customers/returns.py
@@ -141,33 +141,25 @@
         self._shares = shares
         self._times = ReturnTimes()
 
-    def decide(
-        self, waiter: Waiter, queues: Sequence[Queue], needed: int, now: float
-    ) -> EarlyRefusal | None:
+    def decide(self, waiter: Waiter, queue: Queue | None, now: float) -> EarlyRefusal | None:
         """Return the refusal of a request to which no target was offered, or None if it waits.
 
         Parameters
         ----------
         waiter : Waiter
             The request.
-        queues : sequence of Queue
-            Services that it waits for.
-        needed : int
-            Number of them that an answer needs.
+        queue : Queue or None
+            The service that it waits for longest, of those that its answer needs; None if enough
+            of them have room.
         now : float
             Current time in seconds.
         """
-        if not 0 < needed <= len(queues):
+        if queue is None:
             waiter.checked_at, waiter.checked_ahead = now, 0
             return None
-        waits = []
-        for queue in queues:
-            ahead = self._shares.count_ahead(
-                queue.service, waiter, queue.others, queue.room.latency_s, now
-            )
-            waits.append((estimate_wait(ahead, queue.room.per_s), ahead, queue))
-        wait_s, ahead, queue = sorted(waits, key=lambda wait: wait[0])[needed - 1]
         room = queue.room
+        ahead = self._shares.count_ahead(queue.service, waiter, queue.others, room.latency_s, now)
+        wait_s = estimate_wait(ahead, room.per_s)
         return_s = self._times.estimate(queue.service, waiter, wait_s, room.per_s, now)
         if waiter.may_return(now) or waiter.is_late(room.latency_s, now):
             wait_s = max(wait_s, _extrapolate(waiter, ahead, room.per_s, now))
--- a/bramleycrank/entry/waiting.py
+++ b/bramleycrank/entry/waiting.py
@@ -13,6 +13,7 @@
     EarlyRefusals,
     Queue,
     RefusedRequests,
+    estimate_wait,
     next_check,
 )
 from bramleycrank.customers.shares import NO_CUSTOMER, Room, Shares, Waiter
@@ -107,25 +108,36 @@
             return None
         waiter = self._waiter(call, now)
         call.check_at = next_check(waiter, now)
-        services = call.execution.open_services
-        queues = [
-            Queue(service, self._rooms.room(service, now), self._others(service, call, now))
-            for service in services
-            if self._calls.get(service)
-        ]
-        needed = call.execution.needed - (len(services) - len(queues))
-        refusal = self._refusals.decide(waiter, queues, needed, now)
+        refusal = self._refusals.decide(waiter, self._longest_needed(call, now), now)
         if refusal is not None:
             call.early_refusal = refusal
             self._metrics.incr(f"entry.refused_early.{refusal.rule}")
         return refusal
 
-    def _others(self, service: str, call: Call, now: float) -> list[Waiter]:
-        return [
+    def _longest_needed(self, call: Call, now: float) -> Queue | None:
+        """Return the longest queue that a request must wait in; None if it needs none.
+
+        An answer over many services needs only some of them, so the shorter queues count.
+        """
+        services = call.execution.open_services
+        rooms = {
+            service: self._rooms.room(service, now)
+            for service in services
+            if self._calls.get(service)
+        }
+        needed = call.execution.needed - (len(services) - len(rooms))
+        if not 0 < needed <= len(rooms):
+            return None
+        by_wait = sorted(
+            rooms, key=lambda name: estimate_wait(len(self._calls[name]), rooms[name].per_s)
+        )
+        service = by_wait[needed - 1]
+        others = [
             self._waiter(other, now)
             for other in self._calls[service]
             if other is not call and service in other.execution.waiting
         ]
+        return Queue(service, rooms[service], others)
 
     def on_sent(self, call: Call, service: str, now: float) -> None:
         """Count a sub-request as use of a service by the customer."""
--- a/tests/test_customers_shares.py
+++ b/tests/test_customers_shares.py
@@ -96,7 +96,7 @@
 
     def decide(self, waiter, waiting, room, now):
         others = [other for other in waiting if other is not waiter]
-        return self.refusals.decide(waiter, [Queue("s", room, others)], 1, now)
+        return self.refusals.decide(waiter, Queue("s", room, others), now)
 
     def refused_at(self, caller, now):
         return self.refused.refused_at(caller.customer.name, caller.number, now)
