--- a/bramleycrank/entry/waiting.py
+++ b/bramleycrank/entry/waiting.py
@@ -137,6 +137,8 @@
             for other in self._calls[service]
             if other is not call and service in other.execution.waiting
         ]
+        if not others and service not in call.execution.waiting:
+            return None
         return Queue(service, rooms[service], others)
 
     def on_sent(self, call: Call, service: str, now: float) -> None:
