--- /dev/null
+++ b/bramleycrank/customers/allowances/limits.py
@@ -0,0 +1,84 @@
+"""The bound on a customer's requests over all VMs, and how its tolerance is divided."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from bramleycrank.customers.types import Customer
+
+VALID_S = 2.0
+"""Validity of a grant after the holder sent its request, in seconds; a holder refreshes its grants
+twice in this time, so that one lost reply costs nothing."""
+
+FALLBACK_S = 20.0
+"""Validity of a share in the fallback allowance after the last reply, in seconds. After all VMs
+have ended at once, nobody has a share for this time."""
+
+CLOCK_DRIFT_SHARE = 0.002
+"""Part by which a holder shortens each validity, since clocks of two VMs run at different rates."""
+
+LEASE_S = 0.8
+"""Time after the start of a confirmed round in which a leader issues grants, in seconds; five
+heartbeats. A successor issues nothing for the same time after its election."""
+
+GRANTED_SHARE = 0.74
+"""Part of the tolerance for the depth of the bucket beyond the burst and for outstanding grants."""
+
+MAX_DEPTH_SHARE = 0.40
+"""Part of the tolerance by which the bucket is deeper than the burst, at most."""
+
+MAX_EXTRA_DEPTH = 8.0
+"""Requests by which the bucket is deeper than the burst, at most. Customers with less than one
+request per second otherwise exceed their bucket in calm, since their requests come at random."""
+
+FALLBACK_SHARE = 0.24
+"""Part of the tolerance that holders use without an issuer. The parts leave a fiftieth unused for
+clocks that run at different rates."""
+
+
+@attrs.frozen
+class AllowanceBounds:
+    """The bound: ``(rate x window + burst) x (1 + overage) + slack`` requests in each window.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the sliding window, in seconds.
+    overage : float
+        Tolerated excess as a share.
+    slack : float
+        Tolerated excess in requests.
+    """
+
+    window_s: float = 5.0
+    overage: float = 0.1
+    slack: float = 20.0
+
+    def base(self, customer: Customer) -> float:
+        """Return the requests in one window without the tolerance."""
+        return customer.per_s * self.window_s + customer.burst
+
+    def tolerance(self, customer: Customer) -> float:
+        """Return the requests in one window beyond rate and burst that the bound tolerates."""
+        return self.overage * self.base(customer) + self.slack
+
+    def bound(self, customer: Customer) -> float:
+        """Return the most requests in one window."""
+        return self.base(customer) + self.tolerance(customer)
+
+    def depth(self, customer: Customer) -> float:
+        """Return the depth of the issuer's bucket, in requests; at least one."""
+        granted = GRANTED_SHARE * self.tolerance(customer)
+        return max(1.0, customer.burst + granted - self.outstanding(customer))
+
+    def outstanding(self, customer: Customer) -> int:
+        """Return the most grants that are neither reported nor expired; at least one."""
+        tolerance = self.tolerance(customer)
+        extra = min(MAX_DEPTH_SHARE * tolerance, MAX_EXTRA_DEPTH)
+        return max(1, math.floor(GRANTED_SHARE * tolerance - extra))
+
+    def fallback(self, customer: Customer) -> int:
+        """Return the requests in one window that all holders admit without an issuer."""
+        return math.floor(FALLBACK_SHARE * self.tolerance(customer))
--- /dev/null
+++ b/tests/test_allowances.py
@@ -0,0 +1,312 @@
+"""Property tests of the allowances over all VMs: holders, issuers and their messages as events."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from bisect import bisect_left
+
+import pytest
+from hypothesis import given, target
+from hypothesis import strategies as st
+
+from bramleycrank.customers import Customer
+from bramleycrank.customers.allowances import Admit, AllowanceBounds, Ask, Holder, Issuer
+from bramleycrank.customers.allowances.limits import LEASE_S
+from bramleycrank.proto.peer_pb2 import GrantReply
+
+WAIT_S = 0.3
+CALL_TIMEOUT_S = 0.5
+CONFIG_APPLY_S = 4.0
+
+
+class Vm:
+    """A VM with a clock of its own; it does nothing while it is suspended."""
+
+    def __init__(self, world: World, name: str, rng: random.Random) -> None:
+        self.world, self.name = world, name
+        self.rate, self.offset = 1 + rng.uniform(-0.0005, 0.0005), rng.uniform(0, 1000)
+        self.suspended_until, self.cut_until, self.starts = 0.0, 0.0, 0
+        self.start()
+
+    def start(self) -> None:
+        self.starts += 1
+        self.holder = Holder(self.name, self.starts, self.world.bounds)
+        self.holder.set_customers(self.world.customers.values(), 1)
+        self.waiting: list[tuple[str, float]] = []
+
+    def clock(self) -> float:
+        return self.world.now * self.rate + self.offset
+
+    def request(self, name: str) -> None:
+        self.world.offered[name].append(self.world.now)
+        self.decide(name, self.world.now, again=False)
+        self.poll()
+
+    def decide(self, name: str, since: float, *, again: bool) -> None:
+        decision = self.holder.admit(name, self.clock(), again=again)
+        if isinstance(decision, Ask):
+            if self.world.now - since < WAIT_S:
+                self.waiting.append((name, since))
+                return
+            decision = self.holder.give_up(name, self.clock())
+        log = self.world.ran if isinstance(decision, Admit) else self.world.refused
+        log[name].append(self.world.now)
+        self.world.waits += again
+
+    def retry(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for name, since in waiting:
+            self.decide(name, since, again=True)
+
+    def poll(self) -> None:
+        request = self.holder.next_request(self.clock())
+        if request is not None:
+            self.world.sent_bytes += request.ByteSize() + 100
+            self.world.send(self, self.starts, request)
+
+    def every(self, starts: int) -> None:
+        if starts == self.starts:
+            self.poll()
+            self.world.at(0.02, self.every, starts, vm=self)
+
+    def on_reply(self, starts: int, sequence: int, reply: GrantReply | None) -> None:
+        if starts != self.starts:
+            return
+        if reply is None:
+            self.holder.on_unreachable(sequence)
+        else:
+            self.holder.on_reply(sequence, reply, self.clock())
+        self.retry()
+        self.poll()
+
+
+class World:
+    """The VMs, the leaders and the messages between them."""
+
+    def __init__(
+        self,
+        seed: int,
+        customers: list[Customer],
+        vms: int,
+        loss: float = 0.0,
+        slack: float = 20.0,
+    ) -> None:
+        self.bounds = AllowanceBounds(slack=slack)
+        self.rng = random.Random(seed)
+        self.now, self.loss, self.delay = 0.0, loss, 0.003
+        self.customers = {c.name: c for c in customers}
+        self.offered, self.ran, self.refused = ({c.name: [] for c in customers} for _ in range(3))
+        self.waits = self.sent_bytes = self.calls = 0
+        self.events: list = []
+        self.order = itertools.count()
+        self.leaders: list[tuple[float, Issuer, float]] = []
+        self.vms = [Vm(self, f"vm{n}", self.rng) for n in range(vms)]
+        for vm in self.vms:
+            self.at(self.rng.random() * 0.02, vm.every, 1, vm=vm)
+
+    def at(self, delay: float, function, *args, vm: Vm | None = None) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.order), function, args, vm))
+
+    def run(self, until: float) -> None:
+        while self.events and self.events[0][0] <= until:
+            self.now, _, function, args, vm = heapq.heappop(self.events)
+            if vm is not None and vm.suspended_until > self.now:
+                self.at(vm.suspended_until - self.now, function, *args, vm=vm)
+            else:
+                function(*args)
+        self.now = until
+
+    def elect(self) -> None:
+        """Elect a leader; its predecessor does not learn of it."""
+        issuer, offset = Issuer(self.bounds), self.rng.uniform(0, 1000)
+        issuer.set_customers(self.customers.values(), 1, self.now + offset)
+        issuer.lead(len(self.leaders) + 1, self.now + offset)
+        self.leaders.append((self.now, issuer, offset))
+
+    def send(self, vm: Vm, starts: int, request) -> None:
+        self.calls += 1
+        answered = [False]
+
+        def deliver(reply: GrantReply | None) -> None:
+            if not answered[0] or reply is not None:  # a late reply still arrives
+                answered[0] = True
+                vm.on_reply(starts, request.sequence, reply)
+
+        self.at(CALL_TIMEOUT_S, lambda: answered[0] or deliver(None), vm=vm)
+        copies = 2 if self.loss and self.rng.random() < 0.05 else 1
+        # For a while after an election, requests reach the old leader or the new one.
+        recent = [
+            n
+            for n in range(len(self.leaders))
+            if n + 1 == len(self.leaders) or self.now < self.leaders[n + 1][0] + 1.0
+        ]
+        for _ in range(copies):
+            if recent and self.rng.random() >= self.loss and vm.cut_until <= self.now:
+                self.at(self.travel(), self.serve, self.rng.choice(recent), request, vm, deliver)
+
+    def travel(self) -> float:
+        late = self.loss and self.rng.random() < 0.05
+        return self.rng.uniform(0.1, 3.0) if late else self.rng.uniform(0.5, 1.5) * self.delay
+
+    def serve(self, number: int, request, vm: Vm, deliver) -> None:
+        # The last round of a deposed leader may be confirmed until its successor is elected.
+        ends = [at for at, _, _ in self.leaders[number + 1 :][:1]]
+        _, issuer, offset = self.leaders[number]
+        if ends and self.now > ends[0] + LEASE_S:
+            reply = GrantReply(issuing=False)
+        else:
+            reply = issuer.on_request(request, self.now + offset)
+        self.sent_bytes += reply.ByteSize() + 100
+        if self.rng.random() >= self.loss and vm.cut_until <= self.now:
+            self.at(self.travel(), deliver, reply, vm=vm)
+
+    def demand(self, name: str, per_s: float, vms: list[Vm], start: float, end: float) -> None:
+        """Send requests of a customer at random times, each from one of some VMs."""
+        at = start + self.rng.expovariate(per_s)
+        while at < end:
+            vm = self.rng.choice(vms)
+            self.at(at - self.now, vm.request, name, vm=vm)
+            at += self.rng.expovariate(per_s)
+
+    def set_customer(self, customer: Customer) -> None:
+        self.customers[customer.name] = customer
+        for _, issuer, offset in self.leaders:
+            issuer.set_customers(self.customers.values(), 2, self.now + offset)
+        for vm in self.vms:
+            self.at(self.rng.uniform(0, CONFIG_APPLY_S), self.update, vm, vm=vm)
+
+    def update(self, vm: Vm) -> None:
+        vm.holder.set_customers(self.customers.values(), 2)
+
+    def excess(self, customer: Customer, since: float = 0.0) -> float:
+        """Return by how much the fullest window of a customer exceeds the bound."""
+        times = [t for t in self.ran[customer.name] if t >= since]
+        fullest = max(
+            (bisect_left(times, t + self.bounds.window_s) - n for n, t in enumerate(times)),
+            default=0,
+        )
+        return fullest - self.bounds.bound(customer)
+
+
+FLOODS = (1.0, 12.0, 26.0)
+"""Starts of the floods, in seconds; buckets fill before them."""
+
+FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(FLOODS),
+        st.floats(-0.5, 8.0),
+        st.sampled_from(["elect", "elect", "kill", "kill all", "suspend", "cut", "join"]),
+        st.floats(0.1, 8.0),
+        st.integers(0, 5),
+    ),
+    max_size=14,
+)
+
+
+def apply_fault(world: World, kind: str, duration: float, number: int) -> None:
+    vm = world.vms[number % len(world.vms)]
+    if kind == "elect":
+        world.elect()
+    elif kind == "kill":
+        vm.start()
+        world.at(0.0, vm.every, vm.starts, vm=vm)
+    elif kind == "kill all":
+        world.elect()
+        for number in range(len(world.vms)):
+            apply_fault(world, "kill", duration, number)
+    elif kind == "suspend":
+        vm.suspended_until = world.now + duration
+    elif kind == "cut":
+        vm.cut_until = world.now + duration
+    else:
+        joined = Vm(world, f"vm{len(world.vms)}", world.rng)
+        world.vms.append(joined)
+        world.at(0.0, joined.every, 1, vm=joined)
+
+
+@given(
+    seed=st.integers(0, 2**32),
+    per_s=st.sampled_from([0.3, 4.0, 20.0]),
+    burst=st.sampled_from([1.0, 20.0, 60.0]),
+    slack=st.sampled_from([4.0, 20.0]),
+    loss=st.sampled_from([0.0, 0.2]),
+    pause=st.sampled_from([0.0, 0.6, 2.5]),
+    faults=FAULTS,
+    change=st.sampled_from([None, 0.1, 3.0]),
+)
+def test_no_window_exceeds_the_bound_whatever_fails(
+    seed, per_s, burst, slack, loss, pause, faults, change
+):
+    """Guards against double buckets of two leaders, and against grants that outlive their use."""
+    customer = Customer("a", per_s=per_s, burst=burst)
+    world = World(seed, [customer], 6, loss, slack)
+    world.elect()
+    for flood, offset, kind, duration, number in faults:
+        world.at(flood + offset, apply_fault, world, kind, duration, number)
+    for start in FLOODS:
+        world.demand("a", 6 * per_s + 20, world.vms, start, start + 2.0)
+        world.demand("a", 6 * per_s + 20, world.vms, start + 2.0 + pause, start + 9.0)
+    changed = customer
+    if change:
+        changed = Customer("a", per_s=per_s * change, burst=burst * change)
+        world.at(FLOODS[1] + 4.0, world.set_customer, changed)
+    world.run(FLOODS[2] + 12.0)
+    worst = world.excess(max(customer, changed, key=lambda c: c.per_s))
+    target(worst)
+    assert worst <= 0
+    assert world.excess(changed, FLOODS[1] + 4.0 + CONFIG_APPLY_S) <= 0
+
+
+def zipf_customers(count: int, total: float) -> list[tuple[Customer, float]]:
+    """Return customers with rates of 1.6 times their usual demand, which follows Zipf's law."""
+    weights = [1 / n**1.2 for n in range(1, count + 1)]
+    usual = [total * weight / sum(weights) for weight in weights]
+    return [
+        (Customer(f"c{n}", per_s=1.6 * u, burst=max(1.0, 1.6 * u)), u) for n, u in enumerate(usual)
+    ]
+
+
+def reference_world(seed: int, vms: int, duration: float) -> World:
+    """Return the load of 76 customers with 118 callers, each of which uses one VM."""
+    customers = zipf_customers(76, 60.0)
+    world = World(seed, [c for c, _ in customers], vms)
+    world.elect()
+    for customer, usual in customers:
+        callers = 1 + round(42 * usual / 60.0)
+        world.demand(customer.name, usual, world.rng.sample(world.vms, callers), 8.0, duration)
+    return world
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_customers_inside_their_allowances_lose_few_requests_in_calm(seed):
+    """Guards against refusals because the grants of a customer lie at the wrong VMs."""
+    world = reference_world(seed, 66, 68.0)
+    world.run(68.0)
+    offered, refused = (sum(map(len, log.values())) for log in (world.offered, world.refused))
+    print(offered, refused, world.waits, world.calls / 60, world.sent_bytes / 60 / 66)
+    assert refused < 0.005 * offered
+    assert world.waits < 0.25 * offered
+    assert world.sent_bytes / 60 / 66 < 2000
+
+
+def test_hot_customer_is_refused_down_to_its_allowance_and_others_are_not():
+    world = reference_world(3, 66, 48.0)
+    hot = world.customers["c4"]
+    world.demand("c4", 5 * hot.per_s, world.vms[:6], 30.0, 42.0)
+    world.run(48.0)
+    ran = sum(36.0 <= t < 42.0 for t in world.ran["c4"])
+    assert 0.9 * 6 * hot.per_s <= ran
+    assert world.excess(hot) <= 0
+    others = sum(len(log) for name, log in world.refused.items() if name != "c4")
+    assert others < 0.005 * sum(map(len, world.offered.values()))
+
+
+def test_service_returns_within_seconds_of_a_change_of_the_leader():
+    world = reference_world(4, 66, 60.0)
+    world.at(40.0, world.elect)
+    world.run(60.0)
+    refused = [t for log in world.refused.values() for t in log if t > 40.0]
+    print(len(refused), sum(t > 45 for t in refused))
+    assert sum(t > 45.0 for t in refused) < 0.005 * 60 * 15
