Admit requests of limited customers from grants of the leader

Cause: nothing asked the issuer, and the leader answered no call for grants.

A leader of the landed build answers UNIMPLEMENTED: requests are then admitted without limit, with a log line and a metric. The bounds come from the platform's settings. No message and no timer without limited customers.

--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -141,6 +141,11 @@
         """Whether the Raft node of this VM has the role of leader; a newer leader may exist."""
         return self._node is not None and self._node.role is Role.LEADER
 
+    @property
+    def leader_term(self) -> int:
+        """Term in which the Raft node of this VM has the role of leader; 0 if it has not."""
+        return self._node.term if self.is_leader else 0
+
     @property
     def role(self) -> str:
         """Role shown to operators: entry, learner, follower, candidate or leader."""
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -11,6 +11,8 @@
 import attrs
 from grpclib.server import Server
 
+from bramleycrank.customers.allowances import AllowanceBounds
+from bramleycrank.daemon.allowance_issuer import AllowanceIssuer
 from bramleycrank.daemon.control_parts import ControlParts
 from bramleycrank.daemon.control_service import ControlService
 from bramleycrank.daemon.control_steps import ControlSteps
@@ -18,6 +20,7 @@
 from bramleycrank.daemon.domain_orders import DomainOrders
 from bramleycrank.daemon.life_cycle import LifeCycle
 from bramleycrank.daemon.voter_manager import VoterManager, VotingConfig
+from bramleycrank.entry.allowances import EntryAllowances
 from bramleycrank.entry.controller import EntryController
 from bramleycrank.entry.delegator import Delegator
 from bramleycrank.entry.types import EntryDialect
@@ -93,6 +96,8 @@
         Options for the choice of the voters.
     warmup : WarmupBounds
         Bound on the requests of all VMs to a cold target.
+    allowances : AllowanceBounds
+        Bound on the requests of a customer at all VMs.
     regions : mapping of str to str
         Region of each failure domain; empty if the domains are not configured.
     order_resend_window_s : float
@@ -111,6 +116,7 @@
     memory_bytes: int = 0
     voting: VotingConfig = attrs.field(factory=VotingConfig)
     warmup: WarmupBounds = attrs.field(factory=WarmupBounds)
+    allowances: AllowanceBounds = attrs.field(factory=AllowanceBounds)
     regions: Mapping[str, str] = attrs.field(factory=dict)
     order_resend_window_s: float = 6.0
 
@@ -161,6 +167,7 @@
         self._domain_isolation: DomainIsolation | None = None
         self._voter_manager: VoterManager | None = None
         self._entry: EntryController | None = None
+        self._issuer: AllowanceIssuer | None = None
         self._control: ControlService | None = None
         self._grpc: Server | None = None
         self._servers: list[Http1Server] = []
@@ -184,6 +191,7 @@
             "config": parts and parts.config.dump(),
             "membership": parts and parts.membership.dump(),
             "traffic": parts and parts.clients.traffic.dump(),
+            "allowances": self._issuer and self._issuer.dump(),
             "entry": self._entry and self._entry.dump(),
             "callers": self._caller_server and self._caller_server.dump(),
         }
@@ -247,7 +255,11 @@
             rng,
             self._metrics,
         )
-        peer = PeerService(parts.membership, parts.config, parts.consensus, self._voter_manager)
+        self._issuer = AllowanceIssuer(cfg.allowances, parts.config, parts.consensus, loop.time)
+        self._issuer.start()
+        peer = PeerService(
+            parts.membership, parts.config, parts.consensus, self._voter_manager, self._issuer
+        )
         self._grpc = Server([peer])
         await self._grpc.start(cfg.base.listen.grpc.host, cfg.base.listen.grpc.port)
         self._voter_manager.start()
@@ -282,6 +294,15 @@
             parts.clients.traffic,
             self._cfg.memory_bytes,
         )
+        allowances = EntryAllowances(
+            vm.id,
+            self._cfg.allowances,
+            parts.config,
+            parts.config,
+            parts.clients,
+            self._metrics,
+            rng,
+        )
         entry = self._entry = EntryController(
             vm.id,
             vm.domain,
@@ -299,6 +320,7 @@
             self._cfg.regions,
             parts.membership.suspects,
             delegator,
+            allowances,
         )
         parts.membership.reach_report = lambda: entry.unreached
         parts.membership.on_reach_report = delegator.on_report
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -14,6 +14,8 @@
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
 from bramleycrank.customers import Identity, KeyRefusal, identify
+from bramleycrank.customers.allowances import Refuse
+from bramleycrank.entry.allowances import EntryAllowances
 from bramleycrank.entry.answers import missing_services, render
 from bramleycrank.entry.call import Call, CallListener
 from bramleycrank.entry.delegation import EntryDelegation
@@ -95,6 +97,8 @@
         Requests that are suspected to crash targets, shared with other VMs.
     delegator : Delegator, optional
         Offers requests to other VMs while this one cannot reach their targets.
+    allowances : EntryAllowances, optional
+        Admits the requests of customers with an allowance; without it all are admitted.
     """
 
     def __init__(
@@ -115,7 +119,9 @@
         regions: Mapping[str, str] | None = None,
         suspects: SuspectExchange | None = None,
         delegator: Delegator | None = None,
+        allowances: EntryAllowances | None = None,
     ) -> None:
+        self._allowances = allowances
         self._is_isolated = is_isolated
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
@@ -154,11 +160,15 @@
         self._routes.subscribe(self._on_routes)
         self._on_routes()
         self._targets.start()
+        if self._allowances is not None:
+            self._allowances.start()
 
     async def stop(self) -> None:
         """Cancel all requests in progress."""
         self._targets.stop()
         self._delegation.stop()
+        if self._allowances is not None:
+            self._allowances.stop()
         for call in list(self._calls):
             self._execute(call, call.execution.on_caller_disconnected(self._clock()))
 
@@ -215,6 +225,7 @@
             "requests": [call.execution.dump(now) for call in list(self._calls)[:100]],
             "targets": self._targets.dump(now),
             "delegation": self._delegation.dump(),
+            "allowances": self._allowances and self._allowances.dump(),
         }
 
     # Requests.
@@ -228,7 +239,7 @@
         identity = self._identify(exchange, meta, route)
         if identity is None:
             return
-        self._place(exchange, meta, route, identity, MAX_ROUTES_WAITS)
+        self._allow(exchange, meta, route, identity)
 
     def _find_route(self, exchange: Exchange, meta: CallerMeta) -> Route | None:
         """Return the route of a request; refuse the request if there is none."""
@@ -257,6 +268,29 @@
             self._refuse(exchange, meta, 503, retry_s, result.reason)
         return None
 
+    def _allow(
+        self, exchange: Exchange, meta: CallerMeta, route: Route, identity: Identity
+    ) -> None:
+        """Place a request within its customer's allowance, which counts it once; refuse others."""
+        place = functools.partial(self._place, exchange, meta, route, identity, MAX_ROUTES_WAITS)
+        customer = identity.customer
+        if customer is None or not customer.is_limited or self._allowances is None:
+            place()
+            return
+
+        def refuse(refusal: Refuse) -> None:
+            retry_s = add_jitter(refusal.retry_after_s, self._rng)
+            if refusal.over_allowance:
+                status, reason = 429, "beyond the customer's allowance"
+            else:
+                status, reason = 503, "no grant of the customer's allowance"
+            fields = {**identity.log_fields(), "allowance": self._allowances.describe(customer)}
+            self._refuse(exchange, meta, status, retry_s, reason, **fields)
+
+        withdraw = self._allowances.admit(customer, place, refuse)
+        if withdraw is not None:
+            exchange.on_disconnected = withdraw
+
     def _place(
         self,
         exchange: Exchange,
@@ -412,7 +446,13 @@
         self._execute(call, call.execution.on_caller_disconnected(now))
 
     def _refuse(
-        self, exchange: Exchange, meta: CallerMeta, status: int, retry_s: float, reason: str
+        self,
+        exchange: Exchange,
+        meta: CallerMeta,
+        status: int,
+        retry_s: float,
+        reason: str,
+        **fields: object,
     ) -> None:
         version = self._index.version if self._index is not None else 0
         self._metrics.incr(f"entry.answers.{status}")
@@ -425,6 +465,7 @@
             host=exchange.request.host.decode("latin-1"),
             path=exchange.request.path[:100],
             routes_version=version,
+            **fields,
         )
         headers = (
             self._dialect.unauthorized_headers(meta)
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -102,6 +102,13 @@
         "that did not respond (`silent` counts these VMs). Of other VMs: `served` and `refused` "
         "before the start.",
     ),
+    _counter(
+        "entry.allowances.EVENT",
+        "requests",
+        "Requests of customers with an allowance: `waited` for a grant, `refused` beyond the "
+        "allowance, `no_issuer`: refused because no issuer was reached or none replied in time. "
+        "`without_issuer`: calls that a leader of an older build did not know.",
+    ),
     _counter("entry.holds", "holds", "Times that a target was held back at its own request."),
     _counter(
         "entry.crashes", "crashes", "Times that targets ended while they ran an unanswered request."
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from bramleycrank.customers.allowances import AllowanceBounds
 from bramleycrank.daemon.http_node import HttpNodeConfig
 from bramleycrank.daemon.voter_manager import VotingConfig
 from bramleycrank.exceptions import InvalidSettings
@@ -122,6 +123,11 @@
             overage=float(entries.get("Bounds.WarmupOverage") or 1),
             slack=float(entries.get("Bounds.WarmupSlack") or 0),
         ),
+        allowances=AllowanceBounds(
+            window_s=float(entries.get("Bounds.QuotaWindowS") or 5),
+            overage=float(entries.get("Bounds.QuotaOverage") or 0.1),
+            slack=float(entries.get("Bounds.QuotaSlack") or 20),
+        ),
         regions={
             name.removeprefix(DOMAIN_PREFIX): region
             for name, region in entries.items()
--- a/bramleycrank/transport/grpc_errors.py
+++ b/bramleycrank/transport/grpc_errors.py
@@ -140,6 +140,12 @@
     return RemoteError(text, outcome=outcome, retry_after_ms=retry_after_ms)
 
 
+def is_unimplemented(exc: BramleycrankError) -> bool:
+    """Return whether a call failed because the server's build does not know the method."""
+    cause = exc.__cause__
+    return isinstance(cause, GRPCError) and cause.status is Status.UNIMPLEMENTED
+
+
 def _parse_int(value: str | None, default: int) -> int:
     try:
         return int(value) if value is not None else default
--- a/bramleycrank/transport/peer_service.py
+++ b/bramleycrank/transport/peer_service.py
@@ -31,6 +31,13 @@
         """Handle a VM's request to become a member."""
 
 
+class Grants(Protocol):
+    """Issues allowances of customers."""
+
+    def on_grant(self, request: peer_pb2.GrantRequest) -> peer_pb2.GrantReply:
+        """Return the grants for a holder's request."""
+
+
 class PeerService(PeerBase):
     """Delegates the calls of other VMs to the controllers.
 
@@ -44,6 +51,8 @@
         Replicated log of this VM.
     admission : Admission, optional
         Admits VMs to the log automatically; without it only operators admit them.
+    grants : Grants, optional
+        Issues allowances of customers.
     """
 
     def __init__(
@@ -52,7 +61,9 @@
         config: ConfigController,
         consensus: ConsensusController,
         admission: Admission | None = None,
+        grants: Grants | None = None,
     ) -> None:
+        self._grants = grants
         self._admission = admission
         self._gossip = gossip
         self._config = config
@@ -114,5 +125,7 @@
 
     @unary
     async def Grant(self, request: peer_pb2.GrantRequest) -> peer_pb2.GrantReply:  # noqa: N802
-        """Refuse a call for grants, since this VM owns no allowances."""
-        raise InvalidRequest("this VM grants no allowances", outcome=Outcome.NOT_RUN)
+        """Return the grants for a VM that serves callers."""
+        if self._grants is None:
+            raise InvalidRequest("this VM grants no allowances", outcome=Outcome.NOT_RUN)
+        return self._grants.on_grant(request)
