Keep grants ready at more VMs of a large customer, and confirm a busy leader

Cause: half of the requests of the largest customer waited for a reply, since its outstanding grants did not suffice for its 13 VMs; a leader whose last round was older than the lease refused all holders; an increase of a fallback share could undo the one before it.

Change: a bucket with a large burst gets no further depth, its tolerance serves outstanding grants, of which three quarters may lie ready; the leader asks a quorum before it refuses; an increase that is a window old stays in force.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -143,6 +143,11 @@
         """Return the present demand in requests per second."""
         return self.per_s * math.exp((self.last_at - now) / DEMAND_S) if self.per_s else 0.0
 
+    def mature_share(self, now: float) -> None:
+        """Put the last increase of the fallback share in force once a window has passed."""
+        if now >= self.increased_until:
+            self.usable_share = self.fallback_share
+
     def ready(self, now: float) -> int:
         """Return the grants that can be used now."""
         return self.left if now < self.expires else 0
@@ -255,8 +260,7 @@
         """Use this VM's share in the fallback allowance, if there is one left in the window."""
         if now >= grants.fallback_until:
             return False
-        if now >= grants.increased_until:
-            grants.usable_share = grants.fallback_share
+        grants.mature_share(now)
         times = grants.fallback_times
         while times and times[0] < now - self._bounds.window_s:
             times.popleft()
@@ -368,6 +372,7 @@
             grants.scarce_until = now + SCARCE_S
         grants.left = max(0, grant.requests - used)
         grants.expires = sent_at + VALID_S * valid
+        grants.mature_share(now)
         if grant.fallback_share > grants.fallback_share:
             grants.increased_until = now + self._bounds.window_s
         else:
--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -20,6 +20,9 @@
 MAX_RETRY_AFTER_S = 5.0
 """Longest time until the next grant that a holder is told, in seconds."""
 
+AHEAD_SHARE = 0.75
+"""Part of the limit on outstanding grants up to which holders get grants ahead of requests."""
+
 FORGET_S = 2 * FALLBACK_S
 """Time after its last request for which a holder or a removed customer is remembered, in
 seconds; its grants and its fallback share have expired by then."""
@@ -191,9 +194,9 @@
         level = self._level(bucket, now)
         limit, outstanding = self._bounds.outstanding(bucket.customer), bucket.outstanding(now)
         available = max(0, math.floor(min(level, limit - outstanding)))
-        # Half is left for other holders, and half of the limit for requests that wait.
+        # Half is left for other holders, and a part of the limit for requests that wait.
         count = min(use.waiting, max(min(1, available), available // 2))
-        spare = min(available // 2, max(1, limit // 2) - outstanding) - count
+        spare = min(available // 2, max(1, math.floor(AHEAD_SHARE * limit)) - outstanding) - count
         count += max(0, min(use.ahead, spare))
         bucket.give(count)
         account.outstanding = held + count
--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -33,6 +33,10 @@
 """Requests by which the bucket is deeper than the burst, at most. Customers with less than one
 request per second otherwise exceed their bucket in calm, since their requests come at random."""
 
+ENOUGH_DEPTH = 12.0
+"""Depth of a bucket that needs nothing beyond the burst, in requests. The tolerance of such a large
+customer serves its outstanding grants, which lie at many VMs."""
+
 FALLBACK_SHARE = 0.24
 """Part of the tolerance that holders use without an issuer. The parts leave a fiftieth unused for
 clocks that run at different rates."""
@@ -76,7 +80,8 @@
     def outstanding(self, customer: Customer) -> int:
         """Return the most grants that are neither reported nor expired; at least one."""
         tolerance = self.tolerance(customer)
-        extra = min(MAX_DEPTH_SHARE * tolerance, MAX_EXTRA_DEPTH)
+        needed = max(0.0, min(MAX_EXTRA_DEPTH, ENOUGH_DEPTH - customer.burst))
+        extra = min(MAX_DEPTH_SHARE * tolerance, needed)
         return max(1, math.floor(GRANTED_SHARE * tolerance - extra))
 
     def fallback(self, customer: Customer) -> int:
--- a/bramleycrank/daemon/allowance_issuer.py
+++ b/bramleycrank/daemon/allowance_issuer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import time
 from collections.abc import Callable
@@ -10,11 +11,16 @@
 from bramleycrank.customers import Customer
 from bramleycrank.customers.allowances import AllowanceBounds, Issuer
 from bramleycrank.customers.allowances.limits import LEASE_S
+from bramleycrank.exceptions import BramleycrankError
 from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.proto.peer_pb2 import GrantReply, GrantRequest
 
 log = logging.getLogger(__name__)
 
+CONFIRM_TIMEOUT_S = 0.25
+"""Longest time for which a call waits until a quorum has confirmed the leader, in seconds; holders
+wait for half a second."""
+
 SUSPEND_TOLERANCE_S = 0.01
 """Difference of the two clocks' steps from which a suspension of the machine is assumed, in
 seconds."""
@@ -40,6 +46,9 @@
     def confirmed_at(self) -> float | None:
         """Return the start of the newest round that a quorum replied to, or None."""
 
+    async def confirm_read(self, timeout_s: float) -> int:
+        """Have a quorum confirm that this VM leads."""
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Call back after each change of the role."""
 
@@ -86,10 +95,16 @@
         self._consensus.subscribe(self._on_role)
         self._on_role()
 
-    def on_grant(self, request: GrantRequest) -> GrantReply:
+    async def on_grant(self, request: GrantRequest) -> GrantReply:
         """Return the grants for a holder's request."""
-        now = self._now()
+        self._now()
         self._on_role()
+        if self._term and not self._is_confirmed():
+            # A busy leader may be late with its rounds.
+            with contextlib.suppress(BramleycrankError):
+                await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+            self._on_role()
+        now = self._now()
         if not self._is_confirmed():
             return GrantReply(issuing=False, issuer_term=self._term)
         return self._issuer.on_request(request, now)
--- a/bramleycrank/transport/peer_service.py
+++ b/bramleycrank/transport/peer_service.py
@@ -34,7 +34,7 @@
 class Grants(Protocol):
     """Issues allowances of customers."""
 
-    def on_grant(self, request: peer_pb2.GrantRequest) -> peer_pb2.GrantReply:
+    async def on_grant(self, request: peer_pb2.GrantRequest) -> peer_pb2.GrantReply:
         """Return the grants for a holder's request."""
 
 
@@ -128,4 +128,4 @@
         """Return the grants for a VM that serves callers."""
         if self._grants is None:
             raise InvalidRequest("this VM grants no allowances", outcome=Outcome.NOT_RUN)
-        return self._grants.on_grant(request)
+        return await self._grants.on_grant(request)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from bramleycrank.customers.allowances import AllowanceBounds
 from bramleycrank.daemon.domain_orders import DomainOrder
 from bramleycrank.exceptions import (
     InvalidRequest,
@@ -40,6 +41,9 @@
     "Bounds.RetryBudgetRatio": "0.2",
     "Bounds.RetryWindowS": "10",
     "Bounds.RetrySlack": "58",
+    "Bounds.QuotaWindowS": "4",
+    "Bounds.QuotaOverage": "0.2",
+    "Bounds.QuotaSlack": "30",
     "Bounds.WarmupOverage": "1.5",
     "Bounds.WarmupSlack": "5",
     "Bounds.AckTimeoutMs": "5000",
@@ -129,6 +133,7 @@
         10.0,
         58.0,
     )
+    assert cfg.allowances == AllowanceBounds(4.0, 0.2, 30.0)
     assert (cfg.warmup.overage, cfg.warmup.slack) == (1.5, 5.0)
     assert cfg.regions == {"north": "r", "south": "r2"} and cfg.order_resend_window_s == 5.0
     life = cfg.base.life_cycle
