Show operators customers over all VMs, and where a request would go

VMs of the platform served no call of operators at all, so rates, use and refusals of customers could only be guessed from logs. Each VM now serves the Entry service at its gRPC address: ListCustomers sums over all VMs and names those that are silent, Place runs the decisions of a request on copies of their state, Dump returns the state of the VM. bramleycrank entry customers, place and dump call it. Identification, allowances and use move from the controller into CustomerGate.

--- a/bramleycrank/cli/context.py
+++ b/bramleycrank/cli/context.py
@@ -13,6 +13,7 @@
 
 from bramleycrank.cli.arguments import invalid_argument
 from bramleycrank.cli.output import print_result
+from bramleycrank.proto.entry_grpc import EntryStub
 from bramleycrank.proto.operator_grpc import OperatorStub
 from bramleycrank.settings import Address
 from bramleycrank.transport.grpc_errors import call
@@ -70,17 +71,23 @@
         async with open_channel(self.server, "--server") as conn:
             yield OperatorClient(OperatorStub(conn))
 
+    @asynccontextmanager
+    async def entry(self) -> AsyncIterator[OperatorClient]:
+        """Connect to the entry service of the server, a VM that serves callers by HTTP."""
+        async with open_channel(self.server, "--server") as conn:
+            yield OperatorClient(EntryStub(conn))
+
     def show(self, data: Mapping[str, Any], text: str) -> None:
         """Print a result."""
         print_result(data, text, as_json=self.as_json)
 
 
 class OperatorClient:
-    """Client of the operator service that raises typed errors.
+    """Client of a service for operators that raises typed errors.
 
     Parameters
     ----------
-    stub : OperatorStub
+    stub : OperatorStub or EntryStub
         Generated gRPC stub.
     """
 
--- a/bramleycrank/cli/main.py
+++ b/bramleycrank/cli/main.py
@@ -15,6 +15,7 @@
 from bramleycrank.cli.config import ConfigCommands
 from bramleycrank.cli.context import DEFAULT_HTTP, DEFAULT_SERVER, Context, DeferredCommand
 from bramleycrank.cli.domain import DomainCommands
+from bramleycrank.cli.entry import EntryCommands
 from bramleycrank.cli.query import QueryCommands
 from bramleycrank.cli.service import ServiceCommands
 from bramleycrank.cli.standin import StandInCommands
@@ -41,6 +42,7 @@
         self.target = TargetCommands(context)
         self.standin = StandInCommands(context)
         self.query = QueryCommands(context)
+        self.entry = EntryCommands(context)
 
     @command
     def dump(self, vm_id: str = "") -> DeferredCommand:
--- a/bramleycrank/customers/directory.py
+++ b/bramleycrank/customers/directory.py
@@ -30,9 +30,11 @@
     def __init__(self, messages: Iterable[log_pb2.Customer] = ()) -> None:
         self._by_name: dict[str, Customer] = {}
         self._by_digest: dict[bytes, Customer] = {}
+        self._key_counts: dict[str, int] = {}
         for message in messages:
             customer = Customer.from_message(message)
             self._by_name[customer.name] = customer
+            self._key_counts[customer.name] = len(message.keys)
             for key in message.keys:
                 self._by_digest[_digest(key.encode())] = customer
 
@@ -50,6 +52,10 @@
         """Return the customer with a name, or None."""
         return self._by_name.get(name)
 
+    def key_count(self, name: str) -> int:
+        """Return how many keys a customer has."""
+        return self._key_counts.get(name, 0)
+
 
 def _digest(key: bytes) -> bytes:
     return hashlib.blake2b(key, digest_size=DIGEST_BYTES, key=_SECRET).digest()
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -26,6 +26,7 @@
 from bramleycrank.entry.types import EntryDialect
 from bramleycrank.entry.usable_targets import UsableTargets
 from bramleycrank.membership import MembershipConfig
+from bramleycrank.membership.records import address_of
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.proto.log_pb2 import RouteTable
@@ -33,6 +34,7 @@
 from bramleycrank.scatter.budget import RetryBudgetConfig
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.settings import Address, Settings
+from bramleycrank.transport.entry_service import EntryService
 from bramleycrank.transport.http1 import Exchange, Http1Server, ReceiveBudget
 from bramleycrank.transport.http1.server_connection import Handler, ServerConnection
 from bramleycrank.transport.peer_service import PeerService
@@ -260,7 +262,10 @@
         peer = PeerService(
             parts.membership, parts.config, parts.consensus, self._voter_manager, self._issuer
         )
-        self._grpc = Server([peer])
+        entry_service = EntryService(
+            lambda: self._entry, self.dump, self._other_entries, parts.clients
+        )
+        self._grpc = Server([peer, entry_service])
         await self._grpc.start(cfg.base.listen.grpc.host, cfg.base.listen.grpc.port)
         self._voter_manager.start()
         if cfg.entry is not None:
@@ -276,6 +281,14 @@
         self._spawn(self._log_traffic(parts.clients.traffic))
         await parts.membership.start()
 
+    def _other_entries(self) -> list[tuple[str, str]]:
+        """Return id and gRPC address of the other VMs that serve callers."""
+        return [
+            (record.vm_id, address_of(record))
+            for record in self._parts.membership.vms()
+            if not record.control_only and record.vm_id != self._cfg.base.vm.id
+        ]
+
     @staticmethod
     async def _log_traffic(traffic: Traffic) -> None:
         while True:
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -12,14 +12,15 @@
 from typing import Any
 
 from bramleycrank.connections.http_types import CancelOutcome, PooledSubRequest
-from bramleycrank.customers import Identity, KeyRefusal, identify
-from bramleycrank.customers.allowances import Refuse
+from bramleycrank.customers import Identity
 from bramleycrank.entry.allowances import EntryAllowances
 from bramleycrank.entry.answers import missing_services, render
 from bramleycrank.entry.call import Call, CallListener
+from bramleycrank.entry.customer_gate import CustomerGate
 from bramleycrank.entry.delegation import EntryDelegation
 from bramleycrank.entry.delegation_headers import Offer, Reply
 from bramleycrank.entry.delegator import Delegator
+from bramleycrank.entry.placement import Placement
 from bramleycrank.entry.suspect_exchange import SuspectExchange
 from bramleycrank.entry.targets import EntryTargets, Targets
 from bramleycrank.entry.types import CallerMeta, EntryDialect, Routes, TargetMeta
@@ -27,6 +28,7 @@
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.observability.traffic import SEGMENT_BYTES, Traffic
+from bramleycrank.proto.entry_pb2 import ListCustomersReply, PlaceRequest
 from bramleycrank.routing import Limits, Route, RouteIndex
 from bramleycrank.scatter import (
     Answer,
@@ -47,7 +49,7 @@
 from bramleycrank.scatter.types import Action
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
-from bramleycrank.transport.http1.messages import headers_size
+from bramleycrank.transport.http1.messages import Request, headers_size
 
 log = logging.getLogger(__name__)
 
@@ -151,6 +153,8 @@
         self._targets.on_cut = self._hand_over_requests
         self._calls: set[Call] = set()
         self._waiting = WaitingCalls(self._targets.policy, metrics)
+        self._gate = CustomerGate(routes, allowances, self._refuse, self._clock, rng)
+        self._placement = Placement(self._gate, self._targets, self._quarantine)
         self._sub_ids = itertools.count(1)
         self._delivery = DeliveryEstimate(link_bytes_per_s)
         self._delegation = EntryDelegation(self._targets, self._delivery, delegator, metrics)
@@ -230,6 +234,16 @@
             "allowances": self._allowances and self._allowances.dump(),
         }
 
+    def customer_uses(self, name: str) -> ListCustomersReply:
+        """Return what the callers of one customer, or of all if `name` is empty, use here."""
+        return self._gate.uses(name)
+
+    def place(self, query: PlaceRequest) -> dict[str, Any]:
+        """Return where a request would go now, and why; nothing is sent, spent or counted."""
+        method, target, host = query.method.encode(), query.path.encode(), query.host.encode()
+        request = Request(method, target, host, [], b"")
+        return self._placement.explain(self._index, request, query.customer, self._clock())
+
     # Requests.
 
     def on_request(self, exchange: Exchange) -> None:
@@ -238,10 +252,11 @@
         route = self._find_route(exchange, meta)
         if route is None:
             return
-        identity = self._identify(exchange, meta, route)
+        identity = self._gate.identify(exchange, meta, route)
         if identity is None:
             return
-        self._allow(exchange, meta, route, identity)
+        place = functools.partial(self._place, exchange, meta, route, identity, MAX_ROUTES_WAITS)
+        self._gate.admit(exchange, meta, identity, place)
 
     def _find_route(self, exchange: Exchange, meta: CallerMeta) -> Route | None:
         """Return the route of a request; refuse the request if there is none."""
@@ -256,43 +271,6 @@
             self._refuse(exchange, meta, 404, 0.0, "no route matches")
         return route
 
-    def _identify(self, exchange: Exchange, meta: CallerMeta, route: Route) -> Identity | None:
-        """Return who sends a request; refuse the request if it needs a key and has none."""
-        result = identify(
-            self._index.customers, meta.key, public=route.public, is_newest=self._routes.is_newest
-        )
-        if not isinstance(result, KeyRefusal):
-            return result
-        if result.final:
-            self._refuse(exchange, meta, 401, 0.0, result.reason)
-        else:
-            retry_s = add_jitter(result.retry_after_s, self._rng)
-            self._refuse(exchange, meta, 503, retry_s, result.reason)
-        return None
-
-    def _allow(
-        self, exchange: Exchange, meta: CallerMeta, route: Route, identity: Identity
-    ) -> None:
-        """Place a request within its customer's allowance, which counts it once; refuse others."""
-        place = functools.partial(self._place, exchange, meta, route, identity, MAX_ROUTES_WAITS)
-        customer = identity.customer
-        if customer is None or not customer.is_limited or self._allowances is None:
-            place()
-            return
-
-        def refuse(refusal: Refuse) -> None:
-            retry_s = add_jitter(refusal.retry_after_s, self._rng)
-            if refusal.over_allowance:
-                status, reason = 429, "beyond the customer's allowance"
-            else:
-                status, reason = 503, "no grant of the customer's allowance"
-            fields = {**identity.log_fields(), "allowance": self._allowances.describe(customer)}
-            self._refuse(exchange, meta, status, retry_s, reason, **fields)
-
-        withdraw = self._allowances.admit(customer, place, refuse)
-        if withdraw is not None:
-            exchange.on_disconnected = withdraw
-
     def _place(
         self,
         exchange: Exchange,
@@ -334,7 +312,7 @@
     def _place_again(self, exchange: Exchange, meta: CallerMeta, routes_waits: int) -> None:
         """Place a request by the table in force now, which may have lost its route or key."""
         route = self._find_route(exchange, meta)
-        identity = route and self._identify(exchange, meta, route)
+        identity = route and self._gate.identify(exchange, meta, route)
         if identity is not None:
             self._place(exchange, meta, route, identity, routes_waits)
 
@@ -676,6 +654,7 @@
         self._metrics.timing("entry.latency", latency_s)
         if isinstance(action, Refusal) and action.not_run:
             self._waiting.on_refused(call, action.retry_after_s, now)
+            self._gate.on_no_room(call.customer)
         partial = isinstance(action, Merged) and action.missing > 0
         self._requests.record(
             outcome,
@@ -703,6 +682,7 @@
         self._index = RouteIndex(table)
         log.info("entry: routes in force", extra={"routes_version": table.version})
         self._waiting.set_customers(self._index.customers)
+        self._gate.set_index(self._index)
         self._targets.apply_routes(self._index)
         self._delivery.retain({route.name for route in self._index.routes()})
 
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import copy
 import random
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from typing import Any, Protocol
 
 from bramleycrank.customers.shares import Room
@@ -212,6 +214,19 @@
             exclude.add(target_id)
         return None
 
+    @contextmanager
+    def preview(self) -> Iterator[TargetPolicy]:
+        """Return a policy whose choices are those of this one, and leave no trace in it."""
+        rng_state = self._rng.getstate()
+        policy = copy.copy(self)
+        policy.table = copy.deepcopy(self.table)
+        policy.warmup = copy.deepcopy(self.warmup)
+        policy.rate_limits = copy.deepcopy(self.rate_limits)
+        try:
+            yield policy
+        finally:
+            self._rng.setstate(rng_state)
+
     def _is_admitted(self, service: str, target: TargetState, now: float) -> bool:
         """Return whether this VM's shares in the target's rates allow one more request to it."""
         target_id, domain = target.target_id, target.domain
--- a/tests/test_entry_allowances.py
+++ b/tests/test_entry_allowances.py
@@ -43,7 +43,7 @@
         self.issuer.set_customers(customers, 1, 0.0)
         self.issuer.lead(1, 0.0)
         routes = self.entry._routes
-        self.entry._allowances = self.allowances = EntryAllowances(
+        self.entry._gate._allowances = self.allowances = EntryAllowances(
             "vm1", BOUNDS, routes, self, self, NullMetrics(), random.Random(1)
         )
         self.allowances.start()
