Give the scripted peers of three tests the call for grants

Cause: the protocol got a method, which these servers of the tests lacked, so that they could not start their peer (9 failures seen).

Change: the method is served like the others that these tests do not use.

--- a/tests/test_daemon_consensus_links.py
+++ b/tests/test_daemon_consensus_links.py
@@ -25,7 +25,7 @@
         self.terms.append(request.term)
         return peer_pb2.Ack()
 
-    Probe = Sync = FetchConfig = Propose = Identity = Bootstrap = Join = Consensus
+    Probe = Sync = FetchConfig = Propose = Identity = Bootstrap = Join = Grant = Consensus
 
 
 def message(recipient, term):
--- a/tests/test_grpc_errors.py
+++ b/tests/test_grpc_errors.py
@@ -28,7 +28,7 @@
             raise self.error
         return peer_pb2.IdentityReply(vm_id="vm-1")
 
-    Probe = Sync = FetchConfig = Propose = Consensus = Bootstrap = Join = Identity
+    Probe = Sync = FetchConfig = Propose = Consensus = Bootstrap = Join = Grant = Identity
 
 
 async def start_peer():
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -37,7 +37,7 @@
     async def Sync(self, request):  # noqa: N802
         return await self.controller.on_sync(request)
 
-    FetchConfig = Propose = Consensus = Identity = Bootstrap = Join = Probe
+    FetchConfig = Propose = Consensus = Identity = Bootstrap = Join = Grant = Probe
 
 
 class Vm:
