Drop requests that wait for a grant when the entry stops

Cause: a request that waited could be admitted from the fallback share after the targets were stopped.

Change: their connections are closed by then, so they are only forgotten.

--- a/bramleycrank/entry/allowances.py
+++ b/bramleycrank/entry/allowances.py
@@ -120,14 +120,14 @@
         self._on_routes()
 
     def stop(self) -> None:
-        """Refuse the requests that wait, and end the call in flight."""
+        """Drop the requests that wait, whose connections are closed, and end the call in flight."""
         self._stopped = True
         if self._timer is not None:
             self._timer.cancel()
         if self._call is not None:
             self._call.cancel()
         for waiting in list(self._waiting):
-            self._give_up(waiting)
+            self._withdraw(waiting)
 
     def admit(
         self,
@@ -153,15 +153,13 @@
 
     def _decide(self, waiting: _Waiting, *, again: bool) -> None:
         decision = self._holder.admit(waiting.customer, self._clock(), again=again)
-        if isinstance(decision, Ask) and not self._stopped:
+        if isinstance(decision, Ask):
             if waiting.timer is None:
                 self._count("waited")
                 waiting.timer = self._loop.call_later(WAIT_S, self._give_up, waiting)
             if waiting not in self._waiting:
                 self._waiting.append(waiting)
             return
-        if isinstance(decision, Ask):
-            decision = self._holder.give_up(waiting.customer, self._clock())
         self._end(waiting, decision)
 
     def _give_up(self, waiting: _Waiting) -> None:
