Keep fallback shares while the allowance is used up

Cause: a holder that had nothing and wanted nothing until its next grant was taken for idle, so a hot customer's VMs lost their fallback shares, as did all VMs after a change of the leader.

Change: a share that is reported is confirmed. A test cuts all VMs after two changes of the leader.

--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -263,7 +263,7 @@
         others = [a for a in bucket.accounts.values() if a is not account]
         total = self._bounds.fallback(bucket.customer)
         active = 1 + sum(a.expires > now for a in others)
-        if not (use.held or use.waiting or use.ahead) or not total:
+        if not (use.held or use.waiting or use.ahead or use.fallback_share) or not total:
             share = 0.0
         elif now < self._issues_from + FALLBACK_S:
             share = use.fallback_share
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -182,12 +182,13 @@
 
     def excess(self, customer: Customer, since: float = 0.0) -> float:
         """Return by how much the fullest window of a customer exceeds the bound."""
-        times = [t for t in self.ran[customer.name] if t >= since]
-        fullest = max(
-            (bisect_left(times, t + self.bounds.window_s) - n for n, t in enumerate(times)),
-            default=0,
-        )
-        return fullest - self.bounds.bound(customer)
+        return self.fullest(customer, since, self.now + 1.0) - self.bounds.bound(customer)
+
+    def fullest(self, customer: Customer, since: float, until: float) -> int:
+        """Return how many requests of a customer ran in the fullest window of a span of time."""
+        times = [t for t in self.ran[customer.name] if since <= t < until]
+        ends = (bisect_left(times, t + self.bounds.window_s) for t in times)
+        return max((end - n for n, end in enumerate(ends)), default=0)
 
 
 FLOODS = (1.0, 12.0, 26.0)
@@ -273,6 +274,29 @@
     assert 100 < len(world.ran["a"]) <= world.bounds.depth(customer) + 1
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_fallback_shares_outlive_changes_of_the_leader_and_are_never_given_twice(seed):
+    """Guards against new shares beside those of a predecessor, and against none in a cut."""
+    customer = Customer("a", per_s=0.001, burst=0.0)
+    world = World(seed, [customer], 6, slack=60.0)
+    world.elect()
+    world.demand("a", 20.0, world.vms, 8.0, 66.0)
+
+    def cut(vms: list[Vm], end: float) -> None:
+        for vm in vms:
+            vm.cut_until = end
+
+    world.at(40.0, cut, world.vms[:3], 47.0)
+    world.at(46.0, world.elect)
+    world.at(50.0, cut, world.vms, 57.0)  # before the new issuer fills its bucket
+    world.at(58.0, world.elect)
+    world.at(59.0, cut, world.vms, 66.0)
+    world.run(66.0)
+    fallback = world.bounds.fallback(customer)
+    for start, end in ((40.0, 46.0), (50.0, 57.0), (59.0, 63.0)):
+        assert fallback / 4 < world.fullest(customer, start, end) <= fallback
+
+
 def zipf_customers(count: int, total: float) -> list[tuple[Customer, float]]:
     """Return customers with rates of 1.6 times their usual demand, which follows Zipf's law."""
     weights = [1 / n**1.2 for n in range(1, count + 1)]
