Keep the fallback shares of customers with rare requests, without messages

Cause: a VM gave its share back after 10 s without a request, and had none when the next one came during a change of the leader or a cut.

Change: a share stays until it expires; a customer that is forgotten keeps its count of admitted requests, so that the issuer puts nothing back that was used.

The new test fails if the count starts again.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -105,8 +105,8 @@
         Present demand at this VM, in requests per second.
     scarce_until : float
         Time until which no further grants are asked for ahead of requests, in seconds.
-    released : bool
-        Whether the request in flight tells the issuer that this VM holds and wants nothing.
+    idle : bool
+        Whether the issuer knows that this VM holds and wants nothing.
     usable_share : float
         Share in the fallback allowance before the last increase, which is in force a window after
         it: another holder may have used that part until now.
@@ -124,7 +124,8 @@
     waiting: int = 0
     wanted: int = 0
     scarce_until: float = 0.0
-    released: bool = False
+    releasing: bool = False
+    idle: bool = False
     per_s: float = 0.0
     last_at: float = -math.inf
     reported_at: float = -math.inf
@@ -138,6 +139,7 @@
         """Count a request."""
         self.per_s = self.demand(now) + 1 / DEMAND_S
         self.last_at = now
+        self.idle = False
 
     def demand(self, now: float) -> float:
         """Return the present demand in requests per second."""
@@ -186,6 +188,7 @@
         self._customers: dict[str, Customer] = {}
         self._version = 0
         self._grants: dict[str, _Grants] = {}
+        self._admitted: dict[str, int] = {}  # of customers that were forgotten, in this term
         self._term = 0
         self._starting = False
         self._sequence = 0
@@ -220,7 +223,10 @@
         customer = self._customers.get(name)
         if customer is None:
             return Admit()
-        grants = self._grants.setdefault(name, _Grants())
+        grants = self._grants.get(name)
+        if grants is None:
+            grants = _Grants(admitted=self._admitted.get(name, 0))
+            self._grants[name] = grants
         if not again:
             grants.count(now)
         if now < self._unlimited_until:
@@ -284,6 +290,8 @@
         return max(due, self._sent_at + (RETRY_S if self._failed else MIN_GAP_S))
 
     def _due_at(self, grants: _Grants, now: float) -> float:
+        if grants.idle:
+            return math.inf
         if grants.waiting:
             return now
         if self._is_low(grants, now):
@@ -313,9 +321,12 @@
             uses=[
                 self._report(name, grants, now)
                 for name, grants in self._grants.items()
-                if grants.waiting
-                or self._is_low(grants, now)
-                or now >= grants.reported_at + REFRESH_S / 2
+                if not grants.idle
+                and (
+                    grants.waiting
+                    or self._is_low(grants, now)
+                    or now >= grants.reported_at + REFRESH_S / 2
+                )
             ],
         )
 
@@ -323,13 +334,13 @@
         target = grants.target(now)
         # What is not needed any more goes back to the issuer.
         grants.left = min(grants.ready(now), 2 * target)
-        if now > grants.fallback_until - MIN_SHARE_LEFT_S or not target:
+        if now > grants.fallback_until - MIN_SHARE_LEFT_S:
             grants.fallback_share = grants.usable_share = 0.0
         grants.asked_admitted, grants.asked_left = grants.admitted, grants.left
         grants.reported_at = now
         ahead = 0 if now < grants.denied_until else max(0, target - grants.left)
         grants.wanted = grants.waiting + ahead
-        grants.released = not (target or grants.left or grants.waiting or grants.fallback_share)
+        grants.releasing = not (target or grants.left or grants.waiting)
         return AllowanceUse(
             customer=name,
             admitted=grants.admitted,
@@ -354,6 +365,7 @@
         self._end_waits()
         if reply.issuer_term != self._term:
             self._term = reply.issuer_term
+            self._admitted.clear()
             # The new issuer counts only what it has granted.
             for grants in self._grants.values():
                 grants.left = grants.admitted = grants.asked_admitted = grants.asked_left = 0
@@ -361,9 +373,15 @@
             grants = self._grants.get(grant.customer)
             if grants is not None:
                 self._apply(grants, grant, sent_at, now)
-                # The issuer has ended the account too, so the numbers of both may start again.
-                if grants.released and not (grants.left or grants.target(now)):
-                    del self._grants[grant.customer]
+                grants.idle = grants.releasing and not (grants.left or grants.target(now))
+        self._forget_idle(now)
+
+    def _forget_idle(self, now: float) -> None:
+        """Forget customers without requests once their fallback shares have expired."""
+        for name, grants in list(self._grants.items()):
+            if grants.idle and now >= grants.fallback_until:
+                self._admitted[name] = grants.admitted
+                del self._grants[name]
 
     def _apply(self, grants: _Grants, grant: AllowanceGrant, sent_at: float, now: float) -> None:
         valid = 1 - CLOCK_DRIFT_SHARE
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -274,6 +274,29 @@
     assert 100 < len(world.ran["a"]) <= world.bounds.depth(customer) + 1
 
 
+def test_customer_that_returns_is_counted_from_where_it_was_forgotten():
+    """Guards against grants that are put back because a holder's count starts again."""
+    customers = [Customer(name, per_s=1.0, burst=5.0) for name in "ab"]
+    world = World(1, customers, 1)
+    world.elect()
+    [vm] = world.vms
+    reports: list[tuple[str, int]] = []
+    send = world.send
+    world.send = lambda *args: (
+        reports.extend((use.customer, use.admitted) for use in args[2].uses),
+        send(*args),
+    )
+    for at in (8.0, 8.1, 8.2, 60.0):
+        world.at(at, vm.request, "a", vm=vm)
+    world.demand("b", 0.5, [vm], 8.0, 59.0)
+    world.run(59.0)
+    assert "a" not in vm.holder.dump(vm.clock())["customers"]
+    count = len(reports)
+    world.run(61.0)
+    assert max(n for name, n in reports[:count] if name == "a") == 3
+    assert min(n for name, n in reports[count:] if name == "a") == 3
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_fallback_shares_outlive_changes_of_the_leader_and_are_never_given_twice(seed):
     """Guards against new shares beside those of a predecessor, and against none in a cut."""
