--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -182,12 +182,13 @@
 
     def excess(self, customer: Customer, since: float = 0.0) -> float:
         """Return by how much the fullest window of a customer exceeds the bound."""
-        times = [t for t in self.ran[customer.name] if t >= since]
-        fullest = max(
-            (bisect_left(times, t + self.bounds.window_s) - n for n, t in enumerate(times)),
-            default=0,
-        )
-        return fullest - self.bounds.bound(customer)
+        return self.fullest(customer, since, self.now + 1.0) - self.bounds.bound(customer)
+
+    def fullest(self, customer: Customer, since: float, until: float) -> int:
+        """Return how many requests of a customer ran in the fullest window of a span of time."""
+        times = [t for t in self.ran[customer.name] if since <= t < until]
+        ends = (bisect_left(times, t + self.bounds.window_s) for t in times)
+        return max((end - n for n, end in enumerate(ends)), default=0)
 
 
 FLOODS = (1.0, 12.0, 26.0)
@@ -259,6 +260,66 @@
     assert world.excess(changed, FLOODS[1] + 4.0 + CONFIG_APPLY_S) <= 0
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_each_grant_is_used_once_whatever_order_the_messages_have(seed):
+    """Guards against grants that two replies, or a reply and a report, count differently."""
+    customer = Customer("a", per_s=0.001, burst=300.0)
+    world = World(seed, [customer], 6, loss=0.2)
+    world.elect()
+    # Without a rate, all comes out of the bucket, from the end of the first window until shares in
+    # the fallback allowance are in force.
+    world.run(8.0)
+    world.demand("a", 60.0, world.vms, 8.0, 19.0)
+    world.run(20.0)
+    assert 100 < len(world.ran["a"]) <= world.bounds.depth(customer) + 1
+
+
+def test_customer_that_returns_is_counted_from_where_it_was_forgotten():
+    """Guards against grants that are put back because a holder's count starts again."""
+    customers = [Customer(name, per_s=1.0, burst=5.0) for name in "ab"]
+    world = World(1, customers, 1)
+    world.elect()
+    [vm] = world.vms
+    reports: list[tuple[str, int]] = []
+    send = world.send
+    world.send = lambda *args: (
+        reports.extend((use.customer, use.admitted) for use in args[2].uses),
+        send(*args),
+    )
+    for at in (8.0, 8.1, 8.2, 60.0):
+        world.at(at, vm.request, "a", vm=vm)
+    world.demand("b", 0.5, [vm], 8.0, 59.0)
+    world.run(59.0)
+    assert "a" not in vm.holder.dump(vm.clock())["customers"]
+    count = len(reports)
+    world.run(61.0)
+    assert max(n for name, n in reports[:count] if name == "a") == 3
+    assert min(n for name, n in reports[count:] if name == "a") == 3
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_fallback_shares_outlive_changes_of_the_leader_and_are_never_given_twice(seed):
+    """Guards against new shares beside those of a predecessor, and against none in a cut."""
+    customer = Customer("a", per_s=0.001, burst=0.0)
+    world = World(seed, [customer], 6, slack=60.0)
+    world.elect()
+    world.demand("a", 20.0, world.vms, 8.0, 66.0)
+
+    def cut(vms: list[Vm], end: float) -> None:
+        for vm in vms:
+            vm.cut_until = end
+
+    world.at(40.0, cut, world.vms[:3], 47.0)
+    world.at(46.0, world.elect)
+    world.at(50.0, cut, world.vms, 57.0)  # before the new issuer fills its bucket
+    world.at(58.0, world.elect)
+    world.at(59.0, cut, world.vms, 66.0)
+    world.run(66.0)
+    fallback = world.bounds.fallback(customer)
+    for start, end in ((40.0, 46.0), (50.0, 57.0), (59.0, 63.0)):
+        assert fallback / 4 < world.fullest(customer, start, end) <= fallback
+
+
 def zipf_customers(count: int, total: float) -> list[tuple[Customer, float]]:
     """Return customers with rates of 1.6 times their usual demand, which follows Zipf's law."""
     weights = [1 / n**1.2 for n in range(1, count + 1)]
