Grant requests that wait at once, beside the limit on outstanding grants

Its callers reach many VMs; the unused grants that each of these kept ready filled the limit on outstanding grants, and a request at another VM found none although the bucket was full. A grant for a request that waits for the reply is used at once, so it now counts as used when it is issued; only the bucket limits it. It is valid for 0.3 s, which costs rate x 0.3 s of the tolerance; fewer grants lie ahead.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -99,6 +99,8 @@
         Requests admitted with grants of the present issuer, in total.
     asked_admitted, asked_left : int
         The same, and the grants left, at the time of the last request to the issuer.
+    immediate : int
+        Requests that waited for the last reply and may be admitted until `immediate_until`.
     denied_until : float
         Time until which the issuer has nothing to grant, in seconds.
     per_s : float
@@ -114,6 +116,8 @@
 
     left: int = 0
     expires: float = 0.0
+    immediate: int = 0
+    immediate_until: float = 0.0
     admitted: int = 0
     asked_admitted: int = 0
     asked_left: int = 0
@@ -231,6 +235,9 @@
             grants.count(now)
         if now < self._unlimited_until:
             return Admit()
+        if again and grants.immediate and now < grants.immediate_until:
+            grants.immediate -= 1
+            return Admit()
         if grants.ready(now):
             grants.left -= 1
             grants.admitted += 1
@@ -386,7 +393,12 @@
     def _apply(self, grants: _Grants, grant: AllowanceGrant, sent_at: float, now: float) -> None:
         valid = 1 - CLOCK_DRIFT_SHARE
         used = grants.admitted - grants.asked_admitted
-        if grant.requests < grants.asked_left + grants.wanted:
+        customer = self._customers.get(grant.customer)
+        if customer is not None:
+            immediate_s = self._bounds.immediate_s(customer)
+            grants.immediate_until = sent_at + immediate_s * valid
+        grants.immediate = grant.immediate
+        if grant.requests + grant.immediate < grants.asked_left + grants.wanted:
             grants.scarce_until = now + SCARCE_S
         grants.left = max(0, grant.requests - used)
         grants.expires = sent_at + VALID_S * valid
--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -20,9 +20,6 @@
 MAX_RETRY_AFTER_S = 5.0
 """Longest time until the next grant that a holder is told, in seconds."""
 
-AHEAD_SHARE = 0.75
-"""Part of the limit on outstanding grants up to which holders get grants ahead of requests."""
-
 FORGET_S = 2 * FALLBACK_S
 """Time after its last request for which a holder or a removed customer is remembered, in
 seconds; its grants and its fallback share have expired by then."""
@@ -193,13 +190,15 @@
         held = self._settle(bucket, account, use, known, now)
         level = self._level(bucket, now)
         limit, outstanding = self._bounds.outstanding(bucket.customer), bucket.outstanding(now)
-        available = max(0, math.floor(min(level, limit - outstanding)))
-        # Half is left for other holders, and a part of the limit for requests that wait.
-        count = min(use.waiting, max(min(1, available), available // 2))
-        spare = min(available // 2, max(1, math.floor(AHEAD_SHARE * limit)) - outstanding) - count
-        count += max(0, min(use.ahead, spare))
+        available = max(0, math.floor(level))
+        # Half is left for other holders. Grants that are used at once never lie idle at a VM, so
+        # only those ahead of requests count against the limit on outstanding ones.
+        immediate = min(use.waiting, max(min(1, available), available // 2))
+        spare = min(available // 2 - immediate, limit - outstanding)
+        ahead = max(0, min(use.ahead, spare))
+        count = immediate + ahead
         bucket.give(count)
-        account.outstanding = held + count
+        account.outstanding = held + ahead
         account.expires = now + VALID_S
         wanted = use.waiting + use.ahead
         retry_after_s = 0.0
@@ -211,6 +210,7 @@
         return AllowanceGrant(
             customer=use.customer,
             requests=account.outstanding,
+            immediate=immediate,
             retry_after_ms=math.ceil(retry_after_s * 1000),
             fallback_share=share,
         )
--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -23,8 +23,16 @@
 """Time after the start of a confirmed round in which a leader issues grants, in seconds; five
 heartbeats. A successor issues nothing for the same time after its election."""
 
+IMMEDIATE_S = 0.3
+"""Longest validity of a grant for a request that waits, after the holder sent its request, in
+seconds; some round trips, and less than callers wait."""
+
+MAX_IMMEDIATE_SHARE = 0.4
+"""Part of the granted tolerance that grants for waiting requests may use, at most."""
+
 GRANTED_SHARE = 0.74
-"""Part of the tolerance for the depth of the bucket beyond the burst and for outstanding grants."""
+"""Part of the tolerance for the depth of the bucket beyond the burst, for outstanding grants and
+for those to requests that wait."""
 
 MAX_DEPTH_SHARE = 0.40
 """Part of the tolerance by which the bucket is deeper than the burst, at most."""
@@ -74,16 +82,29 @@
 
     def depth(self, customer: Customer) -> float:
         """Return the depth of the issuer's bucket, in requests; at least one."""
-        granted = GRANTED_SHARE * self.tolerance(customer)
+        granted = GRANTED_SHARE * self.tolerance(customer) - self._late_immediate(customer)
         return max(1.0, customer.burst + granted - self.outstanding(customer))
 
     def outstanding(self, customer: Customer) -> int:
         """Return the most grants that are neither reported nor expired; at least one."""
         tolerance = self.tolerance(customer)
         needed = max(0.0, min(MAX_EXTRA_DEPTH, ENOUGH_DEPTH - customer.burst))
-        extra = min(MAX_DEPTH_SHARE * tolerance, needed)
+        extra = min(MAX_DEPTH_SHARE * tolerance, needed) + self._late_immediate(customer)
         return max(1, math.floor(GRANTED_SHARE * tolerance - extra))
 
+    def immediate_s(self, customer: Customer) -> float:
+        """Return how long a grant for a request that waits is valid, in seconds."""
+        most = MAX_IMMEDIATE_SHARE * GRANTED_SHARE * self.tolerance(customer)
+        return min(IMMEDIATE_S, most / customer.per_s)
+
+    def _late_immediate(self, customer: Customer) -> float:
+        """Return the requests by which a window exceeds its bucket due to immediate grants.
+
+        They are used within their validity, so a window holds what the bucket gives in a time that
+        is longer by it.
+        """
+        return customer.per_s * self.immediate_s(customer)
+
     def fallback(self, customer: Customer) -> int:
         """Return the requests in one window that all holders admit without an issuer."""
         return math.floor(FALLBACK_SHARE * self.tolerance(customer))
