--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -42,6 +42,8 @@
         self.data_dir = fleet.folder / f"{name}-data"
         self.process: Process | None = None
         self.partition_file: Path | None = None
+        self.limits: dict[str, int] = {}
+        """Entries of the section ``Limits`` of the settings file."""
 
     @property
     def settings(self) -> Path:
@@ -57,6 +59,7 @@
                 f"BindAddrs.EdgeAddr={self.ip}:{ENTRY_PORT}\n"
                 f"BindAddrs.ReadinessAddr={self.ip}:{READY_PORT}"
             )
+        listen += "".join(f"\nLimits.{name}={value}" for name, value in self.limits.items())
         self.settings.write_text(
             SETTINGS_TEMPLATE.format(
                 name=self.name,
