Draw on one budget for all that a VM holds for its callers

Cause: memory followed the pieces of a message instead of its bytes, and most of it was counted by nobody: an object for each chunk and header, partial heads, pipelined requests (a read of 256 KB holds thousands), the unsent part of answers, unsent copies of sub-requests. Responses of targets and of other VMs had budgets of their own, which added up. Nothing bounded the connections below the descriptor limit, and an event loop accepts up to 1024 of them before their handlers run.

Change: - One ReceiveBudget for callers, other VMs, operators and targets; readiness and metrics have 1 MiB of their own. A connection sets what it holds in one place; headers beyond the 32nd and pipelined requests count with their objects. - A body is one bytearray. Data is read into a shared buffer, parsed 4 KB at a time, 512 bytes behind a request in progress, and not at all while an answer is unsent or 8 requests wait. - AnswerWriter passes 64 KB at a time to the kernel and counts the answer until its last byte has left; less than 64 KiB/s after 10 s ends it. - If the budget is short, the connection above an equal share whose bytes times seconds are the largest is evicted, instead of the one with most bytes. - Limits.MaxFds is read. Beyond 0.6 of the descriptors (or a sixth of the memory) the caller that went longest without an answer is closed for a new one, in accept().

--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -11,6 +11,7 @@
 import attrs
 from grpclib.server import Server
 
+from bramleycrank.daemon.connection_limits import ConnectionLimits
 from bramleycrank.daemon.control_parts import ControlParts
 from bramleycrank.daemon.control_service import ControlService
 from bramleycrank.daemon.control_steps import ControlSteps
@@ -30,7 +31,7 @@
 from bramleycrank.scatter.warmup import WarmupBounds
 from bramleycrank.settings import Address, Settings
 from bramleycrank.transport.http1 import Exchange, Http1Server, ReceiveBudget
-from bramleycrank.transport.http1.server_connection import Handler, ServerConnection
+from bramleycrank.transport.http1.server_connection import Handler
 from bramleycrank.transport.peer_service import PeerService
 
 log = logging.getLogger(__name__)
@@ -38,6 +39,12 @@
 CONTROL_LIMITS = Limits(body_bytes=8 * 1024 * 1024)
 """Limits for requests of operators; a table of some thousand routes has a few megabytes."""
 
+CHECKS_LIMITS = Limits(body_bytes=0)
+"""Limits for readiness checks and requests of the metrics."""
+
+CHECKS_BUDGET_BYTES = 1024 * 1024
+"""Memory for readiness checks and requests of the metrics, apart from that of other requests."""
+
 SERVER_CLOSE_TIMEOUT_S = 0.5
 """Longest wait of a stop for calls of other VMs that are in flight, in seconds."""
 
@@ -88,6 +95,8 @@
         Bandwidth of the VM's link; 0 if unknown.
     memory_bytes : int
         Memory limit of the process; 0 if unknown.
+    max_fds : int
+        Descriptor limit of the process; 0 if unknown.
     voting : VotingConfig
         Options for the choice of the voters.
     warmup : WarmupBounds
@@ -108,6 +117,7 @@
     extra: RetryBudgetConfig = attrs.field(factory=RetryBudgetConfig)
     link_bytes_per_s: float = 0.0
     memory_bytes: int = 0
+    max_fds: int = 0
     voting: VotingConfig = attrs.field(factory=VotingConfig)
     warmup: WarmupBounds = attrs.field(factory=WarmupBounds)
     regions: Mapping[str, str] = attrs.field(factory=dict)
@@ -160,8 +170,10 @@
         self._control: ControlService | None = None
         self._grpc: Server | None = None
         self._servers: list[Http1Server] = []
-        self._receive_budget: ReceiveBudget[ServerConnection] = ReceiveBudget.from_memory(
-            cfg.memory_bytes
+        self._receive_budget: ReceiveBudget[Any] = ReceiveBudget.from_memory(cfg.memory_bytes)
+        self._checks_budget: ReceiveBudget[Any] = ReceiveBudget(CHECKS_BUDGET_BYTES)
+        self._max_connections = ConnectionLimits.from_resources(
+            cfg.memory_bytes, cfg.max_fds, serves_callers=cfg.entry is not None
         )
         self._caller_server: Http1Server | None = None
         self._delegation_server: Http1Server | None = None
@@ -182,6 +194,7 @@
             "traffic": parts and parts.clients.traffic.dump(),
             "entry": self._entry and self._entry.dump(),
             "callers": self._caller_server and self._caller_server.dump(),
+            "memory": self._receive_budget.dump(),
         }
 
     def set_seeds(self, seeds: list[str]) -> None:
@@ -229,8 +242,17 @@
         loop = asyncio.get_running_loop()
         self._domain_isolation = DomainIsolation(cfg.base.vm.domain, parts.membership, loop.time)
         parts.membership.subscribe_config_status(self._domain_isolation.on_gossip)
-        await self._listen(cfg.metrics, FunctionHandler(self._on_metrics))
-        await self._listen(cfg.readiness, FunctionHandler(self._on_readiness))
+        for address, respond in (
+            (cfg.metrics, self._on_metrics),
+            (cfg.readiness, self._on_readiness),
+        ):
+            await self._listen(
+                address,
+                FunctionHandler(respond),
+                CHECKS_LIMITS,
+                self._checks_budget,
+                self._max_connections.checks,
+            )
         await parts.consensus.start()
         await parts.config.start()
         self._voter_manager = VoterManager(
@@ -254,7 +276,13 @@
             )
             self._control = ControlService(parts.config, parts.consensus, parts.membership, orders)
             handler = FunctionHandler(self._on_control)
-            await self._listen(cfg.control, handler, CONTROL_LIMITS)
+            await self._listen(
+                cfg.control,
+                handler,
+                CONTROL_LIMITS,
+                self._receive_budget,
+                self._max_connections.control,
+            )
         self._in_gossip = True
         self._spawn(self._log_traffic(parts.clients.traffic))
         await parts.membership.start()
@@ -275,7 +303,7 @@
             self._metrics,
             rng,
             parts.clients.traffic,
-            self._cfg.memory_bytes,
+            self._receive_budget,
         )
         entry = self._entry = EntryController(
             vm.id,
@@ -288,7 +316,7 @@
             rng,
             self._is_isolated,
             self._cfg.link_bytes_per_s,
-            self._cfg.memory_bytes,
+            self._receive_budget,
             parts.clients.traffic,
             self._cfg.warmup,
             self._cfg.regions,
@@ -298,27 +326,43 @@
         parts.membership.reach_report = lambda: entry.unreached
         parts.membership.on_reach_report = delegator.on_report
         await entry.start()
-        self._caller_server = await self._serve_requests(entry, entry.limits, address)
+        self._caller_server = await self._serve_requests(
+            entry, entry.limits, address, self._receive_budget, self._max_connections.callers
+        )
         if self._cfg.delegation is not None:
-            handler = FunctionHandler(entry.on_delegated_request)
             self._delegation_server = await self._serve_requests(
-                handler, entry.delegation_limits, self._cfg.delegation
+                FunctionHandler(entry.on_delegated_request),
+                entry.delegation_limits,
+                self._cfg.delegation,
+                self._receive_budget,
+                self._max_connections.peers,
             )
 
     async def _serve_requests(
-        self, handler: Handler, limits: Callable[[], Limits], address: Address
+        self,
+        handler: Handler,
+        limits: Callable[[], Limits],
+        address: Address,
+        receive_budget: ReceiveBudget[Any],
+        max_connections: int,
     ) -> Http1Server:
-        server = Http1Server(handler, limits, self._receive_budget)
+        server = Http1Server(handler, limits, receive_budget, max_connections)
         self._servers.append(server)
         await server.start(address.host, address.port)
         return server
 
     async def _listen(
-        self, address: Address | None, handler: FunctionHandler, limits: Limits | None = None
+        self,
+        address: Address | None,
+        handler: FunctionHandler,
+        limits: Limits,
+        receive_budget: ReceiveBudget[Any],
+        max_connections: int,
     ) -> None:
-        if address is None:
-            return
-        await self._serve_requests(handler, lambda: limits or Limits(), address)
+        if address is not None:
+            await self._serve_requests(
+                handler, lambda: limits, address, receive_budget, max_connections
+            )
 
     async def join(self) -> None:
         """Wait until routes are in force, and for a limited time until their targets are known."""
@@ -385,6 +429,7 @@
         self._adapter.readiness(exchange, self.readiness())
 
     def _on_metrics(self, exchange: Exchange) -> None:
+        self._metrics.gauge("http.memory", self._receive_budget.used_bytes)
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
         exchange.respond(200, [content_type], self._render_metrics())
 
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -42,7 +42,7 @@
 from bramleycrank.scatter.quarantine import Canary, Quarantine
 from bramleycrank.scatter.retry_after import add_jitter, startup_retry_after
 from bramleycrank.scatter.warmup import WarmupBounds
-from bramleycrank.transport.http1 import Exchange, RequestTemplate, Response
+from bramleycrank.transport.http1 import Exchange, ReceiveBudget, RequestTemplate, Response
 from bramleycrank.transport.http1.messages import headers_size
 
 log = logging.getLogger(__name__)
@@ -82,8 +82,8 @@
         Returns whether this VM's domain is isolated, so that callers should connect to another VM.
     link_bytes_per_s : float, optional
         Bandwidth of this VM's link in bytes per second; 0 if unknown.
-    memory_bytes : int, optional
-        Memory limit of this VM in bytes; 0 if unknown.
+    receive_budget : ReceiveBudget, optional
+        Memory for messages, shared with the callers.
     traffic : Traffic, optional
         Counts the bytes and messages of sub-requests.
     warmup : WarmupBounds, optional
@@ -108,7 +108,7 @@
         rng: random.Random,
         is_isolated: Callable[[], bool] = lambda: False,
         link_bytes_per_s: float = 0.0,
-        memory_bytes: int = 0,
+        receive_budget: ReceiveBudget[Any] | None = None,
         traffic: Traffic | None = None,
         warmup: WarmupBounds | None = None,
         regions: Mapping[str, str] | None = None,
@@ -133,7 +133,7 @@
             metrics,
             rng,
             self._resume_waiting,
-            memory_bytes,
+            receive_budget,
             warmup,
             regions,
         )
--- a/bramleycrank/entry/delegator.py
+++ b/bramleycrank/entry/delegator.py
@@ -131,8 +131,8 @@
         Source of random choices.
     traffic : Traffic
         Counts the bytes and messages.
-    memory_bytes : int, optional
-        Memory limit of this VM in bytes, a part of which may hold answers; 0 if unknown.
+    receive_budget : ReceiveBudget, optional
+        Memory for messages, shared with the callers.
     """
 
     def __init__(
@@ -144,7 +144,7 @@
         metrics: Metrics,
         rng: random.Random,
         traffic: Traffic,
-        memory_bytes: int = 0,
+        receive_budget: ReceiveBudget[Any] | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
@@ -154,7 +154,7 @@
         self._metrics = metrics
         self._traffic = traffic
         self._requests = RequestLog(log, self._clock)
-        self._connector = Connector(ReceiveBudget.from_memory(memory_bytes))
+        self._connector = Connector(receive_budget or ReceiveBudget())
         self.choice = PeerChoice(vm_id, rng)
         self._remote: set[str] = set()
         self._pool = HttpPool(
--- a/bramleycrank/entry/targets.py
+++ b/bramleycrank/entry/targets.py
@@ -78,8 +78,8 @@
         Source of random choices.
     on_capacity : callable
         Called with a service whose targets have changed or may have free slots.
-    memory_bytes : int, optional
-        Memory limit of this VM in bytes, a part of which may hold responses; 0 if unknown.
+    receive_budget : ReceiveBudget, optional
+        Memory for messages, shared with the callers.
     warmup : WarmupBounds, optional
         Bound on the requests of all VMs to a cold target.
     regions : mapping of str to str, optional
@@ -95,7 +95,7 @@
         metrics: Metrics,
         rng: random.Random,
         on_capacity: Callable[[str], None],
-        memory_bytes: int = 0,
+        receive_budget: ReceiveBudget[Any] | None = None,
         warmup: WarmupBounds | None = None,
         regions: Mapping[str, str] | None = None,
     ) -> None:
@@ -108,7 +108,7 @@
         self._budget = ConnectionBudget(ConnectionConfig(), self._clock())
         self._vm_count = 1
         self._connector = Connector(
-            ReceiveBudget.from_memory(memory_bytes),
+            receive_budget or ReceiveBudget(),
             lambda: metrics.incr("entry.connections_opened"),
         )
         self.pool = HttpPool(
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -93,6 +93,7 @@
         "services",
         "Services with known targets, none of which this VM can reach.",
     ),
+    _gauge("http.memory", "bytes", "Memory of all HTTP messages of a VM, see `design/memory.md`."),
     _gauge("entry.cut_off", "1", "1 while this VM reaches no target, otherwise 0."),
     _counter(
         "entry.delegations.EVENT",
--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -74,7 +74,7 @@
     listener : ConnectionListener
         Receives the events of the connection.
     receive_budget : ReceiveBudget
-        Memory for incomplete responses, shared with other connections.
+        Memory for unsent requests and incomplete responses, shared with other connections.
     """
 
     def __init__(
@@ -120,6 +120,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self.requests += 1
         self._transport.write(data)
+        unsent = self._transport.get_write_buffer_size()
+        if unsent:
+            self._hold_memory(unsent)
 
     def close(self) -> None:
         """Close at once; only `on_closed` of the listener is called."""
@@ -165,8 +168,11 @@
         elif self._meter.body > MAX_RESPONSE_BYTES:
             self._reject_response("the body of a response is too large", MAX_RESPONSE_BYTES)
         else:
-            for conn in self._receive_budget.add(self, nbytes):
-                conn.abort_request()
+            self._hold_memory(nbytes)
+
+    def _hold_memory(self, count: int) -> None:
+        for conn in self._receive_budget.add(self, count):
+            conn.abort_request()
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
--- a/bramleycrank/transport/http1/connector.py
+++ b/bramleycrank/transport/http1/connector.py
@@ -26,7 +26,7 @@
     Parameters
     ----------
     receive_budget : ReceiveBudget
-        Memory for incomplete responses, shared by all connections.
+        Memory for unsent requests and incomplete responses, shared with other connections.
     on_attempt : callable, optional
         Called before each attempt.
     """
--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -145,10 +145,10 @@
         return b"\r\n".join(lines)
 
 
-def encode_response(
-    status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes, *, close: bool, head: bool
+def encode_response_head(
+    status: int, headers: Iterable[tuple[bytes, bytes]], length: int, *, close: bool, head: bool
 ) -> bytes:
-    """Return the bytes of a response.
+    """Return the bytes of a response before its body.
 
     Parameters
     ----------
@@ -156,8 +156,8 @@
         HTTP status.
     headers : iterable of (bytes, bytes)
         Headers except Content-Length and Connection.
-    body : bytes
-        Complete body.
+    length : int
+        Length of the body in bytes.
     close : bool
         Whether the connection is closed after the response.
     head : bool
@@ -166,7 +166,7 @@
     lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b"Unknown"))]
     lines += [b"%b: %b" % item for item in headers]
     if status >= 200 and status != 204 and not (head and status == 304):
-        lines.append(b"Content-Length: %d" % len(body))
+        lines.append(b"Content-Length: %d" % length)
     if close:
         lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if head else body)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/bramleycrank/transport/http1/receive_budget.py
+++ b/bramleycrank/transport/http1/receive_budget.py
@@ -1,7 +1,9 @@
-"""Limits on received bytes: on the framing of one message, and on all messages together."""
+"""Limits on the bytes of messages: on the framing of one, and on all that a VM holds."""
 
 from __future__ import annotations
 
+import time
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 import attrs
@@ -13,7 +15,7 @@
 """Memory for incomplete messages of a VM whose memory limit is unknown."""
 
 MEMORY_SHARE = 1 / 8
-"""Part of a VM's memory for messages; parsing and forwarding copy them up to twice."""
+"""Part of a VM's memory for messages; a message is copied while it is passed on."""
 
 RESERVE_SHARE = 1 / 8
 """Part of the memory that is added for small messages once large ones in progress use all of it."""
@@ -58,10 +60,14 @@
 
 
 class ReceiveBudget(Generic[Holder]):
-    """Shares the memory for messages among the connections that receive them.
+    """Shares the memory for messages among all connections of a VM.
 
-    Load pattern: some peers send endless messages while others send valid ones. The connection that
-    uses the most memory is evicted first, so one within an equal share of the limit never is.
+    Requests count from their first byte until they are answered, responses of targets while they
+    arrive, and answers until their last byte has left.
+
+    Load pattern: some peers send endless messages, stop before the end or do not read, while others
+    send valid ones. Of the connections above an equal share of the limit, the one that has held
+    most bytes for longest is evicted first. One within an equal share never is.
 
     Load pattern: targets hang, so that large requests are in progress for seconds. A complete
     message cannot be evicted; a further one is refused, unless it is small.
@@ -70,38 +76,81 @@
     ----------
     limit_bytes : int
         Limit for the bytes of all connections together.
+    clock : callable, optional
+        Monotonic time in seconds.
 
     Attributes
     ----------
     held_bytes : int
-        Bytes of incomplete messages.
+        Bytes of incomplete messages and of answers that are being sent.
     kept_bytes : int
         Bytes of complete messages that are in progress.
     """
 
-    def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
+    def __init__(
+        self,
+        limit_bytes: int = DEFAULT_LIMIT_BYTES,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
         self.kept_bytes = 0
+        self._clock = clock
         self._held: dict[Holder, int] = {}
+        self._held_since: dict[Holder, float] = {}
 
     @classmethod
     def from_memory(cls, memory_bytes: int) -> ReceiveBudget[Holder]:
         """Return the budget for a memory limit of the VM in bytes; 0 means unknown."""
         return cls(int(memory_bytes * MEMORY_SHARE) or DEFAULT_LIMIT_BYTES)
 
+    @property
+    def used_bytes(self) -> int:
+        """Bytes of all messages."""
+        return self.held_bytes + self.kept_bytes
+
+    def dump(self) -> dict[str, int]:
+        """Return the use of the budget in bytes."""
+        return {"limit": self.limit_bytes, "held": self.held_bytes, "kept": self.kept_bytes}
+
     def add(self, holder: Holder, count: int) -> list[Holder]:
-        """Add received bytes; return the evicted holders, whose bytes are already released."""
-        self._held[holder] = self._held.get(holder, 0) + count
-        self.held_bytes += count
+        """Add to a holder's bytes; return the evicted holders, whose bytes are released."""
+        return self.hold(holder, self._held.get(holder, 0) + count)
+
+    def hold(self, holder: Holder, count: int) -> list[Holder]:
+        """Set a holder's bytes; return the evicted holders, whose bytes are already released."""
+        previous = self._held.get(holder, 0)
+        if count == previous:
+            return []
+        if not count:
+            self.release(holder)
+            return []
+        self._held[holder] = count
+        self.held_bytes += count - previous
+        if not previous:
+            self._held_since[holder] = self._clock()
+        if count < previous:
+            return []
         evicted = []
         free_bytes = max(self.limit_bytes - self.kept_bytes, RESERVE_SHARE * self.limit_bytes)
         while self.held_bytes > free_bytes:
-            largest = max(self._held, key=self._held.__getitem__)
-            self.release(largest)
-            evicted.append(largest)
+            victim = self._choose_victim(free_bytes / len(self._held))
+            self.release(victim)
+            evicted.append(victim)
         return evicted
 
+    def _choose_victim(self, share_bytes: float) -> Holder:
+        """Return the holder above an equal share that occupied most bytes for most seconds."""
+        now = self._clock()
+        # The size decides among holders that began at the same time.
+        return max(
+            (holder for holder, count in self._held.items() if count > share_bytes),
+            key=lambda holder: (
+                self._held[holder] * (now - self._held_since[holder]),
+                self._held[holder],
+            ),
+        )
+
     def release(self, holder: Holder, count: int | None = None) -> None:
         """Release some of a holder's bytes, or all by default; an evicted holder has none."""
         held = self._held.pop(holder, 0)
@@ -109,6 +158,8 @@
         self.held_bytes -= held - remaining
         if remaining:
             self._held[holder] = remaining
+        else:
+            self._held_since.pop(holder, None)
 
     def admits(self, count: int) -> bool:
         """Return whether a message of this many bytes may be in progress beside the others."""
--- a/bramleycrank/transport/http1/server.py
+++ b/bramleycrank/transport/http1/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import time
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.routing import Limits
+from bramleycrank.transport.http1.listening_socket import ListeningSocket
 from bramleycrank.transport.http1.receive_budget import ReceiveBudget
 from bramleycrank.transport.http1.server_connection import Handler, ServerConnection
 
@@ -18,6 +20,12 @@
 TIMEOUT_CHECK_S = 0.25
 """Interval between two timeout checks of all connections, in seconds."""
 
+MAX_CLOSING = 16
+"""Connections above the limit that may be open while others are being closed for them."""
+
+MAX_SEARCHED = 256
+"""Most connections that are searched for one that may be closed."""
+
 
 class Http1Server:
     """Listens on one address and passes requests to a handler.
@@ -29,7 +37,10 @@
     limits : callable
         Returns the limits in force.
     receive_budget : ReceiveBudget, optional
-        Memory for the requests of all connections.
+        Memory for the messages of all connections.
+    max_connections : int, optional
+        Most open connections; 0 for any number. For another one, those without a complete request
+        are closed that have gone longest without an answer.
     """
 
     def __init__(
@@ -37,12 +48,15 @@
         handler: Handler,
         limits: Callable[[], Limits] = Limits,
         receive_budget: ReceiveBudget[ServerConnection] | None = None,
+        max_connections: int = 0,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.receive_budget = receive_budget or ReceiveBudget()
         self.draining = False
-        self.connections: set[ServerConnection] = set()
+        self.connections: dict[ServerConnection, None] = {}
+        self.max_connections = max_connections
+        self._accepted = 0  # connections that have no `ServerConnection` yet
         self.refusals = RequestLog(log, time.monotonic)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -50,11 +64,44 @@
     async def start(self, host: str, port: int, backlog: int = 1024) -> None:
         """Listen; raises ``OSError`` if the address cannot be used."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=backlog
-        )
+        sock = ListeningSocket.bound_to(host, port, self)
+        try:
+            self._server = await loop.create_server(
+                self._create_connection, sock=sock, backlog=backlog
+            )
+        except BaseException:
+            sock.close()
+            raise
         self._timer = loop.call_later(TIMEOUT_CHECK_S, self._check_timeouts)
 
+    def _create_connection(self) -> ServerConnection:
+        self._accepted -= 1
+        return ServerConnection(self)
+
+    def may_accept(self) -> bool:
+        """Return whether another connection may be accepted before those being closed are."""
+        open_count = len(self.connections) + self._accepted
+        return not self.max_connections or open_count < self.max_connections + MAX_CLOSING
+
+    def on_accepted(self) -> bool:
+        """Make room for an accepted connection; return whether it may stay open."""
+        if self.max_connections and len(self.connections) + self._accepted >= self.max_connections:
+            oldest = itertools.islice(self.connections, MAX_SEARCHED)
+            idle = next((c for c in oldest if not (c.serving or c.closing)), None)
+            self.refusals.record(
+                "there are too many connections",
+                b"",
+                time.monotonic(),
+                failed=True,
+                connections=len(self.connections),
+                closed_another=idle is not None,
+            )
+            if idle is None:
+                return False
+            idle.abort()
+        self._accepted += 1
+        return True
+
     def stop_listening(self) -> None:
         """Stop accepting connections, and close those without a request."""
         self.draining = True
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -13,14 +13,33 @@
 
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.routing import Limits
-from bramleycrank.transport.http1.messages import Headers, Request, encode_response
+from bramleycrank.transport.http1.answer_writer import AnswerWriter
+from bramleycrank.transport.http1.messages import Headers, Request, encode_response_head
 from bramleycrank.transport.http1.receive_budget import MessageMeter, ReceiveBudget
 from bramleycrank.transport.http1.round_trip import round_trip_of
 
 log = logging.getLogger(__name__)
 
 MAX_PIPELINED = 8
-"""Most requests that wait behind the one in progress; a longer queue pauses reading."""
+"""Requests that wait behind the one in progress from which no others are parsed."""
+
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Most bytes read from a connection at once."""
+
+PARSED_BYTES = 4096
+"""Most bytes parsed at once; they can contain a request for each 27 bytes."""
+
+PIPELINED_PARSED_BYTES = 512
+"""Most bytes parsed at once behind a request in progress."""
+
+PIPELINED_REQUEST_BYTES = 2048
+"""Memory of a waiting request beside its bytes; 1.6 KB were measured."""
+
+FREE_HEADERS = 32
+"""Headers of a request whose objects count as a part of the connection."""
+
+HEADER_BYTES = 170
+"""Memory of the objects of one header beside its bytes."""
 
 MAX_FRAMING_FACTOR = 2
 """Largest framing as a multiple of the head limit; trailers may be as large as the head."""
@@ -37,8 +56,8 @@
 LINGER_BYTES = 1024 * 1024
 """Most bytes of a refused request that are read and discarded."""
 
-WRITE_TIMEOUT_S = 10.0
-"""Time after which a caller that does not read its response is disconnected, in seconds."""
+_receive_buffer = bytearray(RECEIVE_BUFFER_BYTES)
+"""Buffer of all connections; received data is parsed or copied before the next read."""
 
 
 class Handler(Protocol):
@@ -49,12 +68,15 @@
 
 
 class Server(Protocol):
-    """Server state that its connections use."""
+    """Server state that its connections use.
+
+    The connections are in the order of their last answer, or of their start.
+    """
 
     handler: Handler
     limits: Callable[[], Limits]
     draining: bool
-    connections: set[ServerConnection]
+    connections: dict[ServerConnection, None]
     refusals: RequestLog
     receive_budget: ReceiveBudget[ServerConnection]
 
@@ -101,16 +123,18 @@
         self._connection.respond(self, status, headers, body, close)
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection of a caller.
 
     Its requests are handled one after the other. The length of a body is never ambiguous, because
     the parser rejects requests with several lengths, or with a length and chunked encoding.
 
+    Nothing is read while the caller does not read its answers, or has many requests waiting.
+
     Parameters
     ----------
     server : Server
-        Handler, limits and the set of open connections.
+        Handler, limits and the open connections.
     """
 
     def __init__(self, server: Server) -> None:
@@ -123,6 +147,9 @@
         self._current: Exchange | None = None
         self._keep_alive = True
         self._meter = MessageMeter(0)
+        self._writer = AnswerWriter(self._loop.time)
+        self._unparsed = memoryview(b"")
+        self._parse_scheduled = False
         self._linger_until: float | None = None
         self._discarded_bytes = 0
         self._kept_bytes = 0  # of the requests in progress and waiting
@@ -133,22 +160,21 @@
         # Arrival of the first byte of an incomplete request.
         self._request_started_at: float | None = None
         self._idle_since = self._loop.time()
-        self._write_blocked_since: float | None = None
+        server.connections[self] = None
 
     def _start_request(self) -> None:
         self._url = b""
         self._headers: Headers = []
         self._head_bytes = 0
         self._in_body = False
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     # Events of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Handle the opened connection."""
         self._transport = transport
-        self._server.connections.add(self)
+        self._writer.start(transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
@@ -159,18 +185,52 @@
         return False
 
     def pause_writing(self) -> None:
-        """Start the write timeout: the caller does not read its response."""
-        self._write_blocked_since = self._loop.time()
+        """Hold the next request back, since the caller does not read its answer."""
+        self._writer.pause()
 
     def resume_writing(self) -> None:
-        """Stop the write timeout: the caller reads again."""
-        self._write_blocked_since = None
+        """Send the rest of the answer, then go on with the next request."""
+        self._writer.resume()
+        self._account()
+        if not self._writer.is_pending:
+            self._on_written()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer that received data is written to."""
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received data."""
         if self._closing or self._error:
-            self._discard(len(data))
+            self._discard(nbytes)
             return
+        rest = self._parse(memoryview(_receive_buffer)[:nbytes])
+        if rest:
+            self._unparsed = memoryview(bytes(rest))
+            self._transport.pause_reading()
+        self._account()
+        self._respond_error()
+
+    def _discard(self, count: int) -> None:
+        """Ignore data after the last request of a connection, up to a limit."""
+        self._discarded_bytes += count
+        if self._linger_until is not None and self._discarded_bytes > LINGER_BYTES:
+            self._transport.abort()
+
+    @property
+    def _is_held_back(self) -> bool:
+        return self._writer.is_pending or len(self._waiting) >= MAX_PIPELINED
+
+    def _parse(self, data: memoryview) -> memoryview:
+        """Parse data until a request has to wait; return the rest."""
+        while data and not self._is_held_back and not (self._closing or self._error):
+            in_progress = self._current is not None
+            count = PIPELINED_PARSED_BYTES if in_progress else PARSED_BYTES
+            self._parse_piece(data[:count])
+            data = data[count:]
+        return data[:0] if self._closing or self._error else data
+
+    def _parse_piece(self, data: memoryview) -> None:
         if self._request_started_at is None:
             self._request_started_at = self._loop.time()
         self._completed = False
@@ -182,22 +242,35 @@
         except httptools.HttpParserError as exc:
             if self._error is None:
                 self._set_error(400, f"malformed request: {exc}")
-        self._check_framing_size()
+        self._check_sizes()
+
+    def _parse_rest(self) -> None:
+        """Go on with data that arrived while a request had to wait."""
+        self._parse_scheduled = False
+        if self.closed or self._closing or self._error:
+            return
+        if self._request_started_at is not None:
+            self._request_started_at = self._loop.time()  # the caller did not cause the wait
+        self._unparsed = self._parse(self._unparsed)
+        if not self._unparsed and not self._transport.is_closing():
+            self._transport.resume_reading()
+        self._account()
         self._respond_error()
 
-    def _discard(self, count: int) -> None:
-        """Ignore data after the last request of a connection, up to a limit."""
-        self._discarded_bytes += count
-        if self._linger_until is not None and self._discarded_bytes > LINGER_BYTES:
-            self._transport.abort()
+    def _schedule_parsing(self) -> None:
+        if self._unparsed and not self._is_held_back and not self._parse_scheduled:
+            self._parse_scheduled = True
+            self._loop.call_soon(self._parse_rest)
 
-    def _check_framing_size(self) -> None:
-        header_bytes = self._server.limits().header_bytes
+    def _check_sizes(self) -> None:
+        limits = self._server.limits()
         if self._completed:
             self._meter.restart()  # how much of the data belongs to the next request is unknown
-        self._meter.framing_bytes = MAX_FRAMING_FACTOR * header_bytes
-        if self._meter.exceeded or (not self._in_body and self._head_bytes > header_bytes):
+        self._meter.framing_bytes = MAX_FRAMING_FACTOR * limits.header_bytes
+        if self._meter.exceeded or (not self._in_body and self._head_bytes > limits.header_bytes):
             self._set_error(431, "the head, the trailers or the chunk sizes are too large")
+        elif len(self._body) > limits.body_bytes:
+            self._set_error(413, "the body is too large")
 
     # Callbacks of the parser.
 
@@ -225,13 +298,12 @@
         if self._head_bytes > limits.header_bytes:
             self._set_error(431, "the head of the request is too large")
             return
-        self._reserve_memory(self._head_bytes)
         lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
         length = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
         if length > limits.body_bytes:
             self._set_error(413, "the body is too large")
             return
-        if not self._server.receive_budget.admits(self._head_bytes + length):
+        if not self._server.receive_budget.admits(self._head_cost + length):
             self._refuse_for_memory()
             return
         expects = any(name.lower() == b"expect" for name, _ in self._headers)
@@ -240,15 +312,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        if self._error is not None:
-            return
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits().body_bytes:
-            self._set_error(413, "the body is too large")
-        else:
+        if self._error is None:
+            self._body += body
             self._meter.body += len(body)
-            self._body.append(body)
-            self._reserve_memory(len(body))
 
     def on_message_complete(self) -> None:
         """Queue the request."""
@@ -256,6 +322,9 @@
             return
         self._request_started_at = None
         self._completed = True
+        if len(self._body) > self._server.limits().body_bytes:
+            self._set_error(413, "the body is too large")
+            return
         if self._server.draining:
             # It may need longer than the rest of the grace time.
             self._set_error(503, "the VM stops", STOP_RETRY_AFTER_S)
@@ -265,23 +334,36 @@
         if len(hosts) > 1 or not host:
             self._set_error(400, "exactly one Host header is needed")
             return
-        request = Request(
-            self._parser.get_method(), target, host, self._headers, b"".join(self._body)
-        )
-        self._body = []
-        keep_alive = self._parser.should_keep_alive()
-        size = self._head_bytes + self._body_bytes
+        size = self._head_cost + len(self._body)
+        if self._current is not None or self._waiting or self._writer.is_pending:
+            size += PIPELINED_REQUEST_BYTES
         if not self._server.receive_budget.keep(self, size):
             self._refuse_for_memory()
             return
         self._kept_bytes += size
+        body, self._body = bytes(self._body), bytearray()
+        request = Request(self._parser.get_method(), target, host, self._headers, body)
+        keep_alive = self._parser.should_keep_alive()
         self._waiting.append((Exchange(request, self, self._loop.time(), size), keep_alive))
-        if len(self._waiting) > MAX_PIPELINED:
-            self._transport.pause_reading()
         self._handle_next()
 
-    def _reserve_memory(self, count: int) -> None:
-        for conn in self._server.receive_budget.add(self, count):
+    # Memory.
+
+    @property
+    def _head_cost(self) -> int:
+        """Memory of the head of the request being read, in bytes."""
+        return self._head_bytes + HEADER_BYTES * max(0, len(self._headers) - FREE_HEADERS)
+
+    def _account(self) -> None:
+        """Draw on the budget for all that this connection holds beside complete requests."""
+        if self.closed:
+            return
+        held = self._writer.held_bytes + (len(self._unparsed.obj) if self._unparsed else 0)
+        if self._request_started_at is not None and self._error is None:
+            # A part of a head that the parser has not passed on yet counts by its bytes.
+            partial_bytes = 0 if self._in_body else self._meter.framing - self._head_bytes
+            held += self._head_cost + max(0, partial_bytes) + len(self._body)
+        for conn in self._server.receive_budget.hold(self, held):
             conn.abort_request()
 
     def _refuse_for_memory(self) -> None:
@@ -289,14 +371,28 @@
 
     def _release_memory(self) -> None:
         """Release the memory of all requests of this connection, incomplete or in progress."""
-        self._server.receive_budget.release(self)
         self._server.receive_budget.release_kept(self._kept_bytes)
         self._kept_bytes = 0
+        self._waiting.clear()
+        self._start_request()
+        self._unparsed = memoryview(b"")
 
     def abort_request(self) -> None:
-        """Refuse the request being read, because the memory for requests is used up."""
+        """Refuse the request being read, or disconnect a caller that does not read its answer."""
+        if self._writer.is_pending or self._closing:
+            self._server.refusals.record(
+                "the memory for answers is used up",
+                b"",
+                self._loop.time(),
+                failed=True,
+                held_bytes=self._server.receive_budget.held_bytes,
+                kept_bytes=self._server.receive_budget.kept_bytes,
+            )
+            self.abort()
+            return
         self._refuse_for_memory()
-        self._body = []
+        self._start_request()
+        self._unparsed = memoryview(b"")
         self._loop.call_soon(self._respond_error)
 
     # Requests and responses.
@@ -304,9 +400,10 @@
     def _handle_next(self) -> None:
         if self._current is not None or not self._waiting or self.closed:
             return
+        if self._writer.is_pending:
+            return  # goes on in `_on_written`
         self._current, self._keep_alive = self._waiting.popleft()
-        if len(self._waiting) == MAX_PIPELINED:
-            self._transport.resume_reading()
+        self._schedule_parsing()
         exchange = self._current
         try:
             self._server.handler.on_request(exchange)
@@ -324,15 +421,30 @@
         self._current = None
         self._kept_bytes -= exchange.size
         self._server.receive_budget.release_kept(exchange.size)
-        close = close or not self._keep_alive or self._server.draining
+        self._closing = close or not self._keep_alive or self._server.draining
         head = exchange.request.method == b"HEAD"
-        self._write(encode_response(status, headers, body, close=close, head=head))
+        start = encode_response_head(status, headers, len(body), close=self._closing, head=head)
+        self._write(start, b"" if head else body)
         self._idle_since = self._loop.time()
-        if close:
-            self._close_after_write()
-        elif self._waiting:
+        self._server.connections[self] = self._server.connections.pop(self, None)
+        if not self._writer.is_pending:
             # Deferred, because a handler that responds immediately would cause recursion.
-            self._loop.call_soon(self._handle_next)
+            if self._waiting and not self._closing:
+                self._loop.call_soon(self._handle_next)
+            else:
+                self._on_written()
+
+    def _on_written(self) -> None:
+        """Go on after a complete answer has been passed to the kernel."""
+        if self.closed or self._current is not None:
+            return
+        if self._closing:
+            if self._linger_until is None:
+                self._close_after_write()
+        elif self._waiting:
+            self._handle_next()
+        elif self._unparsed:
+            self._schedule_parsing()
         else:
             self._respond_error()
 
@@ -344,7 +456,7 @@
         """Write the error response for an invalid request, after all earlier responses."""
         if self._error is None or self._current is not None or self._waiting or self.closed:
             return
-        if self._closing:
+        if self._closing or self._writer.is_pending:
             return
         status, reason, retry_after_s = self._error
         now = self._loop.time()
@@ -355,7 +467,7 @@
             failed=True,
             status=status,
             framing_bytes=self._meter.framing,
-            body_bytes=self._body_bytes,
+            body_bytes=self._meter.body,
             held_bytes=self._server.receive_budget.held_bytes,
             kept_bytes=self._server.receive_budget.kept_bytes,
             bounds=attrs.asdict(self._server.limits()),
@@ -363,12 +475,15 @@
         headers = [(b"Content-Type", b"text/plain")]
         if retry_after_s:
             headers.append((b"Retry-After", b"%g" % retry_after_s))
-        self._write(encode_response(status, headers, reason.encode(), close=True, head=False))
+        body = reason.encode()
+        self._closing = True
+        self._write(encode_response_head(status, headers, len(body), close=True, head=False), body)
         self._close_after_write(linger=self._request_started_at is not None)
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, head: bytes, body: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+            self._writer.write(head, body)
+            self._account()
 
     def _close_after_write(self, *, linger: bool = False) -> None:
         """Close the connection after the response.
@@ -381,23 +496,25 @@
         """
         self._closing = True
         self._release_memory()
-        self._waiting.clear()
         if self._transport is None or self._transport.is_closing():
             return
         if linger:
             self._request_started_at = None
             self._linger_until = self._loop.time() + LINGER_S
+            self._transport.resume_reading()
             self._transport.write_eof()
         else:
             self._transport.close()
+        self._account()
 
     def _on_disconnect(self) -> None:
         if self.closed:
             return
         self.closed = True
-        self._server.connections.discard(self)
+        self._server.connections.pop(self, None)
+        self._server.receive_budget.release(self)
         self._release_memory()
-        self._waiting.clear()
+        self._writer.clear()
         exchange, self._current = self._current, None
         if exchange is not None and exchange.on_disconnected is not None:
             exchange.on_disconnected()
@@ -410,22 +527,31 @@
 
     # Timeouts and shutdown.
 
+    @property
+    def closing(self) -> bool:
+        """Whether the connection is about to be closed."""
+        return self._transport is not None and self._transport.is_closing()
+
+    @property
+    def serving(self) -> bool:
+        """Whether a complete request is in progress or its answer is being sent."""
+        return self._current is not None or bool(self._waiting) or self._writer.is_pending
+
     @property
     def busy(self) -> bool:
         """Whether there is a request, complete or not, or unsent response data."""
-        writing = self._transport is not None and self._transport.get_write_buffer_size() > 0
-        return bool(
-            self._current or self._waiting or self._request_started_at is not None or writing
-        )
+        return self.serving or self._request_started_at is not None
 
     def check_timeouts(self, now: float) -> None:
         """Apply the timeouts."""
         limits = self._server.limits()
-        blocked_since = self._write_blocked_since
-        is_blocked = blocked_since is not None and now - blocked_since > WRITE_TIMEOUT_S
-        if is_blocked or (self._linger_until is not None and now > self._linger_until):
-            self._transport.abort()
-        elif self._current is not None or self._waiting or self._closing:
+        if self._transport is None:
+            return
+        if self._writer.is_overdue(now) or (
+            self._linger_until is not None and now > self._linger_until
+        ):
+            self.abort()
+        elif self.serving or self._closing:
             return
         elif self._request_started_at is not None:
             limit_s = limits.idle_timeout_s if self._in_body else limits.header_timeout_s
@@ -442,6 +568,7 @@
 
     def abort(self) -> None:
         """Abort the connection."""
+        self._writer.clear()
         if self._transport is not None:
             self._transport.abort()
 
--- /dev/null
+++ b/tests/test_http_memory.py
@@ -0,0 +1,228 @@
+"""Tests of the memory that a server holds for its callers, and of what it closes when short."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bramleycrank.daemon.connection_limits import ConnectionLimits
+from bramleycrank.daemon.http_node import FunctionHandler
+from bramleycrank.transport.http1 import Http1Server, ReceiveBudget, answer_writer
+
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+ANSWER = b"x" * 4_000_000
+
+
+class Served:
+    """A server in the loop of the test, with its requests."""
+
+    def __init__(self, body: bytes | None = b"hello", limit_bytes: int = 10**7, **options: int):
+        self.body = body
+        self.exchanges = []
+        self.budget = ReceiveBudget(limit_bytes)
+        handler = FunctionHandler(self._respond)
+        self.server = Http1Server(handler, receive_budget=self.budget, **options)
+
+    def _respond(self, exchange) -> None:
+        self.exchanges.append(exchange)
+        if self.body is not None:
+            exchange.respond(200, [], self.body)
+
+    async def __aenter__(self):
+        await self.server.start("127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self.server.close()
+
+    async def connect(self, data: bytes = b"", receive_buffer: int = 0):
+        sock = socket.socket()
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, self.server._server.sockets[0].getsockname())
+        await loop.sock_sendall(sock, data)
+        return sock
+
+    async def until(self, condition) -> None:
+        async with asyncio.timeout(5):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+
+async def read_all(sock: socket.socket) -> bytes:
+    """Read until the server closes."""
+    received = b""
+    try:
+        async with asyncio.timeout(5):
+            while piece := await asyncio.get_running_loop().sock_recv(sock, 65_536):
+                received += piece
+    except ConnectionError:
+        pass
+    return received
+
+
+def test_a_body_in_small_chunks_costs_its_bytes():
+    """Guards against an object for each chunk."""
+
+    async def scenario():
+        async with Served() as served:
+            with await served.connect(CHUNKED + b"2\r\nxx\r\n" * 50_000):
+                await served.until(lambda: served.budget.held_bytes >= 100_000)
+                [conn] = served.server.connections
+                assert type(conn._body) is bytearray and len(conn._body) == 100_000
+                assert served.budget.held_bytes < 101_000
+            await served.until(lambda: served.budget.used_bytes == 0)
+
+    asyncio.run(scenario())
+
+
+def test_a_partial_head_counts_with_its_headers():
+    """Guards against heads that trickle and are counted only once they are complete."""
+
+    async def scenario():
+        async with Served() as served:
+            with await served.connect(GET[:-2] + b"a:b\r\n" * 1500):
+                await served.until(lambda: served.budget.held_bytes > 1500 * 150)
+            await served.until(lambda: served.budget.used_bytes == 0)
+
+    asyncio.run(scenario())
+
+
+def test_an_unread_answer_counts_until_it_has_left_and_holds_the_next_request_back():
+    """Guards against answers for slow readers that no budget counts."""
+
+    async def scenario():
+        async with Served(ANSWER) as served:
+            sock = await served.connect(GET * 5000, receive_buffer=4096)
+            await served.until(lambda: served.budget.held_bytes >= len(ANSWER))
+            await asyncio.sleep(0.1)
+            assert len(served.exchanges) == 1
+            assert served.budget.used_bytes < len(ANSWER) + 500_000
+            received = b""
+            while len(received) < 3 * len(ANSWER):
+                received += await asyncio.get_running_loop().sock_recv(sock, 1 << 20)
+            assert received.startswith(b"HTTP/1.1 200")
+            assert 3 <= len(served.exchanges) <= 8
+            sock.close()
+            await served.until(lambda: served.budget.used_bytes == 0)
+
+    asyncio.run(scenario())
+
+
+def test_slow_readers_are_disconnected_first_when_memory_is_short():
+    """Load pattern: many callers request long answers and stop reading."""
+
+    async def scenario():
+        async with Served(ANSWER) as served:
+            slow = [await served.connect(GET, receive_buffer=4096) for _ in range(6)]
+            await served.until(lambda: len(served.exchanges) == 6)
+            assert served.budget.held_bytes <= served.budget.limit_bytes
+            served.body = b"hello"
+            with await served.connect(
+                GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+            ) as one:
+                assert (await read_all(one)).endswith(b"hello")
+            await served.until(lambda: len(served.server.connections) == 2)
+            for sock in slow:
+                sock.close()
+            await served.until(lambda: served.budget.used_bytes == 0)
+
+    asyncio.run(scenario())
+
+
+def test_a_caller_that_reads_too_slowly_is_disconnected(monkeypatch):
+    """Guards against a reader that takes a few bytes now and then to hold its answer for long."""
+    monkeypatch.setattr(answer_writer, "WRITE_TIMEOUT_S", 0.5)
+    monkeypatch.setattr(answer_writer, "MIN_READ_BYTES_PER_S", 4_000_000)
+
+    async def scenario():
+        async with Served(ANSWER) as served:
+            sock = await served.connect(GET, receive_buffer=4096)
+            await served.until(lambda: served.exchanges)
+            async with asyncio.timeout(5):
+                while served.server.connections:
+                    await asyncio.wait([asyncio.ensure_future(recv_some(sock))], timeout=0.05)
+                    await asyncio.sleep(0.05)
+            assert served.budget.used_bytes == 0
+            sock.close()
+
+    async def recv_some(sock):
+        with contextlib.suppress(OSError):
+            await asyncio.get_running_loop().sock_recv(sock, 512)
+
+    asyncio.run(scenario())
+
+
+def test_the_connection_without_an_answer_for_longest_is_closed_for_another_one():
+    """Guards against descriptors that idle callers use up, and against the end of one in use."""
+
+    async def scenario():
+        async with Served(None, max_connections=4) as served:
+            first = await served.connect(GET)
+            await served.until(lambda: served.exchanges)
+            idle = [await served.connect(GET[:-2]) for _ in range(40)]
+            await served.until(lambda: len(served.server.connections) <= 4)
+            last = await served.connect(GET)
+            await served.until(lambda: len(served.exchanges) == 2)
+            for exchange in served.exchanges:
+                exchange.respond(200, [], b"hello", close=True)
+            for sock in (first, last):
+                assert (await read_all(sock)).endswith(b"hello")
+            for sock in idle:
+                sock.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_connection_is_refused_if_all_others_are_in_use():
+    async def scenario():
+        async with Served(None, max_connections=2) as served:
+            used = [await served.connect(GET) for _ in range(2)]
+            await served.until(lambda: len(served.exchanges) == 2)
+            refused = await served.connect()
+            assert await read_all(refused) == b""
+            assert len(served.server.connections) == 2
+            for sock in used:
+                sock.close()
+
+    asyncio.run(scenario())
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 400)), max_size=60))
+def test_the_budget_counts_each_byte_once(steps):
+    """Guards against bytes that are given back twice or never."""
+    budget, held, now = ReceiveBudget(500, lambda: now), {}, 0.0
+    for holder, count in steps:
+        now += 1.0
+        held[holder] = count
+        for evicted in budget.hold(holder, count):
+            held[evicted] = 0
+        assert budget.held_bytes == sum(held.values()) <= budget.limit_bytes
+    for holder in held:
+        budget.hold(holder, 0)
+    assert budget.used_bytes == 0
+
+
+def test_the_holder_of_most_bytes_for_longest_is_evicted():
+    now = 0.0
+    budget = ReceiveBudget(1000, lambda: now)
+    budget.hold("stalled", 400)
+    now = 10.0
+    budget.hold("fast", 500)
+    now = 10.1
+    assert budget.hold("small", 150) == ["stalled"]
+
+
+def test_connection_limits_leave_descriptors_for_targets_and_memory_for_messages():
+    limits = ConnectionLimits.from_resources(200 << 20, 4100, serves_callers=True)
+    assert limits.callers + limits.peers + limits.control + 2 * limits.checks < 0.85 * 3900
+    assert limits.callers > 2000
+    small = ConnectionLimits.from_resources(80 << 20, 4100, serves_callers=False)
+    assert small.callers == small.control < 1000
