Treat a status that is none as a broken answer on every path

Cause: every status below 200 counted as that of an interim response, so after "HTTP/1.1 000 OK" a target's connection waited on, and put the body of the 000 in front of that of the answer behind it: a caller got "wrongwrong" with status 200. Statuses of 600 and more, HTTP/0.9 and HTTP/2.0, control characters in the reason, and lists of transfer encodings or repeated ones passed as answers, from targets and from other VMs.

Change: a final status is 200 to 599 and an interim one 100 to 199 without 101; the version is 1.0 or 1.1; the encoding is none or chunked alone. All else is garbled at once and what follows is not read. Requests keep the same rules with 400.

--- a/bramleycrank/cli/query.py
+++ b/bramleycrank/cli/query.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import email.message
 import http.client
 import json
 import time
@@ -203,15 +204,35 @@
     opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
     try:
         with opener.open(request, timeout=timeout_s) as reply:
+            _check_response(reply.status, reply.version, reply.reason, reply.headers)
             return json.load(reply)
     except urllib.error.HTTPError as exc:
-        raise _parse_error(exc.code, exc.read()) from exc
+        content = exc.read()
+        try:
+            _check_response(exc.code, exc.fp.version, exc.reason, exc.headers)
+        except http.client.HTTPException as broken:
+            raise PeerUnreachable(f"{url}: {broken!r}") from exc
+        raise _parse_error(exc.code, content) from exc
     except urllib.error.URLError as exc:
         raise PeerUnreachable(f"{url}: {exc.reason}") from exc
     except (OSError, http.client.HTTPException, ValueError) as exc:
         raise PeerUnreachable(f"{url}: {exc!r}") from exc
 
 
+def _check_response(status: int, version: int, reason: str, headers: email.message.Message) -> None:
+    """Raise ``HTTPException`` if a response is broken in a way that the library accepts."""
+    lengths = headers.get_all("Content-Length", [])
+    encodings = [value.strip().lower() for value in headers.get_all("Transfer-Encoding", [])]
+    if not 200 <= status <= 599 or version not in (10, 11) or not reason.isprintable():
+        raise http.client.BadStatusLine(f"{version} {status} {reason}")
+    if len(lengths) + len(encodings) > 1 or headers.defects:
+        raise http.client.HTTPException("the length of the body is ambiguous")
+    if not all(value.isascii() and value.isdigit() and len(value) < 19 for value in lengths):
+        raise http.client.HTTPException("the length of the body is no number")
+    if encodings not in ([], ["chunked"]):
+        raise http.client.HTTPException("the transfer encoding is not supported")
+
+
 def _parse_error(status: int, content: bytes) -> BramleycrankError:
     """Return the typed error of a response."""
     try:
--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -12,7 +12,13 @@
 import httptools
 
 from bramleycrank.observability.request_log import RequestLog
-from bramleycrank.transport.http1.messages import Headers, Response, values_by_name
+from bramleycrank.transport.http1.messages import (
+    VERSIONS,
+    Headers,
+    Response,
+    has_known_encoding,
+    values_by_name,
+)
 from bramleycrank.transport.http1.receive_budget import MessageMeter, ReceiveBudget
 
 log = logging.getLogger(__name__)
@@ -26,6 +32,12 @@
 MAX_HEADERS = 256
 """Most headers of one response; a short header takes many times its size in memory."""
 
+MIN_FINAL_STATUS, MAX_FINAL_STATUS = 200, 599
+"""Statuses that end a response."""
+
+STATUS_SWITCHING_PROTOCOLS = 101
+"""Interim status that no request of a VM asks for."""
+
 IDLE_TIMEOUT_SHARE = 0.8
 """Part of the target's keep-alive timeout after which a connection is not reused."""
 
@@ -35,6 +47,8 @@
 _receive_buffer = bytearray(RECEIVE_BUFFER_BYTES)
 """Buffer of all connections; received data is parsed before the next read."""
 
+_CONTROL_PATTERN = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
 _TIMEOUT_PATTERN = re.compile(rb"timeout=(\d{1,9})")
 
 _rejection_log = RequestLog(log, time.monotonic)
@@ -101,6 +115,7 @@
         self._body_until_eof = False
         self._response_complete = False
         self._garbled = False
+        self._broken = False  # no answer, whatever follows
         self._keep_alive = False
 
     @property
@@ -161,7 +176,7 @@
             self._reject_response("a response has too many headers", MAX_HEADERS)
         elif self._response_complete:
             self._complete_response()
-        elif self._garbled:
+        elif self._garbled or self._broken:
             self._fail_request(garbled=True)
         elif self._meter.exceeded:
             self._reject_response("the head of a response is too large", MAX_FRAMING_BYTES)
@@ -198,17 +213,29 @@
         if self._response_complete:
             self._garbled = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Check the reason, which may be empty."""
+        self._broken |= not self._response_complete and bool(_CONTROL_PATTERN.search(reason))
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
         if not self._response_complete and len(self._headers) <= MAX_HEADERS:
             self._headers.append((name, value or b""))
 
     def on_headers_complete(self) -> None:
-        """Determine how the end of the body is marked."""
-        if self._response_complete:
+        """Check the start of a response, and determine how the end of its body is marked."""
+        if self._response_complete or self._broken:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        is_interim = 100 <= status < MIN_FINAL_STATUS and status != STATUS_SWITCHING_PROTOCOLS
+        is_final = MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
+        if not (is_interim or is_final) or self._parser.get_http_version() not in VERSIONS:
+            self._broken = True
+            return
+        if is_interim:
+            return
+        if not has_known_encoding(self._headers):
+            self._broken = True
             return
         self._head_complete = True
         fields = self._fields = values_by_name(self._headers)
@@ -221,13 +248,13 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        if not self._response_complete:
+        if not (self._response_complete or self._broken):
             self._body += body
             self._meter.body += len(body)
 
     def on_message_complete(self) -> None:
         """Complete the response; an interim one is ignored."""
-        if self._response_complete:
+        if self._response_complete or self._broken:
             return
         if self._head_complete:
             self._response_complete = True
--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -27,6 +27,9 @@
 )
 """Headers that apply to one connection only; Content-Length is set when a body is written."""
 
+VERSIONS = frozenset({"1.0", "1.1"})
+"""Versions of HTTP that a message may have."""
+
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -40,6 +43,15 @@
     return {name.lower(): value for name, value in headers}
 
 
+def has_known_encoding(headers: Headers) -> bool:
+    """Return whether a body has no transfer encoding, or is chunked and nothing else.
+
+    The parser takes a list that ends with "chunked" for chunked alone.
+    """
+    encodings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
+    return not encodings or [value.strip().lower() for value in encodings] == [b"chunked"]
+
+
 def headers_size(headers: Headers) -> int:
     """Return the size of headers in bytes, without their separators."""
     return sum(len(name) + len(value) for name, value in headers)
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -14,7 +14,13 @@
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.routing import Limits
 from bramleycrank.transport.http1.answer_writer import AnswerWriter
-from bramleycrank.transport.http1.messages import Headers, Request, encode_response_head
+from bramleycrank.transport.http1.messages import (
+    VERSIONS,
+    Headers,
+    Request,
+    encode_response_head,
+    has_known_encoding,
+)
 from bramleycrank.transport.http1.receive_budget import MessageMeter, ReceiveBudget
 from bramleycrank.transport.http1.round_trip import round_trip_of
 
@@ -298,6 +304,12 @@
         if self._head_bytes > limits.header_bytes:
             self._set_error(431, "the head of the request is too large")
             return
+        if self._parser.get_http_version() not in VERSIONS:
+            self._set_error(400, "the version of the protocol is not supported")
+            return
+        if not has_known_encoding(self._headers):
+            self._set_error(400, "the transfer encoding is not supported")
+            return
         lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
         length = int(lengths[0]) if lengths and lengths[0].isdigit() else 0
         if length > limits.body_bytes:
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -416,3 +416,27 @@
     }
     for value, reply in replies.items():
         assert Reply.from_response(SimpleNamespace(fields={b"bramleycrank-reply": value})) == reply
+
+
+@pytest.mark.parametrize(
+    "line",
+    [b"HTTP/1.1 000 OK", b"HTTP/1.1 600 OK", b"HTTP/2.0 200 OK", b"HTTP/1.1 101 OK"],
+    ids=["000", "600", "HTTP/2.0", "101"],
+)
+def test_an_answer_of_another_vm_without_a_final_status_is_not_passed_on(line):
+    """Guards against a status that is none and reaches the caller of a cut-off VM."""
+
+    class BrokenVm(FrozenVm):
+        async def _serve(self, reader, writer):
+            self.writers.append(writer)
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(line + b"\r\nBramleycrank-Reply: started\r\nContent-Length: 0\r\n\r\n")
+
+    async def scenario(vm):
+        broken = BrokenVm()
+        async with broken.known_to(vm):
+            answer, elapsed_s = await timed_answer(vm, "/one/x")
+            assert answer == 502 and elapsed_s < 1.0, "before the timeout of the route"
+
+    run(scenario, CutEntryVm, **PARTS)
