Keep the idle timeout for callers that read nothing, and deliver refusals

Cause: a caller that stopped reading was disconnected after 10 s, also if the routes' idle timeout is shorter. A refusal behind pipelined requests could be lost in a reset, since the connection closed with unread data.

Change: the shorter of the two times applies. A refused connection whose data was dropped reads on for the usual 1 s or 1 MB.

--- a/bramleycrank/transport/http1/answer_writer.py
+++ b/bramleycrank/transport/http1/answer_writer.py
@@ -9,7 +9,10 @@
 """Most bytes that are passed to the transport before the caller has read the earlier ones."""
 
 WRITE_TIMEOUT_S = 10.0
-"""Time after which a caller that reads nothing of its answer is disconnected, in seconds."""
+"""Longest time after which a caller that reads nothing of its answer is disconnected, in seconds.
+
+A shorter idle timeout of the routes applies instead.
+"""
 
 MIN_READ_BYTES_PER_S = 64 * 1024
 """Mean speed below which a caller that reads its answer slowly is disconnected."""
@@ -79,8 +82,9 @@
         unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
         return unsent + (len(self._rest.obj) if self._rest else 0)
 
-    def is_overdue(self, now: float) -> bool:
-        """Return whether the caller reads too slowly."""
+    def is_overdue(self, now: float, idle_timeout_s: float) -> bool:
+        """Return whether the caller reads nothing for too long, or reads too slowly."""
         if not self.is_pending:
             return False
-        return now - self._progress_at > WRITE_TIMEOUT_S or now > self._deadline
+        limit_s = min(WRITE_TIMEOUT_S, idle_timeout_s)
+        return now - self._progress_at > limit_s or now > self._deadline
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -156,6 +156,7 @@
         self._writer = AnswerWriter(self._loop.time)
         self._unparsed = memoryview(b"")
         self._parse_scheduled = False
+        self._has_dropped_data = False
         self._linger_until: float | None = None
         self._discarded_bytes = 0
         self._kept_bytes = 0  # of the requests in progress and waiting
@@ -234,7 +235,10 @@
             count = PIPELINED_PARSED_BYTES if in_progress else PARSED_BYTES
             self._parse_piece(data[:count])
             data = data[count:]
-        return data[:0] if self._closing or self._error else data
+        if self._closing or self._error:
+            self._has_dropped_data |= bool(data)
+            return data[:0]
+        return data
 
     def _parse_piece(self, data: memoryview) -> None:
         if self._request_started_at is None:
@@ -404,6 +408,7 @@
             return
         self._refuse_for_memory()
         self._start_request()
+        self._has_dropped_data |= bool(self._unparsed)
         self._unparsed = memoryview(b"")
         self._loop.call_soon(self._respond_error)
 
@@ -490,7 +495,9 @@
         body = reason.encode()
         self._closing = True
         self._write(encode_response_head(status, headers, len(body), close=True, head=False), body)
-        self._close_after_write(linger=self._request_started_at is not None)
+        self._close_after_write(
+            linger=self._request_started_at is not None or self._has_dropped_data
+        )
 
     def _write(self, head: bytes, body: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
@@ -559,7 +566,7 @@
         limits = self._server.limits()
         if self._transport is None:
             return
-        if self._writer.is_overdue(now) or (
+        if self._writer.is_overdue(now, limits.idle_timeout_s) or (
             self._linger_until is not None and now > self._linger_until
         ):
             self.abort()
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -11,6 +11,7 @@
 
 from bramleycrank.daemon.connection_limits import ConnectionLimits
 from bramleycrank.daemon.http_node import FunctionHandler
+from bramleycrank.routing import Limits
 from bramleycrank.transport.http1 import Http1Server, ReceiveBudget, answer_writer
 
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -160,6 +161,40 @@
     asyncio.run(scenario())
 
 
+def test_a_caller_that_reads_nothing_is_disconnected_after_the_idle_timeout():
+    """Guards against a reader that stops and keeps its answer longer than it may be idle."""
+
+    async def scenario():
+        async with Served(ANSWER) as served:
+            served.server.limits = lambda: Limits(idle_timeout_s=0.5)
+            with await served.connect(GET, receive_buffer=4096):
+                await served.until(lambda: served.exchanges)
+                await served.until(lambda: not served.server.connections)
+            assert served.budget.used_bytes == 0
+
+    asyncio.run(scenario())
+
+
+def test_a_refusal_behind_pipelined_requests_reaches_the_caller():
+    """Guards against a reset that loses the refusal, since unread data follows the request."""
+
+    async def scenario():
+        async with Served(None, limit_bytes=60_000) as served:
+            data = (GET[:-2] + b"a: " + b"b" * 900 + b"\r\n\r\n") * 200
+            sock = await served.connect(data)
+            await served.until(lambda: served.exchanges)
+            await asyncio.sleep(0.1)
+            while served.server.connections and served.exchanges:
+                served.exchanges.pop().respond(200, [], b"hello")
+                await asyncio.sleep(0.01)
+            received = await read_all(sock)
+            assert received.count(b"HTTP/1.1 503 ") == 1 and b"Retry-After: 1" in received
+            sock.close()
+            await served.until(lambda: served.budget.used_bytes == 0)
+
+    asyncio.run(scenario())
+
+
 def test_the_connection_without_an_answer_for_longest_is_closed_for_another_one():
     """Guards against descriptors that idle callers use up, and against the end of one in use."""
 
--- a/tests/test_process_pressure.py
+++ b/tests/test_process_pressure.py
@@ -311,3 +311,17 @@
         await press(vm, port, [Crowd(MAX_FDS + 200, head(path)[:-2])], served)
 
     run(tmp_path, scenario)
+
+
+def test_an_order_of_many_small_values_stays_within_the_memory(tmp_path):
+    """Guards against an order that takes many times its size once it is decoded."""
+    values = b"{}," * 2_000_000
+    order = b'{"Version":2,"a":[' + values + b"{}]}"
+    lines = head("/-/config", f"Content-Length: {len(order)}", method="PUT")
+
+    async def scenario(fleet: Fleet) -> None:
+        voter = fleet.voters[0]
+        served = served_by(fleet, voter, "/-/config", CONTROL_PORT)
+        await press(voter, CONTROL_PORT, [Crowd(2, lines + order)], served)
+
+    run(tmp_path, scenario)
