Free refused requests at once, and fail evicted sub-requests later

Cause: a body that was refused behind a request in progress stayed until that request was answered, and no budget counted it. An eviction could run the listener of a sub-request while the controller executed another one's actions, since callers and targets share the budget. An interim 100 that blocked had no deadline of its own, so the connection counted as overdue.

Change: the first error of a connection frees what was received. An evicted response is failed in the next turn of the loop, if it is still in progress. The interim response goes through the writer.

Measured: test_a_refused_body_behind_a_request_in_progress_is_freed and the tests of http, entry and delegation pass.

--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -283,10 +283,17 @@
         return self._loop.time() + IDLE_TIMEOUT_SHARE * int(match[1]) if match else None
 
     def abort_request(self) -> None:
-        """Fail the request in progress, because the memory for responses is used up."""
-        self._reject_response(
-            "the memory for responses is used up", self._receive_budget.limit_bytes
-        )
+        """Fail the request in progress soon, because the memory for messages is used up.
+
+        Deferred, because the listener of another connection may be running.
+        """
+        self._loop.call_soon(self._abort_request, self.requests)
+
+    def _abort_request(self, request: int) -> None:
+        if self._parser is not None and self.requests == request:
+            self._reject_response(
+                "the memory for messages is used up", self._receive_budget.limit_bytes
+            )
 
     def _reject_response(self, reason: str, bound: int) -> None:
         _rejection_log.record(
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -324,7 +324,7 @@
             return
         expects = any(name.lower() == b"expect" for name, _ in self._headers)
         if expects and self._current is None and not self._waiting:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._writer.write(b"HTTP/1.1 100 Continue\r\n\r\n", b"")
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
@@ -407,7 +407,6 @@
             self.abort()
             return
         self._refuse_for_memory()
-        self._start_request()
         self._has_dropped_data |= bool(self._unparsed)
         self._unparsed = memoryview(b"")
         self._loop.call_soon(self._respond_error)
@@ -468,6 +467,7 @@
     def _set_error(self, status: int, reason: str, retry_after_s: float = 0.0) -> None:
         if self._error is None:
             self._error = (status, reason, retry_after_s)
+            self._start_request()  # frees what was received
 
     def _respond_error(self) -> None:
         """Write the error response for an invalid request, after all earlier responses."""
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -261,3 +261,20 @@
     assert limits.callers > 2000
     small = ConnectionLimits.from_resources(80 << 20, 4100, serves_callers=False)
     assert small.callers == small.control < 1000
+
+
+def test_a_refused_body_behind_a_request_in_progress_is_freed():
+    """Guards against refused bodies that stay until the request before them is answered."""
+
+    async def scenario():
+        async with Served(None) as served:
+            data = GET + CHUNKED + b"10000\r\n" + b"x" * 65_536 + b"\r\n"
+            served.server.limits = lambda: Limits(body_bytes=60_000)
+            with await served.connect(data):
+                await served.until(lambda: served.exchanges)
+                [conn] = served.server.connections
+                await served.until(lambda: conn._error is not None)
+                assert not conn._body and served.budget.held_bytes < 5000
+            await served.until(lambda: served.budget.used_bytes == 0)
+
+    asyncio.run(scenario())
