--- a/bramleycrank/transport/http1/messages.py
+++ b/bramleycrank/transport/http1/messages.py
@@ -27,6 +27,9 @@
 )
 """Headers that apply to one connection only; Content-Length is set when a body is written."""
 
+VERSIONS = frozenset({"1.0", "1.1"})
+"""Versions of HTTP that a message may have."""
+
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -45,6 +48,15 @@
     return {value.strip() for key, value in headers if key.lower() == name}
 
 
+def has_known_encoding(headers: Headers) -> bool:
+    """Return whether a body has no transfer encoding, or is chunked and nothing else.
+
+    The parser takes a list that ends with "chunked" for chunked alone.
+    """
+    encodings = [value for name, value in headers if name.lower() == b"transfer-encoding"]
+    return not encodings or [value.strip().lower() for value in encodings] == [b"chunked"]
+
+
 def headers_size(headers: Headers) -> int:
     """Return the size of headers in bytes, without their separators."""
     return sum(len(name) + len(value) for name, value in headers)
@@ -150,10 +162,10 @@
         return b"\r\n".join(lines)
 
 
-def encode_response(
-    status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes, *, close: bool, head: bool
+def encode_response_head(
+    status: int, headers: Iterable[tuple[bytes, bytes]], length: int, *, close: bool, head: bool
 ) -> bytes:
-    """Return the bytes of a response.
+    """Return the bytes of a response before its body.
 
     Parameters
     ----------
@@ -161,8 +173,8 @@
         HTTP status.
     headers : iterable of (bytes, bytes)
         Headers except Content-Length and Connection.
-    body : bytes
-        Complete body.
+    length : int
+        Length of the body in bytes.
     close : bool
         Whether the connection is closed after the response.
     head : bool
@@ -171,7 +183,7 @@
     lines = [b"HTTP/1.1 %d %b" % (status, _REASONS.get(status, b"Unknown"))]
     lines += [b"%b: %b" % item for item in headers]
     if status >= 200 and status != 204 and not (head and status == 304):
-        lines.append(b"Content-Length: %d" % len(body))
+        lines.append(b"Content-Length: %d" % length)
     if close:
         lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + (b"" if head else body)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
