Weigh what replies said of a target by its age where many VMs share it

Cause: 66 to 80 VMs share a target with 3 or 4 slots. Each VM asks it about once a second or less, and its smoothed latency lasts for seconds, so the VMs avoid targets that have recovered, stay at slow ones for lack of replies from others, and move from one target to the next together.

Change: from 8 VMs for each slot on, the excess latency and the reported queue of the last reply lose weight with their age, own requests in flight weigh most, targets of nearly equal cost share the requests by chance, and a remote target without a reply counts as fast as the local one usually is. Latencies are weighed apart from failures: a remote target has to be three times as fast, while a failing local one is left at twice the time lost, as before. Smaller groups decide as before.

--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -4,10 +4,11 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 
 from bramleycrank.proto.target_pb2 import TARGET_STATE_WARMING, LoadReport, TargetRecord
+from bramleycrank.query import aged_load
 from bramleycrank.query.catalog import record_key, replicas_of
 from bramleycrank.query.holds import Holds
 from bramleycrank.query.targets import TargetState
@@ -36,9 +37,18 @@
         Source of the random choices.
     warmup_s : float
         Time in seconds over which the load share of a new target grows to its full size.
+    vm_count : callable, optional
+        Returns the number of VMs that share the targets.
     """
 
-    def __init__(self, domain: str, rng: random.Random, warmup_s: float = 10.0) -> None:
+    def __init__(
+        self,
+        domain: str,
+        rng: random.Random,
+        warmup_s: float = 10.0,
+        vm_count: Callable[[], int] = lambda: 1,
+    ) -> None:
+        self._vm_count = vm_count
         self._domain = domain
         self._random = rng.random
         self._warmup_s = warmup_s
@@ -134,10 +144,11 @@
         if len(pool) == 1:
             return pool[0].target_id
         free = [t for t in pool if t.in_flight < t.limit]
+        aged = aged_load.is_shared_by_many(pool[0], self._vm_count())
         local = self._filter_by_warmup([t for t in free if t.local], now)
         if local:
-            chosen = self._choose_of_two(local, now)
-            faster = _find_faster_remote(free, chosen, now)
+            chosen = self._choose_ready(local, now, aged=aged)
+            faster = _find_faster_remote(free, chosen, now, aged=aged)
             if faster is None:
                 return chosen.target_id
             chosen.skipped_count += 1
@@ -145,7 +156,7 @@
         ready = self._filter_by_warmup(free, now)
         if not ready:
             return min(pool, key=lambda t: (t.in_flight + 1) / t.limit).target_id
-        return self._choose_of_two(ready, now).target_id
+        return self._choose_ready(ready, now, aged=aged).target_id
 
     def _filter_by_warmup(self, ready: list[TargetState], now: float) -> list[TargetState]:
         for state in ready:
@@ -153,6 +164,11 @@
                 return [t for t in ready if self._random() < t.warm_share(now)]
         return ready
 
+    def _choose_ready(self, ready: list[TargetState], now: float, *, aged: bool) -> TargetState:
+        if aged:
+            return aged_load.choose_evenly(ready, now, self._random)
+        return self._choose_of_two(ready, now)
+
     def _choose_of_two(self, ready: list[TargetState], now: float) -> TargetState:
         count = len(ready)
         if count == 1:
@@ -261,6 +277,7 @@
         state = self._targets.get(target_id)
         if state is not None:
             state.reported_load = (report.in_flight + report.queued) / max(1, report.slots)
+            state.reported_at = now
 
     def on_queued(self, target_id: str, now: float) -> None:
         """Handle a response that reports requests queued at the target."""
@@ -278,13 +295,17 @@
 
 
 def _find_faster_remote(
-    free: list[TargetState], local: TargetState, now: float
+    free: list[TargetState], local: TargetState, now: float, *, aged: bool
 ) -> TargetState | None:
     """Return a remote target to use instead of a slow local one; None if there is none.
 
     This matters if one replica of a shard is several times slower than the others, or pauses with
     sub-requests in flight. Only targets with observations, which hedges provide, are compared.
     """
+    if aged:
+        if not local.score(now):
+            return None
+        return aged_load.find_faster_remote(free, local, now, LOCAL_PREFERENCE_FACTOR)
     remote = [t for t in free if not t.local and t.replies]
     if not remote or not local.score(now):
         return None
--- a/bramleycrank/query/targets.py
+++ b/bramleycrank/query/targets.py
@@ -119,6 +119,8 @@
     cold_until: float = 0.0
     leaving: bool = False
     reported_load: float = 0.0
+    reported_at: float = 0.0
+    last_latency_s: float = 0.0  # of the last reply
     replies: int = 0
     shed_count: int = 0
     failure_count: int = 0
@@ -155,20 +157,31 @@
         return load_s * (1 + FAILURE_COST_FACTOR * self.failed_share)
 
     def expected_s(self, now: float) -> float:
-        """Return the expected time in seconds of one more sub-request.
+        """Return the expected time in seconds of one more sub-request, failures included."""
+        return self.wait_s(now, self.latency_s or DEFAULT_LATENCY_S) * self.failure_factor()
+
+    def wait_s(self, now: float, latency_s: float) -> float:
+        """Return the expected time in seconds of one more sub-request that doesn't fail.
 
         Sub-requests run concurrently in the slots, so a few in flight do not delay another one. A
         target that is silent for longer than its usual latency is paused or stuck, and is expected
         to remain so for the same time again.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        latency_s : float
+            Latency of a sub-request that finds a free slot, in seconds.
         """
-        latency_s = self.latency_s or DEFAULT_LATENCY_S
         queue_rounds = max(1.0, (self.in_flight + 1) / self.slots)
         silent_s = now - self.busy_since if self.in_flight else 0.0
-        wait_s = latency_s * queue_rounds + max(0.0, silent_s - latency_s)
+        return latency_s * queue_rounds + max(0.0, silent_s - latency_s)
+
+    def failure_factor(self) -> float:
+        """Return the time lost by failures, as a factor of the expected time."""
         failure_share = max(self.failed_share, min(1.0, self.failures / FAILURES_TO_EJECT))
-        return wait_s * (
-            1 + FAILURE_DELAY_FACTOR * failure_share + SHED_DELAY_FACTOR * self.shed_share
-        )
+        return 1 + FAILURE_DELAY_FACTOR * failure_share + SHED_DELAY_FACTOR * self.shed_share
 
     def on_sent(self, now: float) -> None:
         """Count a sub-request in flight."""
@@ -193,6 +206,7 @@
     def on_reply(self, latency_s: float, now: float) -> None:
         """Count an accepted reply."""
         self.replies += 1
+        self.last_latency_s = latency_s
         self.failures = 0
         self._record_outcome(now, failed=False)
         if self.ejections and now - self.ejected_until > EJECTION_RESET_S:
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -137,7 +137,7 @@
         cut_for: Callable[[], float | None] = lambda: None,
     ) -> None:
         self._cut_for = cut_for
-        self.table = ReplicaTable(domain, rng, warmup_s=0.0)
+        self.table = ReplicaTable(domain, rng, warmup_s=0.0, vm_count=vm_count)
         self._budget_cfg = budget_cfg
         self._rng = rng
         self._pool_has_capacity = has_capacity
