--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,7 @@
 
 import fire
 
-from bench import ablation, control, report, slopes
+from bench import ablation, control, even_load_ways, report, slopes
 from bench.mechanisms import MECHANISMS
 from bench.runner import ScenarioRunner, run_all
 from bench.scenarios import SCENARIOS
@@ -127,6 +127,23 @@
             results |= {"about": describe_run(), part: slopes.PARTS[part]()}
             write_results(out, results)
 
+    def even_load(
+        self, vms: str = "10,66,80,200,300", ages: str = "0,1,2", seconds: float = 30.0
+    ) -> None:
+        """Print how each way of choosing spreads load over targets that many VMs share.
+
+        Parameters
+        ----------
+        vms : str
+            Numbers of VMs, separated by commas.
+        ages : str
+            Additional ages of load reports in seconds, separated by commas.
+        seconds : float
+            Simulated time of each replay, in seconds.
+        """
+        counts, delays = map(int, split_list(vms)), map(float, split_list(ages))
+        print(even_load_ways.table(list(counts), list(delays), seconds))
+
     def report(self) -> None:
         """Write docs/measurements.md from the result files."""
         report.write(RESULTS_DIR)
@@ -134,7 +151,7 @@
 
 def split_list(value: object) -> list[str]:
     """Return the items of a list option; fire parses words separated by commas as a tuple."""
-    return value.split(",") if isinstance(value, str) else [str(item) for item in value]
+    return [str(item) for item in value] if isinstance(value, tuple) else str(value).split(",")
 
 
 def describe_run(**parameters: float) -> dict[str, object]:
--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -1,6 +1,6 @@
 """Replay of many VMs that choose among the equal targets of one shard, on the decision core.
 
-``python -m bench even_load`` compares the ways of choosing. Time is simulated, and the network is
+``python -m bench even_load`` compares ways of choosing by it. Time is simulated, and the network is
 two constant delays.
 """
 
