Try a slow target again at doubling times where replies are weighed by age

Cause: the excess latency of a local target faded within 0.5 s against remote ones, so a VM with 15 requests a second tried a target that stayed slow 19 times in 15 s instead of 4.

Change: against remote targets it fades with a share of the time until the next trial, which doubles while the target stays slow. The last reply counts as much as those before it, so that a single slow reply is no reason to leave the domain.

--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -63,6 +63,11 @@
         (POLICY, "LATEST_HEDGE_SHARE", NEVER_REACHED),
     ),
     _mechanism("scarce quantile", "retry budget half used", (POLICY, "SCARCE_QUANTILE", "0.92")),
+    _mechanism(
+        "age of replies",
+        "dozens of VMs share targets, some of them slow for a short time",
+        ("query/aged_load", "MIN_VMS_PER_SLOT", NEVER_REACHED),
+    ),
     _mechanism(
         "wait for a stream of answers",
         "many shards behind a low-bandwidth link",
--- a/bramleycrank/query/aged_load.py
+++ b/bramleycrank/query/aged_load.py
@@ -22,7 +22,13 @@
 """
 
 LATENCY_DECAY_S = 0.5
-"""Time constant with which the excess latency of a reply loses weight, in seconds."""
+"""Time constant with which the excess latency of a reply loses weight among the targets of a
+domain, in seconds."""
+
+REMOTE_DECAY_SHARE = 0.7
+"""Time constant with which it loses weight against remote targets, as a share of the time until a
+slow target is tried again. That time doubles while the target stays slow: a request to dozens of
+shards would otherwise include several trials."""
 
 REPORT_DECAY_S = 0.3
 """Time constant with which a reported queue loses weight, in seconds. It is shorter, as a queue
@@ -42,8 +48,13 @@
     return vm_count >= MIN_VMS_PER_SLOT * target.slots
 
 
-def expected_latency(target: TargetState, now: float, default_s: float) -> float:
-    """Return the latency in seconds to expect by the last reply of a target and its age.
+def expected_latency(
+    target: TargetState, now: float, default_s: float, decay_s: float = LATENCY_DECAY_S
+) -> float:
+    """Return the latency in seconds to expect by the last replies of a target and their age.
+
+    The last reply counts as much as those before it: with a request a second it is the first to
+    tell of a slow target, but a single slow reply is not enough to leave a domain.
 
     Parameters
     ----------
@@ -53,15 +64,17 @@
         Current time in seconds.
     default_s : float
         Latency of a target without a reply, in seconds.
+    decay_s : float, optional
+        Time constant with which the excess latency loses weight, in seconds.
     """
     base_s = target.base_latency_s
     if not base_s:
         return default_s
-    slow_s = max(target.latency_s, target.last_latency_s) - base_s
+    slow_s = (target.latency_s + target.last_latency_s) / 2 - base_s
     rounds = target.reported_load + 1 / target.slots - 1.0
     return base_s + max(
         0.0,
-        slow_s * math.exp((target.replied_at - now) / LATENCY_DECAY_S),
+        slow_s * math.exp((target.replied_at - now) / decay_s),
         base_s * rounds * math.exp((target.reported_at - now) / REPORT_DECAY_S),
     )
 
@@ -133,7 +146,8 @@
     default_s = usual_latency(free)
 
     def wait_s(target: TargetState) -> float:
-        return target.wait_s(now, expected_latency(target, now, default_s))
+        decay_s = REMOTE_DECAY_SHARE * target.reprobe_s
+        return target.wait_s(now, expected_latency(target, now, default_s, decay_s))
 
     best = min(remote, key=lambda target: wait_s(target) * target.failure_factor())
     own_s, best_s = wait_s(local), wait_s(best)
--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -290,7 +290,9 @@
         out: dict[str, dict[str, Any]] = defaultdict(dict)
         for service, records in self._records.items():
             for target_id in records:
-                out[service][target_id] = self._targets[target_id].dump(now)
+                target = self._targets[target_id]
+                shared = aged_load.is_shared_by_many(target, self._vm_count())
+                out[service][target_id] = target.dump(now) | {"shared_by_many": shared}
         return dict(out)
 
 
--- a/tests/test_query_slow_local.py
+++ b/tests/test_query_slow_local.py
@@ -1,9 +1,15 @@
-"""Tests of the replica choice with a slow or partly failing target of the own domain."""
+"""Tests of the replica choice with a slow or partly failing target of the own domain.
+
+Each runs for a VM among few and for one among many, whose choice weighs replies by their age.
+"""
 
 from __future__ import annotations
 
+import functools
 import random
+import sys
 
+import pytest
 from query_fakes import SERVICE, record
 
 from bramleycrank.query.replicas import ReplicaTable
@@ -14,6 +20,13 @@
 USUAL_S, SLOW_S = 0.02, 0.16
 
 
+@pytest.fixture(autouse=True, params=[1, 80], ids=["few VMs", "many VMs"])
+def vm_count(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Give each table the number of VMs that share the targets."""
+    table = functools.partial(ReplicaTable, vm_count=lambda: request.param)
+    monkeypatch.setattr(sys.modules[__name__], "ReplicaTable", table)
+
+
 def replay(slow_s: float, requests: int = 400, rate: float = 10.0) -> tuple[float, float]:
     """Send sequential requests; return the shares of slow and of remote ones.
 
