Serve small customers soon after a change of the leader, and keep promised times

A new issuer granted in its first window what the rate alone gave, so a customer with 0.1/s got nothing for ten seconds. It now gets 1.2/s in that window, counted by the time for which an issuer leads, so several changes of the leader give no more; the tolerance for it comes out of outstanding grants. Bucket and outstanding grants of customers above 1.2/s stay as they are.

A holder that asked only ahead of requests was promised a time of its own, which took the time that a refused caller had been told; that caller came back and got another 429. Only requests that wait are promised a time now.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -413,9 +413,10 @@
             retry_after_s = grant.retry_after_ms / 1000
             grants.retry_at = now + retry_after_s
             grants.denied_until = now + min(MAX_DENIAL_S, retry_after_s)
-        else:
+            grants.refused = 0
+        elif grant.immediate or grants.left:
             grants.denied_until = 0.0
-        grants.refused = 0
+            grants.refused = 0
 
     def on_unreachable(self, sequence: int | None = None) -> None:
         """Process that a request failed, or that no issuer is known; its reply is ignored."""
--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -53,8 +53,8 @@
     level : float
         Requests that may be granted now, by rate and burst.
     ramp : float
-        Requests that may be granted now by the rate alone, counted from the time at which no
-        predecessor issues any more; it limits the grants of the first window.
+        Requests that may be granted now by the rate, with the extra of a new issuer, counted from
+        the time at which no predecessor issues any more; limits the grants of the first window.
     issued : int
         Requests granted in total, without those that holders returned.
     promised_at : float
@@ -89,8 +89,8 @@
 
     Load pattern: two VMs may believe to lead for a short time, and the new one does not know what
     the old one granted. The old one ends its grants `LEASE_S` after its last confirmed round, which
-    began before the election; the new one grants nothing for that time, and then only what the rate
-    alone has given since, until a window has passed.
+    began before the election; the new one grants nothing for that time, and then only what the
+    rate has given since, for small customers a little more, until a window has passed.
 
     Parameters
     ----------
@@ -178,10 +178,11 @@
         return self._issues_from + self._bounds.window_s
 
     def _refill(self, bucket: _Bucket, now: float) -> None:
-        gained = bucket.customer.per_s * max(0.0, now - bucket.filled_at)
+        elapsed_s = max(0.0, now - bucket.filled_at)
+        gained = bucket.customer.per_s * elapsed_s
         bucket.filled_at = max(now, bucket.filled_at)
         bucket.level = min(self._bounds.depth(bucket.customer), bucket.level + gained)
-        bucket.ramp += gained
+        bucket.ramp += gained + self._bounds.start_extra_per_s(bucket.customer) * elapsed_s
 
     def _grant(
         self, bucket: _Bucket, holder: str, use: AllowanceUse, known: bool, now: float
@@ -202,7 +203,9 @@
         account.expires = now + VALID_S
         wanted = use.waiting + use.ahead
         retry_after_s = 0.0
-        if count < wanted and level - count < 1:
+        # A holder that only asks ahead is promised nothing, or the time that a refused caller was
+        # told would go to it.
+        if immediate < use.waiting and level - count < 1:
             retry_after_s = self._promise(bucket, 1 - (level - count), now)
         share = self._fallback_share(bucket, account, use, now)
         if not (account.outstanding or wanted or account.fallback_share):
@@ -240,8 +243,10 @@
             level = min(level, bucket.ramp)
         if now < self._ramp_ends + VALID_S:
             # Grants of a predecessor may be used beside those of this issuer.
-            cap = self._bounds.base(bucket.customer) + self._bounds.depth(bucket.customer)
-            level = min(level, cap - bucket.customer.burst - bucket.issued)
+            customer, bounds = bucket.customer, self._bounds
+            cap = customer.per_s * bounds.window_s + bounds.depth(customer)
+            cap += bounds.start_extra_per_s(customer) * bounds.window_s
+            level = min(level, cap - bucket.issued)
         return level
 
     @staticmethod
--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -30,6 +30,13 @@
 MAX_IMMEDIATE_SHARE = 0.4
 """Part of the granted tolerance that grants for waiting requests may use, at most."""
 
+START_PER_S = 1.2
+"""Rate at which a new issuer grants in its first window, in requests per second, to customers whose
+own rate is lower; otherwise their first request would wait for seconds."""
+
+MAX_START_SHARE = 0.3
+"""Part of the tolerance that the difference to the rate may use, at most."""
+
 GRANTED_SHARE = 0.74
 """Part of the tolerance for the depth of the bucket beyond the burst, for outstanding grants and
 for those to requests that wait."""
@@ -82,28 +89,38 @@
 
     def depth(self, customer: Customer) -> float:
         """Return the depth of the issuer's bucket, in requests; at least one."""
-        granted = GRANTED_SHARE * self.tolerance(customer) - self._late_immediate(customer)
+        granted = GRANTED_SHARE * self.tolerance(customer) - self._reserved(customer)
         return max(1.0, customer.burst + granted - self.outstanding(customer))
 
     def outstanding(self, customer: Customer) -> int:
         """Return the most grants that are neither reported nor expired; at least one."""
         tolerance = self.tolerance(customer)
         needed = max(0.0, min(MAX_EXTRA_DEPTH, ENOUGH_DEPTH - customer.burst))
-        extra = min(MAX_DEPTH_SHARE * tolerance, needed) + self._late_immediate(customer)
-        return max(1, math.floor(GRANTED_SHARE * tolerance - extra))
+        granted = GRANTED_SHARE * tolerance - self._reserved(customer)
+        return max(1, math.floor(granted - min(MAX_DEPTH_SHARE * tolerance, needed)))
 
     def immediate_s(self, customer: Customer) -> float:
         """Return how long a grant for a request that waits is valid, in seconds."""
         most = MAX_IMMEDIATE_SHARE * GRANTED_SHARE * self.tolerance(customer)
         return min(IMMEDIATE_S, most / customer.per_s)
 
-    def _late_immediate(self, customer: Customer) -> float:
-        """Return the requests by which a window exceeds its bucket due to immediate grants.
+    def start_extra_per_s(self, customer: Customer) -> float:
+        """Return what a new issuer grants beyond the rate in its first window, per second.
+
+        It counts by the time for which an issuer leads, and no two lead at a time, so several
+        changes of the leader within a window give no more.
+        """
+        most = MAX_START_SHARE * self.tolerance(customer) / self.window_s
+        return max(0.0, min(START_PER_S - customer.per_s, most))
+
+    def _reserved(self, customer: Customer) -> float:
+        """Return the part of the tolerance for immediate grants and for new issuers, in requests.
 
-        They are used within their validity, so a window holds what the bucket gives in a time that
-        is longer by it.
+        Immediate grants are used within their validity, so a window holds what the bucket gives in
+        a time that is longer by it.
         """
-        return customer.per_s * self.immediate_s(customer)
+        late = customer.per_s * self.immediate_s(customer)
+        return late + self.start_extra_per_s(customer) * self.window_s
 
     def fallback(self, customer: Customer) -> int:
         """Return the requests in one window that all holders admit without an issuer."""
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -378,6 +378,17 @@
     assert others < 0.005 * sum(map(len, world.offered.values()))
 
 
+def test_small_customer_is_served_soon_after_each_change_of_the_leader():
+    """Guards against a new issuer that waits until a low rate alone has given a whole request."""
+    customer = Customer("a", per_s=0.1, burst=1.0)
+    world = World(5, [customer], 3)
+    for change in range(4):
+        world.at(10.0 * change, world.elect)
+        world.at(10.0 * change + LEASE_S + 1.0, world.vms[0].request, "a", vm=world.vms[0])
+    world.run(45.0)
+    assert len(world.ran["a"]) == 4
+
+
 def test_service_returns_within_seconds_of_a_change_of_the_leader():
     world = reference_world(4, 66, 60.0)
     world.at(40.0, world.elect)
