Mend what the review of allowances and shares found

- An exception after a wait for a grant left the caller without an answer; it gets 500 as without a wait.
- A request waited 0.3 s for a grant whatever time its caller had left; now a quarter of it at most.
- Immediate grants of a predecessor could be used in a window that already got the new issuer's full bucket; the first window is longer by their validity.
- A new issuer's partial grants made refusals 429 'beyond the allowance'; they are 503 now.
- Requests that had ended stayed in the queues of services that never had capacity again, and counted in early refusals.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -267,7 +267,8 @@
         # Each refused caller is told a later time, as far apart as the requests of the rate.
         wait_s = max(0.0, grants.retry_at - now) + grants.refused / customer.per_s
         grants.refused += 1
-        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance=True)
+        # A new issuer grants less than the allowance for a while.
+        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance=not self._starting)
 
     def _use_fallback(self, customer: Customer, grants: _Grants, now: float) -> bool:
         """Use this VM's share in the fallback allowance, if there is one left in the window."""
@@ -429,6 +430,7 @@
     def on_unsupported(self, sequence: int, now: float) -> None:
         """Process the answer of a leader that knows no grants."""
         self.on_unreachable(sequence)
+        self._failed = False
         self._unlimited_until = now + UNSUPPORTED_S
 
     def _end_waits(self) -> None:
--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -10,6 +10,7 @@
 
 from bramleycrank.customers.allowances.limits import (
     FALLBACK_S,
+    IMMEDIATE_S,
     LEASE_S,
     VALID_S,
     AllowanceBounds,
@@ -175,7 +176,8 @@
 
     @property
     def _ramp_ends(self) -> float:
-        return self._issues_from + self._bounds.window_s
+        # Immediate grants of a predecessor may be used until then beside those of this issuer.
+        return self._issues_from + self._bounds.window_s + IMMEDIATE_S
 
     def _refill(self, bucket: _Bucket, now: float) -> None:
         elapsed_s = max(0.0, now - bucket.filled_at)
@@ -245,7 +247,7 @@
             # Grants of a predecessor may be used beside those of this issuer.
             customer, bounds = bucket.customer, self._bounds
             cap = customer.per_s * bounds.window_s + bounds.depth(customer)
-            cap += bounds.start_extra_per_s(customer) * bounds.window_s
+            cap += bounds.start_extra_per_s(customer) * (bounds.window_s + IMMEDIATE_S)
             level = min(level, cap - bucket.issued)
         return level
 
--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -25,7 +25,7 @@
 
 IMMEDIATE_S = 0.3
 """Longest validity of a grant for a request that waits, after the holder sent its request, in
-seconds; some round trips, and less than callers wait."""
+seconds; some round trips."""
 
 MAX_IMMEDIATE_SHARE = 0.4
 """Part of the granted tolerance that grants for waiting requests may use, at most."""
@@ -120,7 +120,7 @@
         a time that is longer by it.
         """
         late = customer.per_s * self.immediate_s(customer)
-        return late + self.start_extra_per_s(customer) * self.window_s
+        return late + self.start_extra_per_s(customer) * (self.window_s + IMMEDIATE_S)
 
     def fallback(self, customer: Customer) -> int:
         """Return the requests in one window that all holders admit without an issuer."""
--- a/bramleycrank/entry/allowances.py
+++ b/bramleycrank/entry/allowances.py
@@ -26,8 +26,7 @@
 """Time limit of a call to the issuer, in seconds."""
 
 WAIT_S = 0.3
-"""Longest time for which a request waits for a grant, in seconds; some round trips, and less than
-callers wait."""
+"""Longest time for which a request waits for a grant, in seconds; some round trips."""
 
 MAX_DUMPED_CUSTOMERS = 20
 """Most customers in a dump, those with the most refusals first."""
@@ -61,6 +60,7 @@
     customer: str
     on_admitted: Callable[[], None]
     on_refused: Callable[[Refuse], None]
+    wait_s: float = WAIT_S
     timer: asyncio.TimerHandle | None = None
 
 
@@ -134,15 +134,16 @@
         customer: Customer,
         on_admitted: Callable[[], None],
         on_refused: Callable[[Refuse], None],
+        wait_s: float = WAIT_S,
     ) -> Callable[[], None] | None:
-        """Decide on a request, at once or after the issuer's next reply.
+        """Decide on a request, at once or after the issuer's next reply within `wait_s` seconds.
 
         Returns
         -------
         callable or None
             Withdraws the request; None if it is decided.
         """
-        waiting = _Waiting(customer.name, on_admitted, on_refused)
+        waiting = _Waiting(customer.name, on_admitted, on_refused, min(wait_s, WAIT_S))
         self._decide(waiting, again=False)
         self._schedule()
         return functools.partial(self._withdraw, waiting) if waiting in self._waiting else None
@@ -156,7 +157,7 @@
         if isinstance(decision, Ask):
             if waiting.timer is None:
                 self._count("waited")
-                waiting.timer = self._loop.call_later(WAIT_S, self._give_up, waiting)
+                waiting.timer = self._loop.call_later(waiting.wait_s, self._give_up, waiting)
             if waiting not in self._waiting:
                 self._waiting.append(waiting)
             return
--- a/bramleycrank/entry/call.py
+++ b/bramleycrank/entry/call.py
@@ -47,6 +47,7 @@
     timer: asyncio.TimerHandle | None = None
     timer_at: float = 0.0
     sends: int = 0
+    queued_at: set[str] = attrs.field(factory=set)  # services that it has waited for
     failures: list[str] = attrs.field(factory=list)
     waiter: Waiter | None = None
     check_at: float = math.inf
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -256,7 +256,8 @@
         if identity is None:
             return
         place = functools.partial(self._place, exchange, meta, route, identity, MAX_ROUTES_WAITS)
-        self._gate.admit(exchange, meta, identity, place)
+        left_s = self._deadline(exchange, meta, route) - self._clock()
+        self._gate.admit(exchange, meta, identity, left_s, place)
 
     def _find_route(self, exchange: Exchange, meta: CallerMeta) -> Route | None:
         """Return the route of a request; refuse the request if there is none."""
@@ -504,6 +505,7 @@
             call.timer.cancel()
             call.timer = None
         self._calls.discard(call)
+        self._waiting.discard(call)
 
     def _forward(self, call: Call, action: Forward) -> None:
         request = call.exchange.request
--- a/bramleycrank/entry/customer_gate.py
+++ b/bramleycrank/entry/customer_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -16,6 +17,12 @@
 from bramleycrank.scatter.retry_after import add_jitter
 from bramleycrank.transport.http1 import Exchange
 
+log = logging.getLogger(__name__)
+
+MAX_WAIT_SHARE = 0.25
+"""Part of the time that a request has left for which it may wait for a grant; the targets and a
+second attempt need the rest."""
+
 
 class RefuseRequest(Protocol):
     """Refuses a request and logs why."""
@@ -89,6 +96,7 @@
         exchange: Exchange,
         meta: CallerMeta,
         identity: Identity,
+        left_s: float,
         on_admitted: Callable[[], None],
     ) -> None:
         """Continue a request within its customer's allowance, which counts it once; refuse others.
@@ -101,6 +109,8 @@
             Its metadata.
         identity : Identity
             Who sends it.
+        left_s : float
+            Time until the request ends, in seconds.
         on_admitted : callable
             Called now or after the issuer's next reply.
         """
@@ -112,7 +122,12 @@
 
         def admitted() -> None:
             use.on_admitted(self._clock())
-            on_admitted()
+            try:
+                on_admitted()
+            except Exception:
+                # After a wait, nobody else would answer the caller.
+                log.exception("entry: a request failed")
+                exchange.respond(500, [], b"", close=True)
 
         if not customer.is_limited or self._allowances is None:
             admitted()
@@ -130,7 +145,7 @@
             fields = {**identity.log_fields(), "allowance": self._allowances.describe(customer)}
             self._refuse(exchange, meta, status, retry_s, reason, **fields)
 
-        withdraw = self._allowances.admit(customer, admitted, refused)
+        withdraw = self._allowances.admit(customer, admitted, refused, MAX_WAIT_SHARE * left_s)
         if withdraw is not None:
             exchange.on_disconnected = withdraw
 
--- a/bramleycrank/entry/waiting.py
+++ b/bramleycrank/entry/waiting.py
@@ -61,6 +61,12 @@
         """Queue a request for each service that it waits for."""
         for service in call.execution.waiting:
             self._calls[service].setdefault(call)
+            call.queued_at.add(service)
+
+    def discard(self, call: Call) -> None:
+        """Remove a request that has ended."""
+        for service in call.queued_at:
+            self._calls[service].pop(call, None)
 
     def in_order(self, service: str, now: float) -> Iterator[Call]:
         """Remove and yield the requests that wait for a service, in the order that they get slots.
@@ -99,7 +105,7 @@
 
     def next_check(self, call: Call) -> float:
         """Return when to decide next whether a request is refused, in seconds."""
-        waits = call.execution.waiting and call.execution.is_unsent
+        waits = self._shares.in_force and call.execution.waiting and call.execution.is_unsent
         return call.check_at if waits else math.inf
 
     def find_refusal(self, call: Call, now: float) -> EarlyRefusal | None:
--- a/tests/test_entry_allowances.py
+++ b/tests/test_entry_allowances.py
@@ -30,6 +30,7 @@
     """An entry VM with a limited customer, and the issuer, which `failure` replaces if set."""
 
     failure: Exception | None = None
+    delay_s = 0.0
 
     def __init__(self, **scripts) -> None:
         super().__init__(**scripts)
@@ -54,6 +55,7 @@
 
     async def call(self, address, method, request, *, timeout_s, purpose):
         self.calls.append(request)
+        await asyncio.sleep(self.delay_s)
         if self.failure is not None:
             raise self.failure
         return self.issuer.on_request(request, suspend_aware_clock())
@@ -148,3 +150,29 @@
     assert is_issuing(102.4)
     leading.leader_term = 0
     assert not is_issuing(102.5)
+
+
+def test_a_wait_for_a_grant_leaves_the_caller_time_for_another_attempt():
+    """Guards against requests that wait for a slow issuer until their time is up."""
+
+    async def scenario(vm):
+        vm.delay_s = 0.25
+        reply = await ask(vm, "/one/x", KEY + "X-Deadline-Ms: 400\r\n")
+        assert status(reply) == 503
+        assert not vm.calls or not vm.fakes["a1"].requests
+        assert status(await ask(vm, "/one/x", KEY)) == 200, "without a deadline it waits"
+
+    run(scenario, vm_class=LimitedVm, a1=ok)
+
+
+def test_a_request_that_fails_after_it_waited_is_answered():
+    """Guards against callers that wait for ever, since no server code can catch the error."""
+
+    async def scenario(vm):
+        def fail(*args, **options):
+            raise ValueError("broken")
+
+        vm.delay_s, vm.entry._serve = 0.05, fail
+        assert status(await ask(vm, "/one/x", KEY)) == 500
+
+    run(scenario, vm_class=LimitedVm, a1=ok)
