--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -154,7 +154,12 @@
         for vm in range(load.vms):
             rng, domain = random.Random(self.rng.random()), f"d{vm % load.domains}"
             policy = TargetPolicy(
-                domain, RetryBudgetConfig(), lambda _: True, lambda: load.vms, rng
+                domain,
+                RetryBudgetConfig(),
+                lambda _: True,
+                lambda: load.vms,
+                rng,
+                weigh_load_by_age=True,
             )
             if make_table is not None:
                 policy.table = make_table(domain, rng)
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -113,6 +113,8 @@
         Region of each failure domain; empty if the domains are not configured.
     order_resend_window_s : float
         Longest time for which operators resend an order for a domain, in seconds.
+    weigh_load_by_age : bool
+        Whether what is known of targets that many VMs share loses weight with its age.
     """
 
     base: Settings
@@ -131,6 +133,7 @@
     allowances: AllowanceBounds = attrs.field(factory=AllowanceBounds)
     regions: Mapping[str, str] = attrs.field(factory=dict)
     order_resend_window_s: float = 6.0
+    weigh_load_by_age: bool = False
 
 
 class HttpAdapter(Protocol):
@@ -362,6 +365,7 @@
             parts.membership.suspects,
             delegator,
             allowances,
+            weigh_load_by_age=self._cfg.weigh_load_by_age,
         )
         parts.membership.reach_report = lambda: entry.unreached
         parts.membership.on_reach_report = delegator.on_report
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -102,6 +102,8 @@
         Offers requests to other VMs while this one cannot reach their targets.
     allowances : EntryAllowances, optional
         Admits the requests of customers with an allowance; without it all are admitted.
+    weigh_load_by_age : bool, optional
+        Whether what is known of targets that many VMs share loses weight with its age.
     """
 
     def __init__(
@@ -123,6 +125,8 @@
         suspects: SuspectExchange | None = None,
         delegator: Delegator | None = None,
         allowances: EntryAllowances | None = None,
+        *,
+        weigh_load_by_age: bool = False,
     ) -> None:
         self._allowances = allowances
         self._is_isolated = is_isolated
@@ -146,6 +150,7 @@
             receive_budget,
             warmup,
             regions,
+            weigh_load_by_age=weigh_load_by_age,
         )
         self._suspects = suspects or SuspectExchange(self._clock)
         self._quarantine = Quarantine(self._suspects.table)
--- a/bramleycrank/entry/targets.py
+++ b/bramleycrank/entry/targets.py
@@ -84,6 +84,8 @@
         Bound on the requests of all VMs to a cold target.
     regions : mapping of str to str, optional
         Region of each failure domain.
+    weigh_load_by_age : bool, optional
+        Whether what is known of targets that many VMs share loses weight with its age.
     """
 
     def __init__(
@@ -98,6 +100,8 @@
         receive_budget: ReceiveBudget[Any] | None = None,
         warmup: WarmupBounds | None = None,
         regions: Mapping[str, str] | None = None,
+        *,
+        weigh_load_by_age: bool = False,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._clock = self._loop.time
@@ -132,6 +136,7 @@
             WarmupShares(vm_id, warmup or WarmupBounds(), self._clock()),
             regions,
             lambda: self.reach.cut_for(self._clock()),
+            weigh_load_by_age=weigh_load_by_age,
         )
         self._services_of: dict[str, str] = {}
         self._incarnations: dict[str, int] = {}
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -126,6 +126,8 @@
         Region of each failure domain.
     cut_for : callable, optional
         Returns for how long this VM has reached no target at all, in seconds; None if it does.
+    weigh_load_by_age : bool, optional
+        Whether what is known of targets that many VMs share loses weight with its age.
     """
 
     def __init__(
@@ -138,9 +140,12 @@
         warmup: WarmupShares | None = None,
         regions: Mapping[str, str] | None = None,
         cut_for: Callable[[], float | None] = lambda: None,
+        *,
+        weigh_load_by_age: bool = False,
     ) -> None:
         self._cut_for = cut_for
-        self.table = ReplicaTable(domain, rng, warmup_s=0.0, vm_count=vm_count)
+        sharing_vms = vm_count if weigh_load_by_age else lambda: 1
+        self.table = ReplicaTable(domain, rng, warmup_s=0.0, vm_count=sharing_vms)
         self._budget_cfg = budget_cfg
         self._rng = rng
         self._pool_has_capacity = has_capacity
