--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -267,8 +267,7 @@
         # Each refused caller is told a later time, as far apart as the requests of the rate.
         wait_s = max(0.0, grants.retry_at - now) + grants.refused / customer.per_s
         grants.refused += 1
-        # A new issuer grants less than the allowance for a while.
-        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance=not self._starting)
+        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance=True)
 
     def _use_fallback(self, customer: Customer, grants: _Grants, now: float) -> bool:
         """Use this VM's share in the fallback allowance, if there is one left in the window."""
