--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -20,7 +20,7 @@
 """Part by which a holder shortens each validity, since clocks of two VMs run at different rates."""
 
 LEASE_S = 0.8
-"""Time after the start of a confirmed round in which a leader issues grants, in seconds; five
+"""Time after the start of a confirmed round in which a leader issues grants, in seconds; some
 heartbeats. A successor issues nothing for the same time after its election."""
 
 IMMEDIATE_S = 0.3
--- a/bramleycrank/daemon/allowance_issuer.py
+++ b/bramleycrank/daemon/allowance_issuer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import time
 from collections.abc import Callable
@@ -101,8 +100,10 @@
         self._on_role()
         if self._term and not self._is_confirmed():
             # A busy leader may be late with its rounds.
-            with contextlib.suppress(BramleycrankError):
+            try:
                 await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+            except BramleycrankError as exc:
+                log.debug("allowances: no quorum confirmed the leader: %s", exc)
             self._on_role()
         now = self._now()
         if not self._is_confirmed():
--- a/tests/test_entry_allowances.py
+++ b/tests/test_entry_allowances.py
@@ -159,7 +159,7 @@
         vm.delay_s = 0.25
         reply = await ask(vm, "/one/x", KEY + "X-Deadline-Ms: 400\r\n")
         assert status(reply) == 503
-        assert not vm.calls or not vm.fakes["a1"].requests
+        assert not vm.fakes["a1"].requests
         assert status(await ask(vm, "/one/x", KEY)) == 200, "without a deadline it waits"
 
     run(scenario, vm_class=LimitedVm, a1=ok)
