Do not avoid a VM whose route table is another one

Requests gave up after 8 waits of 30 ms. Their last offer was counted as returned, so that the only VM that could serve was avoided for 0.5 s, also after the tables had become equal.

A VM with another table is no longer avoided, and requests wait 0.4 s. Both tests fail on the code before.

--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -58,8 +58,9 @@
 """Times after a loss at which its target is checked, in seconds; one that does not respond to a
 connect is down by the third."""
 
-MAX_ROUTES_WAITS = 8
-"""How often a request waits until this VM and another one have the same route table."""
+MAX_ROUTES_WAITS = 14
+"""How often a request waits until this VM and another one have the same route table; 0.4 s in all,
+since a table reaches some VMs a third of a second after others while voters are replaced."""
 
 MAX_LOGGED_FAILURES = 8
 """Most failed sub-requests listed in the log line of a request, which must stay a short line."""
--- a/bramleycrank/entry/delegator.py
+++ b/bramleycrank/entry/delegator.py
@@ -347,10 +347,13 @@
         self._respond(item, 502, "the answer of another VM is lost")
 
     def _on_other_routes(self, item: _Offered, sub: PooledSubRequest) -> None:
-        """Wait until the route table has reached both VMs, which takes a moment."""
+        """Wait until the route table has reached both VMs, which takes a moment.
+
+        The other VM is not avoided: it can serve as soon as both have the same table.
+        """
         request = item.request
         if request.on_other_routes is None:
-            self._on_not_started(item, sub)
+            self._on_not_started(item, sub, avoid=False)
             return
         self.choice.on_ended(sub.target_id)
         self._count("returned")
@@ -362,9 +365,10 @@
         self._forget(item)
         item.request.on_other_routes()
 
-    def _on_not_started(self, item: _Offered, sub: PooledSubRequest) -> None:
+    def _on_not_started(self, item: _Offered, sub: PooledSubRequest, *, avoid: bool = True) -> None:
         self.choice.on_ended(sub.target_id)
-        self.choice.on_returned(sub.target_id, self._clock())
+        if avoid:
+            self.choice.on_returned(sub.target_id, self._clock())
         self._count("returned")
         item.sub = None
         if item.request.exchange.disconnected or self._send(item):
--- a/tests/test_entry_delegation.py
+++ b/tests/test_entry_delegation.py
@@ -7,13 +7,14 @@
 import random
 from types import SimpleNamespace
 
+import attrs
 import pytest
 from http_fakes import call, header, ok
 from test_entry_controller import TABLE, EntryVm, run, status
 
 from bramleycrank.connections.reach import Reach
 from bramleycrank.entry.delegation_headers import MAX_SENDS, Offer, Reply
-from bramleycrank.entry.delegator import Delegator
+from bramleycrank.entry.delegator import ROUTES_WAIT_S, Delegator
 from bramleycrank.observability.metrics import NullMetrics
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.platform.headers import PlatformHeaders
@@ -62,6 +63,18 @@
         monitor._enter(Reach.CUT, 0.0)
         monitor._probe_at = float("inf")
 
+    def put_table_of_other(self, version: int) -> None:
+        """Put the same routes in force at the second VM, with another version."""
+        self.other.table = RouteTable()
+        self.other.table.CopyFrom(TABLE)
+        self.other.table.version = version
+        self.other.callbacks[0]()
+
+    def take_table_of_other(self) -> None:
+        """Put the table of the second VM in force at the first one."""
+        self.table = self.other.table
+        self.callbacks[0]()
+
     async def __aexit__(self, *exc: object) -> None:
         self.server_of_other.close()
         self.other.fakes = {}
@@ -110,21 +123,52 @@
     """Guards against an answer by routes that the offering VM has replaced."""
 
     async def scenario(vm):
-        vm.other.table = RouteTable()
-        vm.other.table.CopyFrom(TABLE)
-        vm.other.table.version = 2
-        vm.other.callbacks[0]()
+        vm.put_table_of_other(2)
         assert status(await vm.get("/all/q")) == 503
         assert vm.requests() == []
         response = asyncio.ensure_future(vm.get("/all/q"))
         await asyncio.sleep(0.1)
-        vm.table = vm.other.table
-        vm.callbacks[0]()
+        vm.take_table_of_other()
         assert status(await response) == 200, "the table reached both VMs in time"
 
     run(scenario, CutEntryVm, **PARTS)
 
 
+def test_a_request_waits_as_long_as_a_table_needs_to_reach_a_vm():
+    """Guards against refusals while a route table is in force at one VM and not yet at another."""
+
+    async def scenario(vm):
+        vm.put_table_of_other(2)
+        response = asyncio.ensure_future(vm.get("/all/q"))
+        await asyncio.sleep(ROUTES_WAIT_S * 10)
+        assert vm.requests() == []
+        vm.take_table_of_other()
+        assert status(await response) == 200
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
+def test_a_vm_with_other_routes_is_not_avoided():
+    """Guards against half a second of refusals, as of a VM that reaches too few targets."""
+
+    async def scenario(vm):
+        vm.put_table_of_other(2)
+        response = asyncio.ensure_future(vm.get("/all/q"))
+        while not vm.delegator.in_flight:
+            await asyncio.sleep(0)
+        (item,) = vm.delegator._offered
+        unserved = asyncio.Event()
+        assert vm.delegator.offer(
+            attrs.evolve(item.request, on_other_routes=None, on_unserved=unserved.set)
+        )
+        await unserved.wait()
+        assert not vm.delegator.dump()["peers"]["vm2"]["paused"]
+        vm.take_table_of_other()
+        assert status(await response) == 200
+
+    run(scenario, CutEntryVm, **PARTS)
+
+
 def test_a_vm_without_the_call_is_passed_over():
     """Guards against requests to VMs of a build that does not listen for them."""
 
