--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -16,6 +16,7 @@
     613000: 12.0,  # a cut-off entry that had not run for a moment gave up its only partner
     613004: 12.0,  # equal requests were refused for good after all targets of a service had ended
     720008: 12.0,  # a request left a frozen entry for another one, and both sent it
+    990040: 12.0,  # a cut-off entry avoided the only others, whose route table was a newer one
 }
 """Seeds and seconds of faults; a seed that failed stays, with a line on the cause."""
 
