--- a/bench/even_load.py
+++ b/bench/even_load.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -53,6 +54,13 @@
         Time without a reply after which a request is sent to a second target; 0 for never.
     speeds : tuple of float
         Factors of the time in a slot, by target in turn.
+    wave : float
+        Share by which the demand of each domain swings around its mean; the domains are shifted, so
+        that their sum is constant.
+    wave_s : float
+        Period of that swing, in seconds.
+    gather : bool
+        Whether each request stands for one shard of many that a caller's request asks.
     """
 
     vms: int
@@ -68,6 +76,9 @@
     slow_every_s: float = 4.0
     hedge_s: float = 0.0
     speeds: tuple[float, ...] = (1.0,)
+    wave: float = 0.0
+    wave_s: float = 15.0
+    gather: bool = False
 
 
 @attrs.define(eq=False)
@@ -203,12 +214,24 @@
         self._at(
             self.rng.expovariate(load.use * load.targets * load.slots / load.work_s), self._arrive
         )
-        call = Call(self.rng.randrange(load.vms), self.now)
+        call = Call(self._draw_vm(), self.now)
         self.policies[call.vm].on_request(SERVICE, self.now)
         self._send(call)
         if load.hedge_s:
             self._at(load.hedge_s, self._hedge, call)
 
+    def _draw_vm(self) -> int:
+        """Return the VM that takes the next request."""
+        load = self.load
+        vm = self.rng.randrange(load.vms)
+        while load.wave:
+            turn = self.now / load.wave_s + vm % load.domains / load.domains
+            demand = 1.0 + load.wave * math.sin(2 * math.pi * turn)
+            if self.rng.random() * (1.0 + load.wave) < demand:
+                break
+            vm = self.rng.randrange(load.vms)
+        return vm
+
     def _hedge(self, call: Call) -> None:
         policy = self.policies[call.vm]
         if not call.ended and len(call.tried) == 1 and policy.spend_retry_budget(SERVICE, self.now):
@@ -216,7 +239,7 @@
 
     def _send(self, call: Call, wait: bool = True) -> None:
         policy = self.policies[call.vm]
-        name = policy.choose(SERVICE, call.tried, self.now)
+        name = policy.choose(SERVICE, call.tried, self.now, gather=self.load.gather)
         if name is None:
             if wait:
                 self.waiting[call.vm].append(call)
--- a/bench/even_load_ways.py
+++ b/bench/even_load_ways.py
@@ -15,6 +15,8 @@
 
 _BUSY = Load(80, slow_factor=2.5, hedge_s=0.08)
 _THREE_SPEEDS = attrs.evolve(_BUSY, domains=3, speeds=(0.8, 1.0, 1.3), work_s=0.014, use=0.06)
+_FEW = Load(80, targets=5, slots=3, work_s=0.09, use=0.6, slow_factor=2.5, hedge_s=0.3)
+_MOVING = Load(80, work_s=0.016, wave=0.5, hedge_s=0.1)
 
 LOADS = {
     "equal": attrs.evolve(_BUSY, slow_factor=1.0),
@@ -22,7 +24,10 @@
     "busy, 3 domains": attrs.evolve(_BUSY, domains=3),
     "idle, 3 speeds": _THREE_SPEEDS,
     "long slow": attrs.evolve(_THREE_SPEEDS, use=0.1, slow_factor=8.0, slow_s=5.0, slow_every_s=15),
-    "5 x 3 slots": Load(80, targets=5, slots=3, work_s=0.09, use=0.6, slow_factor=2.5, hedge_s=0.3),
+    "5 x 3 slots": _FEW,
+    "moving demand, 3 domains": attrs.evolve(_MOVING, domains=3, speeds=(0.8, 1.0, 1.3)),
+    "moving overload, 3 domains": attrs.evolve(_MOVING, domains=3, use=0.8),
+    "moving demand, 5 x 3 slots": attrs.evolve(_FEW, domains=3, slow_factor=1.0, wave=0.5),
 }
 """Load patterns by name; the number of VMs is replaced."""
 
--- a/bramleycrank/query/replicas.py
+++ b/bramleycrank/query/replicas.py
@@ -130,9 +130,33 @@
         return state.in_flight < state.limit
 
     def choose(
-        self, service: str, snapshot: Snapshot, shard: int, exclude: Collection[str], now: float
+        self,
+        service: str,
+        snapshot: Snapshot,
+        shard: int,
+        exclude: Collection[str],
+        now: float,
+        *,
+        gather: bool = True,
     ) -> str | None:
-        """Return the target for a sub-request; None if no replica is left."""
+        """Return the target for a sub-request; None if no replica is left.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        snapshot : Snapshot
+            The snapshot that is asked.
+        shard : int
+            Number of the shard.
+        exclude : collection of str
+            Targets that are not asked.
+        now : float
+            Current time in seconds.
+        gather : bool, optional
+            Whether the sub-request is one of many of a request. Such a request is as late as its
+            slowest part, so it does not try targets whose load is not known.
+        """
         replicas = [t for t in self.replicas(service, snapshot, shard) if not t.is_held(now)]
         ejected = [t for t in replicas if t.down or t.ejected_until > now]
         pool = _limit_ejections(replicas, ejected) if ejected else replicas
@@ -144,7 +168,7 @@
         if len(pool) == 1:
             return pool[0].target_id
         free = [t for t in pool if t.in_flight < t.limit]
-        aged = aged_load.is_shared_by_many(pool, self._vm_count())
+        aged = not gather and aged_load.is_shared_by_many(pool, self._vm_count())
         local = self._filter_by_warmup([t for t in free if t.local], now)
         if local:
             chosen = self._choose_ready(local, now, aged=aged)
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -314,6 +314,10 @@
 
     # Sub-requests.
 
+    def _choose(self, shard: Shard, now: float) -> str | None:
+        excluded = self._excluded(shard)
+        return self._policy.choose(shard.service, excluded, now, gather=bool(self.route.gather))
+
     def _excluded(self, shard: Shard) -> list[str]:
         """Return the targets that must not get the next sub-request of a shard."""
         if not self.route.regions:
@@ -325,7 +329,7 @@
 
         If the shard waited after a refusal, its next sub-request is an extra one.
         """
-        target_id = self._policy.choose(shard.service, self._excluded(shard), now)
+        target_id = self._choose(shard, now)
         if target_id is None and self._policy.has_targets(
             shard.service, self._excluded(shard), now
         ):
@@ -463,7 +467,7 @@
         scarce = self.route.gather and self._policy.is_budget_scarce(shard.service, now)
         if scarce and unhedged_shards <= dispensable_shards:
             return False
-        target_id = self._policy.choose(shard.service, self._excluded(shard), now)
+        target_id = self._choose(shard, now)
         if target_id is None or not self._policy.spend_retry_budget(shard.service, now):
             return False
         self._send(shard, target_id, now, actions)
@@ -491,7 +495,7 @@
             shard.sends -= 1
         if shard.sends >= self.route.max_targets or not (self.route.idempotent or not_run):
             return False
-        target_id = self._policy.choose(shard.service, self._excluded(shard), now)
+        target_id = self._choose(shard, now)
         if target_id is None:
             if not_run and self._policy.has_targets(shard.service, self._excluded(shard), now):
                 self.waiting.add(shard.service)
--- a/bramleycrank/scatter/policy.py
+++ b/bramleycrank/scatter/policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import functools
 import random
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
@@ -60,7 +61,9 @@
 class ScatterPolicy(Protocol):
     """Interface between the execution of a request and the policy."""
 
-    def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
+    def choose(
+        self, service: str, tried: Collection[str], now: float, *, gather: bool = False
+    ) -> str | None:
         """Return the target for a sub-request, or None if none has free capacity."""
 
     def outside(self, service: str, regions: Collection[str]) -> list[str]:
@@ -200,7 +203,9 @@
         """Replace the usable targets of a service."""
         self.table.update(service, records, now)
 
-    def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
+    def choose(
+        self, service: str, tried: Collection[str], now: float, *, gather: bool = False
+    ) -> str | None:
         """Return the target for a sub-request, or None if none has free capacity.
 
         Load pattern: overload. Concurrency limits keep the queues at the targets short. Requests
@@ -209,7 +214,8 @@
         if self._cut_for() is not None:
             return None
         exclude = set(tried)
-        while (target_id := self.table.choose(service, SINGLE_SHARD, 0, exclude, now)) is not None:
+        find = functools.partial(self.table.choose, service, SINGLE_SHARD, 0, gather=gather)
+        while (target_id := find(exclude, now)) is not None:
             if (
                 self.table.has_capacity(target_id)
                 and self._pool_has_capacity(target_id)
--- a/tests/scatter_fakes.py
+++ b/tests/scatter_fakes.py
@@ -71,7 +71,9 @@
             return []
         return [f"{service}-{number}" for number in range(self.targets)]
 
-    def choose(self, service: str, tried: Collection[str], now: float) -> str | None:
+    def choose(
+        self, service: str, tried: Collection[str], now: float, *, gather: bool = False
+    ) -> str | None:
         self.choose_calls += 1
         usable = [n for n in self.target_ids(service) if n not in tried and n not in self.busy]
         return usable[0] if usable else None
--- a/tests/test_aged_load.py
+++ b/tests/test_aged_load.py
@@ -36,6 +36,11 @@
 """One target a domain, of three speeds; a tenth of the slots is in use, and each target is slow for
 5 s in 15 s."""
 
+MOVING = Load(
+    80, targets=5, domains=3, slots=3, work_s=0.09, use=0.6, slow_factor=1.0, wave=0.5, hedge_s=0.3
+)
+"""Demand that moves between the domains within 15 s; two of them have two targets, one has one."""
+
 SEEDS = range(1, 5)
 
 
@@ -162,6 +167,19 @@
     assert Replay(load, 1).run(8.0) == Replay(load, 1, table_without_age).run(8.0)
 
 
+def test_a_request_to_dozens_of_shards_tries_no_target_by_the_age_of_its_replies():
+    """Such a request is as late as its slowest part, and a few trials would reach most of them."""
+    load = attrs.evolve(LONG_SLOW, gather=True)
+    assert Replay(load, 1).run(8.0) == Replay(load, 1, table_without_age).run(8.0)
+
+
+@pytest.mark.parametrize("vms", [66, 200])
+def test_callers_are_served_sooner_while_demand_moves_between_domains(vms: int):
+    load = attrs.evolve(MOVING, vms=vms)
+    for key in ("spread", "p99_ms"):
+        assert mean(load, key, aged=True) < 0.95 * mean(load, key, aged=False)
+
+
 @pytest.mark.parametrize("vms", [66, 80])
 @pytest.mark.parametrize("load", [BUSY, DOMAINS], ids=["one domain", "domains"])
 def test_work_in_progress_is_spread_more_evenly(load: Load, vms: int):
