Order waiting requests by use over all VMs

Cause: each VM counted a customer's use by itself. A customer with callers at all VMs got its share of each VM, out of the few customers that send there, and not its share of the fleet.

Change: requests for grants carry the VM's use at most twice a second, and replies the sums of the other VMs (customers/fleet_use.py; proto fields 15 of GrantRequest and GrantReply, which other builds ignore). The shares go by the VM's own use and those sums; without a reply for 4 s by its own use alone, as before. No messages of their own, nothing for idle customers or for deployments without customers.

Changed test: the leader's stand-in in test_entry_allowances.py moved to the module, unchanged, for a second test.

--- a/bramleycrank/customers/shares.py
+++ b/bramleycrank/customers/shares.py
@@ -9,12 +9,9 @@
 
 import attrs
 
+from bramleycrank.customers.fleet_use import USE_DECAY_S, WORK_UNIT_S, FleetUse
 from bramleycrank.customers.types import Customer
 
-USE_DECAY_S = 3.0
-"""Time constant with which past use is forgotten, in seconds; a flood of some seconds counts in
-full, and a customer that has stopped has its share back soon after."""
-
 MIN_WORK_S = 0.001
 """Least work that a sub-request counts as, in seconds, also for a route without any reply yet."""
 
@@ -117,9 +114,12 @@
     The customer with the least use in relation to its weight goes first, so that each customer gets
     what it asks for up to its share, and what it leaves goes to the others (weighted max-min). The
     weight is the rate that the customer may use; one without a rate has the mean weight.
+
+    All VMs send to the same targets, so the use is that at all VMs as far as it is known.
     """
 
     def __init__(self) -> None:
+        self.fleet = FleetUse()
         self._customers = 0
         self._mean_rate = 1.0
         self._uses: dict[tuple[str, str], tuple[float, float]] = {}
@@ -147,24 +147,38 @@
         added = max(MIN_WORK_S, work_s) / self.weight(customer)
         if len(self._uses) >= MAX_USES and (service, name) not in self._uses:
             self._forget(now)
-        self._uses[service, name] = (self.use(service, name, now) + added, now)
+        self._uses[service, name] = (self.own_use(service, name, now) + added, now)
 
     def use(self, service: str, name: str, now: float) -> float:
         """Return a customer's recent use of a service, in seconds of work per weight."""
+        return self.own_use(service, name, now) + self.fleet.elsewhere(service, name, now)
+
+    def own_use(self, service: str, name: str, now: float) -> float:
+        """Return the part of the use that this VM has sent, in seconds of work per weight."""
         used_s, at = self._uses.get((service, name), (0.0, now))
         return used_s * math.exp((at - now) / USE_DECAY_S)
 
+    def report(self, now: float) -> list[tuple[int, int]] | None:
+        """Return the pairs that other VMs need, or None while no report is due."""
+        if not self.in_force or not self.fleet.is_due(now):
+            return None
+        uses = {key: self.own_use(*key, now) for key in self._uses}
+        self._uses = {
+            key: (used_s, now) for key, used_s in uses.items() if used_s >= WORK_UNIT_S / 2
+        }
+        return self.fleet.report(((*key, used_s) for key, used_s in uses.items()), now)
+
     def dump(self, now: float) -> dict[str, float]:
         """Return the customers with the greatest use at all services, in seconds of work."""
         by_customer: dict[str, float] = defaultdict(float)
         for service, name in self._uses:
-            by_customer[name] += self.use(service, name, now)
+            by_customer[name] += self.own_use(service, name, now)
         greatest = heapq.nlargest(MAX_DUMPED, by_customer.items(), key=lambda item: item[1])
         return {name: round(used_s, 4) for name, used_s in greatest}
 
     def _forget(self, now: float) -> None:
         """Remove the lesser half of the uses."""
-        uses = sorted(self._uses, key=lambda key: self.use(*key, now), reverse=True)
+        uses = sorted(self._uses, key=lambda key: self.own_use(*key, now), reverse=True)
         self._uses = {key: self._uses[key] for key in uses[: MAX_USES // 2]}
 
     def order(
--- a/bramleycrank/daemon/allowance_issuer.py
+++ b/bramleycrank/daemon/allowance_issuer.py
@@ -10,6 +10,7 @@
 from bramleycrank.customers import Customer
 from bramleycrank.customers.allowances import AllowanceBounds, Issuer
 from bramleycrank.customers.allowances.limits import LEASE_S
+from bramleycrank.customers.fleet_use import FleetSums
 from bramleycrank.exceptions import BramleycrankError
 from bramleycrank.proto.log_pb2 import RouteTable
 from bramleycrank.proto.peer_pb2 import GrantReply, GrantRequest
@@ -79,6 +80,7 @@
         suspend_aware_clock: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
     ) -> None:
         self._issuer = Issuer(bounds)
+        self._fleet_use = FleetSums()
         self._config = config
         self._consensus = consensus
         self._clock = clock
@@ -108,7 +110,9 @@
         now = self._now()
         if not self._is_confirmed():
             return GrantReply(issuing=False, issuer_term=self._term)
-        return self._issuer.on_request(request, now)
+        reply = self._issuer.on_request(request, now)
+        self._fleet_use.answer(request, reply, now)
+        return reply
 
     def _is_confirmed(self) -> bool:
         """Return whether no successor can issue yet.
--- a/bramleycrank/entry/allowances.py
+++ b/bramleycrank/entry/allowances.py
@@ -53,6 +53,16 @@
         """Call one method of a peer."""
 
 
+class UseExchange(Protocol):
+    """Exchanges what customers use of the targets with other VMs; times in seconds."""
+
+    def attach_use(self, request: GrantRequest, now: float) -> None:
+        """Add what customers use here to a message, unless it was sent a short time ago."""
+
+    def merge_use(self, reply: GrantReply, now: float) -> None:
+        """Take over what customers use at other VMs."""
+
+
 @attrs.define(eq=False)
 class _Waiting:
     """A request that waits for a grant; `timer` ends the wait."""
@@ -113,9 +123,11 @@
         self._call: asyncio.Task[None] | None = None
         self._unlimited = False
         self._stopped = False
+        self._uses: UseExchange | None = None
 
-    def start(self) -> None:
-        """Follow the customers in force."""
+    def start(self, uses: UseExchange | None = None) -> None:
+        """Follow the customers in force; messages to the issuer carry the `uses`."""
+        self._uses = uses
         self._routes.subscribe(self._on_routes)
         self._on_routes()
 
@@ -214,6 +226,8 @@
     def _poll(self) -> None:
         request = self._holder.next_request(self._clock())
         if request is not None:
+            if self._uses is not None:
+                self._uses.attach_use(request, self._loop.time())
             self._call = asyncio.ensure_future(self._request(request))
             self._call.add_done_callback(self._on_call_done)
 
@@ -249,6 +263,8 @@
         else:
             self._unlimited = False
             self._holder.on_reply(sequence, reply, self._clock())
+            if self._uses is not None:
+                self._uses.merge_use(reply, self._loop.time())
         if self._holder.is_reaching_issuer != reached:
             log.info(
                 "allowances: %s",
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -171,7 +171,7 @@
         self._on_routes()
         self._targets.start()
         if self._allowances is not None:
-            self._allowances.start()
+            self._allowances.start(self._waiting)
 
     async def stop(self) -> None:
         """Cancel all requests in progress."""
@@ -688,7 +688,7 @@
             return
         self._index = RouteIndex(table)
         log.info("entry: routes in force", extra={"routes_version": table.version})
-        self._waiting.set_customers(self._index.customers)
+        self._waiting.set_customers(self._index.customers, self._index.routes())
         self._gate.set_index(self._index)
         self._targets.apply_routes(self._index)
         self._delivery.retain({route.name for route in self._index.routes()})
--- a/bramleycrank/entry/waiting.py
+++ b/bramleycrank/entry/waiting.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from bramleycrank.customers import Customer
+from bramleycrank.customers.fleet_use import read_pairs, write_pairs
 from bramleycrank.customers.returns import (
     EarlyRefusal,
     EarlyRefusals,
@@ -19,6 +20,8 @@
 from bramleycrank.customers.shares import NO_CUSTOMER, Room, Shares, Waiter
 from bramleycrank.entry.call import Call
 from bramleycrank.observability.metrics import Metrics
+from bramleycrank.proto.peer_pb2 import GrantReply, GrantRequest
+from bramleycrank.routing import Route
 
 
 class RoomSource(Protocol):
@@ -53,9 +56,23 @@
         self._refusals = EarlyRefusals(self._shares)
         self._refused = RefusedRequests()
 
-    def set_customers(self, customers: Iterable[Customer]) -> None:
-        """Apply the customers of the route table in force."""
+    def set_customers(self, customers: Iterable[Customer], routes: Iterable[Route] = ()) -> None:
+        """Apply the customers and the routes of the table in force."""
         self._shares.set_customers(customers)
+        self._shares.fleet.set_routes(route.services for route in routes)
+
+    # Use at other VMs, which goes with the messages to and from the issuer of allowances.
+
+    def attach_use(self, request: GrantRequest, now: float) -> None:
+        """Add what customers use here to a message, unless it was sent a short time ago."""
+        pairs = self._shares.report(now)
+        if pairs is not None:
+            write_pairs(request.work, pairs)
+
+    def merge_use(self, reply: GrantReply, now: float) -> None:
+        """Take over what customers use at other VMs."""
+        if reply.HasField("work"):
+            self._shares.fleet.on_reply(read_pairs(reply.work), now)
 
     def add(self, call: Call) -> None:
         """Queue a request for each service that it waits for."""
@@ -171,6 +188,9 @@
             "ahead": refusal.ahead,
             "return_ms": round(refusal.return_s * 1e3),
             "use_ms": round(self._shares.use(refusal.service, _name(call.customer), now) * 1e3),
+            "use_elsewhere_ms": round(
+                self._shares.fleet.elsewhere(refusal.service, _name(call.customer), now) * 1e3
+            ),
             "weight": round(self._shares.weight(call.customer), 3),
         }
 
@@ -179,6 +199,7 @@
         return {
             "waiting": {service: len(calls) for service, calls in self._calls.items() if calls},
             "shares": self._shares.dump(now),
+            "fleet_use": self._shares.fleet.dump(now),
             "refused": len(self._refused),
         }
 
--- a/tests/test_entry_allowances.py
+++ b/tests/test_entry_allowances.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+import pytest
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from http_fakes import header, ok
@@ -109,25 +110,27 @@
     run(scenario, vm_class=LimitedVm, a1=ok)
 
 
-def test_leader_grants_nothing_after_a_suspension_until_a_quorum_confirms_it_again():
-    """Guards against grants of a deposed leader whose machine was suspended meanwhile."""
-    clock = {"local": 100.0, "slept": 0.0}
+class Leading:
+    """A leader that a quorum confirmed at a time."""
+
+    leader_term, at = 5, 100.0
 
-    class Leading:
-        leader_term, at = 5, 100.0
+    def confirmed_at(self) -> float:
+        return self.at
 
-        def confirmed_at(self) -> float:
-            return self.at
+    async def confirm_read(self, timeout_s: float) -> int:
+        raise NoQuorum("cut off")
 
-        async def confirm_read(self, timeout_s: float) -> int:
-            raise NoQuorum("cut off")
+    def routes(self) -> log_pb2.RouteTable:
+        return LIMITED
 
-        def routes(self) -> log_pb2.RouteTable:
-            return LIMITED
+    def subscribe(self, callback) -> None:
+        pass
 
-        def subscribe(self, callback) -> None:
-            pass
 
+def test_leader_grants_nothing_after_a_suspension_until_a_quorum_confirms_it_again():
+    """Guards against grants of a deposed leader whose machine was suspended meanwhile."""
+    clock = {"local": 100.0, "slept": 0.0}
     leading = Leading()
     issuer = AllowanceIssuer(
         BOUNDS, leading, leading, lambda: clock["local"], lambda: sum(clock.values())
@@ -176,3 +179,37 @@
         assert status(await ask(vm, "/one/x", KEY)) == 500
 
     run(scenario, vm_class=LimitedVm, a1=ok)
+
+
+def test_messages_to_the_issuer_carry_the_use_of_targets_both_ways():
+    """Guards against a VM or an issuer that does not pass on what customers use."""
+
+    async def scenario(vm):
+        vm.allowances.start(vm.entry._waiting)
+        leading, loop = Leading(), asyncio.get_running_loop()
+        leading.at = loop.time()
+        issuer = AllowanceIssuer(BOUNDS, leading, leading, loop.time)
+        issuer.start()
+        issuer._issuer = vm.issuer
+
+        async def call(address, method, request, **options):
+            vm.calls.append(request)
+            leading.at = loop.time()
+            return await issuer.on_grant(request)
+
+        vm.call = call
+        await vm.ask_all(2)
+        await asyncio.sleep(0.9)
+        own = next(request.work for request in vm.calls if request.work.keys)
+        other = GrantRequest(vm_id="vm2", sequence=1, work=own)
+        other.work.work[0] = 5000
+        await issuer.on_grant(other)
+        await vm.ask_all(1)
+        await asyncio.sleep(0.9)
+        shares = vm.entry._waiting._shares
+        elsewhere_s = shares.use("a", "acme", loop.time()) - shares.own_use(
+            "a", "acme", loop.time()
+        )
+        assert elsewhere_s == pytest.approx(0.5, rel=0.4)
+
+    run(scenario, vm_class=LimitedVm, a1=ok)
