Count a refusal after a forgotten one as a first refusal

Cause: refused requests are removed in the order of their last refusal until one is still remembered. One behind it that had expired passed its first refusal on to a new one of the same request, which then preceded others on its return.

Change: RefusedRequests.add discards an expired entry of the request.

--- a/bramleycrank/customers/returns.py
+++ b/bramleycrank/customers/returns.py
@@ -262,6 +262,9 @@
         """Remember a refusal; a request that returned early keeps its first time of return."""
         self._remove_expired(now)
         key = (name, fingerprint)
+        if self._refused.get(key, (now, now))[1] + RETURN_WINDOW_S < now:
+            # An entry with a later time of return may precede one that is to be forgotten.
+            self._discard(key)
         first_at, due = self._refused.pop(key, (now, -math.inf))
         if due == -math.inf:
             if self._counts[name] >= MAX_RETURNS_PER_CUSTOMER:
--- a/tests/test_customers_shares.py
+++ b/tests/test_customers_shares.py
@@ -350,3 +350,13 @@
     assert len(refused) <= MAX_RETURNS
     refused.add("late", 1, 0.5, 100.0)
     assert len(refused) == 1
+
+
+def test_a_refusal_after_a_forgotten_one_is_a_first_refusal():
+    """Guards against a caller that gains by an old refusal behind one that is not forgotten yet."""
+    refused = RefusedRequests()
+    refused.add("b", 1, 5.0, 0.0)
+    refused.add("a", 1, 0.5, 0.0)
+    refused.add("a", 1, 0.5, 3.0)
+    assert refused.refused_at("a", 1, 3.5) == 3.0
+    assert len(refused) == 2
