--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -96,6 +96,17 @@
     assert vm.arrive(OTHER, rank=0, objective_s=0.0)[1] is None
 
 
+def test_requests_that_have_ended_do_not_count_as_waiting():
+    """Guards against refusals because of callers that have left, at targets that are gone."""
+    vm = Vm(FLOOD, OTHER)
+    calls = [vm.arrive(FLOOD, rank=0, objective_s=0.0)[0] for _ in range(30)]
+    for call in calls:
+        call.execution.on_caller_disconnected(0.1)
+        vm.waiting.discard(call)
+    assert vm.waiting.dump(0.1)["waiting"] == {}
+    assert vm.arrive(OTHER, 0.1, rank=1, objective_s=0.0)[1] is None
+
+
 def test_request_over_shards_with_enough_free_ones_is_not_refused():
     """Guards against a refusal because of shards that the answer does not need."""
     vm = Vm(FLOOD)
