Count only VMs that serve callers in the list of customers

Cause: merge_uses counted each reply without a number of VMs as one, so VMs without an entry, such as those that only hold the log, were counted as VMs that serve callers.

Change: a VM with an entry says 1, and the sum adds what replies say.

Measured: the new test fails before (3 instead of 2) and passes now, with the other tests of operators.

--- a/bramleycrank/entry/customer_gate.py
+++ b/bramleycrank/entry/customer_gate.py
@@ -167,11 +167,12 @@
     def uses(self, name: str) -> ListCustomersReply:
         """Return what the callers of one customer, or of all if `name` is empty, use here."""
         if self._index is None:
-            return ListCustomersReply()
+            return ListCustomersReply(vms=1)
         now = self._clock()
         customers = [c for c in self._index.customers if name in ("", c.name)]
         return ListCustomersReply(
             routes_version=self._index.version,
+            vms=1,
             customers=[self._describe(customer, now) for customer in customers],
         )
 
--- a/bramleycrank/transport/entry_service.py
+++ b/bramleycrank/transport/entry_service.py
@@ -116,12 +116,15 @@
 def merge_uses(
     replies: Iterable[entry_pb2.ListCustomersReply],
 ) -> entry_pb2.ListCustomersReply:
-    """Return the sum over VMs; rates and keys are those of the newest route table."""
+    """Return the sum over VMs; rates and keys are those of the newest route table.
+
+    A VM without an entry adds nothing, also not to the number of VMs.
+    """
     merged = entry_pb2.ListCustomersReply()
     uses: dict[str, entry_pb2.CustomerUse] = {}
     for reply in sorted(replies, key=lambda r: r.routes_version):
         merged.routes_version = reply.routes_version
-        merged.vms += max(1, reply.vms)
+        merged.vms += reply.vms
         for use in reply.customers:
             known = uses.get(use.name)
             if known is None:
--- a/tests/test_entry_operators.py
+++ b/tests/test_entry_operators.py
@@ -127,3 +127,9 @@
     for replies in ([old, new], [new, old]):
         [use] = merge_uses(replies).customers
         assert (use.per_s, use.admitted) == (5.0, 6)
+
+
+def test_a_sum_over_vms_counts_those_that_serve_callers():
+    """Guards against a list that counts the VMs that only hold the log."""
+    serving, other = entry_pb2.ListCustomersReply(vms=1), entry_pb2.ListCustomersReply()
+    assert merge_uses([serving, other, serving]).vms == 2
