Count recent use by one type in usage, shares and allowances

They measure different things: admitted requests for operators, work at a service for shares, and all requests, also refused ones, for the grants to ask for. None can replace another, but the arithmetic can be one.

Change: customers/decay.py has the sum, which the three use with their own time constants.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -15,6 +15,7 @@
     VALID_S,
     AllowanceBounds,
 )
+from bramleycrank.customers.decay import DecayingSum
 from bramleycrank.customers.types import Customer
 from bramleycrank.proto.peer_pb2 import AllowanceGrant, AllowanceUse, GrantReply, GrantRequest
 
@@ -103,8 +104,8 @@
         Requests that waited for the last reply and may be admitted until `immediate_until`.
     denied_until : float
         Time until which the issuer has nothing to grant, in seconds.
-    per_s : float
-        Present demand at this VM, in requests per second.
+    requests : DecayingSum
+        Requests of the last seconds at this VM, whether admitted or not.
     scarce_until : float
         Time until which no further grants are asked for ahead of requests, in seconds.
     idle : bool
@@ -130,7 +131,7 @@
     scarce_until: float = 0.0
     releasing: bool = False
     idle: bool = False
-    per_s: float = 0.0
+    requests: DecayingSum = attrs.field(factory=lambda: DecayingSum(DEMAND_S))
     last_at: float = -math.inf
     reported_at: float = -math.inf
     fallback_share: float = 0.0
@@ -141,13 +142,13 @@
 
     def count(self, now: float) -> None:
         """Count a request."""
-        self.per_s = self.demand(now) + 1 / DEMAND_S
+        self.requests.add(1.0, now)
         self.last_at = now
         self.idle = False
 
     def demand(self, now: float) -> float:
         """Return the present demand in requests per second."""
-        return self.per_s * math.exp((self.last_at - now) / DEMAND_S) if self.per_s else 0.0
+        return self.requests.per_s(now)
 
     def mature_share(self, now: float) -> None:
         """Put the last increase of the fallback share in force once a window has passed."""
--- a/bramleycrank/customers/shares.py
+++ b/bramleycrank/customers/shares.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from bramleycrank.customers.decay import DecayingSum
 from bramleycrank.customers.fleet_use import USE_DECAY_S, WORK_UNIT_S, FleetUse
 from bramleycrank.customers.types import Customer
 
@@ -122,7 +123,7 @@
         self.fleet = FleetUse()
         self._customers = 0
         self._mean_rate = 1.0
-        self._uses: dict[tuple[str, str], tuple[float, float]] = {}
+        self._uses: dict[tuple[str, str], DecayingSum] = {}
 
     def set_customers(self, customers: Iterable[Customer]) -> None:
         """Apply the customers of a route table."""
@@ -147,7 +148,10 @@
         added = max(MIN_WORK_S, work_s) / self.weight(customer)
         if len(self._uses) >= MAX_USES and (service, name) not in self._uses:
             self._forget(now)
-        self._uses[service, name] = (self.own_use(service, name, now) + added, now)
+        use = self._uses.get((service, name))
+        if use is None:
+            use = self._uses[service, name] = DecayingSum(USE_DECAY_S)
+        use.add(added, now)
 
     def use(self, service: str, name: str, now: float) -> float:
         """Return a customer's recent use of a service, in seconds of work per weight."""
@@ -155,17 +159,15 @@
 
     def own_use(self, service: str, name: str, now: float) -> float:
         """Return the part of the use that this VM has sent, in seconds of work per weight."""
-        used_s, at = self._uses.get((service, name), (0.0, now))
-        return used_s * math.exp((at - now) / USE_DECAY_S)
+        use = self._uses.get((service, name))
+        return use.at(now) if use is not None else 0.0
 
     def report(self, now: float) -> list[tuple[int, int]] | None:
         """Return the pairs that other VMs need, or None while no report is due."""
         if not self.in_force or not self.fleet.is_due(now):
             return None
-        uses = {key: self.own_use(*key, now) for key in self._uses}
-        self._uses = {
-            key: (used_s, now) for key, used_s in uses.items() if used_s >= WORK_UNIT_S / 2
-        }
+        uses = {key: use.at(now) for key, use in self._uses.items()}
+        self._uses = {key: self._uses[key] for key in uses if uses[key] >= WORK_UNIT_S / 2}
         return self.fleet.report(((*key, used_s) for key, used_s in uses.items()), now)
 
     def dump(self, now: float) -> dict[str, float]:
--- a/bramleycrank/customers/usage.py
+++ b/bramleycrank/customers/usage.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import enum
-import math
 from collections.abc import Iterable
 
 import attrs
 
+from bramleycrank.customers.decay import DecayingSum
+
 RECENT_S = 5.0
 """Time constant of the recent rate, in seconds; the default window of allowances."""
 
@@ -34,14 +35,12 @@
 
     admitted: int = 0
     refused: dict[RefusalRule, int] = attrs.field(factory=dict)
-    _recent: float = 0.0
-    _recent_at: float = 0.0
+    _recent: DecayingSum = attrs.field(factory=lambda: DecayingSum(RECENT_S))
 
     def on_admitted(self, now: float) -> None:
         """Count a request that was passed on."""
         self.admitted += 1
-        self._recent = self._decayed(now) + 1.0
-        self._recent_at = now
+        self._recent.add(1.0, now)
 
     def on_refused(self, rule: RefusalRule) -> None:
         """Count a request that was refused."""
@@ -49,10 +48,7 @@
 
     def recent_per_s(self, now: float) -> float:
         """Return the rate of admitted requests over the last seconds, in requests per second."""
-        return self._decayed(now) / RECENT_S
-
-    def _decayed(self, now: float) -> float:
-        return self._recent * math.exp((self._recent_at - now) / RECENT_S)
+        return self._recent.per_s(now)
 
 
 class CustomerUsage:
