Replay a domain with half of its targets, and homes in one domain

Cause: the replays of several VMs lacked the load of a domain that loses half of its targets, and small customers had callers at any two VMs, although callers of most customers are in one domain.

Change: small customers use two VMs of a domain; two replays with half of the slots in one domain, alone and beside a customer at 5 times its usual. Keys of reports are cached.

--- a/bramleycrank/customers/fleet_use.py
+++ b/bramleycrank/customers/fleet_use.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
 import itertools
 import math
@@ -43,6 +44,9 @@
 FIXED_BYTES = 12
 """Bytes of a report or reply without its pairs."""
 
+MAX_CACHED_KEYS = 4096
+"""Most keys that are not computed again; a key is needed for each rival of a waiting request."""
+
 VALID_S = 4.0
 """Time after which a report is not counted and a reply is not used any more, in seconds; two of the
 largest reports."""
@@ -183,6 +187,7 @@
                 del self._sums[key]
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_KEYS)
 def _key(pool: str, name: str) -> int:
     return zlib.crc32(f"{pool}\0{name}".encode())
 
--- a/tests/test_fleet_use.py
+++ b/tests/test_fleet_use.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
 import itertools
 import random
@@ -22,8 +23,8 @@
 from bramleycrank.customers.shares import Shares
 from bramleycrank.proto.peer_pb2 import GrantReply, GrantRequest
 
-VMS = 12
-HOMES = 2  # VMs that the callers of a small customer use
+VMS, DOMAIN_VMS = 12, 4
+HOMES = 2  # VMs that the callers of a small customer use, in one domain
 EXCHANGE_S = 0.8  # between two messages to the issuer
 DELAY_S = 0.02
 DEAR = Kind("dear", 0.036, 0.42, 1.2)
@@ -37,7 +38,8 @@
         customers = {caller.customer.name: caller.customer for caller in callers}
         rng, self.sums = random.Random(2), FleetSums()
         self.events, self.ties = [], itertools.count()
-        homes = {name: rng.sample(range(VMS), HOMES) for name in customers}
+        domains = [range(start, start + DOMAIN_VMS) for start in range(0, VMS, DOMAIN_VMS)]
+        homes = {name: rng.sample(rng.choice(domains), HOMES) for name in customers}
         homes["large"] = range(VMS)
         by_vm = [[] for _ in range(VMS)]
         for caller in callers:
@@ -45,7 +47,7 @@
         for number, own in enumerate(by_vm):
             policy = ByShares(customers.values())
             policy.shares.fleet.set_routes([("s",)])
-            replay = Replay(policy, own, slots)
+            replay = Replay(policy, own, functools.partial(slots, number))
             self.events += replay.events
             replay.events, replay.ties = self.events, self.ties
             if exchange:
@@ -100,14 +102,25 @@
     return fleet_load({c: per_s * (10 if c.name in BUSY else 1) for c, per_s in rates().items()})
 
 
-def two_slots(now):
+def two_slots(vm, now):
     return 2
 
 
-def half_the_slots(now):
+def half_the_slots(vm, now):
     return 1 if 1 <= now < 4 else 2
 
 
+def half_in_a_domain(vm, now):
+    return half_the_slots(vm, now) if vm < DOMAIN_VMS else 2
+
+
+SLOTS = {
+    "half of the targets": half_the_slots,
+    "half of a domain's targets": half_in_a_domain,
+    "the same beside 5 times": half_in_a_domain,
+}
+
+
 # Callers; least share of objectives met of small customers; least gain of their worst tenth.
 LOADS = {
     "5 times, beyond its allowance": (fleet_load(rates(large=5)), 0.95, 0.03),
@@ -118,6 +131,8 @@
     "many at once": (fleet_load(rates(2.5, 2.5)), 0.0, 0.03),
     "urgent and cheap beside dear": (fleet_load(rates(3.5, 3.5), kinds=(CHEAP, DEAR)), 0.0, 0.0),
     "half of the targets": (fleet_load(rates()), 0.0, 0.0),
+    "half of a domain's targets": (fleet_load(rates()), 0.0, 0.0),
+    "the same beside 5 times": (fleet_load(rates(large=5)), 0.92, 0.03),
     "return after a loss of power": (after_loss_of_power(), 0.0, 0.0),
     "10 times by few VMs": (busy_few(), 0.0, -0.01),
 }
@@ -130,7 +145,7 @@
     `pytest -s` prints the outcomes; those of small customers that send more are left out.
     """
     load_callers, least_small, least_gain = LOADS[name]
-    slots = half_the_slots if name == "half of the targets" else two_slots
+    slots = SLOTS.get(name, two_slots)
     left_out = BUSY if name == "10 times by few VMs" else ()
     outcomes = []
     for exchanged in (False, True):
