Check in real processes that VMs learn the use at others

Cause: that the entry hands its reports to the messages for grants, and the leader answers them, was only tested with parts put together by the test.

Change: the process test of allowances asks each VM for its dump, and waits until it knows the use at other VMs.

--- a/tests/test_process_allowances.py
+++ b/tests/test_process_allowances.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 import signal
 
 import pytest
@@ -12,6 +13,9 @@
 
 from bramleycrank.customers import Customer
 from bramleycrank.customers.allowances import AllowanceBounds
+from bramleycrank.proto.entry_pb2 import DumpRequest
+from bramleycrank.transport.entry_service import EntryStub
+from bramleycrank.transport.peer_client import PeerClients
 from harness.platform_fleet import ENTRY_PORT, Fleet, PlatformVm
 from harness.processes import wait_until
 
@@ -19,6 +23,7 @@
 
 BOUNDS = AllowanceBounds()
 ACME = Customer("acme", per_s=6.0, burst=6.0)
+PEER_PORT = 17740  # first of the fleet's InternalPortRange
 ISSUES = "this VM issues them"
 
 
@@ -66,6 +71,19 @@
         return sum(at >= since and status == 200 for at, status in self.statuses)
 
 
+async def knows_use_of_others(entry: PlatformVm) -> bool:
+    """Return whether a VM knows what customers use at other VMs."""
+    reply = await PeerClients().call(
+        f"{entry.ip}:{PEER_PORT}",
+        "Dump",
+        DumpRequest(),
+        timeout_s=2.0,
+        stub_type=EntryStub,
+        purpose="operators",
+    )
+    return json.loads(reply.json)["entry"]["waiting"]["fleet_use"]["pairs"] > 0
+
+
 async def scenario(fleet: Fleet, flood: Flood) -> None:
     loop = asyncio.get_running_loop()
     for vm in [*fleet.voters, *fleet.entries]:
@@ -77,6 +95,8 @@
     try:
         await wait_until(lambda: flood.served(0.0) > 40, "the customer is served", 30)
         assert any(status == 429 for _, status in flood.statuses)
+        for entry in fleet.entries:
+            await wait_until(lambda entry=entry: knows_use_of_others(entry), "reports of use")
 
         def leader() -> PlatformVm:
             logs = {vm.name: (fleet.folder / f"{vm.name}.log").read_text() for vm in fleet.voters}
