--- a/bramleycrank/customers/returns.py
+++ b/bramleycrank/customers/returns.py
@@ -157,21 +157,27 @@
         now : float
             Current time in seconds.
         """
+        ahead, refusal = self.preview(waiter, queue, now)
+        waiter.checked_at, waiter.checked_ahead = now, ahead
+        if refusal is not None:
+            self._times.reserve(refusal.service, waiter, refusal.return_s, now)
+        return refusal
+
+    def preview(
+        self, waiter: Waiter, queue: Queue | None, now: float
+    ) -> tuple[int, EarlyRefusal | None]:
+        """Return the requests before a request, and the refusal of it, without any effect."""
         if queue is None:
-            waiter.checked_at, waiter.checked_ahead = now, 0
-            return None
+            return 0, None
         room = queue.room
         ahead = self._shares.count_ahead(queue.service, waiter, queue.others, room.latency_s, now)
         wait_s = estimate_wait(ahead, room.per_s)
         return_s = self._times.estimate(queue.service, waiter, wait_s, room.per_s, now)
         if waiter.may_return(now) or waiter.is_late(room.latency_s, now):
             wait_s = max(wait_s, _extrapolate(waiter, ahead, room.per_s, now))
-        waiter.checked_at, waiter.checked_ahead = now, ahead
         rule = find_missed(waiter, wait_s, room.latency_s, now)
-        if rule is None:
-            return None
-        self._times.reserve(queue.service, waiter, return_s, now)
-        return EarlyRefusal(rule, return_s, queue.service, ahead)
+        refusal = rule and EarlyRefusal(rule, return_s, queue.service, ahead)
+        return ahead, refusal
 
 
 def _extrapolate(waiter: Waiter, ahead: int, per_s: float, now: float) -> float:
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -160,9 +160,11 @@
         self._calls: set[Call] = set()
         self._waiting = WaitingCalls(self._targets.policy, metrics)
         self._gate = CustomerGate(routes, allowances, self._refuse, self._clock, rng)
-        self._placement = Placement(self._gate, self._targets, self._quarantine)
         self._sub_ids = itertools.count(1)
         self._delivery = DeliveryEstimate(link_bytes_per_s)
+        self._placement = Placement(
+            self._gate, self._targets, self._quarantine, self._waiting, self._delivery
+        )
         self._delegation = EntryDelegation(self._targets, self._delivery, delegator, metrics)
         self._traffic = traffic or Traffic()
 
--- a/bramleycrank/entry/placement.py
+++ b/bramleycrank/entry/placement.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import copy
+import itertools
 from typing import Any
 
 from bramleycrank.customers import Customer
+from bramleycrank.customers.returns import EarlyRefusal
 from bramleycrank.entry.customer_gate import CustomerGate
 from bramleycrank.entry.targets import EntryTargets
+from bramleycrank.entry.waiting import WaitingCalls
 from bramleycrank.routing import Route, RouteIndex
+from bramleycrank.scatter import ScatterExecution
+from bramleycrank.scatter.delivery import DeliveryEstimate
 from bramleycrank.scatter.policy import TargetPolicy
 from bramleycrank.scatter.quarantine import Quarantine
 from bramleycrank.transport.http1.messages import Request
@@ -25,12 +30,25 @@
         Chooses the targets.
     quarantine : Quarantine
         Knows the requests that are suspected to crash targets.
+    waiting : WaitingCalls
+        Knows the requests that wait, and refuses those that would get room too late.
+    delivery : DeliveryEstimate
+        Estimates the time that answers need to callers.
     """
 
-    def __init__(self, gate: CustomerGate, targets: EntryTargets, quarantine: Quarantine) -> None:
+    def __init__(
+        self,
+        gate: CustomerGate,
+        targets: EntryTargets,
+        quarantine: Quarantine,
+        waiting: WaitingCalls,
+        delivery: DeliveryEstimate,
+    ) -> None:
         self._gate = gate
         self._targets = targets
         self._quarantine = quarantine
+        self._waiting = waiting
+        self._delivery = delivery
 
     def explain(
         self, index: RouteIndex | None, request: Request, customer_name: str, now: float
@@ -71,6 +89,10 @@
         if self._quarantine.in_quarantine(request.fingerprint):
             steps["admission"] = "the request crashes targets: 503"
             return result
+        refusal = self._find_refusal(route, customer, request, now)
+        if refusal is not None:
+            steps["admission"] = _describe_refusal(refusal)
+            return result
         steps["admission"] = self._describe_admission(route, request, now)
         result["services"] = self._choices(route, now)
         return result
@@ -83,6 +105,26 @@
             return "sent to one target first, since targets ended under the request"
         return "served by this VM"
 
+    def _find_refusal(
+        self, route: Route, customer: Customer | None, request: Request, now: float
+    ) -> EarlyRefusal | None:
+        """Return the refusal of a request that this VM serves, as of a new connection."""
+        if not self._targets.serves(route, now):
+            return None
+        rank = customer.rank if customer is not None else None
+        network_s = self._delivery.network_time(route, None)
+        with self._targets.policy.preview() as policy:
+            execution = ScatterExecution(
+                copy.copy(route),
+                policy,
+                itertools.count(),
+                now,
+                now + route.timeout_s,
+                network_s,
+                rank=rank,
+            )
+            return self._waiting.preview_refusal(execution, customer, request.fingerprint, now)
+
     def _choices(self, route: Route, now: float) -> dict[str, list[dict[str, Any]]]:
         """Return the targets of each service of a request in the order of choice."""
         services = route.services if route.gather else (copy.copy(route).choose_service(),)
@@ -103,6 +145,13 @@
         return policy.outside(service, route.regions) if route.regions else []
 
 
+def _describe_refusal(refusal: EarlyRefusal) -> str:
+    return (
+        f"no room in time for the {refusal.rule}: 503, return after {refusal.return_s:.3g} s; "
+        f"{refusal.ahead} requests go before it at {refusal.service}"
+    )
+
+
 def _in_order(
     policy: TargetPolicy, service: str, excluded: list[str], first: str | None, now: float
 ) -> list[str]:
--- a/bramleycrank/entry/waiting.py
+++ b/bramleycrank/entry/waiting.py
@@ -22,6 +22,7 @@
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto.peer_pb2 import GrantReply, GrantRequest
 from bramleycrank.routing import Route
+from bramleycrank.scatter import ScatterExecution
 
 
 class RoomSource(Protocol):
@@ -108,18 +109,22 @@
 
     def _waiter(self, call: Call, now: float) -> Waiter:
         if call.waiter is None:
-            execution, name = call.execution, _name(call.customer)
-            call.waiter = Waiter(
-                call.customer,
-                execution.rank,
-                execution.arrived,
-                execution.answer_at,
-                execution.deadline,
-                execution.refuse_by,
-                self._refused.refused_at(name, call.fingerprint, now),
-            )
+            call.waiter = self._new_waiter(call.execution, call.customer, call.fingerprint, now)
         return call.waiter
 
+    def _new_waiter(
+        self, execution: ScatterExecution, customer: Customer | None, fingerprint: int, now: float
+    ) -> Waiter:
+        return Waiter(
+            customer,
+            execution.rank,
+            execution.arrived,
+            execution.answer_at,
+            execution.deadline,
+            execution.refuse_by,
+            self._refused.refused_at(_name(customer), fingerprint, now),
+        )
+
     def next_check(self, call: Call) -> float:
         """Return when to decide next whether a request is refused, in seconds."""
         waits = self._shares.in_force and call.execution.waiting and call.execution.is_unsent
@@ -131,24 +136,50 @@
             return None
         waiter = self._waiter(call, now)
         call.check_at = next_check(waiter, now)
-        refusal = self._refusals.decide(waiter, self._longest_needed(call, now), now)
+        refusal = self._refusals.decide(
+            waiter, self._longest_needed(call.execution, call, now), now
+        )
         if refusal is not None:
             call.early_refusal = refusal
             self._metrics.incr(f"entry.refused_early.{refusal.rule}")
         return refusal
 
-    def _longest_needed(self, call: Call, now: float) -> Queue | None:
+    def preview_refusal(
+        self, execution: ScatterExecution, customer: Customer | None, fingerprint: int, now: float
+    ) -> EarlyRefusal | None:
+        """Return the refusal of a request that has not arrived, without any effect.
+
+        Parameters
+        ----------
+        execution : ScatterExecution
+            The request.
+        customer : Customer or None
+            Customer that would send it; None for a caller without a key.
+        fingerprint : int
+            Its fingerprint.
+        now : float
+            Current time in seconds.
+        """
+        if not self._shares.in_force:
+            return None
+        waiter = self._new_waiter(execution, customer, fingerprint, now)
+        queue = self._longest_needed(execution, None, now)
+        return self._refusals.preview(waiter, queue, now)[1]
+
+    def _longest_needed(
+        self, execution: ScatterExecution, call: Call | None, now: float
+    ) -> Queue | None:
         """Return the longest queue that a request must wait in; None if it needs none.
 
         An answer over many services needs only some of them, so the shorter queues count.
         """
-        services = call.execution.open_services
+        services = execution.open_services
         rooms = {
             service: self._rooms.room(service, now)
             for service in services
             if self._calls.get(service)
         }
-        needed = call.execution.needed - (len(services) - len(rooms))
+        needed = execution.needed - (len(services) - len(rooms))
         if not 0 < needed <= len(rooms):
             return None
         by_wait = sorted(
@@ -160,7 +191,7 @@
             for other in self._calls[service]
             if other is not call and service in other.execution.waiting
         ]
-        if not others and service not in call.execution.waiting:
+        if not others and service not in execution.waiting:
             return None
         return Queue(service, rooms[service], others)
 
--- a/tests/test_entry_operators.py
+++ b/tests/test_entry_operators.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import json
+import pickle
 import random
 
 from grpclib.server import Server
 from http_fakes import ok
 from test_entry_allowances import KEY, LIMITED, LimitedVm
 from test_entry_controller import EntryVm, run, status
-from test_entry_customers import ask
+from test_entry_customers import KEY as URGENT_KEY
+from test_entry_customers import KeyedVm, ask
 
 from bramleycrank.cli.context import Context
 from bramleycrank.cli.entry import EntryCommands
@@ -78,6 +80,32 @@
     run(scenario, LimitedVm, a1=ok)
 
 
+def test_a_placement_tells_that_a_request_would_be_refused_for_lack_of_room():
+    """Load: 100 requests of an urgent customer at once, at a target that answers four in 60 ms."""
+
+    async def scenario(vm):
+        vm.fakes["a1"].delay_s = 0.06
+        urgent, other = f"Authorization: Token {URGENT_KEY}\r\n", "Authorization: Token key-b\r\n"
+        assert status(await vm.get("/one/x", urgent)) == 200
+        assert place(vm, "/one/y", "Bolt")["steps"]["admission"] == "served by this VM"
+        requests = [
+            asyncio.ensure_future(vm.get(f"/one/{number}", urgent)) for number in range(100)
+        ]
+        waiting = vm.entry._waiting
+        state = waiting._shares, waiting._refused, waiting._refusals._times
+        while (
+            "503, return after" not in (placed := place(vm, "/one/y", "Bolt"))["steps"]["admission"]
+        ):
+            assert not all(request.done() for request in requests)
+            await asyncio.sleep(0)
+            before = pickle.dumps(state)
+        assert pickle.dumps(state) == before and not placed["services"]
+        assert status(await vm.get("/one/y", other)) == 503
+        await asyncio.gather(*requests)
+
+    run(scenario, KeyedVm, a1=ok)
+
+
 def test_the_use_of_a_customer_is_listed_over_all_vms_without_its_keys(capsys):
     """Guards against sums that leave a VM out silently, and against keys in lists."""
 
