--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -133,7 +133,7 @@
     allowances: AllowanceBounds = attrs.field(factory=AllowanceBounds)
     regions: Mapping[str, str] = attrs.field(factory=dict)
     order_resend_window_s: float = 6.0
-    weigh_load_by_age: bool = False
+    weigh_load_by_age: bool = True
 
 
 class HttpAdapter(Protocol):
--- a/bramleycrank/platform/__main__.py
+++ b/bramleycrank/platform/__main__.py
@@ -6,8 +6,6 @@
 import sys
 from pathlib import Path
 
-import attrs
-
 from bramleycrank.daemon.http_process import run
 from bramleycrank.daemon.settings_file import SettingsFile
 from bramleycrank.exceptions import BramleycrankError
@@ -16,7 +14,6 @@
 from bramleycrank.platform.adapter import PlatformAdapter
 
 SETTINGS_VARIABLE = "BRAMLEYCRANK_NODE_FILE"
-WEIGH_LOAD_BY_AGE = "--weigh-load-by-age"
 DEFAULT_SETTINGS = "/etc/bramleycrank/node.conf"
 
 
@@ -29,7 +26,6 @@
     except BramleycrankError as exc:
         print(f"error {exc.code} {exc.name}: {exc.message}", file=sys.stderr)
         return exc.exit_code
-    cfg = attrs.evolve(cfg, weigh_load_by_age=WEIGH_LOAD_BY_AGE in sys.argv[1:])
     adapter = PlatformAdapter(str(cfg.control) if cfg.control else "")
     return run(cfg, adapter, ExposedMetrics("bramleycrank"), settings)
 
