Return on-demand grants of lost replies; say 503 within the allowance of a new issuer

- Grants for requests that wait were lost with their reply.
The issuer now puts them back when the holder's next report says that it did not accept that reply, and keeps room for them in the bucket until then.
Those whose caller has left serve other requests of the customer at that VM while they are valid.
- Refusals while a new issuer grants less than the allowance said 429 within it as well.
They say 503 with the time of the next grant, unless the demand at this VM alone exceeds rate and burst, so callers far beyond the allowance still get 429.
- "Immediate" grants are called on-demand grants, the usual term.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -88,7 +88,8 @@
     retry_after_s : float
         Time after which it may be admitted, in seconds.
     over_allowance : bool
-        Whether the issuer said that the allowance is used up; otherwise none was reached.
+        Whether the allowance is used up; otherwise no issuer was reached, or a new one does not
+        grant the whole allowance yet.
     """
 
     retry_after_s: float
@@ -107,8 +108,8 @@
         Requests admitted with grants of the present issuer, in total.
     asked_admitted, asked_left : int
         The same, and the grants left, at the time of the last request to the issuer.
-    immediate : int
-        Requests that waited for the last reply and may be admitted until `immediate_until`.
+    on_demand : int
+        Requests that may be admitted until `on_demand_until`, as many as waited for the reply.
     denied_until : float
         Time until which the issuer has nothing to grant, in seconds.
     per_s : float
@@ -132,8 +133,8 @@
     expires: float = 0.0
     old_left: int = 0
     old_expires: float = 0.0
-    immediate: int = 0
-    immediate_until: float = 0.0
+    on_demand: int = 0
+    on_demand_until: float = 0.0
     admitted: int = 0
     asked_admitted: int = 0
     asked_left: int = 0
@@ -274,8 +275,8 @@
             grants.count(now)
         if now < self._unlimited_until:
             return Admit()
-        if again and grants.immediate and now < grants.immediate_until:
-            grants.immediate -= 1
+        if grants.on_demand and now < grants.on_demand_until:
+            grants.on_demand -= 1
             return Admit()
         if grants.ready(now):
             grants.left -= 1
@@ -309,7 +310,11 @@
         # Each refused caller is told a later time, as far apart as the requests of the rate.
         wait_s = max(0.0, grants.retry_at - now) + grants.refused / customer.per_s
         grants.refused += 1
-        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance=True)
+        # A new issuer grants less than the allowance for a while.
+        over_allowance = not self._starting or grants.demand(now) > (
+            customer.per_s + customer.burst / DEMAND_S
+        )
+        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance)
 
     def _use_fallback(self, customer: Customer, grants: _Grants, now: float) -> bool:
         """Use this VM's shares in the fallback allowance and the rate, if there is one left.
@@ -453,10 +458,10 @@
         used = grants.admitted - grants.asked_admitted
         customer = self._customers.get(grant.customer)
         if customer is not None:
-            immediate_s = self._bounds.immediate_s(customer)
-            grants.immediate_until = sent_at + immediate_s * valid
-        grants.immediate = grant.immediate
-        if grant.requests + grant.immediate < grants.asked_left + grants.wanted:
+            on_demand_s = self._bounds.on_demand_s(customer)
+            grants.on_demand_until = sent_at + on_demand_s * valid
+        grants.on_demand = grant.on_demand
+        if grant.requests + grant.on_demand < grants.asked_left + grants.wanted:
             grants.scarce_until = now + SCARCE_S
         grants.left = max(0, grant.requests - used)
         grants.expires = sent_at + VALID_S * valid
@@ -475,7 +480,7 @@
             grants.retry_at = now + retry_after_s
             grants.denied_until = now + min(MAX_DENIAL_S, retry_after_s)
             grants.refused = 0
-        elif grant.immediate or grants.left:
+        elif grant.on_demand or grants.left:
             grants.denied_until = 0.0
             grants.refused = 0
 
--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -10,8 +10,8 @@
 
 from bramleycrank.customers.allowances.limits import (
     FALLBACK_S,
-    IMMEDIATE_S,
     LEASE_S,
+    ON_DEMAND_S,
     RATE_SHARE_DELAY_S,
     RATE_SHARE_VALID_S,
     VALID_S,
@@ -38,6 +38,9 @@
         Grants that the holder may still use, or has used without a report.
     admitted : int
         Requests that it has reported as admitted in total.
+    on_demand, on_demand_until : int, float
+        Grants for requests that waited for the last reply, which come back until then if the holder
+        did not accept it.
     rate_share : float
         Share of the rate that the holder may use from `rate_share_from` to `rate_share_until`.
     sequence, asked_at : int, float
@@ -51,6 +54,8 @@
     admitted: int = 0
     fallback_share: float = 0.0
     fallback_until: float = 0.0
+    on_demand: int = 0
+    on_demand_until: float = 0.0
     rate_share: float = 0.0
     rate_share_from: float = -math.inf
     rate_share_until: float = -math.inf
@@ -91,6 +96,11 @@
         """Return the grants of all holders that are neither reported nor expired."""
         return sum(a.outstanding for a in self.accounts.values() if a.expires > now)
 
+    def returnable(self, now: float) -> int:
+        """Return the grants that holders may put back."""
+        unconfirmed = (a.on_demand for a in self.accounts.values() if a.on_demand_until > now)
+        return self.outstanding(now) + sum(unconfirmed)
+
     def give(self, count: int) -> None:
         """Take grants out of the bucket; a negative count puts them back."""
         self.level -= count
@@ -164,7 +174,7 @@
                 self._buckets[name] = self._new_bucket(customer, now)
             else:
                 bucket.customer, bucket.removed_at = customer, math.inf
-                room = self._capacity(customer, now) - bucket.outstanding(now)
+                room = self._capacity(customer, now) - bucket.returnable(now)
                 bucket.level = min(bucket.level, room)
 
     def on_request(self, request: GrantRequest, now: float) -> GrantReply:
@@ -200,8 +210,8 @@
 
     @property
     def _ramp_ends(self) -> float:
-        # Immediate grants of a predecessor may be used until then beside those of this issuer.
-        return self._issues_from + self._bounds.window_s + IMMEDIATE_S
+        # On-demand grants of a predecessor may be used until then beside those of this issuer.
+        return self._issues_from + self._bounds.window_s + ON_DEMAND_S
 
     @property
     def _advance_from(self) -> float:
@@ -228,9 +238,10 @@
         extra_per_s = self._bounds.start_extra_per_s(customer)
         changes = {self._advance_from, self._issues_from + RATE_SHARE_VALID_S, now}
         for account in bucket.accounts.values():
-            changes |= {account.expires, account.rate_share_from, account.rate_share_until}
+            changes |= {account.expires, account.on_demand_until}
+            changes |= {account.rate_share_from, account.rate_share_until}
         for at in sorted(at for at in changes if start < at <= now):
-            room = self._capacity(customer, start) - bucket.outstanding(start)
+            room = self._capacity(customer, start) - bucket.returnable(start)
             gained = self._granted_per_s(bucket, start) * (at - start)
             bucket.ramp += gained + extra_per_s * (at - start)
             bucket.level = max(bucket.level, min(room, bucket.level + gained))
@@ -264,24 +275,25 @@
         # Half is left for other holders. Grants that are used at once never lie idle at a VM, so
         # only those ahead of requests count against the limit on outstanding ones, and come from
         # a bucket that is full enough for requests at other VMs.
-        immediate = min(use.waiting, max(min(1, available), available // 2))
-        spare = math.floor(level - immediate - self._bounds.reserve(bucket.customer))
+        on_demand = min(use.waiting, max(min(1, available), available // 2))
+        spare = math.floor(level - on_demand - self._bounds.reserve(bucket.customer))
         spare = min(spare, limit - bucket.outstanding(now))
         ahead = max(0, min(use.ahead, spare))
-        count = immediate + ahead
+        count = on_demand + ahead
         bucket.give(count)
         account.outstanding = held + ahead
-        account.expires = now + VALID_S
+        account.expires = account.on_demand_until = now + VALID_S
+        account.on_demand = on_demand
         retry_after_s = 0.0
         # A holder that only asks ahead is promised nothing, or the time that a refused caller was
         # told would go to it.
-        if immediate < use.waiting and level - count < 1:
+        if on_demand < use.waiting and level - count < 1:
             retry_after_s = self._promise(bucket, 1 - (level - count), now)
         share = self._fallback_share(bucket, account, use, now)
         return AllowanceGrant(
             customer=use.customer,
             requests=account.outstanding,
-            immediate=immediate,
+            on_demand=on_demand,
             retry_after_ms=math.ceil(retry_after_s * 1000),
             fallback_share=share,
         )
@@ -294,6 +306,8 @@
 
         Grants that have expired are not put back: windows count them in the bucket's level.
         """
+        if use.accepted_sequence != account.sequence and now < account.on_demand_until:
+            bucket.give(-account.on_demand)
         balance = account.outstanding if account.expires > now else 0
         # A holder that names another issuer has accepted no grant of this one.
         spent = max(0, use.admitted - account.admitted) if known else 0
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -14,7 +14,7 @@
 from bramleycrank.customers import Customer
 from bramleycrank.customers.allowances import Admit, AllowanceBounds, Ask, Holder, Issuer
 from bramleycrank.customers.allowances.limits import LEASE_S
-from bramleycrank.proto.peer_pb2 import GrantReply
+from bramleycrank.proto.peer_pb2 import AllowanceGrant, AllowanceUse, GrantReply, GrantRequest
 
 WAIT_S = 0.3
 CALL_TIMEOUT_S = 0.5
@@ -289,6 +289,34 @@
     assert 100 < len(world.ran["a"]) <= world.bounds.start_capacity(customer) + 1
 
 
+def test_grants_of_a_lost_reply_are_granted_again():
+    """Guards against a bucket that each lost reply to a request that waits empties further."""
+    customer = Customer("a", per_s=0.001, burst=4.0)
+    issuer = Issuer(AllowanceBounds(overage=0.0, slack=0.0))
+    issuer.set_customers([customer], 1, 0.0)
+    issuer.lead(1, 0.0)
+    granted = []
+    for sequence, accepted in ((1, 0), (2, 0), (3, 2), (4, 3)):  # the first reply is lost
+        use = AllowanceUse(customer="a", waiting=1, accepted_sequence=accepted)
+        request = GrantRequest(vm_id="vm", sequence=sequence, issuer_term=1, uses=[use])
+        granted += [g.on_demand for g in issuer.on_request(request, 30.0 + sequence).grants]
+    assert granted == [1, 1, 1, 0], "the bucket had two"
+
+
+def test_refusal_by_a_new_issuer_says_that_the_allowance_is_used_up_only_beyond_it():
+    """Guards against 429 for customers inside their allowance after a change of the leader."""
+    holder = Holder("vm", 1, AllowanceBounds())
+    holder.set_customers([Customer("a", per_s=2.0, burst=4.0)], 1)
+    holder.admit("a", 0.0)
+    request = holder.next_request(0.0)
+    grant = AllowanceGrant(customer="a", retry_after_ms=700)
+    reply = GrantReply(issuing=True, issuer_term=1, starting=True, grants=[grant])
+    holder.on_reply(request.sequence, reply, 0.0)
+    decisions = [holder.admit("a", 0.1) for _ in range(12)]
+    assert [d.over_allowance for d in decisions] == [False] * 7 + [True] * 5
+    assert decisions[0].retry_after_s == pytest.approx(0.6)
+
+
 def test_customer_that_returns_is_counted_from_where_it_was_forgotten():
     """Guards against grants that are put back because a holder's count starts again."""
     customers = [Customer(name, per_s=1.0, burst=5.0) for name in "ab"]
