--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -303,6 +303,37 @@
     assert granted == [1, 1, 1, 0], "the bucket had two"
 
 
+def test_requests_wait_for_an_issuer_after_a_time_without_limit():
+    """Guards against refusals beside a leader of a build that knows no grants, each few seconds."""
+    holder = Holder("vm", 1, AllowanceBounds())
+    holder.set_customers([Customer("a", per_s=2.0, burst=4.0)], 1)
+    for now in (0.0, 6.0, 12.0):
+        assert isinstance(holder.admit("a", now), Ask)
+        holder.on_unsupported(holder.next_request(now).sequence, now)
+        assert isinstance(holder.admit("a", now, again=True), Admit)
+
+
+def test_bucket_is_not_used_in_a_window_with_late_grants_of_a_predecessor():
+    """Guards against on-demand grants that are used when the successor's first window has begun."""
+    customer = Customer("a", per_s=20.0, burst=60.0)
+    world = World(1, [customer], 12)
+    world.elect()
+    world.run(20.0)
+    world.elect()
+    world.run(20.65)  # until 20.8 the predecessor grants from a full bucket
+    world.travel = lambda: 0.11
+    for vm in world.vms:
+        for _ in range(40):
+            vm.decide("a", world.now, again=False)
+        vm.poll()
+    world.run(20.9)
+    world.travel = lambda: 0.001
+    assert len(world.ran["a"]) > 0.5 * customer.burst
+    world.demand("a", 400.0, world.vms, 20.9, 28.0)
+    world.run(28.0)
+    assert world.excess(customer) <= 0
+
+
 def test_refusal_by_a_new_issuer_says_that_the_allowance_is_used_up_only_beyond_it():
     """Guards against 429 for customers inside their allowance after a change of the leader."""
     holder = Holder("vm", 1, AllowanceBounds())
