Bound the memory of a decoded order before it is decoded

Cause: json makes up to 44 bytes of one byte of text (nested empty lists), so two orders of 6 MB took a voter to 197 MB. Beside that, each decoded route was a protobuf message with memory of its own until the table was complete.

Change: decoded_bytes counts brackets, commas and colons in the text, an upper bound on the decoded size. An order, report or leave beyond a quarter of Limits.MemoryMb (256 MiB if that is unknown) gets 400 with both numbers, before it is decoded. Documents that another VM accepted are decoded in any case. Routes are added to the table in place.

--- a/bramleycrank/platform/__main__.py
+++ b/bramleycrank/platform/__main__.py
@@ -30,7 +30,7 @@
         print(f"error {exc.code} {exc.name}: {exc.message}", file=sys.stderr)
         return exc.exit_code
     cfg = attrs.evolve(cfg, weigh_load_by_age=WEIGH_LOAD_BY_AGE in sys.argv[1:])
-    adapter = PlatformAdapter(str(cfg.control) if cfg.control else "")
+    adapter = PlatformAdapter(str(cfg.control) if cfg.control else "", cfg.memory_bytes)
     return run(cfg, adapter, ExposedMetrics("bramleycrank"), settings)
 
 
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -24,6 +24,12 @@
 INSTANCES_PATH = "/-/instances/"
 EVACUATIONS_PATH = "/-/evacuate/"
 
+DECODING_SHARE = 1 / 4
+"""Part of a VM's memory for one decoded document; orders are decoded one after the other."""
+
+DEFAULT_ROOM_BYTES = 256 * 1024 * 1024
+"""Memory for one decoded document on a VM whose memory limit is unknown."""
+
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
@@ -34,9 +40,12 @@
     ----------
     control_address : str
         ``host:port`` at which this VM receives reports; empty if it receives none.
+    memory_bytes : int, optional
+        Memory limit of the process; 0 if unknown.
     """
 
-    def __init__(self, control_address: str) -> None:
+    def __init__(self, control_address: str, memory_bytes: int = 0) -> None:
+        self._room_bytes = int(memory_bytes * DECODING_SHARE) or DEFAULT_ROOM_BYTES
         self.dialect = PlatformHeaders()
         self._refusals = RequestLog(log, time.monotonic)
         self._report_response = json.dumps({"HeartbeatAddr": control_address}).encode()
@@ -44,6 +53,8 @@
     def decode_routes(self, document: bytes) -> RouteTable:
         """Decode an operator's document again, which may have fields that an older build ignored.
 
+        It was accepted by another VM, so this one takes it whatever its size.
+
         Raises
         ------
         MalformedBody
@@ -92,14 +103,14 @@
         request = exchange.request
         match request.method, request.path:
             case b"PUT", path if path == CONFIG_PATH:
-                await service.put_routes(documents.decode_routes(request.body))
+                await service.put_routes(documents.decode_routes(request.body, self._room_bytes))
                 return b"{}"
             case b"GET", path if path == CONFIG_PATH:
                 return (await service.routes()).document
             case b"PUT", path if path.startswith(INSTANCES_PATH):
                 return await self._report(_target_id(path), request.body, service)
             case b"DELETE", path if path.startswith(INSTANCES_PATH):
-                await service.leave(_target_id(path), _incarnation(request.body))
+                await service.leave(_target_id(path), _incarnation(request.body, self._room_bytes))
                 return b"{}"
             case (b"POST" | b"DELETE") as method, path if path.startswith(EVACUATIONS_PATH):
                 domain = _last_segment(path, EVACUATIONS_PATH, "domain")
@@ -109,7 +120,7 @@
         raise NotFound(f"{request.method.decode('latin-1')} {request.path[:100]}")
 
     async def _report(self, target_id: str, body: bytes, service: ControlService) -> bytes:
-        record = documents.decode_report(target_id, body)
+        record = documents.decode_report(target_id, body, self._room_bytes)
         try:
             await service.announce(record)
         except InvalidRequest as exc:
@@ -137,8 +148,8 @@
     return segment
 
 
-def _incarnation(body: bytes) -> int | None:
+def _incarnation(body: bytes, room_bytes: int) -> int | None:
     if not body.strip():
         return None
-    fields = Fields.from_json(body, "leave")
+    fields = Fields.from_json(body, "leave", room_bytes)
     return documents.decode_incarnation(fields) if fields.has("born") else None
--- a/bramleycrank/platform/documents.py
+++ b/bramleycrank/platform/documents.py
@@ -15,19 +15,25 @@
 """Limit of the numbers that a message carries in 32 bits."""
 
 
-def decode_routes(body: bytes) -> log_pb2.RouteTable:
+def decode_routes(body: bytes, room_bytes: int | None = None) -> log_pb2.RouteTable:
     """Return the route table of a configuration document.
 
+    Parameters
+    ----------
+    body : bytes
+        The document.
+    room_bytes : int, optional
+        Memory for the decoded document; None for a document that was accepted before.
+
     Raises
     ------
     MalformedBody
-        The document cannot be read in full.
+        The document cannot be read in full, or there is no room for it.
     """
-    fields = Fields.from_json(body, "config")
+    fields = Fields.from_json(body, "config", room_bytes)
     limits = fields.object("Limits")
-    return log_pb2.RouteTable(
+    table = log_pb2.RouteTable(
         version=fields.count("Version"),
-        routes=[_route(item) for item in fields.objects("Routes")],
         services=[
             log_pb2.HttpService(
                 # Applies to all callers of one target together.
@@ -48,6 +54,9 @@
         customers=[_customer(item) for item in fields.objects("Tenants")],
         format=ROUTES_FORMAT,
     )
+    for item in fields.objects("Routes"):
+        _add_route(table, item)
+    return table
 
 
 def _customer(fields: Fields) -> log_pb2.Customer:
@@ -60,7 +69,8 @@
     )
 
 
-def _route(fields: Fields) -> log_pb2.Route:
+def _add_route(table: log_pb2.RouteTable, fields: Fields) -> None:
+    """Add a route in place; each message of its own takes at least a kilobyte."""
     kind = fields.text("Type", IDEMPOTENT)
     if kind not in (IDEMPOTENT, NON_IDEMPOTENT):
         raise malformed(f"route type {kind!r} is unknown")
@@ -70,7 +80,7 @@
     ]
     if fields.has("Service"):
         split.append(log_pb2.WeightedService(name=fields.text("Service"), weight=1.0))
-    return log_pb2.Route(
+    table.routes.add(
         name=fields.text("Name", ""),
         host=fields.text("Host"),
         path_prefix=fields.text("PathPrefix"),
@@ -94,15 +104,26 @@
     return round(min(value, UINT32 - 1))
 
 
-def decode_report(target_id: str, body: bytes) -> target_pb2.TargetRecord:
+def decode_report(
+    target_id: str, body: bytes, room_bytes: int | None = None
+) -> target_pb2.TargetRecord:
     """Return the target record of a report.
 
+    Parameters
+    ----------
+    target_id : str
+        Id of the target.
+    body : bytes
+        The report.
+    room_bytes : int, optional
+        Memory for the decoded report; None for any amount.
+
     Raises
     ------
     MalformedBody
-        A field is missing, has another type or an unknown value.
+        A field is missing, has another type or an unknown value, or there is no room for it.
     """
-    fields = Fields.from_json(body, "report")
+    fields = Fields.from_json(body, "report", room_bytes)
     address = Address.parse(fields.text("Address"))
     if address is None:
         raise malformed("report.Address is not an IP address with a port")
--- a/bramleycrank/platform/fields.py
+++ b/bramleycrank/platform/fields.py
@@ -13,6 +13,18 @@
 MAX_TOKEN_CHARS = 255
 """Longest id of a target and longest name of a service or zone."""
 
+VALUE_BYTES = 80
+"""Memory of a decoded number or the head of a string, with its place in a list."""
+
+CONTAINER_BYTES = 128
+"""Memory of a decoded list or object, without its values."""
+
+MEMBER_BYTES = 180
+"""Memory of the key of an object with its place in the tables, when no two keys are equal."""
+
+WIDE_CHAR_BYTES = 4
+"""Memory of each character of a text that has one outside ASCII."""
+
 _TOKEN = re.compile(r"[!-~]+")
 
 
@@ -34,14 +46,29 @@
         self._where = where
 
     @classmethod
-    def from_json(cls, body: bytes, where: str) -> Fields:
+    def from_json(cls, body: bytes, where: str, room_bytes: int | None = None) -> Fields:
         """Parse a body.
 
+        Parameters
+        ----------
+        body : bytes
+            The JSON text.
+        where : str
+            Name of the document, for error messages.
+        room_bytes : int, optional
+            Memory for the decoded document; None for any amount.
+
         Raises
         ------
         MalformedBody
-            The body is not a JSON object, or an object has a duplicate key.
+            The body is not a JSON object, an object has a duplicate key, or there is no room for
+            the decoded document.
         """
+        if room_bytes is not None and (needed_bytes := decoded_bytes(body)) > room_bytes:
+            raise malformed(
+                f"{where} has {len(body)} bytes and may take {needed_bytes} bytes of memory, "
+                f"but {room_bytes} are free for it; send fewer values"
+            )
         try:
             return cls(json.loads(body, object_pairs_hook=_reject_duplicate_keys), where)
         except (ValueError, RecursionError) as exc:
@@ -129,6 +156,29 @@
             raise malformed(f"{self._where} is nested too deeply") from exc
 
 
+def decoded_bytes(body: bytes) -> int:
+    """Return an upper bound on the memory of a decoded JSON text, in bytes.
+
+    Load pattern: some orders consist of millions of empty lists or one-letter keys, which take up
+    to 45 times their size once decoded, so the bound is computed before the text is parsed. A
+    character inside a string counts like one outside.
+    """
+    text_bytes = len(body) * (1 if body.isascii() else WIDE_CHAR_BYTES)
+    # The pieces of a string with escapes are joined, and an escape can state a wide character.
+    strings_bytes = len(body) * 2 * WIDE_CHAR_BYTES if b"\\" in body else text_bytes
+    containers = body.count(b"{") + body.count(b"[")
+    # The first value of a list follows no comma.
+    values = body.count(b",") + containers
+    members = body.count(b":")
+    return (
+        text_bytes
+        + strings_bytes
+        + VALUE_BYTES * values
+        + CONTAINER_BYTES * containers
+        + MEMBER_BYTES * members
+    )
+
+
 def is_token(value: str) -> bool:
     """Return whether a string may name a target or service in a header: short, no spaces."""
     return bool(value) and len(value) <= MAX_TOKEN_CHARS and bool(_TOKEN.fullmatch(value))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import tracemalloc
 from types import SimpleNamespace
 
 import pytest
@@ -20,7 +21,8 @@
     VersionConflict,
 )
 from bramleycrank.platform import documents, node_file
-from bramleycrank.platform.adapter import PlatformAdapter
+from bramleycrank.platform.adapter import DECODING_SHARE, DEFAULT_ROOM_BYTES, PlatformAdapter
+from bramleycrank.platform.fields import Fields, decoded_bytes
 from bramleycrank.platform.headers import PlatformHeaders
 from bramleycrank.proto.target_pb2 import TARGET_STATE_LEAVING, TARGET_STATE_SERVING
 from bramleycrank.routing import ROUTES_FORMAT, RouteIndex
@@ -280,6 +282,60 @@
     assert status == 400
 
 
+def peak_of(body: bytes) -> int:
+    """Return the most memory that decoding a body takes, with its text, in bytes."""
+    tracemalloc.start()
+    try:
+        Fields.from_json(body, "config")
+        return tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+@pytest.mark.parametrize(
+    "items",
+    [
+        b"{}," * 30_000,
+        b"[]," * 30_000,
+        b"[[[[[[]]]]]]," * 7_000,
+        b'{"a":1},' * 10_000,
+        b"".join(b'{"%x":1},' % i for i in range(10_000)),
+        b"{" + b",".join(b'"%x":1e5' % i for i in range(10_000)) + b"},",
+        b"999," * 20_000,
+        b"1e5," * 20_000,
+        b'"ab",' * 20_000,
+        b'"ab",' * 20_000 + '"\U0001f600",'.encode(),
+        b'"' + b"a" * 90_000 + b'\\ud83d\\ude00",',
+        b'"' + b"a" * 90_000 + b'\\n",',
+    ],
+)
+def test_the_memory_of_a_document_is_never_more_than_estimated(items):
+    """Guards against orders of few bytes that take many times as much once decoded."""
+    body = b'{"a":[' + items + b"0]}"
+    assert peak_of(body) <= decoded_bytes(body)
+
+
+def test_a_document_without_room_is_refused_before_it_is_decoded():
+    """Guards against orders, reports and leaves that are measured only once decoded."""
+    adapter = PlatformAdapter("", memory_bytes=1_000_000)
+    body = b'{"a":[' + b"{}," * 2_000 + b"0]}"
+    for method, target in (
+        (b"PUT", b"/-/config"),
+        (b"PUT", b"/-/instances/i-1"),
+        (b"DELETE", b"/-/instances/i-1"),
+    ):
+        service = dict.fromkeys(("put_routes", "announce", "leave"), accept)
+        status, reply = respond(adapter, method, target, body, **service)
+        assert status == 400 and b"send fewer values" in reply
+
+
+def test_a_large_ordinary_document_has_room():
+    """Guards against a room that refuses tables of some thousand routes; 300 MB is usual."""
+    document = dumped({**CONFIG, "Routes": CONFIG["Routes"] * 5_000})
+    assert decoded_bytes(document) < 300 * 1024 * 1024 * DECODING_SHARE
+    assert decoded_bytes(document * (8 * 1024 * 1024 // len(document))) < DEFAULT_ROOM_BYTES
+
+
 def test_leave_without_a_body_applies_to_the_newest_incarnation():
     left = []
 
--- a/tests/test_process_pressure.py
+++ b/tests/test_process_pressure.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import re
 import socket
@@ -17,6 +18,8 @@
 import pytest
 from http_fakes import FakeTarget, ok
 
+from bramleycrank.platform.adapter import DECODING_SHARE
+from bramleycrank.platform.fields import decoded_bytes
 from bramleycrank.platform.node_file import METRICS_PORT
 from harness.platform_fleet import CONTROL_PORT, ENTRY_PORT, READY_PORT, Fleet, PlatformVm
 from harness.processes import wait_until
@@ -325,3 +328,32 @@
         await press(voter, CONTROL_PORT, [Crowd(2, lines + order)], served)
 
     run(tmp_path, scenario)
+
+
+def test_the_largest_order_with_room_is_taken_within_the_memory(tmp_path):
+    """Guards against a room for orders that ordinary ones of that size exceed once applied."""
+    room_bytes = int(MEMORY_MB * 1024 * 1024 * DECODING_SHARE)
+    more = [route("quick", 4000) | {"PathPrefix": f"/p{1000 + i}/"} for i in range(9000)]
+    count = int(0.99 * room_bytes / decoded_bytes(json.dumps(more[0]).encode() + b","))
+    order = {**CONFIG, "Version": 2, "Routes": CONFIG["Routes"] + more[:count]}
+    assert 0.95 * room_bytes < decoded_bytes(json.dumps(order).encode()) < room_bytes
+
+    async def scenario(fleet: Fleet) -> None:
+        voter = fleet.voters[0]
+        served = served_by(fleet, voter, "/-/config", CONTROL_PORT)
+        await wait_until(served, "the first order is in force", 30)
+        status = await fleet.send("PUT", "/-/config", order, voter.ip, CONTROL_PORT)
+        assert b" 200 " in status[:20]
+
+        [entry] = fleet.entries
+        last = served_by(fleet, entry, more[count - 1]["PathPrefix"], ENTRY_PORT)
+        await wait_until(last, "the last route is in force", 30)
+        for vm in fleet.voters:
+            reply = await fleet.send("GET", "/-/config", None, vm.ip, CONTROL_PORT)
+            assert b'"Version":2' in reply
+        for vm in [*fleet.voters, *fleet.entries]:
+            assert vm.process.exit_code is None, vm.process.log_tail()
+            print(f"{peak_memory_mb(vm):.0f} MB after {count} routes")
+            assert peak_memory_mb(vm) < MEMORY_MB
+
+    run(tmp_path, scenario)
