Check the start line of a response in the command line client

Cause: http.client reads HTTP/0.9 as 1.0, HTTP/1.2 as 1.1, and any number of spaces, so the client took three start lines that break the protocol for answers of a VM.

Change: the start line is matched as a whole when it is read; the checks of version, status and reason after the fact are dropped, since the pattern contains them.

--- a/bramleycrank/cli/query.py
+++ b/bramleycrank/cli/query.py
@@ -6,6 +6,7 @@
 import email.message
 import http.client
 import json
+import re
 import time
 import urllib.error
 import urllib.request
@@ -27,6 +28,35 @@
 # The daemon answers by the deadline; the margin covers the round trip.
 TIMEOUT_MARGIN_S = 2.0
 
+_START_LINE = re.compile(
+    rb"(HTTP/1\.[01]) (100|[2-5][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?\r?\n"
+)
+_MAX_START_LINE_BYTES = 8192
+
+
+class _Response(http.client.HTTPResponse):
+    """A response whose start line is valid for HTTP/1.0 or 1.1; of interim ones only 100 is."""
+
+    def _read_status(self) -> tuple[str, int, str]:
+        # The library takes any HTTP/1.x and HTTP/0.9 for these versions, and any spaces.
+        line = self.fp.readline(_MAX_START_LINE_BYTES)
+        if not line:
+            raise http.client.RemoteDisconnected("the connection was closed without a response")
+        match = _START_LINE.fullmatch(line)
+        if match is None:
+            raise http.client.BadStatusLine(repr(line[:100]))
+        version, status, reason = match.groups(b"")
+        return version.decode(), int(status), reason.decode("latin-1")
+
+
+class _Connection(http.client.HTTPConnection):
+    response_class = _Response
+
+
+class _Handler(urllib.request.HTTPHandler):
+    def http_open(self, req: urllib.request.Request) -> http.client.HTTPResponse:
+        return self.do_open(_Connection, req)
+
 
 class QueryCommands:
     """Sends requests to the HTTP address of a VM (`--http` or BRAMLEYCRANK_HTTP)."""
@@ -201,15 +231,15 @@
         url, json.dumps(body).encode(), {"Content-Type": "application/json"}
     )
     # Proxy settings of the environment do not apply to VMs.
-    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}), _Handler)
     try:
         with opener.open(request, timeout=timeout_s) as reply:
-            _check_response(reply.status, reply.version, reply.reason, reply.headers)
+            _check_framing(reply.headers)
             return json.load(reply)
     except urllib.error.HTTPError as exc:
         content = exc.read()
         try:
-            _check_response(exc.code, exc.fp.version, exc.reason, exc.headers)
+            _check_framing(exc.headers)
         except http.client.HTTPException as broken:
             raise PeerUnreachable(f"{url}: {broken!r}") from exc
         raise _parse_error(exc.code, content) from exc
@@ -219,12 +249,10 @@
         raise PeerUnreachable(f"{url}: {exc!r}") from exc
 
 
-def _check_response(status: int, version: int, reason: str, headers: email.message.Message) -> None:
-    """Raise ``HTTPException`` if a response is broken in a way that the library accepts."""
+def _check_framing(headers: email.message.Message) -> None:
+    """Raise ``HTTPException`` if the library accepts headers that do not mark one end."""
     lengths = headers.get_all("Content-Length", [])
     encodings = [value.strip().lower() for value in headers.get_all("Transfer-Encoding", [])]
-    if not 200 <= status <= 599 or version not in (10, 11) or not reason.isprintable():
-        raise http.client.BadStatusLine(f"{version} {status} {reason}")
     if len(lengths) + len(encodings) > 1 or headers.defects:
         raise http.client.HTTPException("the length of the body is ambiguous")
     if not all(value.isascii() and value.isdigit() and len(value) < 19 for value in lengths):
