Ignore the offer of a protocol upgrade in a request

Cause: the parser ends a request that offers an upgrade after its head. The request ran without its body, and the error for the upgrade was written as a second answer, which the caller took for that of its next request. CONNECT had the same fault.

Change: when the parser stops at an offer, a new one reads the head again without the Upgrade header and goes on with the body, so that all rules of heads and bodies apply. CONNECT gets 400 and does not run.

--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -252,14 +252,32 @@
         self._completed = False
         self._meter.received += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._set_error(400, "protocol upgrades are not supported")
+            self._feed(data)
         except httptools.HttpParserError as exc:
             if self._error is None:
                 self._set_error(400, f"malformed request: {exc}")
         self._check_sizes()
 
+    def _feed(self, data: memoryview) -> None:
+        """Pass data to the parser, which ends a request with an offered upgrade after its head."""
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                if self._error is not None or self._closing:
+                    return
+                data = data[exc.args[0] :]
+                self._resume_without_upgrade()
+
+    def _resume_without_upgrade(self) -> None:
+        """Read the head again without the offer of an upgrade, so that the body follows it."""
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._parser.get_method(), self._url, version)]
+        lines += [b"%b: %b" % item for item in self._headers if item[0].lower() != b"upgrade"]
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+
     def _parse_rest(self) -> None:
         """Go on with data that arrived while a request had to wait."""
         self._parse_scheduled = False
@@ -317,6 +335,11 @@
         if self._parser.get_http_version() not in VERSIONS:
             self._set_error(400, "the version of the protocol is not supported")
             return
+        if self._parser.get_method() == b"CONNECT":
+            self._set_error(400, "tunnels are not supported")
+            return
+        if self._parser.should_upgrade():
+            return  # the head is read again without the offer
         if not has_known_encoding(self._headers):
             self._set_error(400, "the transfer encoding is not supported")
             return
@@ -341,7 +364,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request."""
-        if self._error is not None or self._closing:
+        if self._error is not None or self._closing or self._parser.should_upgrade():
             return
         self._request_started_at = None
         self._completed = True
