Take what a caller confirms of its answer as progress

Cause: progress was seen only when the kernel asked for more data, which it does once about a third of its send buffer is free. A caller that reads a 16 MB answer at 100 KiB/s needs longer for that than the 10 s (or the idle timeout) after which one that reads nothing is disconnected.

Change: tcpi_bytes_acked of TCP_INFO is read with each check of the timeouts while an answer is being sent; an increase is progress. The timeouts are unchanged, and so is the mean speed below which a caller is disconnected. Where the kernel does not report the figure, all is as before. round_trip.py becomes tcp_info.py, which reads both figures.

--- a/bramleycrank/transport/http1/answer_writer.py
+++ b/bramleycrank/transport/http1/answer_writer.py
@@ -34,6 +34,7 @@
         self._paused = False
         self._progress_at = 0.0
         self._deadline = 0.0
+        self._acked_bytes: int | None = None
 
     def start(self, transport: asyncio.Transport) -> None:
         """Write to a transport, which reports whenever it holds unsent data."""
@@ -43,6 +44,7 @@
     def write(self, head: bytes, body: bytes) -> None:
         """Send an answer; the earlier ones are complete."""
         self._progress_at = self._clock()
+        self._acked_bytes = None
         size = len(head) + len(body)
         self._deadline = self._progress_at + WRITE_TIMEOUT_S + size / MIN_READ_BYTES_PER_S
         if size <= PIECE_BYTES:
@@ -62,6 +64,16 @@
         self._progress_at = self._clock()
         self._send_rest()
 
+    def note_acked(self, acked_bytes: int | None) -> None:
+        """Take what the caller has confirmed so far as progress; None if it is unknown.
+
+        The kernel asks for more only once a third of its buffer is free, which takes a caller at
+        100 KiB/s longer than the timeouts.
+        """
+        before, self._acked_bytes = self._acked_bytes, acked_bytes
+        if before is not None and acked_bytes is not None and acked_bytes > before:
+            self._progress_at = self._clock()
+
     def _send_rest(self) -> None:
         while self._rest and not self._paused:
             piece, self._rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -22,7 +22,7 @@
     has_known_encoding,
 )
 from bramleycrank.transport.http1.receive_budget import MessageMeter, ReceiveBudget
-from bramleycrank.transport.http1.round_trip import round_trip_of
+from bramleycrank.transport.http1.tcp_info import acked_bytes_of, round_trip_of
 
 log = logging.getLogger(__name__)
 
@@ -599,6 +599,9 @@
         limits = self._server.limits()
         if self._transport is None:
             return
+        if self._writer.is_pending:
+            sock = self._transport.get_extra_info("socket")
+            self._writer.note_acked(acked_bytes_of(sock) if sock is not None else None)
         if self._writer.is_overdue(now, limits.idle_timeout_s) or (
             self._linger_until is not None and now > self._linger_until
         ):
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -161,6 +161,27 @@
     asyncio.run(scenario())
 
 
+def test_a_caller_that_makes_progress_is_not_disconnected(monkeypatch):
+    """Guards against progress that is seen only once a third of the kernel's buffer is free."""
+    monkeypatch.setattr(answer_writer, "WRITE_TIMEOUT_S", 1.5)
+    answer = ANSWER * 4
+
+    async def scenario():
+        async with Served(answer, limit_bytes=10**8) as served:
+            sock = await served.connect(GET)
+            loop = asyncio.get_running_loop()
+            received = 0
+            for _ in range(40):
+                received += len(await loop.sock_recv(sock, 16_384))
+                await asyncio.sleep(0.1)
+            assert received < len(answer) / 2 and served.server.connections
+            while received < len(answer):
+                received += len(await loop.sock_recv(sock, 1 << 20))
+            sock.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_caller_that_reads_nothing_is_disconnected_after_the_idle_timeout():
     """Guards against a reader that stops and keeps its answer longer than it may be idle."""
 
