Release the memory of a sub-request when its bytes have left

Cause: a connection to a target drew what the kernel did not take of a request at once, and returned it only when the request ended, so large requests at targets that work for seconds counted twice.

Change: the transport reports when its buffer is empty, and the connection releases what it drew for it. A response that arrives counts by itself, as before. The transport of tests/test_http_status.py has the method for that too.

Measured: the new test failed before and holds; tests of the HTTP client and server and of the entry pass.

--- a/bramleycrank/transport/http1/client.py
+++ b/bramleycrank/transport/http1/client.py
@@ -104,6 +104,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._is_head_request = False
+        self._unsent_bytes = 0  # of the request in progress, as far as the budget counts them
         self._reset()
 
     def _reset(self) -> None:
@@ -135,9 +136,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self.requests += 1
         self._transport.write(data)
-        unsent = self._transport.get_write_buffer_size()
-        if unsent:
-            self._hold_memory(unsent)
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+        if self._unsent_bytes:
+            self._hold_memory(self._unsent_bytes)
 
     def close(self) -> None:
         """Close at once; only `on_closed` of the listener is called."""
@@ -150,11 +151,18 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Handle the opened connection."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # reports when a request has left
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._listener.on_connected(self)
 
+    def resume_writing(self) -> None:
+        """Release the memory of a request that has left."""
+        if self._unsent_bytes:
+            self._receive_budget.release(self, self._unsent_bytes)
+            self._unsent_bytes = 0
+
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer that received data is written to."""
         return _receive_buffer
@@ -313,6 +321,7 @@
         """Clear the request in progress and return its parser."""
         parser, self._parser = self._parser, None
         self._receive_budget.release(self)
+        self._unsent_bytes = 0
         return parser
 
     def _fail_request(self, *, garbled: bool) -> None:
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -12,7 +12,7 @@
 from bramleycrank.daemon.connection_limits import ConnectionLimits
 from bramleycrank.daemon.http_node import FunctionHandler
 from bramleycrank.routing import Limits
-from bramleycrank.transport.http1 import Http1Server, ReceiveBudget, answer_writer
+from bramleycrank.transport.http1 import Http1Server, ReceiveBudget, TargetConnection, answer_writer
 
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -251,6 +251,44 @@
     asyncio.run(scenario())
 
 
+class Waiting:
+    """Listener of a connection whose request is in progress."""
+
+    def on_closed(self, conn: TargetConnection) -> None:
+        """Ignore the end."""
+
+    def on_connected(self, conn: TargetConnection) -> None:
+        conn.send(b"POST / HTTP/1.1\r\n\r\n" + ANSWER * 4)
+
+
+def test_a_sub_request_counts_only_until_its_bytes_have_left():
+    """Load pattern: targets take large requests at once and work on them for seconds."""
+
+    async def scenario():
+        budget = ReceiveBudget(10**8)
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.setblocking(False)
+            _, conn = await loop.create_connection(
+                lambda: TargetConnection(Waiting(), budget), *listening.getsockname()
+            )
+            sock, _ = await loop.sock_accept(listening)
+            with sock:
+                assert 10**6 < budget.held_bytes < 17 * 10**6
+                while budget.held_bytes:
+                    await asyncio.wait_for(loop.sock_recv(sock, 1 << 20), 2)
+                # A part of a response counts by itself.
+                await loop.sock_sendall(sock, b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nxx")
+                async with asyncio.timeout(2):
+                    while not budget.held_bytes:
+                        await asyncio.sleep(0.01)
+                assert conn.busy and budget.held_bytes < 100
+                conn.close()
+                assert budget.used_bytes == 0
+
+    asyncio.run(scenario())
+
+
 @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 400)), max_size=60))
 def test_the_budget_counts_each_byte_once(steps):
     """Guards against bytes that are given back twice or never."""
--- a/tests/test_http_status.py
+++ b/tests/test_http_status.py
@@ -106,6 +106,9 @@
     def get_write_buffer_size(self) -> int:
         return 0
 
+    def set_write_buffer_limits(self, high: int) -> None:
+        """Ignore the limit, since nothing is held back."""
+
     def abort(self) -> None:
         """Ignore the end."""
 
