Keep a connection with unread data when another one needs its place

Cause: at the limit of connections, the one that had gone longest without an answer was closed also if a request of it was in the kernel's buffer, so the request ended in a reset. The address for other VMs has the lowest limit (PEERS_SHARE).

Change: a connection with unread data, found by a poll without a wait, is passed over like one with a request in progress. One that its caller has ended is not.

Measured: the new test failed before and held in three runs; process tests of connections and of long answers pass, one run.

--- a/bramleycrank/transport/http1/server.py
+++ b/bramleycrank/transport/http1/server.py
@@ -87,7 +87,9 @@
         """Make room for an accepted connection; return whether it may stay open."""
         if self.max_connections and len(self.connections) + self._accepted >= self.max_connections:
             oldest = itertools.islice(self.connections, MAX_SEARCHED)
-            idle = next((c for c in oldest if not (c.serving or c.closing)), None)
+            idle = next(
+                (c for c in oldest if not (c.serving or c.closing or c.has_unread_data)), None
+            )
             self.refusals.record(
                 "there are too many connections",
                 b"",
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -62,6 +63,9 @@
 LINGER_BYTES = 1024 * 1024
 """Most bytes of a refused request that are read and discarded."""
 
+END_EVENT = getattr(select, "POLLRDHUP", 0)
+"""Event of a connection that the caller has ended, where the system tells it apart."""
+
 _receive_buffer = bytearray(RECEIVE_BUFFER_BYTES)
 """Buffer of all connections; received data is parsed or copied before the next read."""
 
@@ -582,6 +586,16 @@
         """Whether the connection is about to be closed."""
         return self._transport is not None and self._transport.is_closing()
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether the kernel holds data of the caller that has not been read."""
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | END_EVENT)
+        return any(event & select.POLLIN and not event & END_EVENT for _, event in poll.poll(0))
+
     @property
     def serving(self) -> bool:
         """Whether there is a complete request, its answer is being sent, or data is not parsed."""
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -237,6 +237,26 @@
     asyncio.run(scenario())
 
 
+def test_a_connection_with_an_unread_request_is_not_closed_for_another_one():
+    """Guards against a reset of a connection whose request is only in the kernel's buffer."""
+
+    async def scenario():
+        async with Served(None, max_connections=2) as served:
+            first, second = [await served.connect() for _ in range(2)]
+            await served.until(lambda: len(served.server.connections) == 2)
+            # The loop does not run between these calls, so it accepts before it reads.
+            with socket.create_connection(first.getpeername()):
+                first.send(GET)
+                await served.until(lambda: served.exchanges)
+                assert await read_all(second) == b""
+                served.exchanges[0].respond(200, [], b"hello", close=True)
+                assert (await read_all(first)).endswith(b"hello")
+            first.close()
+            second.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_connection_is_refused_if_all_others_are_in_use():
     async def scenario():
         async with Served(None, max_connections=2) as served:
