--- a/bramleycrank/platform/__main__.py
+++ b/bramleycrank/platform/__main__.py
@@ -26,7 +26,7 @@
     except BramleycrankError as exc:
         print(f"error {exc.code} {exc.name}: {exc.message}", file=sys.stderr)
         return exc.exit_code
-    adapter = PlatformAdapter(str(cfg.control) if cfg.control else "")
+    adapter = PlatformAdapter(str(cfg.control) if cfg.control else "", cfg.memory_bytes)
     return run(cfg, adapter, ExposedMetrics("bramleycrank"), settings)
 
 
--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -22,7 +23,7 @@
     has_known_encoding,
 )
 from bramleycrank.transport.http1.receive_budget import MessageMeter, ReceiveBudget
-from bramleycrank.transport.http1.round_trip import round_trip_of
+from bramleycrank.transport.http1.tcp_info import acked_bytes_of, round_trip_of
 
 log = logging.getLogger(__name__)
 
@@ -62,6 +63,9 @@
 LINGER_BYTES = 1024 * 1024
 """Most bytes of a refused request that are read and discarded."""
 
+END_EVENT = getattr(select, "POLLRDHUP", 0)
+"""Event of a connection that the caller has ended, where the system tells it apart."""
+
 _receive_buffer = bytearray(RECEIVE_BUFFER_BYTES)
 """Buffer of all connections; received data is parsed or copied before the next read."""
 
@@ -252,14 +256,32 @@
         self._completed = False
         self._meter.received += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._set_error(400, "protocol upgrades are not supported")
+            self._feed(data)
         except httptools.HttpParserError as exc:
             if self._error is None:
                 self._set_error(400, f"malformed request: {exc}")
         self._check_sizes()
 
+    def _feed(self, data: memoryview) -> None:
+        """Pass data to the parser, which ends a request with an offered upgrade after its head."""
+        while True:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                if self._error is not None or self._closing:
+                    return
+                data = data[exc.args[0] :]
+                self._resume_without_upgrade()
+
+    def _resume_without_upgrade(self) -> None:
+        """Read the head again without the offer of an upgrade, so that the body follows it."""
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self._parser.get_method(), self._url, version)]
+        lines += [b"%b: %b" % item for item in self._headers if item[0].lower() != b"upgrade"]
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+
     def _parse_rest(self) -> None:
         """Go on with data that arrived while a request had to wait."""
         self._parse_scheduled = False
@@ -317,6 +339,11 @@
         if self._parser.get_http_version() not in VERSIONS:
             self._set_error(400, "the version of the protocol is not supported")
             return
+        if self._parser.get_method() == b"CONNECT":
+            self._set_error(400, "tunnels are not supported")
+            return
+        if self._parser.should_upgrade():
+            return  # the head is read again without the offer
         if not has_known_encoding(self._headers):
             self._set_error(400, "the transfer encoding is not supported")
             return
@@ -341,7 +368,7 @@
 
     def on_message_complete(self) -> None:
         """Queue the request."""
-        if self._error is not None or self._closing:
+        if self._error is not None or self._closing or self._parser.should_upgrade():
             return
         self._request_started_at = None
         self._completed = True
@@ -559,6 +586,16 @@
         """Whether the connection is about to be closed."""
         return self._transport is not None and self._transport.is_closing()
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether the kernel holds data of the caller that has not been read."""
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | END_EVENT)
+        return any(event & select.POLLIN and not event & END_EVENT for _, event in poll.poll(0))
+
     @property
     def serving(self) -> bool:
         """Whether there is a complete request, its answer is being sent, or data is not parsed."""
@@ -576,6 +613,9 @@
         limits = self._server.limits()
         if self._transport is None:
             return
+        if self._writer.is_pending:
+            sock = self._transport.get_extra_info("socket")
+            self._writer.note_acked(acked_bytes_of(sock) if sock is not None else None)
         if self._writer.is_overdue(now, limits.idle_timeout_s) or (
             self._linger_until is not None and now > self._linger_until
         ):
--- a/tests/test_http_memory.py
+++ b/tests/test_http_memory.py
@@ -12,7 +12,7 @@
 from bramleycrank.daemon.connection_limits import ConnectionLimits
 from bramleycrank.daemon.http_node import FunctionHandler
 from bramleycrank.routing import Limits
-from bramleycrank.transport.http1 import Http1Server, ReceiveBudget, answer_writer
+from bramleycrank.transport.http1 import Http1Server, ReceiveBudget, TargetConnection, answer_writer
 
 GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 CHUNKED = b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -161,6 +161,27 @@
     asyncio.run(scenario())
 
 
+def test_a_caller_that_makes_progress_is_not_disconnected(monkeypatch):
+    """Guards against progress that is seen only once a third of the kernel's buffer is free."""
+    monkeypatch.setattr(answer_writer, "WRITE_TIMEOUT_S", 1.5)
+    answer = ANSWER * 4
+
+    async def scenario():
+        async with Served(answer, limit_bytes=10**8) as served:
+            sock = await served.connect(GET)
+            loop = asyncio.get_running_loop()
+            received = 0
+            for _ in range(40):
+                received += len(await loop.sock_recv(sock, 16_384))
+                await asyncio.sleep(0.1)
+            assert received < len(answer) / 2 and served.server.connections
+            while received < len(answer):
+                received += len(await loop.sock_recv(sock, 1 << 20))
+            sock.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_caller_that_reads_nothing_is_disconnected_after_the_idle_timeout():
     """Guards against a reader that stops and keeps its answer longer than it may be idle."""
 
@@ -216,6 +237,26 @@
     asyncio.run(scenario())
 
 
+def test_a_connection_with_an_unread_request_is_not_closed_for_another_one():
+    """Guards against a reset of a connection whose request is only in the kernel's buffer."""
+
+    async def scenario():
+        async with Served(None, max_connections=2) as served:
+            first, second = [await served.connect() for _ in range(2)]
+            await served.until(lambda: len(served.server.connections) == 2)
+            # The loop does not run between these calls, so it accepts before it reads.
+            with socket.create_connection(first.getpeername()):
+                first.send(GET)
+                await served.until(lambda: served.exchanges)
+                assert await read_all(second) == b""
+                served.exchanges[0].respond(200, [], b"hello", close=True)
+                assert (await read_all(first)).endswith(b"hello")
+            first.close()
+            second.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_connection_is_refused_if_all_others_are_in_use():
     async def scenario():
         async with Served(None, max_connections=2) as served:
@@ -230,6 +271,44 @@
     asyncio.run(scenario())
 
 
+class Waiting:
+    """Listener of a connection whose request is in progress."""
+
+    def on_closed(self, conn: TargetConnection) -> None:
+        """Ignore the end."""
+
+    def on_connected(self, conn: TargetConnection) -> None:
+        conn.send(b"POST / HTTP/1.1\r\n\r\n" + ANSWER * 4)
+
+
+def test_a_sub_request_counts_only_until_its_bytes_have_left():
+    """Load pattern: targets take large requests at once and work on them for seconds."""
+
+    async def scenario():
+        budget = ReceiveBudget(10**8)
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            listening.setblocking(False)
+            _, conn = await loop.create_connection(
+                lambda: TargetConnection(Waiting(), budget), *listening.getsockname()
+            )
+            sock, _ = await loop.sock_accept(listening)
+            with sock:
+                assert 10**6 < budget.held_bytes < 17 * 10**6
+                while budget.held_bytes:
+                    await asyncio.wait_for(loop.sock_recv(sock, 1 << 20), 2)
+                # A part of a response counts by itself.
+                await loop.sock_sendall(sock, b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nxx")
+                async with asyncio.timeout(2):
+                    while not budget.held_bytes:
+                        await asyncio.sleep(0.01)
+                assert conn.busy and budget.held_bytes < 100
+                conn.close()
+                assert budget.used_bytes == 0
+
+    asyncio.run(scenario())
+
+
 @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 400)), max_size=60))
 def test_the_budget_counts_each_byte_once(steps):
     """Guards against bytes that are given back twice or never."""
