Count losses of requests in flight as one crash, and end a quarantine by trials

Cause and change: - The id of a crash was random. It now depends on the crashes that the VM knew when it sent the request, so that losses of requests that were sent before a crash was known are the same crash at all VMs, without any clock or agreement. Only a request sent afterwards that ends a target as well is further evidence. In quarantine it is tried from 6 s to 12 s after the last crash, spread over the VMs by their ids, and in twice the time after each further crash. An answer clears it at all VMs, as before.

--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -153,7 +153,7 @@
             weigh_load_by_age=weigh_load_by_age,
         )
         self._suspects = suspects or SuspectExchange(self._clock)
-        self._quarantine = Quarantine(self._suspects.table)
+        self._quarantine = Quarantine(self._suspects.table, vm_id)
         self._targets.on_target_ended = self._quarantine.on_target_ended
         self._targets.on_cut = self._hand_over_requests
         self._calls: set[Call] = set()
@@ -624,7 +624,7 @@
                 },
             )
             self._metrics.incr("entry.crashes")
-            self._suspects.report(call.fingerprint, service)
+            self._suspects.report(call.fingerprint, service, action.sent_at)
             return
         if checks < len(CRASH_CHECKS_S):
             elapsed_s = CRASH_CHECKS_S[checks - 1] if checks else 0.0
--- a/bramleycrank/entry/suspect_exchange.py
+++ b/bramleycrank/entry/suspect_exchange.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import random
 from collections.abc import Callable, Iterable
 
 from bramleycrank.membership.suspects import SuspectTable
@@ -11,8 +10,6 @@
 
 log = logging.getLogger(__name__)
 
-_CRASH_ID_BITS = 64
-
 
 class SuspectExchange:
     """The suspicions of this VM and of the others.
@@ -36,10 +33,22 @@
         self._spread = spread or (lambda: None)
         self.table = SuspectTable()
 
-    def report(self, fingerprint: int, service: str) -> None:
-        """Report that targets of a service ended while they ran a request."""
-        crash_id = random.getrandbits(_CRASH_ID_BITS)
-        self._on_change([self.table.report(fingerprint, crash_id, service, self._clock())])
+    def report(self, fingerprint: int, service: str, sent_at: float | None = None) -> None:
+        """Report that targets of a service ended while they ran a request.
+
+        Parameters
+        ----------
+        fingerprint : int
+            Fingerprint of the request.
+        service : str
+            Service of a target that ended.
+        sent_at : float, optional
+            Time at which the request was sent to the first of them, in seconds; now by default.
+        """
+        now = self._clock()
+        crash_id = self.table.crash_id(fingerprint, now if sent_at is None else sent_at)
+        if not self.table.knows_crash(fingerprint, crash_id):
+            self._on_change([self.table.report(fingerprint, crash_id, service, now)])
 
     def clear(self, fingerprint: int) -> None:
         """Report that a target has answered a request that was suspected."""
--- a/bramleycrank/membership/suspects.py
+++ b/bramleycrank/membership/suspects.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import attrs
+import xxhash
 
 from bramleycrank.proto.peer_pb2 import SuspectRequest
 
@@ -40,13 +41,13 @@
     service: str
     seen_at: float
     changed_at: float
-    crash_ids: set[int] = attrs.field(factory=set)
+    crash_ids: dict[int, float] = attrs.field(factory=dict)  # with the time at which each was known
     cleared_ids: set[int] = attrs.field(factory=set)
 
     @property
     def crashes(self) -> int:
         """Times that targets ended under the request since one answered it."""
-        return len(self.crash_ids - self.cleared_ids)
+        return len(self.crash_ids.keys() - self.cleared_ids)
 
     @property
     def in_quarantine(self) -> bool:
@@ -62,8 +63,13 @@
 class SuspectTable:
     """Merges the suspicions of all VMs.
 
-    A suspicion is a set of crashes with unique ids, and the set of those that an answer has
-    cleared. Both only grow, so VMs agree after they exchanged them in any order.
+    A suspicion is a set of crashes with ids, and the set of those that an answer has cleared. Both
+    only grow, so VMs agree after they exchanged them in any order. The id of a crash depends on the
+    crashes that were known when the request was sent.
+
+    Load pattern: all targets of a service crash while equal requests are in flight at several VMs.
+    These losses have one cause and one id. Only a request that was sent after a crash was known,
+    and ends a target as well, is further evidence against it.
     """
 
     def __init__(self) -> None:
@@ -78,7 +84,7 @@
         return suspect.crashes if suspect is not None else 0
 
     def in_quarantine(self, fingerprint: int) -> bool:
-        """Return whether no target may get a request."""
+        """Return whether no target may get a request, other than for a trial."""
         suspect = self._suspects.get(fingerprint)
         return suspect is not None and suspect.in_quarantine
 
@@ -86,6 +92,30 @@
         """Begin the time of a quarantine anew, since the request came again."""
         self._suspects[fingerprint].seen_at = now
 
+    def crashes_in_quarantine(self, fingerprint: int) -> int:
+        """Return how many crashes came after those that put a request in quarantine."""
+        return max(0, self.crashes(fingerprint) - CRASHES_TO_QUARANTINE)
+
+    def changed_at(self, fingerprint: int) -> float:
+        """Return when a crash or an answer of a request last became known."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect.changed_at if suspect is not None else -math.inf
+
+    def crash_id(self, fingerprint: int, sent_at: float) -> int:
+        """Return the id of a crash under a request that was sent at a time in seconds.
+
+        It is the same at all VMs that knew the same crashes when they sent the request.
+        """
+        suspect = self._suspects.get(fingerprint)
+        known = suspect.crash_ids.items() if suspect is not None else ()
+        ids = sorted(crash_id for crash_id, known_at in known if known_at <= sent_at)
+        return xxhash.xxh64_intdigest(b"%d %b" % (fingerprint, repr(ids).encode()))
+
+    def knows_crash(self, fingerprint: int, crash_id: int) -> bool:
+        """Return whether a crash of a request is known, cleared or not."""
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and crash_id in suspect.crash_ids
+
     def last_crash_at(self, services: Iterable[str]) -> float:
         """Return when the last uncleared crash of a target of some services became known."""
         wanted = set(services)
@@ -100,7 +130,7 @@
         if suspect is None:
             suspect = self._add(fingerprint, service, now)
         if len(suspect.crash_ids) < MAX_CRASH_IDS:
-            suspect.crash_ids.add(crash_id)
+            suspect.crash_ids.setdefault(crash_id, now)
         suspect.seen_at = suspect.changed_at = now
         return self._outgoing(fingerprint, suspect, now)
 
@@ -109,7 +139,7 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None or not suspect.crashes:
             return None
-        suspect.cleared_ids |= suspect.crash_ids
+        suspect.cleared_ids.update(suspect.crash_ids)
         suspect.changed_at = now
         return self._outgoing(fingerprint, suspect, now)
 
@@ -122,11 +152,11 @@
                 if record.age_s >= _lifetime_s(record):
                     continue  # it was forgotten here; taking it back would spread it again
                 suspect = self._add(record.fingerprint, record.service, now - record.age_s)
-            elif suspect.crash_ids.issuperset(record.crash_ids) and suspect.cleared_ids.issuperset(
-                record.cleared_ids
-            ):
+            elif suspect.crash_ids.keys() >= set(
+                record.crash_ids
+            ) and suspect.cleared_ids.issuperset(record.cleared_ids):
                 continue
-            suspect.crash_ids.update(record.crash_ids)
+            suspect.crash_ids = dict.fromkeys(record.crash_ids, now) | suspect.crash_ids
             suspect.cleared_ids.update(record.cleared_ids)
             suspect.seen_at = max(suspect.seen_at, now - record.age_s)
             suspect.changed_at = now
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -12,7 +12,7 @@
 from bramleycrank.scatter.merge import trim_records
 from bramleycrank.scatter.policy import ScatterPolicy
 from bramleycrank.scatter.progress import OpenSubRequest, Shard
-from bramleycrank.scatter.quarantine import QUARANTINE_RETRY_AFTER_S, Canary, Verdict
+from bramleycrank.scatter.quarantine import Canary, Verdict
 from bramleycrank.scatter.stream import LATEST_STREAM_SHARE, ReplyStream
 from bramleycrank.scatter.types import (
     NOT_RUN_KINDS,
@@ -141,7 +141,7 @@
             return self._refuse("the deadline had passed on arrival", now)
         self._canary.begin([shard.service for shard in self._shards], now)
         if self._canary.verdict is Verdict.REFUSE:
-            refusal = Refusal(True, "the request crashes targets", QUARANTINE_RETRY_AFTER_S)
+            refusal = Refusal(True, "the request crashes targets", self._canary.retry_after_s)
             return self._end_with(refusal, now)
         for shard in self._shards:
             exhausted = shard.sends >= max(1, self.route.max_targets)
@@ -150,6 +150,7 @@
         if len(self._shards) - self._lost < self._needed:
             return self._end_without_answer(now)
         actions: list[Action] = []
+        self._canary.on_start(now)
         for shard in self._shards:
             self._policy.on_request(shard.service, now)
         unsent = [shard for shard in self._shards if not shard.ended]
@@ -209,7 +210,7 @@
         actions: list[Action] = []
         lost = failure.kind is FailureKind.LOST
         if lost and not self._canary.has_reply:
-            self._canary.on_lost(shard, sub.target_id)
+            self._canary.on_lost(shard, sub.target_id, sub.sent_at)
         elif not lost and failure.kind not in NOT_RUN_KINDS:
             self._send_deferred(now, actions)
         if not shard.open and shard not in self._canary.deferred:
@@ -412,7 +413,7 @@
     def _report_losses(self) -> list[Action]:
         losses = tuple(self._canary.lost_targets)
         self._canary.lost_targets.clear()
-        return [ReportLosses(losses)] if losses else []
+        return [ReportLosses(losses, self._canary.first_sent_at)] if losses else []
 
     def _send_hedges(self, now: float, actions: list[Action]) -> None:
         """Send the hedges that are due, unless replies are still streaming in."""
--- a/bramleycrank/scatter/quarantine.py
+++ b/bramleycrank/scatter/quarantine.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
+import xxhash
+
 from bramleycrank.scatter.progress import Shard
 
 CANARY_S = 10.0
@@ -31,6 +33,26 @@
 QUARANTINE_RETRY_AFTER_S = 600.0
 """Retry-after for a request in quarantine, in seconds; only a change of the targets helps."""
 
+SUSPECT_RETRY_AFTER_S = 1.0
+"""Retry-after for a suspected request while another one tries a target, in seconds."""
+
+SUSPECT_TRIAL_S = 0.3
+"""Shortest time between two attempts of a suspected request at this VM, in seconds. Most crashes
+are confirmed and known to all VMs by then."""
+
+QUARANTINE_TRIAL_S = 6.0
+"""Time from the crash that put a request in quarantine to its next attempt, in seconds; a VM adds
+up to as much, so that few try at once. It doubles with each crash since. Callers expect answers
+within 12 s of the return of their targets, whatever ended these."""
+
+MAX_QUARANTINE_TRIAL_S = 150.0
+"""Longest such time without the addition, in seconds; the attempts of a popular request end long
+before its quarantine would."""
+
+QUARANTINE_REPEAT_S = 3.0
+"""Time after an attempt in quarantine that showed neither a crash nor an answer, in seconds;
+a crash is confirmed within 2 s."""
+
 
 class Verdict(enum.Enum):
     """How a request may be sent."""
@@ -50,7 +72,13 @@
         """Return how often targets ended under a request since one answered it."""
 
     def in_quarantine(self, fingerprint: int) -> bool:
-        """Return whether no target may get a request."""
+        """Return whether no target may get a request, other than for a trial."""
+
+    def crashes_in_quarantine(self, fingerprint: int) -> int:
+        """Return how many crashes came after those that put a request in quarantine."""
+
+    def changed_at(self, fingerprint: int) -> float:
+        """Return when a crash or an answer of a request last became known."""
 
     def renew(self, fingerprint: int, now: float) -> None:
         """Record an attempt of a request in quarantine."""
@@ -66,24 +94,33 @@
     gather would end a target of each shard with each attempt. While targets crash, each gather goes
     to one target first, as a canary.
 
+    Load pattern: the targets end for another reason while they run a popular request. Few of the
+    attempts of a suspected request go to one target each, in quarantine more and more rarely. An
+    answer to one of them clears it at all VMs.
+
     Parameters
     ----------
     suspicions : Suspicions
         Suspicions of all VMs.
+    vm_id : str, optional
+        Id of this VM, which spreads the attempts in quarantine over the VMs.
     """
 
-    def __init__(self, suspicions: Suspicions) -> None:
+    def __init__(self, suspicions: Suspicions, vm_id: str = "") -> None:
         self._suspicions = suspicions
+        self._vm_id = vm_id
+        self._tried_at: dict[int, float] = {}  # by suspected request, its last attempt here
         self._ended: deque[tuple[float, str]] = deque()  # time and service of each target
         self._canary_until: dict[str, float] = {}
 
     def verdict(self, fingerprint: int, services: Collection[str], now: float) -> Verdict:
         """Return how a request to some services may be sent."""
-        if self._suspicions.in_quarantine(fingerprint):
-            self._suspicions.renew(fingerprint, now)
-            return Verdict.REFUSE
         if self._suspicions.crashes(fingerprint):
-            return Verdict.CANARY
+            if now >= self.next_trial_at(fingerprint):
+                return Verdict.CANARY
+            if self._suspicions.in_quarantine(fingerprint):
+                self._suspicions.renew(fingerprint, now)
+            return Verdict.REFUSE
         if len(services) > 1 and (
             now - self._suspicions.last_crash_at(services) < CANARY_S
             or any(self._canary_until.get(service, -math.inf) > now for service in services)
@@ -91,8 +128,26 @@
             return Verdict.CANARY
         return Verdict.FREE
 
+    def next_trial_at(self, fingerprint: int) -> float:
+        """Return from when on a suspected request may go to one target, in seconds."""
+        tried_at = self._tried_at.get(fingerprint, -math.inf)
+        if not self._suspicions.in_quarantine(fingerprint):
+            return tried_at + SUSPECT_TRIAL_S
+        later_crashes = self._suspicions.crashes_in_quarantine(fingerprint)
+        delay_s = min(QUARANTINE_TRIAL_S * 2**later_crashes, MAX_QUARANTINE_TRIAL_S)
+        key = f"{self._vm_id}/{fingerprint}/{later_crashes}"
+        share = xxhash.xxh32_intdigest(key.encode()) / 2**32
+        crashed_at = self._suspicions.changed_at(fingerprint)
+        return max(crashed_at + delay_s * (1 + share), tried_at + QUARANTINE_REPEAT_S)
+
+    def on_trial(self, fingerprint: int, now: float) -> None:
+        """Record that a suspected request goes to one target."""
+        crashes = self._suspicions.crashes
+        self._tried_at = {key: at for key, at in self._tried_at.items() if crashes(key)}
+        self._tried_at[fingerprint] = now
+
     def in_quarantine(self, fingerprint: int) -> bool:
-        """Return whether no target may get a request any more."""
+        """Return whether no target may get a request, other than for a trial."""
         return self._suspicions.in_quarantine(fingerprint)
 
     def is_suspect(self, fingerprint: int) -> bool:
@@ -134,11 +189,25 @@
             tuple[str, str]
         ] = []  # service and target of each loss of this round
         self.lost_rounds = 0
+        self.first_sent_at = math.inf  # of the losses of this round, in seconds
+        self._is_trial = False
 
     def begin(self, services: Collection[str], now: float) -> None:
         """Decide how the request is sent."""
         if self._quarantine is not None:
             self.verdict = self._quarantine.verdict(self._fingerprint, services, now)
+            self._is_trial = self._quarantine.is_suspect(self._fingerprint)
+
+    def on_start(self, now: float) -> None:
+        """Record that the request is sent."""
+        if self._quarantine is not None and self._is_trial:
+            self._quarantine.on_trial(self._fingerprint, now)
+
+    @property
+    def retry_after_s(self) -> float:
+        """Retry-after for a request that is not sent, in seconds."""
+        lasts = self._quarantine is not None and self._quarantine.in_quarantine(self._fingerprint)
+        return QUARANTINE_RETRY_AFTER_S if lasts else SUSPECT_RETRY_AFTER_S
 
     @property
     def needs_canary(self) -> bool:
@@ -174,17 +243,23 @@
         self.deferred.remove(shard)
         return shard
 
-    def on_lost(self, shard: Shard, target_id: str) -> None:
+    def on_lost(self, shard: Shard, target_id: str, sent_at: float) -> None:
         """Record a lost sub-request, and defer its shard if no other one of it is in flight."""
+        self.first_sent_at = min(sent_at, self.first_sent_at) if self.lost_targets else sent_at
         if not shard.open:
             self.deferred.append(shard)
         self.lost_targets.append((shard.service, target_id))
 
     def is_exhausted(self) -> bool:
-        """Return whether the request has lost too many rounds, and count the last one."""
+        """Return whether the request has lost too many rounds, and count the last one.
+
+        A request that was suspected before it was sent ends after one round.
+        """
         self.lost_rounds += 1
-        return self.lost_rounds >= MAX_LOST_ROUNDS or (
-            self._quarantine is not None and self._quarantine.in_quarantine(self._fingerprint)
+        return (
+            self._is_trial
+            or self.lost_rounds >= MAX_LOST_ROUNDS
+            or (self._quarantine is not None and self._quarantine.in_quarantine(self._fingerprint))
         )
 
     def on_ran(self) -> list[Shard]:
--- a/bramleycrank/scatter/types.py
+++ b/bramleycrank/scatter/types.py
@@ -112,9 +112,12 @@
     ----------
     losses : tuple of (str, str)
         Service and target of each lost sub-request.
+    sent_at : float
+        Time at which the first of them was sent, in seconds.
     """
 
     losses: tuple[tuple[str, str], ...]
+    sent_at: float
 
 
 @attrs.frozen
--- a/tests/test_membership_suspects.py
+++ b/tests/test_membership_suspects.py
@@ -74,6 +74,21 @@
     assert group.sent <= CRASHES_TO_QUARANTINE * SUSPECTS_FANOUT * (count + 1)
 
 
+@pytest.mark.parametrize("count", [3, 65])
+def test_losses_of_equal_requests_in_flight_count_as_one_crash_at_all_vms(count):
+    """Guards against RECOVER: one crash of a service put a popular request in quarantine."""
+    group = Group(count)
+    for wave in range(CRASHES_TO_QUARANTINE):
+        for vm in group.vms * 4:
+            vm.report(7, "s", sent_at=10.0 * wave - 1.0)
+        group.deliver()
+        group.probe(3)
+        group.vms[0].report(7, "s", sent_at=10.0 * wave - 1.0)
+        assert {vm.table.crashes(7) for vm in group.vms} == {wave + 1}
+        group.now = 10.0 * (wave + 1)
+    assert all(vm.table.in_quarantine(7) for vm in group.vms)
+
+
 def test_an_answer_clears_what_others_reported_in_any_order():
     group = Group(9)
     group.unreachable = {8}
--- a/tests/test_scatter_quarantine.py
+++ b/tests/test_scatter_quarantine.py
@@ -22,6 +22,9 @@
     BURST_CANARY_S,
     BURST_SERVICES,
     CANARY_S,
+    MAX_QUARANTINE_TRIAL_S,
+    QUARANTINE_TRIAL_S,
+    SUSPECT_TRIAL_S,
     Canary,
     Quarantine,
     Verdict,
@@ -157,3 +160,125 @@
     canary.defer([Shard(service) for service in counts])
     order = [canary.next_deferred(counts.get).service for _ in counts]
     assert order[0] == "s2" and order[-1] == "s0"
+
+
+class PopularRequest:
+    """An equal request that callers send to all VMs at a constant rate, in steps of 10 ms."""
+
+    step_s = 0.01
+    confirm_s = 0.12
+    spread_s = 0.05
+
+    def __init__(self, vms: int, requests_per_s: float) -> None:
+        self.tables = [SuspectTable() for _ in range(vms)]
+        self.quarantines = [Quarantine(t, f"vm{n}") for n, t in enumerate(self.tables)]
+        self.now = 0.0
+        self.sent = 0
+        self._interval_s = 1 / requests_per_s
+        self._due_at = 0.0
+        self._pending: list[tuple[float, int, int, float]] = []
+
+    def report(self, vm: int, sent_at: float) -> None:
+        """Let a VM confirm the loss of a request that it sent."""
+        confirmed_at = self.now + self.confirm_s
+        self._pending += [
+            (confirmed_at + (self.spread_s if receiver != vm else 0.0), vm, receiver, sent_at)
+            for receiver in range(len(self.tables))
+        ]
+
+    def run(self, seconds: float, *, crashes: bool) -> None:
+        """Send requests, each of which ends its target or is answered at once."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += self.step_s
+            self._deliver()
+            while self._due_at <= self.now:
+                self._due_at += self._interval_s
+                self._attempt(int(self._due_at / self._interval_s) % len(self.tables), crashes)
+
+    def _attempt(self, vm: int, crashes: bool) -> None:
+        quarantine = self.quarantines[vm]
+        if quarantine.verdict(REQUEST, ["s"], self.now) is Verdict.REFUSE:
+            return
+        if quarantine.is_suspect(REQUEST):
+            quarantine.on_trial(REQUEST, self.now)
+        self.sent += 1
+        if crashes:
+            self.report(vm, self.now)
+            return
+        record = self.tables[vm].clear(REQUEST, self.now)
+        for table in self.tables if record is not None else ():
+            table.merge([record], self.now)
+
+    def _deliver(self) -> None:
+        due = [item for item in self._pending if item[0] <= self.now]
+        self._pending = [item for item in self._pending if item[0] > self.now]
+        for _, vm, receiver, sent_at in due:
+            crash_id = self.tables[vm].crash_id(REQUEST, sent_at)
+            if not self.tables[receiver].knows_crash(REQUEST, crash_id):
+                self.tables[receiver].report(REQUEST, crash_id, "s", self.now)
+
+
+@pytest.mark.parametrize("vms", [3, 9, 65])
+def test_a_popular_request_that_crashes_targets_is_tried_more_and_more_rarely(vms):
+    """Load pattern: 70 of the same deadly request a second, at all VMs and for ten minutes.
+
+    Guards against trials that end a target at each VM again and again.
+    """
+    load = PopularRequest(vms, 70.0)
+    load.run(2.0, crashes=True)
+    assert all(table.in_quarantine(REQUEST) for table in load.tables)
+    first = load.sent
+    assert first < 70.0 * (load.confirm_s + load.spread_s) + 2.0 + 2 * min(vms, 20)
+    load.run(60.0, crashes=True)
+    minute = load.sent
+    load.run(540.0, crashes=True)
+    assert 2 <= minute - first <= 10 and load.sent - minute <= 10
+
+
+@pytest.mark.parametrize("vms", [3, 9, 65])
+@pytest.mark.parametrize("outages", [1, 3])
+def test_a_popular_request_is_served_soon_after_its_targets_are_back(vms, outages):
+    """Load pattern: all targets of a service end while they run the same request many times.
+
+    Guards against RECOVER: such a request was refused as long as anybody sent it.
+    """
+    load = PopularRequest(vms, 70.0)
+    for _ in range(outages):
+        for vm in range(vms):
+            load.report(vm, load.now)
+        load.now += 1.0
+        load.run(0.0, crashes=False)
+        load._deliver()
+    assert any(table.in_quarantine(REQUEST) for table in load.tables) == (outages == 3)
+    load.run(0.1 + (2 * QUARANTINE_TRIAL_S if outages == 3 else SUSPECT_TRIAL_S), crashes=False)
+    assert not any(table.crashes(REQUEST) for table in load.tables)
+    before = load.sent
+    load.run(1.0, crashes=False)
+    assert load.sent - before >= 69
+
+
+def test_a_trial_without_an_outcome_is_repeated_and_a_crash_postpones_the_next():
+    table = table_with(3)
+    quarantine = Quarantine(table, "vm1")
+    first = quarantine.next_trial_at(REQUEST)
+    assert QUARANTINE_TRIAL_S <= first <= 2 * QUARANTINE_TRIAL_S
+    assert quarantine.verdict(REQUEST, ["s0"], first - 0.1) is Verdict.REFUSE
+    assert quarantine.verdict(REQUEST, ["s0"], first) is Verdict.CANARY
+    assert quarantine.verdict(REQUEST, ["s0"], first) is Verdict.CANARY, "nothing was sent"
+    quarantine.on_trial(REQUEST, first)
+    assert quarantine.verdict(REQUEST, ["s0"], first + 0.1) is Verdict.REFUSE
+    assert quarantine.next_trial_at(REQUEST) < first + QUARANTINE_TRIAL_S
+    table.report(REQUEST, 99, "s0", first + 0.2)
+    assert quarantine.next_trial_at(REQUEST) >= first + 2 * QUARANTINE_TRIAL_S
+    for crash_id in range(100, 120):
+        table.report(REQUEST, crash_id, "s0", first + 0.2)
+    assert quarantine.next_trial_at(REQUEST) <= first + 0.2 + 2 * MAX_QUARANTINE_TRIAL_S
+
+
+def test_a_trial_goes_to_one_target_and_is_not_retried():
+    attempt = Attempt(gather_route(10), table_with(3), now=2 * QUARANTINE_TRIAL_S)
+    assert len(attempt.sent) == 1
+    attempt.lose_all(2 * QUARANTINE_TRIAL_S + 0.1)
+    assert len(attempt.sent) == 1 and isinstance(attempt.final, Refusal)
+    assert attempt.reported[0].sent_at == 2 * QUARANTINE_TRIAL_S
