Play customers with keys and allowances in the soak

The soak sent all requests without keys, so nothing played keys and allowances together with killed, frozen and cut VMs.

One request of twenty has an unknown key or none, one of ten a forged customer name. Half of the faults wait for a VM that is frozen or cut off. The checks: names and keys at targets, keys taken back or refused while held, the sum over all VMs in each window, and shares beside a flood.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import fire
 
+from soak.customers import FIRST_SEED
 from soak.run import run_seed
 
 FAULT_PERIOD_S = 12.0
@@ -32,7 +33,7 @@
     out : str, optional
         Folder for logs and reports; a temporary one by default.
     """
-    first = seed if seed is not None else random.SystemRandom().randrange(10**6)
+    first = seed if seed is not None else random.SystemRandom().randrange(2 * FIRST_SEED)
     folder = Path(out or tempfile.mkdtemp(prefix="bramleycrank-soak-"))
     failed = []
     for number in range(first, first + seeds):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from soak import customers
 from soak.callers import Outcome
 from soak.faults import CUT, Event
 from soak.targets import HOLD_S, RECORD_BYTES, TargetObservations, records
@@ -56,12 +57,24 @@
     ----------
     top_ks : set of int
         Values of `TopK` over all versions of the route.
+    tables : list of Table, optional
+        Tables of customers in the order of their versions; empty if the run has no customers.
     """
 
     outcomes: list[Outcome]
     observations: TargetObservations
     events: list[Event]
     top_ks: set[int]
+    tables: list[customers.Table] = attrs.field(factory=list)
+
+    def owed(self) -> Evidence:
+        """Return the evidence without requests that their key or allowance may have stopped."""
+        outcomes = [
+            outcome
+            for outcome in self.outcomes
+            if outcome.status not in (401, 429) and not outcome.key.startswith(customers.FLOODING)
+        ]
+        return attrs.evolve(self, outcomes=outcomes)
 
 
 def violations(evidence: Evidence) -> list[str]:
@@ -70,10 +83,11 @@
         *_check_answers(evidence),
         *_check_executions(evidence),
         *_check_planned_stops(evidence),
-        *_check_retry_budgets(evidence),
+        *_check_retry_budgets(evidence.owed()),
         *_check_holds_and_leaving(evidence),
-        *_check_cut_vms(evidence),
+        *_check_cut_vms(evidence.owed()),
         *_check_timeouts(evidence),
+        *_check_customers(evidence),
     ]
     return found[:MAX_LISTED_VIOLATIONS] + (
         [f"and {len(found) - MAX_LISTED_VIOLATIONS} more"]
@@ -82,6 +96,13 @@
     )
 
 
+def _check_customers(evidence: Evidence) -> Iterator[str]:
+    if evidence.tables:
+        yield from customers.violations(
+            evidence.tables, evidence.outcomes, evidence.observations, evidence.events
+        )
+
+
 def _check_answers(evidence: Evidence) -> Iterator[str]:
     for outcome in evidence.outcomes:
         if outcome.status == 503 and evidence.observations.runs.get(outcome.request_id):
--- a/soak/report.py
+++ b/soak/report.py
@@ -21,6 +21,8 @@
     "late": "tab:orange",
     "refused": "tab:blue",
     "failed": "tab:red",
+    "over the allowance": "tab:purple",
+    "unauthorized": "tab:brown",
 }
 
 
@@ -28,6 +30,8 @@
     """Return the category of a request outcome."""
     if outcome.status == 503:
         return "refused"
+    if outcome.status in (401, 429):
+        return "unauthorized" if outcome.status == 401 else "over the allowance"
     if outcome.status != 200:
         return "failed"
     if outcome.ended - outcome.sent > OBJECTIVE_S:
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import random
 import time
@@ -13,6 +14,7 @@
 from harness.processes import wait_until
 from soak import checks, report
 from soak.callers import Caller, Outcome
+from soak.customers import Customers, has_customers
 from soak.faults import Injector
 from soak.targets import SoakTarget, TargetObservations
 
@@ -32,6 +34,9 @@
 MEAN_CHANGE_INTERVAL_S = 1.5
 """Mean time between two changes of the routes."""
 
+FLOOD_CALLERS_PER_ENTRY, FLOOD_THINK_TIME_S = 2, 0.01
+"""Callers at each entry VM that send during a flood, and the mean time between their requests."""
+
 ZONES = "xyz"
 
 
@@ -61,6 +66,8 @@
         self._violations: list[str] = []
         self._top_ks: set[int] = set()
         self._acknowledged_version = 0
+        self._change_lock = asyncio.Lock()
+        self._customers: Customers | None = None
         self._targets = [
             SoakTarget(
                 service, f"{service}-{zone}", zone, self._observations, random.Random(seed + n)
@@ -76,9 +83,11 @@
         started_at = asyncio.get_running_loop().time()
         wide_rng = random.Random(self._seed + 2)
         injector = Injector(self._fleet, self._targets, self._rng, wide_rng)
+        if has_customers(self._seed):
+            self._customers = Customers(self._seed, self._try_change_routes, injector.events)
         try:
             await self._start()
-            await injector.run(self._seconds)
+            await asyncio.gather(injector.run(self._seconds), self._run_customer_faults())
             await self._recover()
         finally:
             for task in self._tasks:
@@ -89,7 +98,11 @@
             for target in self._targets:
                 await target.stop()
         evidence = checks.Evidence(
-            self._outcomes, self._observations, injector.events, self._top_ks
+            self._outcomes,
+            self._observations,
+            injector.events,
+            self._top_ks,
+            self._customers.tables if self._customers is not None else [],
         )
         violations = [*self._violations, *injector.problems, *checks.violations(evidence)]
         result = report.build(self._seed, started_at, self._outcomes, injector.events, violations)
@@ -105,12 +118,32 @@
         await self._change_routes()
         for number, entry in enumerate(self._fleet.entries * CALLERS_PER_ENTRY):
             rng = random.Random(self._seed * 1000 + number)
-            caller = Caller(f"c{number}", entry, self._outcomes, rng)
+            choose_key = None
+            if self._customers is not None:
+                key_rng = random.Random(self._seed * 1000 + 900 + number)
+                choose_key = functools.partial(
+                    self._customers.choose_key, number // ENTRY_VMS, key_rng
+                )
+            caller = Caller(f"c{number}", entry, self._outcomes, rng, choose_key)
             self._start_task(caller.run())
+        if self._customers is not None:
+            self._start_flood_callers(self._customers)
         await wait_until(lambda: self._all_served_for(0.5), "the fleet serves", START_TIMEOUT_S)
         self._start_task(self._change_routes_repeatedly())
         self._start_task(self._check_reads_repeatedly())
 
+    def _start_flood_callers(self, customers: Customers) -> None:
+        for number, entry in enumerate(self._fleet.entries * FLOOD_CALLERS_PER_ENTRY):
+            rng = random.Random(self._seed * 1000 + 500 + number)
+            caller = Caller(
+                f"f{number}", entry, self._outcomes, rng, customers.flood_key, FLOOD_THINK_TIME_S
+            )
+            self._start_task(caller.run())
+
+    async def _run_customer_faults(self) -> None:
+        if self._customers is not None:
+            await self._customers.run_faults(self._seconds)
+
     def _start_task(self, coro: Any) -> None:
         self._tasks.append(asyncio.ensure_future(coro))
 
@@ -123,7 +156,9 @@
                 RECOVERY_TIMEOUT_S + STABLE_PERIOD_S,
             )
         except AssertionError:
-            unserved = [o for o in self._recent_outcomes(STABLE_PERIOD_S) if o.status != 200]
+            unserved = [
+                o for o in self._recent_outcomes(STABLE_PERIOD_S) if not self._is_as_expected(o)
+            ]
             self._violations.append(
                 f"{RECOVERY_TIMEOUT_S} s after the last fault some requests are not served: "
                 f"{[(o.request_id, o.path, o.entry, o.status) for o in unserved[:5]]}"
@@ -136,23 +171,38 @@
     def _all_served_for(self, seconds: float) -> bool:
         recent = self._recent_outcomes(seconds)
         entries = {outcome.entry for outcome in recent}
-        return len(entries) == ENTRY_VMS and all(outcome.status == 200 for outcome in recent)
+        return len(entries) == ENTRY_VMS and all(map(self._is_as_expected, recent))
+
+    def _is_as_expected(self, outcome: Outcome) -> bool:
+        """Return whether a request was served, or needn't be because of its key."""
+        owed = self._customers is None or self._customers.expects_service(outcome)
+        return outcome.status == 200 or not owed
 
     async def _change_routes(self) -> None:
-        version = self._acknowledged_version + 1
-        top = self._rng.randint(3, 9)
-        self._top_ks.add(top)  # the change may be in force before it is acknowledged
-        await self._fleet.put_config(routes(version, top))
-        self._acknowledged_version = version
+        async with self._change_lock:
+            version = self._acknowledged_version + 1
+            top = self._rng.randint(3, 9)
+            self._top_ks.add(top)  # the change may be in force before it is acknowledged
+            document = routes(version, top)
+            if self._customers is not None:
+                document["Tenants"] = self._customers.document()
+            await self._fleet.put_config(document)
+            self._acknowledged_version = version
+            if self._customers is not None:
+                self._customers.on_acknowledged()
+
+    async def _try_change_routes(self) -> None:
+        """Change the routes, and record a violation after the time limit."""
+        try:
+            await self._change_routes()
+        except AssertionError as exc:
+            self._violations.append(str(exc))
 
     async def _change_routes_repeatedly(self) -> None:
         rng = random.Random(self._seed + 1)
         while True:
             await asyncio.sleep(rng.expovariate(1 / MEAN_CHANGE_INTERVAL_S))
-            try:
-                await self._change_routes()
-            except AssertionError as exc:
-                self._violations.append(str(exc))
+            await self._try_change_routes()
 
     async def _check_reads_repeatedly(self) -> None:
         """Check that no voter returns a version older than an acknowledged one."""
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -53,6 +53,8 @@
 
     def __init__(self) -> None:
         self.runs: dict[str, list[str]] = defaultdict(list)
+        self.customers: dict[str, list[tuple[float, str, bool]]] = defaultdict(list)
+        """Time, customer and whether the key was there, of each run of a request."""
         self.receipts: dict[str, tuple[str, str]] = {}
         self.service_requests: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self.target_requests: dict[str, list[tuple[float, str]]] = defaultdict(list)
@@ -157,6 +159,8 @@
             writer.write(_response(503, request_id, not_executed, b""))
             return True
         self._observations.runs[request_id].append(self.target_id)
+        customer = fields.get(b"x-tenant", ""), b"authorization" in fields
+        self._observations.customers[request_id].append((loop.time(), *customer))
         await asyncio.sleep(self._rng.uniform(0.002, 0.012) * (10 if fault is Fault.SLOW else 1))
         if fault is Fault.HANG:
             await asyncio.sleep(30)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -15,6 +15,7 @@
     367464: 15.0,  # an entry was cut off while new route tables spread
     613000: 12.0,  # a cut-off entry that had not run for a moment gave up its only partner
     613004: 12.0,  # equal requests were refused for good after all targets of a service had ended
+    990101: 6.0,  # with customers
     720008: 12.0,  # a request left a frozen entry for another one, and both sent it
 }
 """Seeds and seconds of faults; a seed that failed stays, with a line on the cause."""
