Go on accepting connections when unread data cannot be looked for

Cause: the poll for unread data runs inside accept, where an OSError of the system would refuse the new connection and leave it in the log of the event loop only.

Change: the failure is logged and counts as no unread data, as before the poll was added.

--- a/bramleycrank/transport/http1/server_connection.py
+++ b/bramleycrank/transport/http1/server_connection.py
@@ -594,7 +594,12 @@
             return False
         poll = select.poll()
         poll.register(sock.fileno(), select.POLLIN | END_EVENT)
-        return any(event & select.POLLIN and not event & END_EVENT for _, event in poll.poll(0))
+        try:
+            events = poll.poll(0)
+        except OSError as exc:
+            log.debug("http: looking for unread data of a connection failed: %s", exc)
+            return False
+        return any(event & select.POLLIN and not event & END_EVENT for _, event in events)
 
     @property
     def serving(self) -> bool:
