--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -12,8 +12,6 @@
 from bramleycrank.customers.allowances.limits import (
     CLOCK_DRIFT_SHARE,
     FALLBACK_S,
-    RATE_SHARE_DELAY_S,
-    RATE_SHARE_VALID_S,
     VALID_S,
     AllowanceBounds,
 )
@@ -30,9 +28,6 @@
 REFRESH_S = 0.8
 """Time after which the use of a customer is reported again, in seconds."""
 
-RATE_SHARE_REFRESH_S = 0.5
-"""The same for customers of whose rate this VM has a share, in seconds."""
-
 RETRY_S = 0.25
 """Time after which a holder asks again if it reached no issuer, in seconds; a part of the time in
 which a new leader is elected."""
@@ -41,9 +36,9 @@
 """Time after its last request for which a grant is kept ready for a customer, in seconds; callers
 of small customers send one in several seconds, and stay with one VM."""
 
-AHEAD_S = 3.0
-"""Time for which grants are kept ready, in seconds of the present demand at this VM; a usual change
-of the issuer."""
+AHEAD_S = 0.4
+"""Time for which grants are kept ready, in seconds of the present demand at this VM; several round
+trips."""
 
 DEMAND_S = 2.0
 """Time over which the present demand is averaged, in seconds."""
@@ -62,9 +57,6 @@
 """Least validity of a fallback share that is reported to an issuer, in seconds, so that no late
 message renews one that has expired."""
 
-MIN_RATE_SHARE_LEFT_S = 1.0
-"""The same for a share of the rate, in seconds; twice the longest call."""
-
 UNSUPPORTED_S = 5.0
 """Time for which requests are admitted without limit after a leader that knows no grants answered,
 in seconds."""
@@ -89,8 +81,7 @@
     retry_after_s : float
         Time after which it may be admitted, in seconds.
     over_allowance : bool
-        Whether the allowance is used up; otherwise no issuer was reached, or a new one does not
-        grant the whole allowance yet.
+        Whether the issuer said that the allowance is used up; otherwise none was reached.
     """
 
     retry_after_s: float
@@ -109,33 +100,25 @@
         Requests admitted with grants of the present issuer, in total.
     asked_admitted, asked_left : int
         The same, and the grants left, at the time of the last request to the issuer.
-    on_demand : int
-        Requests that may be admitted until `on_demand_until`, as many as waited for the reply.
+    immediate : int
+        Requests that waited for the last reply and may be admitted until `immediate_until`.
     denied_until : float
         Time until which the issuer has nothing to grant, in seconds.
     requests : DecayingSum
         Requests of the last seconds at this VM, whether admitted or not.
     scarce_until : float
         Time until which no further grants are asked for ahead of requests, in seconds.
-    old_left, old_expires : int, float
-        The grants of a predecessor, which the present issuer does not count.
     idle : bool
         Whether the issuer knows that this VM holds and wants nothing.
     usable_share : float
         Share in the fallback allowance before the last increase, which is in force a window after
         it: another holder may have used that part until now.
-    rate_share : float
-        Share of the rate that may be used from `rate_share_from` to `rate_share_until`.
-    accepted_sequence : int
-        Number of the last request whose reply had grants for this customer.
     """
 
     left: int = 0
     expires: float = 0.0
-    old_left: int = 0
-    old_expires: float = 0.0
-    on_demand: int = 0
-    on_demand_until: float = 0.0
+    immediate: int = 0
+    immediate_until: float = 0.0
     admitted: int = 0
     asked_admitted: int = 0
     asked_left: int = 0
@@ -155,17 +138,8 @@
     fallback_until: float = 0.0
     usable_share: float = 0.0
     increased_until: float = 0.0
-    rate_share: float = 0.0
-    rate_share_from: float = 0.0
-    rate_share_until: float = 0.0
-    accepted_sequence: int = 0
     fallback_times: deque[float] = attrs.field(factory=deque)
 
-    @property
-    def refresh_s(self) -> float:
-        """Time after which the use is reported again, in seconds."""
-        return RATE_SHARE_REFRESH_S if self.rate_share else REFRESH_S
-
     def count(self, now: float) -> None:
         """Count a request."""
         self.requests.add(1.0, now)
@@ -185,12 +159,6 @@
         """Return the grants that can be used now."""
         return self.left if now < self.expires else 0
 
-    def retire(self, now: float) -> None:
-        """Keep the grants that are left apart, since the issuer that counts them has changed."""
-        if self.ready(now):
-            self.old_left, self.old_expires = self.left, self.expires
-        self.left = self.admitted = self.asked_admitted = self.asked_left = 0
-
     def target(self, now: float) -> int:
         """Return the grants to hold ready besides those for requests that wait."""
         if now - self.last_at > KEEP_S:
@@ -236,17 +204,9 @@
         self._replied_at = -math.inf
 
     def set_customers(self, customers: Iterable[Customer], version: int) -> None:
-        """Apply the limited customers of a new route table.
-
-        Grants of a higher allowance would outlive the change by several seconds.
-        """
-        before = self._customers
+        """Apply the limited customers of a new route table."""
         self._version = version
         self._customers = {customer.name: customer for customer in customers}
-        for name, grants in self._grants.items():
-            old, new = before.get(name), self._customers.get(name)
-            if old and new and (new.per_s < old.per_s or new.burst < old.burst):
-                grants.left = grants.old_left = 0
 
     @property
     def is_reaching_issuer(self) -> bool:
@@ -276,16 +236,13 @@
             grants.count(now)
         if now < self._unlimited_until:
             return Admit()
-        if grants.on_demand and now < grants.on_demand_until:
-            grants.on_demand -= 1
+        if again and grants.immediate and now < grants.immediate_until:
+            grants.immediate -= 1
             return Admit()
         if grants.ready(now):
             grants.left -= 1
             grants.admitted += 1
             return Admit()
-        if grants.old_left and now < grants.old_expires:
-            grants.old_left -= 1
-            return Admit()
         denied = now < grants.denied_until
         if not self._failed and not denied:
             grants.waiting += 1
@@ -311,29 +268,18 @@
         # Each refused caller is told a later time, as far apart as the requests of the rate.
         wait_s = max(0.0, grants.retry_at - now) + grants.refused / customer.per_s
         grants.refused += 1
-        # A new issuer grants less than the allowance for a while.
-        over_allowance = not self._starting or grants.demand(now) > (
-            customer.per_s + customer.burst / DEMAND_S
-        )
-        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance)
+        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance=True)
 
     def _use_fallback(self, customer: Customer, grants: _Grants, now: float) -> bool:
-        """Use this VM's shares in the fallback allowance and the rate, if there is one left.
-
-        The use in a window that ends now is at most the first share, and the second for the time
-        since which the issuer has not granted it.
-        """
-        window_s, limit = self._bounds.window_s, 0.0
-        if now < grants.fallback_until:
-            grants.mature_share(now)
-            limit += grants.usable_share * self._bounds.fallback(customer)
-        if grants.rate_share_from < now < grants.rate_share_until:
-            time_s = min(window_s, now - grants.rate_share_from)
-            limit += grants.rate_share * customer.per_s * time_s
+        """Use this VM's share in the fallback allowance, if there is one left in the window."""
+        if now >= grants.fallback_until:
+            return False
+        grants.mature_share(now)
         times = grants.fallback_times
-        while times and times[0] < now - window_s:
+        while times and times[0] < now - self._bounds.window_s:
             times.popleft()
-        if len(times) >= math.floor(limit + 1e-6):
+        limit = math.floor(grants.usable_share * self._bounds.fallback(customer) + 1e-6)
+        if len(times) >= limit:
             return False
         times.append(now)
         return True
@@ -358,7 +304,7 @@
             return now
         if self._is_low(grants, now):
             return self._sent_at + BATCH_GAP_S
-        return grants.reported_at + grants.refresh_s
+        return grants.reported_at + REFRESH_S
 
     @staticmethod
     def _is_low(grants: _Grants, now: float) -> bool:
@@ -387,7 +333,7 @@
                 and (
                     grants.waiting
                     or self._is_low(grants, now)
-                    or now >= grants.reported_at + grants.refresh_s / 2
+                    or now >= grants.reported_at + REFRESH_S / 2
                 )
             ],
         )
@@ -398,8 +344,6 @@
         grants.left = min(grants.ready(now), 2 * target)
         if now > grants.fallback_until - MIN_SHARE_LEFT_S:
             grants.fallback_share = grants.usable_share = 0.0
-        if now > grants.rate_share_until - MIN_RATE_SHARE_LEFT_S:
-            grants.rate_share = 0.0
         grants.asked_admitted, grants.asked_left = grants.admitted, grants.left
         grants.reported_at = now
         ahead = 0 if now < grants.denied_until else max(0, target - grants.left)
@@ -412,9 +356,6 @@
             waiting=grants.waiting,
             ahead=ahead,
             fallback_share=grants.fallback_share,
-            rate_share=grants.rate_share,
-            accepted_sequence=grants.accepted_sequence,
-            demand_per_s=grants.demand(now),
         )
 
     def on_reply(self, sequence: int, reply: GrantReply, now: float) -> None:
@@ -430,20 +371,16 @@
         self._starting = reply.starting
         self._replied_at = now
         self._end_waits()
-        is_new_issuer = reply.issuer_term != self._term
-        if is_new_issuer:
+        if reply.issuer_term != self._term:
             self._term = reply.issuer_term
             self._admitted.clear()
             # The new issuer counts only what it has granted.
             for grants in self._grants.values():
-                grants.retire(now)
+                grants.left = grants.admitted = grants.asked_admitted = grants.asked_left = 0
         for grant in reply.grants:
             grants = self._grants.get(grant.customer)
             if grants is not None:
                 self._apply(grants, grant, sent_at, now)
-                if is_new_issuer and grants.rate_share:
-                    grants.reported_at = -math.inf  # it grants the whole rate to known holders
-                grants.accepted_sequence = sequence
                 grants.idle = grants.releasing and not (grants.left or grants.target(now))
         self._forget_idle(now)
 
@@ -459,10 +396,10 @@
         used = grants.admitted - grants.asked_admitted
         customer = self._customers.get(grant.customer)
         if customer is not None:
-            on_demand_s = self._bounds.on_demand_s(customer)
-            grants.on_demand_until = sent_at + on_demand_s * valid
-        grants.on_demand = grant.on_demand
-        if grant.requests + grant.on_demand < grants.asked_left + grants.wanted:
+            immediate_s = self._bounds.immediate_s(customer)
+            grants.immediate_until = sent_at + immediate_s * valid
+        grants.immediate = grant.immediate
+        if grant.requests + grant.immediate < grants.asked_left + grants.wanted:
             grants.scarce_until = now + SCARCE_S
         grants.left = max(0, grant.requests - used)
         grants.expires = sent_at + VALID_S * valid
@@ -473,15 +410,12 @@
             grants.usable_share = min(grants.usable_share, grant.fallback_share)
         grants.fallback_share = grant.fallback_share
         grants.fallback_until = sent_at + FALLBACK_S * valid
-        grants.rate_share = grant.rate_share
-        grants.rate_share_from = now + RATE_SHARE_DELAY_S / valid
-        grants.rate_share_until = sent_at + RATE_SHARE_VALID_S * valid
         if grant.retry_after_ms:
             retry_after_s = grant.retry_after_ms / 1000
             grants.retry_at = now + retry_after_s
             grants.denied_until = now + min(MAX_DENIAL_S, retry_after_s)
             grants.refused = 0
-        elif grant.on_demand or grants.left:
+        elif grant.immediate or grants.left:
             grants.denied_until = 0.0
             grants.refused = 0
 
--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -10,10 +10,8 @@
 
 from bramleycrank.customers.allowances.limits import (
     FALLBACK_S,
+    IMMEDIATE_S,
     LEASE_S,
-    ON_DEMAND_S,
-    RATE_SHARE_DELAY_S,
-    RATE_SHARE_VALID_S,
     VALID_S,
     AllowanceBounds,
 )
@@ -38,15 +36,6 @@
         Grants that the holder may still use, or has used without a report.
     admitted : int
         Requests that it has reported as admitted in total.
-    on_demand, on_demand_until : int, float
-        Grants for requests that waited for the last reply, which come back until then if the holder
-        did not accept it.
-    rate_share : float
-        Share of the rate that the holder may use from `rate_share_from` to `rate_share_until`.
-    sequence, asked_at : int, float
-        Number and time of its last request with this customer.
-    demand_per_s : float
-        Requests per second that it has reported.
     """
 
     outstanding: int = 0
@@ -54,19 +43,6 @@
     admitted: int = 0
     fallback_share: float = 0.0
     fallback_until: float = 0.0
-    on_demand: int = 0
-    on_demand_until: float = 0.0
-    rate_share: float = 0.0
-    rate_share_from: float = -math.inf
-    rate_share_until: float = -math.inf
-    sequence: int = 0
-    asked_at: float = -math.inf
-    demand_per_s: float = 0.0
-
-    @property
-    def has_any(self) -> bool:
-        """Whether the holder has grants or shares."""
-        return bool(self.outstanding or self.fallback_share or self.rate_share)
 
 
 @attrs.define
@@ -80,6 +56,8 @@
     ramp : float
         Requests that may be granted now by the rate, with the extra of a new issuer, counted from
         the time at which no predecessor issues any more; limits the grants of the first window.
+    issued : int
+        Requests granted in total, without those that holders returned.
     promised_at : float
         Time of the last grant that a holder was told to come back for, in seconds.
     """
@@ -88,6 +66,7 @@
     level: float
     filled_at: float
     ramp: float = 0.0
+    issued: int = 0
     promised_at: float = 0.0
     removed_at: float = math.inf
     accounts: dict[str, _Account] = attrs.field(factory=dict)
@@ -96,15 +75,11 @@
         """Return the grants of all holders that are neither reported nor expired."""
         return sum(a.outstanding for a in self.accounts.values() if a.expires > now)
 
-    def returnable(self, now: float) -> int:
-        """Return the grants that holders may put back."""
-        unconfirmed = (a.on_demand for a in self.accounts.values() if a.on_demand_until > now)
-        return self.outstanding(now) + sum(unconfirmed)
-
     def give(self, count: int) -> None:
         """Take grants out of the bucket; a negative count puts them back."""
         self.level -= count
         self.ramp -= count
+        self.issued += count
 
 
 class Issuer:
@@ -146,8 +121,7 @@
         }
 
     def _new_bucket(self, customer: Customer, now: float) -> _Bucket:
-        filled_at = max(now, self._issues_from)
-        return _Bucket(customer, self._capacity(customer, filled_at), filled_at)
+        return _Bucket(customer, self._bounds.depth(customer), max(now, self._issues_from))
 
     def set_customers(self, customers: Iterable[Customer], version: int, now: float) -> None:
         """Apply the limited customers of a new route table.
@@ -174,17 +148,14 @@
                 self._buckets[name] = self._new_bucket(customer, now)
             else:
                 bucket.customer, bucket.removed_at = customer, math.inf
-                room = self._capacity(customer, now) - bucket.returnable(now)
-                bucket.level = min(bucket.level, room)
+                bucket.level = min(bucket.level, self._bounds.depth(customer))
 
     def on_request(self, request: GrantRequest, now: float) -> GrantReply:
         """Return the grants for the holder's request, of a VM that leads now."""
         if now < self._issues_from:
             return GrantReply(issuing=False, issuer_term=self._term)
         reply = GrantReply(
-            issuing=True,
-            issuer_term=self._term,
-            starting=now < max(self._ramp_ends, self._advance_from),
+            issuing=True, issuer_term=self._term, starting=now < self._ramp_ends + VALID_S
         )
         holder = f"{request.vm_id}/{request.incarnation}"
         sequence, _ = self._sequences.get(holder, (0, 0.0))
@@ -196,12 +167,7 @@
             bucket = self._buckets.get(use.customer)
             if bucket is not None and bucket.removed_at == math.inf:
                 self._refill(bucket, now)
-                account = bucket.accounts.setdefault(holder, _Account())
-                grant = self._grant(bucket, account, use, known, now)
-                grant.rate_share = self._rate_share(bucket, account, use, request.sequence, now)
-                reply.grants.append(grant)
-                if not (use.waiting or use.ahead or account.has_any):
-                    del bucket.accounts[holder]
+                reply.grants.append(self._grant(bucket, holder, use, known, now))
             elif request.routes_version <= self._version:  # no longer limited
                 requests = use.held + use.waiting + use.ahead
                 reply.grants.append(AllowanceGrant(customer=use.customer, requests=requests))
@@ -210,90 +176,46 @@
 
     @property
     def _ramp_ends(self) -> float:
-        # On-demand grants of a predecessor may be used until then beside those of this issuer.
-        return self._issues_from + self._bounds.window_s + ON_DEMAND_S
-
-    @property
-    def _advance_from(self) -> float:
-        """Time at which grants of predecessors have expired and holders get some in advance.
-
-        So at any time only one issuer has outstanding grants, however many follow each other.
-        """
-        return self._issues_from + VALID_S
-
-    def _capacity(self, customer: Customer, now: float) -> float:
-        if now < self._advance_from:
-            return self._bounds.start_capacity(customer)
-        return self._bounds.capacity(customer)
+        # Immediate grants of a predecessor may be used until then beside those of this issuer.
+        return self._issues_from + self._bounds.window_s + IMMEDIATE_S
 
     def _refill(self, bucket: _Bucket, now: float) -> None:
-        """Refill the bucket up to the capacity that outstanding grants leave.
-
-        Room that expired grants left is filled by the rate since then, for the holder may have used
-        them just before.
-        """
-        if now <= bucket.filled_at:
-            return
-        customer, start = bucket.customer, bucket.filled_at
-        extra_per_s = self._bounds.start_extra_per_s(customer)
-        changes = {self._advance_from, self._issues_from + RATE_SHARE_VALID_S, now}
-        for account in bucket.accounts.values():
-            changes |= {account.expires, account.on_demand_until}
-            changes |= {account.rate_share_from, account.rate_share_until}
-        for at in sorted(at for at in changes if start < at <= now):
-            room = self._capacity(customer, start) - bucket.returnable(start)
-            gained = self._granted_per_s(bucket, start) * (at - start)
-            bucket.ramp += gained + extra_per_s * (at - start)
-            bucket.level = max(bucket.level, min(room, bucket.level + gained))
-            start = at
-        bucket.filled_at = now
-
-    def _granted_per_s(self, bucket: _Bucket, now: float) -> float:
-        """Return the rate without the shares that holders out of touch may use.
-
-        A new issuer knows only the holders that accepted a reply; others may have had their shares
-        from a predecessor.
-        """
-        shares = [
-            (a.rate_share, now >= a.rate_share_from)
-            for a in bucket.accounts.values()
-            if now < a.rate_share_until
-        ]
-        used = sum(share for share, in_use in shares if in_use)
-        if now < self._issues_from + RATE_SHARE_VALID_S:
-            spared = sum(share for share, in_use in shares if not in_use)
-            used = max(used, self._bounds.rate_shares(bucket.customer) - spared)
-        return bucket.customer.per_s * (1.0 - used)
+        elapsed_s = max(0.0, now - bucket.filled_at)
+        gained = bucket.customer.per_s * elapsed_s
+        bucket.filled_at = max(now, bucket.filled_at)
+        bucket.level = min(self._bounds.depth(bucket.customer), bucket.level + gained)
+        bucket.ramp += gained + self._bounds.start_extra_per_s(bucket.customer) * elapsed_s
 
     def _grant(
-        self, bucket: _Bucket, account: _Account, use: AllowanceUse, known: bool, now: float
+        self, bucket: _Bucket, holder: str, use: AllowanceUse, known: bool, now: float
     ) -> AllowanceGrant:
+        account = bucket.accounts.setdefault(holder, _Account())
         held = self._settle(bucket, account, use, known, now)
         level = self._level(bucket, now)
-        limit = self._bounds.outstanding(bucket.customer) if now >= self._advance_from else 0
+        limit, outstanding = self._bounds.outstanding(bucket.customer), bucket.outstanding(now)
         available = max(0, math.floor(level))
         # Half is left for other holders. Grants that are used at once never lie idle at a VM, so
-        # only those ahead of requests count against the limit on outstanding ones, and come from
-        # a bucket that is full enough for requests at other VMs.
-        on_demand = min(use.waiting, max(min(1, available), available // 2))
-        spare = math.floor(level - on_demand - self._bounds.reserve(bucket.customer))
-        spare = min(spare, limit - bucket.outstanding(now))
+        # only those ahead of requests count against the limit on outstanding ones.
+        immediate = min(use.waiting, max(min(1, available), available // 2))
+        spare = min(available // 2 - immediate, limit - outstanding)
         ahead = max(0, min(use.ahead, spare))
-        count = on_demand + ahead
+        count = immediate + ahead
         bucket.give(count)
         account.outstanding = held + ahead
-        account.expires = account.on_demand_until = now + VALID_S
-        account.on_demand = on_demand
+        account.expires = now + VALID_S
+        wanted = use.waiting + use.ahead
         retry_after_s = 0.0
         # A holder that only asks ahead is promised nothing, or the time that a refused caller was
         # told would go to it.
-        if on_demand < use.waiting and level - count < 1:
+        if immediate < use.waiting and level - count < 1:
             retry_after_s = self._promise(bucket, 1 - (level - count), now)
         share = self._fallback_share(bucket, account, use, now)
+        if not (account.outstanding or wanted or account.fallback_share):
+            del bucket.accounts[holder]
         return AllowanceGrant(
             customer=use.customer,
             requests=account.outstanding,
-            on_demand=on_demand,
+            immediate=immediate,
             retry_after_ms=math.ceil(retry_after_s * 1000),
             fallback_share=share,
         )
@@ -306,8 +228,6 @@
 
         Grants that have expired are not put back: windows count them in the bucket's level.
         """
-        if use.accepted_sequence != account.sequence and now < account.on_demand_until:
-            bucket.give(-account.on_demand)
         balance = account.outstanding if account.expires > now else 0
         # A holder that names another issuer has accepted no grant of this one.
         spent = max(0, use.admitted - account.admitted) if known else 0
@@ -319,12 +239,22 @@
         return held
 
     def _level(self, bucket: _Bucket, now: float) -> float:
-        """Return what may be granted, less in the first window of an issuer."""
-        return min(bucket.level, bucket.ramp) if now < self._ramp_ends else bucket.level
+        """Return what may be granted, less in the first windows of an issuer."""
+        level = min(bucket.level, self._bounds.depth(bucket.customer))
+        if now < self._ramp_ends:
+            level = min(level, bucket.ramp)
+        if now < self._ramp_ends + VALID_S:
+            # Grants of a predecessor may be used beside those of this issuer.
+            customer, bounds = bucket.customer, self._bounds
+            cap = customer.per_s * bounds.window_s + bounds.depth(customer)
+            cap += bounds.start_extra_per_s(customer) * (bounds.window_s + IMMEDIATE_S)
+            level = min(level, cap - bucket.issued)
+        return level
 
-    def _promise(self, bucket: _Bucket, missing: float, now: float) -> float:
+    @staticmethod
+    def _promise(bucket: _Bucket, missing: float, now: float) -> float:
         """Return the time until a holder's next grant; holders that wait get different times."""
-        interval_s = 1 / self._granted_per_s(bucket, now)
+        interval_s = 1 / bucket.customer.per_s
         due = max(now + missing * interval_s, bucket.promised_at + interval_s)
         bucket.promised_at = min(due, now + MAX_RETRY_AFTER_S)
         return bucket.promised_at - now
@@ -351,34 +281,6 @@
         account.fallback_until = now + FALLBACK_S
         return max(0.0, share)
 
-    def _rate_share(
-        self, bucket: _Bucket, account: _Account, use: AllowanceUse, sequence: int, now: float
-    ) -> float:
-        """Return the holder's new share of the rate, in proportion to its demand.
-
-        The shares of all holders are at most `RATE_SHARE_TOTAL` together. Until the shares of
-        predecessors have expired, an issuer only confirms those that holders have.
-        """
-        if use.accepted_sequence and use.accepted_sequence == account.sequence:
-            # The holder accepted that reply after it was made, and waits as long from then on.
-            account.rate_share_from = account.asked_at + RATE_SHARE_DELAY_S
-        elif not use.rate_share and not (account.rate_share and now < account.rate_share_until):
-            account.rate_share_from = now + RATE_SHARE_DELAY_S
-        account.sequence, account.asked_at = sequence, now
-        account.demand_per_s = use.demand_per_s
-        total = self._bounds.rate_shares(bucket.customer)
-        if now < self._issues_from + RATE_SHARE_VALID_S:
-            share = use.rate_share
-        else:
-            others = [a for a in bucket.accounts.values() if a is not account]
-            demand_per_s = sum(a.demand_per_s for a in others if now < a.expires)
-            used = sum(a.rate_share for a in others if now < a.rate_share_until)
-            part = use.demand_per_s / ((use.demand_per_s + demand_per_s) or 1.0)
-            share = max(0.0, min(part * total, total - used))
-        account.rate_share = max(share, use.rate_share)
-        account.rate_share_until = now + RATE_SHARE_VALID_S
-        return share
-
     def _forget(self, now: float) -> None:
         if now < self._forget_at:
             return
--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -8,30 +8,14 @@
 
 from bramleycrank.customers.types import Customer
 
-VALID_S = 5.0
-"""Validity of a grant after the holder sent its request, in seconds; a change of the log's leader
-takes up to four seconds, in which holders use what they have."""
+VALID_S = 2.0
+"""Validity of a grant after the holder sent its request, in seconds; a holder refreshes its grants
+twice in this time, so that one lost reply costs nothing."""
 
 FALLBACK_S = 20.0
 """Validity of a share in the fallback allowance after the last reply, in seconds. After all VMs
 have ended at once, nobody has a share for this time."""
 
-RATE_SHARE_DELAY_S = 1.2
-"""Time without a reply after which a holder uses its share of the rate, and the issuer grants that
-share no longer, in seconds; two refreshes, so that the issuer always knows of a newer reply."""
-
-RATE_SHARE_VALID_S = 7.0
-"""Validity of a share of the rate after the holder sent its request, in seconds; the longest usual
-change of the log's leader, and a reserve."""
-
-RATE_SHARE_TOTAL = 0.8
-"""Share of the rate that all holders have together. A new issuer grants the rest while it does not
-know the holders."""
-
-RATE_SHARE_MIN_PER_S = 2.0
-"""Least rate of customers whose holders have shares of it, in requests per second; outstanding
-grants and the fallback allowance serve smaller ones for some seconds."""
-
 CLOCK_DRIFT_SHARE = 0.002
 """Part by which a holder shortens each validity, since clocks of two VMs run at different rates."""
 
@@ -39,11 +23,11 @@
 """Time after the start of a confirmed round in which a leader issues grants, in seconds; some
 heartbeats. A successor issues nothing for the same time after its election."""
 
-ON_DEMAND_S = 0.3
+IMMEDIATE_S = 0.3
 """Longest validity of a grant for a request that waits, after the holder sent its request, in
 seconds; some round trips."""
 
-MAX_ON_DEMAND_SHARE = 0.4
+MAX_IMMEDIATE_SHARE = 0.4
 """Part of the granted tolerance that grants for waiting requests may use, at most."""
 
 START_PER_S = 1.2
@@ -54,16 +38,19 @@
 """Part of the tolerance that the difference to the rate may use, at most."""
 
 GRANTED_SHARE = 0.74
-"""Part of the tolerance for grants beyond the burst, in the bucket or outstanding."""
+"""Part of the tolerance for the depth of the bucket beyond the burst, for outstanding grants and
+for those to requests that wait."""
 
-OUTSTANDING_SHARE = 0.6
-"""Part of the capacity that holders may have in advance. The rest serves requests at other VMs, and
-is what a new issuer may use beside the grants of its predecessor."""
+MAX_DEPTH_SHARE = 0.40
+"""Part of the tolerance by which the bucket is deeper than the burst, at most."""
 
-RESERVE_SHARE = 0.2
-"""Part of the capacity that is left in the bucket when grants are given in advance. Without it,
-customers whose requests come to all VMs lost 0.4% in calm instead of 0.1%, since their grants lay
-at VMs without a request."""
+MAX_EXTRA_DEPTH = 8.0
+"""Requests by which the bucket is deeper than the burst, at most. Customers with less than one
+request per second otherwise exceed their bucket in calm, since their requests come at random."""
+
+ENOUGH_DEPTH = 12.0
+"""Depth of a bucket that needs nothing beyond the burst, in requests. The tolerance of such a large
+customer serves its outstanding grants, which lie at many VMs."""
 
 FALLBACK_SHARE = 0.24
 """Part of the tolerance that holders use without an issuer. The parts leave a fiftieth unused for
@@ -100,27 +87,22 @@
         """Return the most requests in one window."""
         return self.base(customer) + self.tolerance(customer)
 
-    def capacity(self, customer: Customer) -> float:
-        """Return the most requests in the bucket and outstanding together; at least one."""
+    def depth(self, customer: Customer) -> float:
+        """Return the depth of the issuer's bucket, in requests; at least one."""
         granted = GRANTED_SHARE * self.tolerance(customer) - self._reserved(customer)
-        return max(1.0, customer.burst + granted)
+        return max(1.0, customer.burst + granted - self.outstanding(customer))
 
     def outstanding(self, customer: Customer) -> int:
         """Return the most grants that are neither reported nor expired; at least one."""
-        return max(1, math.floor(OUTSTANDING_SHARE * self.capacity(customer)))
-
-    def reserve(self, customer: Customer) -> float:
-        """Return the requests left in the bucket when grants are given in advance."""
-        return RESERVE_SHARE * self.capacity(customer)
+        tolerance = self.tolerance(customer)
+        needed = max(0.0, min(MAX_EXTRA_DEPTH, ENOUGH_DEPTH - customer.burst))
+        granted = GRANTED_SHARE * tolerance - self._reserved(customer)
+        return max(1, math.floor(granted - min(MAX_DEPTH_SHARE * tolerance, needed)))
 
-    def start_capacity(self, customer: Customer) -> float:
-        """Return the capacity beside the outstanding grants of a predecessor; at least one."""
-        return max(1.0, self.capacity(customer) - self.outstanding(customer))
-
-    def on_demand_s(self, customer: Customer) -> float:
+    def immediate_s(self, customer: Customer) -> float:
         """Return how long a grant for a request that waits is valid, in seconds."""
-        most = MAX_ON_DEMAND_SHARE * GRANTED_SHARE * self.tolerance(customer)
-        return min(ON_DEMAND_S, most / customer.per_s)
+        most = MAX_IMMEDIATE_SHARE * GRANTED_SHARE * self.tolerance(customer)
+        return min(IMMEDIATE_S, most / customer.per_s)
 
     def start_extra_per_s(self, customer: Customer) -> float:
         """Return what a new issuer grants beyond the rate in its first window, per second.
@@ -131,18 +113,14 @@
         most = MAX_START_SHARE * self.tolerance(customer) / self.window_s
         return max(0.0, min(START_PER_S - customer.per_s, most))
 
-    def rate_shares(self, customer: Customer) -> float:
-        """Return the share of the rate that all holders have together."""
-        return RATE_SHARE_TOTAL if customer.per_s >= RATE_SHARE_MIN_PER_S else 0.0
-
     def _reserved(self, customer: Customer) -> float:
-        """Return the part of the tolerance for on-demand grants and for new issuers, in requests.
+        """Return the part of the tolerance for immediate grants and for new issuers, in requests.
 
-        On-demand grants are used within their validity, so a window holds what the bucket gives in
+        Immediate grants are used within their validity, so a window holds what the bucket gives in
         a time that is longer by it.
         """
-        late = customer.per_s * self.on_demand_s(customer)
-        return late + self.start_extra_per_s(customer) * (self.window_s + ON_DEMAND_S)
+        late = customer.per_s * self.immediate_s(customer)
+        return late + self.start_extra_per_s(customer) * (self.window_s + IMMEDIATE_S)
 
     def fallback(self, customer: Customer) -> int:
         """Return the requests in one window that all holders admit without an issuer."""
