Count each refusal of a customer's request under its true rule

Every refusal of a request that did not run was counted as "room", also those whose targets refused it, could not be reached or were unknown, and those of the early refusals, so the list of customers sent operators after room that was there. Refusals now carry a typed cause, early ones their own rule, and both counts and log lines use it.

The log line of any refused request now has rule and customer, the customer's allowance with the age of the issuer's last reply, its recent use by service and its weight; before, only early refusals and those of the allowance did.

Existing test: the flood in test_entry_waiting also checks that no early refusal counts as room.

--- a/bramleycrank/entry/answers.py
+++ b/bramleycrank/entry/answers.py
@@ -4,7 +4,7 @@
 
 from bramleycrank.entry.types import CallerMeta, EntryDialect
 from bramleycrank.routing import Route
-from bramleycrank.scatter import Answer, Merged, Refusal, merge_records
+from bramleycrank.scatter import Answer, Merged, Refusal, RefusalCause, merge_records
 from bramleycrank.scatter.types import FinalAction
 from bramleycrank.transport.http1.messages import Headers, end_to_end_headers
 
@@ -36,4 +36,4 @@
     """Return the status of a refusal: 503 only if the request was not and will not be executed."""
     if refusal.not_run:
         return 503
-    return 504 if refusal.reason == "timeout" else 502
+    return 504 if refusal.cause is RefusalCause.TIMEOUT else 502
--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -37,6 +37,7 @@
     Forward,
     Merged,
     Refusal,
+    RefusalCause,
     ReportLosses,
     ScatterExecution,
     SubFailure,
@@ -401,7 +402,7 @@
             actions = call.execution.hand_over(self._clock())
             if actions is not None:
                 self._execute(call, actions)
-                refusal = Refusal(not any(sends), "sub-request lost")
+                refusal = Refusal(not any(sends), "sub-request lost", cause=RefusalCause.UNREACHED)
                 if not self._offer_call(call, refusal, sends):
                     self._respond(call, refusal)
 
@@ -659,9 +660,8 @@
         latency_s = now - call.exchange.arrived
         self._metrics.incr(f"entry.answers.{status}")
         self._metrics.timing("entry.latency", latency_s)
-        if isinstance(action, Refusal) and action.not_run:
-            self._waiting.on_refused(call, action.retry_after_s, now)
-            self._gate.on_no_room(call.customer)
+        refused = isinstance(action, Refusal) and action.not_run
+        fields = self._count_refusal(call, action, now) if refused else {}
         partial = isinstance(action, Merged) and action.missing > 0
         self._requests.record(
             outcome,
@@ -677,9 +677,22 @@
             missing=missing_services(route, action),
             target_failures=call.failures,
             **call.identity.log_fields(),
-            **self._waiting.explain(call, now),
+            **fields,
         )
 
+    def _count_refusal(self, call: Call, refusal: Refusal, now: float) -> dict[str, Any]:
+        """Count a request that did not run under its rule; return the fields of its log line."""
+        self._waiting.on_refused(call, refusal.retry_after_s, now)
+        early = call.early_refusal
+        rule = refusal.cause if early is None else early.rule
+        self._gate.on_refused(call.customer, rule)
+        return {
+            "rule": str(rule),
+            **self._gate.log_fields(call.customer),
+            **self._waiting.describe_use(call, now),
+            **self._waiting.explain(call, now),
+        }
+
     # Changes of routes and of free slots at targets.
 
     def _on_routes(self) -> None:
--- a/bramleycrank/entry/customer_gate.py
+++ b/bramleycrank/entry/customer_gate.py
@@ -5,15 +5,17 @@
 import logging
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 from bramleycrank.customers import Customer, Identity, KeyRefusal, identify
 from bramleycrank.customers.allowances import Refuse
+from bramleycrank.customers.returns import Rule
 from bramleycrank.customers.usage import CustomerUsage, RefusalRule
 from bramleycrank.entry.allowances import EntryAllowances
 from bramleycrank.entry.types import CallerMeta, Routes
 from bramleycrank.proto.entry_pb2 import CustomerUse, ListCustomersReply
 from bramleycrank.routing import Route, RouteIndex
+from bramleycrank.scatter import RefusalCause
 from bramleycrank.scatter.retry_after import add_jitter
 from bramleycrank.transport.http1 import Exchange
 
@@ -85,10 +87,10 @@
         if not isinstance(result, KeyRefusal):
             return result
         if result.final:
-            self._refuse(exchange, meta, 401, 0.0, result.reason)
+            self._refuse(exchange, meta, 401, 0.0, result.reason, rule="key")
         else:
             retry_s = add_jitter(result.retry_after_s, self._rng)
-            self._refuse(exchange, meta, 503, retry_s, result.reason)
+            self._refuse(exchange, meta, 503, retry_s, result.reason, rule="newer_table")
         return None
 
     def admit(
@@ -142,17 +144,23 @@
                 status, reason = 503, "no grant of the customer's allowance"
                 rule = RefusalRule.ISSUER
             use.on_refused(rule)
-            fields = {**identity.log_fields(), "allowance": self._allowances.describe(customer)}
-            self._refuse(exchange, meta, status, retry_s, reason, **fields)
+            fields = {**identity.log_fields(), **self.log_fields(customer)}
+            self._refuse(exchange, meta, status, retry_s, reason, rule=str(rule), **fields)
 
         withdraw = self._allowances.admit(customer, admitted, refused, MAX_WAIT_SHARE * left_s)
         if withdraw is not None:
             exchange.on_disconnected = withdraw
 
-    def on_no_room(self, customer: Customer | None) -> None:
-        """Count a request that was refused because the targets had no room for it."""
+    def on_refused(self, customer: Customer | None, rule: Rule | RefusalCause) -> None:
+        """Count an admitted request that was refused and did not run."""
         if customer is not None:
-            self._usage[customer.name].on_refused(RefusalRule.ROOM)
+            self._usage[customer.name].on_refused(rule)
+
+    def log_fields(self, customer: Customer | None) -> dict[str, Any]:
+        """Return what this VM holds of a customer's allowance, and its age, for a refusal's log."""
+        if customer is None or not customer.is_limited or self._allowances is None:
+            return {}
+        return {"allowance": self._allowances.describe(customer)}
 
     def describe_allowance(self, customer: Customer | None) -> str:
         """Return the rate of a customer, and what this VM holds of it with its age."""
--- a/bramleycrank/entry/waiting.py
+++ b/bramleycrank/entry/waiting.py
@@ -20,6 +20,9 @@
 from bramleycrank.entry.call import Call
 from bramleycrank.observability.metrics import Metrics
 
+MAX_LOGGED_SERVICES = 3
+"""Most services that a log line names; a request may wait for dozens."""
+
 
 class RoomSource(Protocol):
     """Source of what the targets of a service can take."""
@@ -160,6 +163,17 @@
         if self._shares.in_force:
             self._refused.add(_name(call.customer), call.fingerprint, return_s, now)
 
+    def describe_use(self, call: Call, now: float) -> dict[str, Any]:
+        """Return the customer's recent use of the services waited for, for a refusal's log."""
+        if not self._shares.in_force:
+            return {}
+        name = _name(call.customer)
+        services = sorted(call.queued_at)[:MAX_LOGGED_SERVICES]
+        return {
+            "uses_ms": {s: round(self._shares.use(s, name, now) * 1e3) for s in services},
+            "weight": round(self._shares.weight(call.customer), 3),
+        }
+
     def explain(self, call: Call, now: float) -> dict[str, Any]:
         """Return the inputs of an early refusal, for the log."""
         refusal = call.early_refusal
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -25,6 +25,7 @@
     Merged,
     Part,
     Refusal,
+    RefusalCause,
     ReportLosses,
     SubFailure,
     TargetReply,
@@ -50,6 +51,13 @@
 """Refusals per shard that don't count as attempts; more would burden targets that are full."""
 
 
+_FAILURE_CAUSES = {
+    FailureKind.REFUSED: RefusalCause.TARGETS,
+    FailureKind.NOT_SENT: RefusalCause.UNSENT,
+    FailureKind.WRONG_TARGET: RefusalCause.UNSENT,
+}
+
+
 class ScatterExecution:
     """State of one forwarded request.
 
@@ -138,10 +146,16 @@
         request has not run.
         """
         if now >= self._deadline:
-            return self._refuse("the deadline had passed on arrival", now)
+            reason = "the deadline had passed on arrival"
+            return self._refuse(reason, RefusalCause.EXPIRED, now)
         self._canary.begin([shard.service for shard in self._shards], now)
         if self._canary.verdict is Verdict.REFUSE:
-            refusal = Refusal(True, "the request crashes targets", QUARANTINE_RETRY_AFTER_S)
+            refusal = Refusal(
+                True,
+                "the request crashes targets",
+                QUARANTINE_RETRY_AFTER_S,
+                cause=RefusalCause.CRASHES,
+            )
             return self._end_with(refusal, now)
         for shard in self._shards:
             exhausted = shard.sends >= max(1, self.route.max_targets)
@@ -227,7 +241,7 @@
 
     def stop(self, now: float) -> list[Action]:
         """End the request because this VM stops."""
-        return [] if self.ended else self._refuse("the VM stops", now)
+        return [] if self.ended else self._refuse("the VM stops", RefusalCause.STOPPING, now)
 
     @property
     def sends(self) -> tuple[int, ...]:
@@ -266,7 +280,8 @@
 
     def refuse(self, reason: str, retry_after_s: float, now: float) -> list[Action]:
         """Refuse a request that is not sent, since it would get room too late."""
-        return self._end_with(Refusal(True, reason, retry_after_s), now) if self.is_unsent else []
+        refusal = Refusal(True, reason, retry_after_s, cause=RefusalCause.ROOM)
+        return self._end_with(refusal, now) if self.is_unsent else []
 
     def hand_over(self, now: float) -> list[Action] | None:
         """End the request at this VM, so that another one serves it with the attempts left.
@@ -554,33 +569,36 @@
         reply = failure.answer if failure is not None else None
         if not self.route.gather and reply is not None:
             return self._end_with(Answer(reply), now)
-        return self._refuse(self._reason(failure), now)
+        return self._refuse(*self._reason(failure), now)
 
-    def _reason(self, failure: SubFailure | None) -> str:
-        """Return why there is no answer, for the log."""
+    def _reason(self, failure: SubFailure | None) -> tuple[str, RefusalCause]:
+        """Return why there is no answer, for the log and for counts."""
         if failure is not None:
-            return f"sub-request {failure.kind}"
+            cause = _FAILURE_CAUSES.get(failure.kind, RefusalCause.FAILED)
+            return f"sub-request {failure.kind}", cause
         lost = [shard.service for shard in self._shards if shard.ended and shard.part is None]
         known = any(self._policy.knows(service) for service in lost)
         reached = any(self._policy.usable_targets(service) for service in lost)
         if known and not reached:
-            return "no target can be reached"
-        return "no target is free" if reached else "no target is known"
+            return "no target can be reached", RefusalCause.UNREACHED
+        if reached:
+            return "no target is free", RefusalCause.ROOM
+        return "no target is known", RefusalCause.NO_TARGET
 
     def _on_deadline(self, now: float) -> list[Action]:
         if self.route.gather and self._stream.count >= self._needed:
             return self._end_merged(now)
-        return self._refuse("timeout", now)
+        return self._refuse("timeout", RefusalCause.TIMEOUT, now)
 
-    def _refuse(self, reason: str, now: float) -> list[Action]:
+    def _refuse(self, reason: str, cause: RefusalCause, now: float) -> list[Action]:
         if self._may_have_run or self._open_subs:
-            return self._end_with(Refusal(False, reason), now)
+            return self._end_with(Refusal(False, reason, cause=cause), now)
         missing_services = [
             s.service for s in self._shards if s.part is None and (s.ended or not s.open)
         ]
         needed_of_missing = self._needed - (len(self._shards) - len(missing_services))
         retry_after_s = self._policy.estimate_retry_after(missing_services, needed_of_missing, now)
-        return self._end_with(Refusal(True, reason, retry_after_s), now)
+        return self._end_with(Refusal(True, reason, retry_after_s, cause=cause), now)
 
     def _end_with(self, action: FinalAction, now: float) -> list[Action]:
         self.ended = True
--- a/bramleycrank/scatter/types.py
+++ b/bramleycrank/scatter/types.py
@@ -133,6 +133,21 @@
     top_records: int
 
 
+class RefusalCause(enum.StrEnum):
+    """Why this VM answers a request with an error of its own."""
+
+    EXPIRED = "expired"  # its deadline had passed on arrival
+    TIMEOUT = "timeout"  # its deadline passed while it waited
+    ROOM = "room"  # targets are reached, but none is free for it in time
+    NO_TARGET = "no_target"  # no target is known
+    UNREACHED = "unreached"  # targets are known, but this VM reaches none
+    TARGETS = "targets"  # targets refused it
+    UNSENT = "unsent"  # it could not be sent to targets, or others were at their addresses
+    FAILED = "failed"  # it was sent, and no usable reply came
+    CRASHES = "crashes"  # it is suspected to crash targets
+    STOPPING = "stopping"  # the VM stops
+
+
 @attrs.frozen
 class Refusal:
     """Answer the caller with an error of this VM.
@@ -145,11 +160,14 @@
         Reason for the log.
     retry_after_s : float
         Time after which the caller may retry, in seconds; 0 if unknown.
+    cause : RefusalCause
+        The same reason, for counts.
     """
 
     not_run: bool
     reason: str
     retry_after_s: float = 0.0
+    cause: RefusalCause = attrs.field(kw_only=True)
 
 
 FinalAction: TypeAlias = Answer | Merged | Refusal
--- a/tests/test_entry_operators.py
+++ b/tests/test_entry_operators.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import json
+import logging
 import random
 
+import pytest
 from grpclib.server import Server
-from http_fakes import ok
+from http_fakes import header, ok
 from test_entry_allowances import KEY, LIMITED, LimitedVm
 from test_entry_controller import EntryVm, run, status
-from test_entry_customers import ask
+from test_entry_customers import KeyedVm, ask
 
 from bramleycrank.cli.context import Context
 from bramleycrank.cli.entry import EntryCommands
@@ -127,3 +129,51 @@
     for replies in ([old, new], [new, old]):
         [use] = merge_uses(replies).customers
         assert (use.per_s, use.admitted) == (5.0, 6)
+
+
+def refuse(request: bytes) -> bytes:
+    request_id = header(request, b"X-Request-Id")
+    return (
+        b"HTTP/1.1 503 X\r\nX-Request-Id: %b\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        % request_id
+    )
+
+
+@pytest.mark.parametrize(
+    ("target", "script", "rule"),
+    [("b1", ok, "no_target"), ("a1", refuse, "targets"), ("a1", None, "unsent")],
+)
+def test_each_refusal_counts_under_its_rule_and_names_it_in_the_log(target, script, rule, caplog):
+    """Guards against an operator who adds targets although there is room."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(vm):
+        if script is None:
+            vm.fakes[target].stop()
+        reply = await ask(vm, "/one/x", "Authorization: Token key-b\r\n")
+        assert status(reply) == 503
+        [use] = vm.entry.customer_uses("Bolt").customers
+        assert dict(use.refused) == {rule: 1}
+
+    run(scenario, KeyedVm, **{target: script})
+    line = next(vars(r) for r in caplog.records if vars(r).get("status") == 503)
+    assert (line["rule"], line["customer"]) == (rule, "Bolt")
+
+
+def test_a_refusal_leads_to_the_allowance_and_the_use_of_the_customer(caplog):
+    """Guards against a log line from which the age of a share cannot be told."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(vm):
+        assert status(await ask(vm, "/one/x", KEY)) == 200
+        vm.fakes["a1"].script = refuse
+        for _ in range(5):
+            await ask(vm, "/one/x", KEY)
+
+    run(scenario, LimitedVm, a1=ok)
+    by_rule = {vars(r)["rule"]: vars(r) for r in caplog.records if "rule" in vars(r)}
+    assert set(by_rule) == {"targets", "allowance"}
+    for line in by_rule.values():
+        assert line["customer"] == "acme"
+        assert line["allowance"]["reply_age_s"] >= 0
+    assert by_rule["targets"]["weight"] > 0
--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -149,6 +149,8 @@
         assert status(urgent) == 200 and refused
         assert all(float(header(answer, b"Retry-After")) > 0 for answer in refused)
         assert len(vm.fakes["a1"].requests) == 2 + len(answers) - len(refused)
+        [use] = vm.entry.customer_uses("Bolt").customers
+        assert "room" not in use.refused and sum(use.refused.values()) == len(refused)
 
     with caplog.at_level(logging.INFO):
         run(scenario, KeyedVm, a1=ok)
