Check keys although an older build accepted the table

A table that an older build had accepted and this one refuses, such as one with a key that two customers hold, kept the form of the older build, which has no customers: no key was checked, the key went on to the targets, and so did any customer name that the caller wrote. Only an error line told.

Such a table now has its customers in force and fails closed by key: a key that two customers hold, and all keys of one whose name or rate is invalid, get 503 (rule "unclear_key"); all other keys are valid, unknown ones get 401. 503 and not 401, since the document has the key; and the first holder is not assumed, as targets would show one customer's data to another. If the document cannot be decoded at all and has customers, every request gets 503, since the old form doesn't tell which routes are public. A document without customers stays as it was.

Existing test: the case of a refused document in test_daemon_config_controller expected a table without customers, which was the fault; it now expects the customers and that the shared key identifies nobody. The malformed one expects that keys are in use.

--- a/bramleycrank/customers/identification.py
+++ b/bramleycrank/customers/identification.py
@@ -13,6 +13,10 @@
 """Retry-after while this VM may hold an outdated table, in seconds: a newer one arrives within
 0.5 s unless the VM is cut off."""
 
+UNCLEAR_RETRY_AFTER_S = 2.0
+"""Retry-after while the table does not tell whose key it is, in seconds; an operator must mend
+it."""
+
 
 @attrs.frozen
 class Identity:
@@ -45,16 +49,19 @@
 
     Parameters
     ----------
-    final : bool
-        Whether the key is known to be invalid; otherwise a newer table may have it.
+    rule : str
+        Rule by which it is refused, for the log.
     reason : str
         Reason for the log.
+    final : bool
+        Whether the key is known to be invalid; otherwise this VM cannot tell.
     retry_after_s : float
         Time after which the caller may retry, in seconds; 0 if that is useless.
     """
 
-    final: bool
+    rule: str
     reason: str
+    final: bool = False
     retry_after_s: float = 0.0
 
 
@@ -78,16 +85,21 @@
     is_newest : callable
         Returns whether no newer table can be in force elsewhere, as far as this VM can know.
     """
-    if not customers:
+    if not customers.in_use:
         return ANONYMOUS
     customer = customers.identify(key) if key is not None else None
     if customer is not None or public:
         return Identity(customer, keys_in_use=True)
-    if is_newest():
-        return KeyRefusal(True, "no valid key" if key is None else "the key is unknown")
-    return KeyRefusal(
-        False, "a newer route table may have the key", retry_after_s=NEWER_TABLE_RETRY_AFTER_S
-    )
+    if not is_newest():
+        return KeyRefusal(
+            "newer_table",
+            "a newer route table may have the key",
+            retry_after_s=NEWER_TABLE_RETRY_AFTER_S,
+        )
+    if customers.is_unclear(key):
+        reason = "the route table does not tell whose key it is"
+        return KeyRefusal("unclear_key", reason, retry_after_s=UNCLEAR_RETRY_AFTER_S)
+    return KeyRefusal("key", "no valid key" if key is None else "the key is unknown", final=True)
 
 
 def identify_offered(
@@ -109,7 +121,7 @@
     public : bool
         Whether the route needs no key.
     """
-    if not customers:
+    if not customers.in_use:
         return ANONYMOUS
     customer = customers.by_name(name) if key is None else customers.identify(key)
     if customer is None and not public:
--- a/bramleycrank/customers/types.py
+++ b/bramleycrank/customers/types.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterator
+
 import attrs
 
 from bramleycrank.proto import log_pb2
@@ -39,3 +42,31 @@
     def is_limited(self) -> bool:
         """Whether the customer has an allowance."""
         return self.per_s > 0
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether `find_problems` finds none."""
+        return _is_header_value(self.name) and self._has_valid_rate
+
+    @property
+    def _has_valid_rate(self) -> bool:
+        return 0 <= self.per_s < math.inf and 0 <= self.burst < math.inf
+
+    def find_problems(self) -> Iterator[str]:
+        """Yield why requests of the customer cannot be served by its rules."""
+        if not _is_header_value(self.name):
+            yield "the name is empty or has characters that no header bears"
+        if not self._has_valid_rate:
+            yield "the rate and the burst must be finite and not negative"
+
+
+def _is_header_value(text: str) -> bool:
+    """Return whether a header transports a text unchanged."""
+    if text.isascii() and text.isprintable():
+        return bool(text) and text == text.strip()
+    value = text.encode()
+    return (
+        bool(value)
+        and value == value.strip()
+        and all(char >= 0x20 and char != 0x7F for char in value)
+    )
--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -89,6 +89,8 @@
         Source of all randomness.
     decode_routes : callable, optional
         Decodes the operator's document of a route table that an older build accepted.
+    has_customers : callable, optional
+        Returns whether such a document has customers, also if it cannot be decoded.
     """
 
     def __init__(
@@ -100,8 +102,10 @@
         cache: ConfigCache | None,
         rng: random.Random,
         decode_routes: Callable[[bytes], log_pb2.RouteTable] | None = None,
+        has_customers: Callable[[bytes], bool] = lambda document: True,
     ) -> None:
         self._decode_routes = decode_routes
+        self._has_customers = has_customers
         self._consensus = consensus
         self._peers = peers
         self._clients = clients
@@ -243,7 +247,7 @@
         if self._routes.version != packed.version:
             table = unpack(packed)
             if self._decode_routes is not None:
-                table = to_current_format(table, self._decode_routes)
+                table = to_current_format(table, self._decode_routes, self._has_customers)
             self._routes = table
         return self._routes
 
--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -50,6 +50,7 @@
         control_only: bool = False,
         delegation_port: int = 0,
         decode_routes: Callable[[bytes], log_pb2.RouteTable] | None = None,
+        has_customers: Callable[[bytes], bool] = lambda document: True,
     ) -> ControlParts:
         """Build and connect the parts without starting them.
 
@@ -71,6 +72,8 @@
             Port for requests of other VMs that cannot reach their targets; 0 for none.
         decode_routes : callable, optional
             Decodes the operator's document of a route table that an older build accepted.
+        has_customers : callable, optional
+            Returns whether such a document has customers, also if it cannot be decoded.
         """
         traffic = Traffic(metrics)
         clients = PeerClients(traffic)
@@ -88,7 +91,14 @@
             _identity_of(cfg, replace_damaged), directory, clients, rng, metrics, traffic
         )
         config = ConfigController(
-            cfg.config, consensus, directory, clients, _open_config_cache(cfg), rng, decode_routes
+            cfg.config,
+            consensus,
+            directory,
+            clients,
+            _open_config_cache(cfg),
+            rng,
+            decode_routes,
+            has_customers,
         )
         directory.leader_address = config.leader_address
         membership.set_config_status(config.status)
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -144,6 +144,9 @@
     def decode_routes(self, document: bytes) -> RouteTable:
         """Decode an operator's document again that an older build accepted."""
 
+    def has_customers(self, document: bytes) -> bool:
+        """Return whether an operator's document has customers; True if that cannot be told."""
+
     def readiness(self, exchange: Exchange, reason: str) -> None:
         """Respond to a readiness check; `reason` is empty if the VM is ready."""
 
@@ -256,6 +259,7 @@
             control_only=cfg.entry is None,
             delegation_port=cfg.delegation.port if cfg.delegation is not None else 0,
             decode_routes=self._adapter.decode_routes,
+            has_customers=self._adapter.has_customers,
         )
         loop = asyncio.get_running_loop()
         self._domain_isolation = DomainIsolation(cfg.base.vm.domain, parts.membership, loop.time)
--- a/bramleycrank/entry/customer_gate.py
+++ b/bramleycrank/entry/customer_gate.py
@@ -91,10 +91,10 @@
         if not isinstance(result, KeyRefusal):
             return result
         if result.final:
-            self._refuse(exchange, meta, 401, 0.0, result.reason, rule="key")
+            self._refuse(exchange, meta, 401, 0.0, result.reason, rule=result.rule)
         else:
             retry_s = add_jitter(result.retry_after_s, self._rng)
-            self._refuse(exchange, meta, 503, retry_s, result.reason, rule="newer_table")
+            self._refuse(exchange, meta, 503, retry_s, result.reason, rule=result.rule)
         return None
 
     def admit(
--- a/bramleycrank/entry/placement.py
+++ b/bramleycrank/entry/placement.py
@@ -63,7 +63,7 @@
         if customer is None and customer_name:
             steps["customer"] = f"version {index.version} has no customer {customer_name!r}: 401"
             return result
-        if customer is None and len(index.customers) and not route.public:
+        if customer is None and index.customers.in_use and not route.public:
             steps["customer"] = "the route needs a key: 401"
             return result
         steps["customer"] = _describe_customer(customer, route)
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -51,6 +51,10 @@
         """
         return documents.decode_routes(document)
 
+    def has_customers(self, document: bytes) -> bool:
+        """Return whether an operator's document has customers; True if that cannot be told."""
+        return documents.has_customers(document)
+
     def readiness(self, exchange: Exchange, reason: str) -> None:
         """Respond to a readiness check of the load balancer."""
         if exchange.request.path != READY_PATH:
--- a/bramleycrank/platform/documents.py
+++ b/bramleycrank/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 from bramleycrank.platform.fields import Fields, malformed
 from bramleycrank.proto import log_pb2, target_pb2
 from bramleycrank.routing import ROUTES_FORMAT
@@ -50,6 +52,15 @@
     )
 
 
+def has_customers(body: bytes) -> bool:
+    """Return whether a configuration document has customers; True if that cannot be told."""
+    try:
+        data = json.loads(body)
+    except (ValueError, RecursionError):
+        return True
+    return not isinstance(data, dict) or bool(data.get("Tenants"))
+
+
 def _customer(fields: Fields) -> log_pb2.Customer:
     return log_pb2.Customer(
         name=fields.text("Name"),
--- a/bramleycrank/routing/table.py
+++ b/bramleycrank/routing/table.py
@@ -185,7 +185,7 @@
             service.name: ServiceWarmup(service.warmup_ms / 1000, service.warmup_per_s)
             for service in table.services
         }
-        self.customers = CustomerIndex(table.customers)
+        self.customers = CustomerIndex(table.customers, unreadable=table.customers_unreadable)
         self._by_host: dict[str, list[Route]] = defaultdict(list)
         for message in table.routes:
             self._by_host[message.host.lower()].append(Route.from_message(message))
--- a/bramleycrank/routing/validation.py
+++ b/bramleycrank/routing/validation.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterable
+from itertools import chain
 
+from bramleycrank import customers as customers_module
 from bramleycrank.exceptions import InvalidChange, Outcome
 from bramleycrank.proto.log_pb2 import Customer, Route, RouteTable
 
@@ -21,7 +22,22 @@
     InvalidChange
         If the table is invalid; the message has the first five problems.
     """
-    problems = list(_find_problems(table))
+    _refuse_if_any(chain(_find_problems(table), find_customer_problems(table.customers)))
+
+
+def check_without_customers(table: RouteTable) -> None:
+    """Check all parts of a route table but its customers.
+
+    Raises
+    ------
+    InvalidChange
+        If one is invalid; the message has the first five problems.
+    """
+    _refuse_if_any(_find_problems(table))
+
+
+def _refuse_if_any(found: Iterable[str]) -> None:
+    problems = list(found)
     if problems:
         raise InvalidChange("; ".join(problems[:5]), outcome=Outcome.NOT_RUN)
 
@@ -50,22 +66,19 @@
         yield from (
             f"route {route.name!r}: {text}" for text in _find_route_problems(route, services)
         )
-    yield from _find_customer_problems(table.customers)
 
 
-def _find_customer_problems(customers: Iterable[Customer]) -> Iterable[str]:
+def find_customer_problems(customers: Iterable[Customer]) -> Iterable[str]:
     """Yield what is wrong with the customers; no text has a key."""
     names = Counter(customer.name for customer in customers)
     yield from (f"customer {name!r} is listed twice" for name, count in names.items() if count > 1)
     holders: dict[str, Customer] = {}
     for customer in customers:
         label = f"customer {customer.name!r}"
-        if not _is_header_value(customer.name):
-            yield f"{label}: the name is empty or has characters that no header bears"
+        for text in customers_module.Customer.from_message(customer).find_problems():
+            yield f"{label}: {text}"
         if not all(customer.keys):
             yield f"{label}: a key is empty"
-        if not all(math.isfinite(x) and x >= 0 for x in (customer.per_s, customer.burst)):
-            yield f"{label}: the rate and the burst must be finite and not negative"
         for key in filter(None, customer.keys):
             holder = holders.setdefault(key, customer)
             if holder is not customer:
@@ -74,16 +87,6 @@
             yield f"{label}: a key is listed twice"
 
 
-def _is_header_value(text: str) -> bool:
-    """Return whether a header transports a text unchanged."""
-    value = text.encode()
-    return (
-        bool(value)
-        and value == value.strip()
-        and all(char >= 0x20 and char != 0x7F for char in value)
-    )
-
-
 def _find_route_problems(route: Route, services: Counter[str]) -> Iterable[str]:
     prefix = route.path_prefix
     if not route.host:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -26,6 +26,44 @@
         assert identify(CustomerIndex(), key, public=public, is_newest=lambda: True) is ANONYMOUS
 
 
+@pytest.mark.parametrize(
+    ("second", "unclear", "clear"),
+    [
+        ({"name": "bolt", "keys": ["k2", "k3"]}, [b"k2"], {b"k1": "acme", b"k3": "bolt"}),
+        ({"name": "acme", "keys": ["k3"]}, [b"k1", b"k2", b"k3"], {}),
+        ({"name": "a\nb", "keys": ["k2", "k3", ""]}, [b"k2", b"k3"], {b"k1": "acme"}),
+        ({"name": "bolt", "keys": ["k3"], "per_s": -1.0}, [b"k3"], {b"k1": "acme"}),
+    ],
+    ids=["shared key", "name twice", "name no header bears", "no valid rate"],
+)
+def test_keys_of_a_table_that_an_older_build_accepted_fail_closed(second, unclear, clear):
+    """Guards against requests that run as the wrong customer, or as none."""
+    index = CustomerIndex([Customer(name="acme", keys=["k1", "k2"]), Customer(**second)])
+
+    def ask(key, public=False):
+        return identify(index, key, public=public, is_newest=lambda: True)
+
+    for key in unclear:
+        refusal = ask(key)
+        assert (refusal.rule, refusal.final) == ("unclear_key", False)
+        assert refusal.retry_after_s > 0
+        assert identify_offered(index, "", key, public=False) is None
+        assert ask(key, public=True) == NOBODY
+    for key, name in clear.items():
+        assert ask(key).customer.name == name
+    assert ask(b"unknown").final and ask(b"").final and ask(None).final
+
+
+def test_no_request_runs_while_the_customers_cannot_be_read():
+    """Guards against keys that nobody checks; whether a key is valid is not known either."""
+    index = CustomerIndex(unreadable=True)
+    for key in (None, b"k1"):
+        refusal = identify(index, key, public=False, is_newest=lambda: True)
+        assert (refusal.rule, refusal.final) == ("unclear_key", False)
+        assert identify_offered(index, "acme", key, public=False) is None
+        assert identify(index, key, public=True, is_newest=lambda: True) == NOBODY
+
+
 @pytest.mark.parametrize(
     ("name", "key", "expected"),
     [
--- a/tests/test_daemon_config_controller.py
+++ b/tests/test_daemon_config_controller.py
@@ -16,6 +16,7 @@
     UnknownService,
 )
 from bramleycrank.proto import log_pb2, peer_pb2
+from bramleycrank.routing import RouteIndex
 from bramleycrank.routing.packing import pack
 from bramleycrank.settings import ConfigSettings
 from bramleycrank.state import ReplicatedState
@@ -274,17 +275,22 @@
 
 
 @pytest.mark.parametrize(
-    ("decoded", "format", "customers"),
+    ("decoded", "format", "customers", "error"),
     [
-        ([{"name": "a", "keys": ["key-a"]}], 0, 1),
-        ([{"name": "a", "keys": ["key-a"]}], 99, 0),
-        ([{"name": "a", "keys": ["key-a"]}, {"name": "b", "keys": ["key-a"]}], 0, 0),
-        (None, 0, 0),
+        ([{"name": "a", "keys": ["key-a"]}], 0, 1, ""),
+        ([{"name": "a", "keys": ["key-a"]}], 99, 0, ""),
+        (
+            [{"name": "a", "keys": ["key-a"]}, {"name": "b", "keys": ["key-a"]}],
+            0,
+            2,
+            "routes: keys in the document",
+        ),
+        (None, 0, 0, "routes: the document"),
     ],
     ids=["older build", "newer build", "refused by this build", "malformed for this build"],
 )
-def test_the_document_of_an_older_build_is_decoded_again(decoded, format, customers, caplog):
-    """Guards against a table without customers since a VM of an older build accepted it."""
+def test_the_document_of_an_older_build_is_decoded_again(decoded, format, customers, error, caplog):
+    """Guards against keys that nobody checks since a VM of an older build accepted the table."""
 
     def decode(document: bytes) -> log_pb2.RouteTable:
         assert document == b"doc with key-a"
@@ -300,8 +306,13 @@
         voter.apply(log_pb2.Command(change=change))
         assert controller.routes().version == 4
         assert len(controller.routes().customers) == customers
+        index = RouteIndex(controller.routes()).customers
+        assert index.in_use == (format == 0)
+        valid = customers == 1
+        assert (index.identify(b"key-a") is not None) == valid
+        assert index.is_unclear(b"key-a") == (format == 0 and not valid)
         assert "key-a" not in repr(controller.dump()) + caplog.text
-        assert ("routes:" in caplog.text) == (format == 0 and not customers)
+        assert error in caplog.text and ("routes:" in caplog.text) == bool(error)
 
     run(scenario, decode_routes=decode)
 
--- a/tests/test_entry_customers.py
+++ b/tests/test_entry_customers.py
@@ -252,3 +252,28 @@
 
     run(scenario, KeyedVm, a1=ok)
     run(scenario, CutKeyedVm, a1=ok, b1=ok)
+
+
+def test_a_key_that_two_customers_hold_runs_for_neither(caplog):
+    """Guards against a table of an older build that shows one customer's data to another."""
+    caplog.set_level(logging.INFO)
+
+    class SharedVm(KeyedVm):
+        def __init__(self, **scripts) -> None:
+            super().__init__(**scripts)
+            self.table = table(
+                Customer(name="acme", keys=["shared", "own"]),
+                Customer(name="bolt", keys=["shared"]),
+            )
+
+    async def scenario(vm):
+        reply = await ask(vm, "/one/x", "Authorization: Token shared\r\n")
+        assert status(reply) == 503 and header(reply, b"Retry-After")
+        assert not vm.fakes["a1"].requests
+        assert status(await ask(vm, "/one/x", "Authorization: Token own\r\n")) == 200
+        assert status(await ask(vm, "/one/x", "Authorization: Token none\r\n")) == 401
+
+    run(scenario, SharedVm, a1=ok)
+    rules = [vars(record)["rule"] for record in caplog.records if "rule" in vars(record)]
+    assert rules == ["unclear_key", "key"]
+    assert "shared" not in caplog.text
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -133,3 +133,20 @@
         assert set(vm.entry.dump()["targets"]["connections"]) == {"a1"}
 
     run(scenario, OddEntryVm, a1=ok)
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        (b'{"Version": 1}', False),
+        (b'{"Version": 1, "Tenants": []}', False),
+        (b'{"Version": "bad", "Tenants": null}', False),
+        (b'{"Version": "bad", "Tenants": [{"Name": 7}]}', True),
+        (b'{"Tenants": "acme"}', True),
+        (b"[]", True),
+        (b"no json", True),
+    ],
+)
+def test_a_document_that_cannot_be_decoded_tells_whether_keys_are_needed(body, expected):
+    """Guards against an open VM with customers, and a closed one without any."""
+    assert documents.has_customers(body) == expected
