--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -37,6 +37,7 @@
     Forward,
     Merged,
     Refusal,
+    RefusalCause,
     ReportLosses,
     ScatterExecution,
     SubFailure,
@@ -229,6 +230,10 @@
         """Return the limits on the requests of other VMs."""
         return self._delegation.limits(self.limits())
 
+    def report_customers(self) -> None:
+        """Set the metrics of customers."""
+        self._gate.report(self._metrics)
+
     def dump(self) -> dict[str, Any]:
         """Return routes, requests, targets and connections in JSON form."""
         now = self._clock()
@@ -404,7 +409,7 @@
             actions = call.execution.hand_over(self._clock())
             if actions is not None:
                 self._execute(call, actions)
-                refusal = Refusal(not any(sends), "sub-request lost")
+                refusal = Refusal(not any(sends), "sub-request lost", cause=RefusalCause.UNREACHED)
                 if not self._offer_call(call, refusal, sends):
                     self._respond(call, refusal)
 
@@ -432,6 +437,7 @@
     def _on_caller_disconnected(self, call: Call) -> None:
         now = self._clock()
         self._metrics.incr("entry.gone")
+        self._gate.on_ended(call.customer, "gone")
         self._requests.record(
             "caller disconnected",
             call.meta.request_id,
@@ -662,9 +668,10 @@
         latency_s = now - call.exchange.arrived
         self._metrics.incr(f"entry.answers.{status}")
         self._metrics.timing("entry.latency", latency_s)
-        if isinstance(action, Refusal) and action.not_run:
-            self._waiting.on_refused(call, action.retry_after_s, now)
-            self._gate.on_no_room(call.customer)
+        refused = isinstance(action, Refusal) and action.not_run
+        fields = self._count_refusal(call, action, now) if refused else {}
+        if not refused:
+            self._gate.on_ended(call.customer, "served" if status < 500 else "failed")
         partial = isinstance(action, Merged) and action.missing > 0
         self._requests.record(
             outcome,
@@ -680,9 +687,22 @@
             missing=missing_services(route, action),
             target_failures=call.failures,
             **call.identity.log_fields(),
-            **self._waiting.explain(call, now),
+            **fields,
         )
 
+    def _count_refusal(self, call: Call, refusal: Refusal, now: float) -> dict[str, Any]:
+        """Count a request that did not run under its rule; return the fields of its log line."""
+        self._waiting.on_refused(call, refusal.retry_after_s, now)
+        early = call.early_refusal
+        rule = refusal.cause if early is None else early.rule
+        self._gate.on_refused(call.customer, rule)
+        return {
+            "rule": str(rule),
+            **self._gate.log_fields(call.customer),
+            **self._waiting.describe_use(call, now),
+            **self._waiting.explain(call, now),
+        }
+
     # Changes of routes and of free slots at targets.
 
     def _on_routes(self) -> None:
--- a/bramleycrank/entry/waiting.py
+++ b/bramleycrank/entry/waiting.py
@@ -24,6 +24,9 @@
 from bramleycrank.routing import Route
 from bramleycrank.scatter import ScatterExecution
 
+MAX_LOGGED_SERVICES = 3
+"""Most services that a log line names; a request may wait for dozens."""
+
 
 class RoomSource(Protocol):
     """Source of what the targets of a service can take."""
@@ -208,6 +211,17 @@
         if self._shares.in_force:
             self._refused.add(_name(call.customer), call.fingerprint, return_s, now)
 
+    def describe_use(self, call: Call, now: float) -> dict[str, Any]:
+        """Return the customer's recent use of the services waited for, for a refusal's log."""
+        if not self._shares.in_force:
+            return {}
+        name = _name(call.customer)
+        services = sorted(call.queued_at)[:MAX_LOGGED_SERVICES]
+        return {
+            "uses_ms": {s: round(self._shares.use(s, name, now) * 1e3) for s in services},
+            "weight": round(self._shares.weight(call.customer), 3),
+        }
+
     def explain(self, call: Call, now: float) -> dict[str, Any]:
         """Return the inputs of an early refusal, for the log."""
         refusal = call.early_refusal
