Name customers with equal rates in one order, and use one decaying sum

Which of two customers with equal rates the metrics name followed the hash seed, so test_customers_counts failed in some runs.

--- a/bramleycrank/customers/counts.py
+++ b/bramleycrank/customers/counts.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterable
 
-import attrs
+from bramleycrank.customers.decay import DecayingSum
 
 NAMED_CUSTOMERS = 20
 """Number of customers that metrics of a VM name; each has a series for each of up to 16 results."""
@@ -25,20 +24,6 @@
 """Decayed number of requests below which a customer that is not named is forgotten."""
 
 
-@attrs.define
-class _Recent:
-    """The decayed number of requests at a time."""
-
-    requests: float = 0.0
-    at: float = 0.0
-
-    def value(self, now: float) -> float:
-        return self.requests * math.exp((self.at - now) / RATE_S)
-
-    def add(self, now: float) -> None:
-        self.requests, self.at = self.value(now) + 1.0, now
-
-
 class CustomerCounts:
     """Counts the requests of customers by result; only those with the most requests are named.
 
@@ -57,7 +42,7 @@
         self._limit = limit
         self._named: dict[str, Counter[str]] = {}
         self._others: Counter[str] = Counter()
-        self._recent: dict[str, _Recent] = {}
+        self._recent: dict[str, DecayingSum] = {}
 
     def count(self, name: str, result: str, now: float) -> None:
         """Count the result of a request.
@@ -73,8 +58,8 @@
         """
         recent = self._recent.get(name)
         if recent is None:
-            recent = self._recent[name] = _Recent()
-        recent.add(now)
+            recent = self._recent[name] = DecayingSum(RATE_S)
+        recent.add(1.0, now)
         if len(self._named) < self._limit and name not in self._named and name != OTHERS:
             self._named[name] = Counter()
         self._named.get(name, self._others)[result] += 1
@@ -96,8 +81,9 @@
         }
 
     def _choose(self, now: float) -> None:
-        rates = {name: recent.value(now) for name, recent in self._recent.items()}
-        others = sorted(rates.keys() - self._named.keys() - {OTHERS}, key=lambda name: -rates[name])
+        rates = {name: recent.at(now) for name, recent in self._recent.items()}
+        unnamed = rates.keys() - self._named.keys() - {OTHERS}
+        others = sorted(unnamed, key=lambda name: (-rates[name], name))
         for name in others[: self._limit]:
             if len(self._named) >= self._limit:
                 weakest = min(self._named, key=rates.__getitem__)
