--- a/bramleycrank/customers/usage.py
+++ b/bramleycrank/customers/usage.py
@@ -34,7 +34,7 @@
     """
 
     admitted: int = 0
-    refused: dict[RefusalRule, int] = attrs.field(factory=dict)
+    refused: dict[str, int] = attrs.field(factory=dict)
     _recent: DecayingSum = attrs.field(factory=lambda: DecayingSum(RECENT_S))
 
     def on_admitted(self, now: float) -> None:
@@ -42,7 +42,7 @@
         self.admitted += 1
         self._recent.add(1.0, now)
 
-    def on_refused(self, rule: RefusalRule) -> None:
+    def on_refused(self, rule: str) -> None:
         """Count a request that was refused."""
         self.refused[rule] = self.refused.get(rule, 0) + 1
 
