--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -274,6 +274,38 @@
     assert 100 < len(world.ran["a"]) <= world.bounds.depth(customer) + 1
 
 
+def test_requests_wait_for_an_issuer_after_a_time_without_limit():
+    """Guards against refusals beside a leader of a build that knows no grants, each few seconds."""
+    holder = Holder("vm", 1, AllowanceBounds())
+    holder.set_customers([Customer("a", per_s=2.0, burst=4.0)], 1)
+    for now in (0.0, 6.0, 12.0):
+        assert isinstance(holder.admit("a", now), Ask)
+        holder.on_unsupported(holder.next_request(now).sequence, now)
+        assert isinstance(holder.admit("a", now, again=True), Admit)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_bucket_is_not_used_in_a_window_with_late_grants_of_a_predecessor(seed):
+    """Guards against late grants to waiting requests beside a full bucket of the successor."""
+    customer = Customer("a", per_s=1.5, burst=60.0)
+    world = World(seed, [customer], 40, slack=4.0)
+
+    def flood(delay: float) -> None:
+        world.travel = lambda: delay
+        for vm in world.vms:
+            for _ in range(40):
+                vm.decide("a", world.now, again=False)
+            vm.poll()
+
+    world.elect()
+    world.at(60.0, world.elect)
+    world.at(60.65, flood, 0.14)  # until 60.8 the predecessor grants from a full bucket
+    world.at(60.8 + world.bounds.window_s + 0.01, flood, 0.001)
+    world.run(70.0)
+    assert sum(t < 61.0 for t in world.ran["a"]) > 0.8 * customer.burst
+    assert world.excess(customer) <= 0
+
+
 def test_customer_that_returns_is_counted_from_where_it_was_forgotten():
     """Guards against grants that are put back because a holder's count starts again."""
     customers = [Customer(name, per_s=1.0, burst=5.0) for name in "ab"]
--- a/tests/test_entry_waiting.py
+++ b/tests/test_entry_waiting.py
@@ -147,6 +147,16 @@
     assert bool(call.execution.refuse("no room", 0.1, 0.1)) is not sent
 
 
+def test_waiting_request_is_not_checked_again_once_no_customers_are_in_force():
+    """Guards against a timer that is due at once, again and again, since no check moves it."""
+    vm = Vm(FLOOD)
+    call, _ = vm.arrive(FLOOD, objective_s=2.0, timeout_s=4.0)
+    assert vm.waiting.next_check(call) < math.inf
+    vm.waiting.set_customers([])
+    assert vm.waiting.find_refusal(call, 1.0) is None
+    assert vm.waiting.next_check(call) == math.inf
+
+
 def test_flood_is_refused_early_with_its_rule_in_the_log(caplog):
     """Load: 60 requests of one customer at once, at a target that answers four in 60 ms."""
 
