Let the property test end leaders without a successor and lose only replies

"end" stops the leader, and a successor is elected up to 4 s later; "deaf" loses the replies to some VMs while their requests arrive.

--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -27,7 +27,8 @@
     def __init__(self, world: World, name: str, rng: random.Random) -> None:
         self.world, self.name = world, name
         self.rate, self.offset = 1 + rng.uniform(-0.0005, 0.0005), rng.uniform(0, 1000)
-        self.suspended_until, self.cut_until, self.starts = 0.0, 0.0, 0
+        self.suspended_until = self.cut_until = self.deaf_until = 0.0
+        self.starts = 0
         self.start()
 
     def start(self) -> None:
@@ -102,6 +103,7 @@
         self.events: list = []
         self.order = itertools.count()
         self.leaders: list[tuple[float, Issuer, float]] = []
+        self.ended: set[int] = set()  # numbers of the leaders that lost power
         self.vms = [Vm(self, f"vm{n}", self.rng) for n in range(vms)]
         for vm in self.vms:
             self.at(self.rng.random() * 0.02, vm.every, 1, vm=vm)
@@ -125,6 +127,10 @@
         issuer.lead(len(self.leaders) + 1, self.now + offset)
         self.leaders.append((self.now, issuer, offset))
 
+    def end_leader(self) -> None:
+        """End the leader; no VM issues until another one is elected."""
+        self.ended.add(len(self.leaders) - 1)
+
     def send(self, vm: Vm, starts: int, request) -> None:
         self.calls += 1
         answered = [False]
@@ -140,7 +146,8 @@
         recent = [
             n
             for n in range(len(self.leaders))
-            if n + 1 == len(self.leaders) or self.now < self.leaders[n + 1][0] + 1.0
+            if n not in self.ended
+            and (n + 1 == len(self.leaders) or self.now < self.leaders[n + 1][0] + 1.0)
         ]
         for _ in range(copies):
             if recent and self.rng.random() >= self.loss and vm.cut_until <= self.now:
@@ -159,7 +166,7 @@
         else:
             reply = issuer.on_request(request, self.now + offset)
         self.sent_bytes += reply.ByteSize() + 100
-        if self.rng.random() >= self.loss and vm.cut_until <= self.now:
+        if self.rng.random() >= self.loss and max(vm.cut_until, vm.deaf_until) <= self.now:
             self.at(self.travel(), deliver, reply, vm=vm)
 
     def demand(self, name: str, per_s: float, vms: list[Vm], start: float, end: float) -> None:
@@ -198,7 +205,9 @@
     st.tuples(
         st.sampled_from(FLOODS),
         st.floats(-0.5, 8.0),
-        st.sampled_from(["elect", "elect", "kill", "kill all", "suspend", "cut", "join"]),
+        st.sampled_from(
+            ["elect", "elect", "end", "kill", "kill all", "suspend", "cut", "deaf", "join"]
+        ),
         st.floats(0.1, 8.0),
         st.integers(0, 5),
     ),
@@ -210,6 +219,9 @@
     vm = world.vms[number % len(world.vms)]
     if kind == "elect":
         world.elect()
+    elif kind == "end":
+        world.end_leader()
+        world.at(duration / 2, world.elect)
     elif kind == "kill":
         vm.start()
         world.at(0.0, vm.every, vm.starts, vm=vm)
@@ -221,6 +233,9 @@
         vm.suspended_until = world.now + duration
     elif kind == "cut":
         vm.cut_until = world.now + duration
+    elif kind == "deaf":  # requests arrive, replies are lost
+        for vm in world.vms[number:]:
+            vm.deaf_until = world.now + duration
     else:
         joined = Vm(world, f"vm{len(world.vms)}", world.rng)
         world.vms.append(joined)
