Return the on-demand grants of lost replies

Grants for requests that wait were lost with their reply. The issuer now puts them back when the holder's next report within 2 s says that it did not accept that reply, and keeps room for them in the bucket until then, so a window gets no more than before. An issuer answers a holder that names its successor as one that does not issue: it does not know what that holder used, and would put used grants back. The holder ignored such a reply already.

"Immediate" grants are called on-demand grants, the usual term.

Measured: each of the three new tests fails without its part of the change.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -100,8 +100,8 @@
         Requests admitted with grants of the present issuer, in total.
     asked_admitted, asked_left : int
         The same, and the grants left, at the time of the last request to the issuer.
-    immediate : int
-        Requests that waited for the last reply and may be admitted until `immediate_until`.
+    on_demand : int
+        Requests that waited for the last reply and may be admitted until `on_demand_until`.
     denied_until : float
         Time until which the issuer has nothing to grant, in seconds.
     requests : DecayingSum
@@ -113,12 +113,14 @@
     usable_share : float
         Share in the fallback allowance before the last increase, which is in force a window after
         it: another holder may have used that part until now.
+    accepted_sequence : int
+        Number of the last request whose reply had grants for this customer.
     """
 
     left: int = 0
     expires: float = 0.0
-    immediate: int = 0
-    immediate_until: float = 0.0
+    on_demand: int = 0
+    on_demand_until: float = 0.0
     admitted: int = 0
     asked_admitted: int = 0
     asked_left: int = 0
@@ -138,6 +140,7 @@
     fallback_until: float = 0.0
     usable_share: float = 0.0
     increased_until: float = 0.0
+    accepted_sequence: int = 0
     fallback_times: deque[float] = attrs.field(factory=deque)
 
     def count(self, now: float) -> None:
@@ -236,8 +239,8 @@
             grants.count(now)
         if now < self._unlimited_until:
             return Admit()
-        if again and grants.immediate and now < grants.immediate_until:
-            grants.immediate -= 1
+        if again and grants.on_demand and now < grants.on_demand_until:
+            grants.on_demand -= 1
             return Admit()
         if grants.ready(now):
             grants.left -= 1
@@ -356,6 +359,7 @@
             waiting=grants.waiting,
             ahead=ahead,
             fallback_share=grants.fallback_share,
+            accepted_sequence=grants.accepted_sequence,
         )
 
     def on_reply(self, sequence: int, reply: GrantReply, now: float) -> None:
@@ -381,6 +385,7 @@
             grants = self._grants.get(grant.customer)
             if grants is not None:
                 self._apply(grants, grant, sent_at, now)
+                grants.accepted_sequence = sequence
                 grants.idle = grants.releasing and not (grants.left or grants.target(now))
         self._forget_idle(now)
 
@@ -396,10 +401,10 @@
         used = grants.admitted - grants.asked_admitted
         customer = self._customers.get(grant.customer)
         if customer is not None:
-            immediate_s = self._bounds.immediate_s(customer)
-            grants.immediate_until = sent_at + immediate_s * valid
-        grants.immediate = grant.immediate
-        if grant.requests + grant.immediate < grants.asked_left + grants.wanted:
+            on_demand_s = self._bounds.on_demand_s(customer)
+            grants.on_demand_until = sent_at + on_demand_s * valid
+        grants.on_demand = grant.on_demand
+        if grant.requests + grant.on_demand < grants.asked_left + grants.wanted:
             grants.scarce_until = now + SCARCE_S
         grants.left = max(0, grant.requests - used)
         grants.expires = sent_at + VALID_S * valid
@@ -415,7 +420,7 @@
             grants.retry_at = now + retry_after_s
             grants.denied_until = now + min(MAX_DENIAL_S, retry_after_s)
             grants.refused = 0
-        elif grant.immediate or grants.left:
+        elif grant.on_demand or grants.left:
             grants.denied_until = 0.0
             grants.refused = 0
 
--- a/bramleycrank/customers/allowances/issuer.py
+++ b/bramleycrank/customers/allowances/issuer.py
@@ -10,8 +10,8 @@
 
 from bramleycrank.customers.allowances.limits import (
     FALLBACK_S,
-    IMMEDIATE_S,
     LEASE_S,
+    ON_DEMAND_S,
     VALID_S,
     AllowanceBounds,
 )
@@ -36,6 +36,11 @@
         Grants that the holder may still use, or has used without a report.
     admitted : int
         Requests that it has reported as admitted in total.
+    sequence : int
+        Number of the holder's last request for this customer.
+    on_demand, on_demand_until : int, float
+        Grants for requests that waited for the last reply, which come back until then if the holder
+        did not accept it.
     """
 
     outstanding: int = 0
@@ -43,6 +48,9 @@
     admitted: int = 0
     fallback_share: float = 0.0
     fallback_until: float = 0.0
+    sequence: int = 0
+    on_demand: int = 0
+    on_demand_until: float = 0.0
 
 
 @attrs.define
@@ -75,6 +83,10 @@
         """Return the grants of all holders that are neither reported nor expired."""
         return sum(a.outstanding for a in self.accounts.values() if a.expires > now)
 
+    def unconfirmed(self, now: float) -> int:
+        """Return the on-demand grants that may still be put back."""
+        return sum(a.on_demand for a in self.accounts.values() if a.on_demand_until > now)
+
     def give(self, count: int) -> None:
         """Take grants out of the bucket; a negative count puts them back."""
         self.level -= count
@@ -148,11 +160,12 @@
                 self._buckets[name] = self._new_bucket(customer, now)
             else:
                 bucket.customer, bucket.removed_at = customer, math.inf
-                bucket.level = min(bucket.level, self._bounds.depth(customer))
+                bucket.level = min(bucket.level, self._capacity(bucket, now))
 
     def on_request(self, request: GrantRequest, now: float) -> GrantReply:
         """Return the grants for the holder's request, of a VM that leads now."""
-        if now < self._issues_from:
+        if now < self._issues_from or request.issuer_term > self._term:
+            # What a holder of a successor used of this issuer's grants is not known.
             return GrantReply(issuing=False, issuer_term=self._term)
         reply = GrantReply(
             issuing=True, issuer_term=self._term, starting=now < self._ramp_ends + VALID_S
@@ -162,12 +175,11 @@
         if request.sequence <= sequence:
             return reply
         self._sequences[holder] = (request.sequence, now)
-        known = request.issuer_term == self._term
         for use in request.uses:
             bucket = self._buckets.get(use.customer)
             if bucket is not None and bucket.removed_at == math.inf:
                 self._refill(bucket, now)
-                reply.grants.append(self._grant(bucket, holder, use, known, now))
+                reply.grants.append(self._grant(bucket, holder, use, request, now))
             elif request.routes_version <= self._version:  # no longer limited
                 requests = use.held + use.waiting + use.ahead
                 reply.grants.append(AllowanceGrant(customer=use.customer, requests=requests))
@@ -176,38 +188,43 @@
 
     @property
     def _ramp_ends(self) -> float:
-        # Immediate grants of a predecessor may be used until then beside those of this issuer.
-        return self._issues_from + self._bounds.window_s + IMMEDIATE_S
+        # On-demand grants of a predecessor may be used until then beside those of this issuer.
+        return self._issues_from + self._bounds.window_s + ON_DEMAND_S
+
+    def _capacity(self, bucket: _Bucket, now: float) -> float:
+        """Return the most requests in the bucket; those that may be put back have room."""
+        return self._bounds.depth(bucket.customer) - bucket.unconfirmed(now)
 
     def _refill(self, bucket: _Bucket, now: float) -> None:
         elapsed_s = max(0.0, now - bucket.filled_at)
         gained = bucket.customer.per_s * elapsed_s
         bucket.filled_at = max(now, bucket.filled_at)
-        bucket.level = min(self._bounds.depth(bucket.customer), bucket.level + gained)
+        bucket.level = min(self._capacity(bucket, now), bucket.level + gained)
         bucket.ramp += gained + self._bounds.start_extra_per_s(bucket.customer) * elapsed_s
 
     def _grant(
-        self, bucket: _Bucket, holder: str, use: AllowanceUse, known: bool, now: float
+        self, bucket: _Bucket, holder: str, use: AllowanceUse, request: GrantRequest, now: float
     ) -> AllowanceGrant:
         account = bucket.accounts.setdefault(holder, _Account())
-        held = self._settle(bucket, account, use, known, now)
+        held = self._settle(bucket, account, use, request.issuer_term == self._term, now)
         level = self._level(bucket, now)
         limit, outstanding = self._bounds.outstanding(bucket.customer), bucket.outstanding(now)
         available = max(0, math.floor(level))
         # Half is left for other holders. Grants that are used at once never lie idle at a VM, so
         # only those ahead of requests count against the limit on outstanding ones.
-        immediate = min(use.waiting, max(min(1, available), available // 2))
-        spare = min(available // 2 - immediate, limit - outstanding)
+        on_demand = min(use.waiting, max(min(1, available), available // 2))
+        spare = min(available // 2 - on_demand, limit - outstanding)
         ahead = max(0, min(use.ahead, spare))
-        count = immediate + ahead
+        count = on_demand + ahead
         bucket.give(count)
         account.outstanding = held + ahead
-        account.expires = now + VALID_S
+        account.on_demand, account.sequence = on_demand, request.sequence
+        account.expires = account.on_demand_until = now + VALID_S
         wanted = use.waiting + use.ahead
         retry_after_s = 0.0
         # A holder that only asks ahead is promised nothing, or the time that a refused caller was
         # told would go to it.
-        if immediate < use.waiting and level - count < 1:
+        if on_demand < use.waiting and level - count < 1:
             retry_after_s = self._promise(bucket, 1 - (level - count), now)
         share = self._fallback_share(bucket, account, use, now)
         if not (account.outstanding or wanted or account.fallback_share):
@@ -215,7 +232,7 @@
         return AllowanceGrant(
             customer=use.customer,
             requests=account.outstanding,
-            immediate=immediate,
+            on_demand=on_demand,
             retry_after_ms=math.ceil(retry_after_s * 1000),
             fallback_share=share,
         )
@@ -228,6 +245,9 @@
 
         Grants that have expired are not put back: windows count them in the bucket's level.
         """
+        if use.accepted_sequence < account.sequence and now < account.on_demand_until:
+            bucket.give(-account.on_demand)
+        account.on_demand = 0
         balance = account.outstanding if account.expires > now else 0
         # A holder that names another issuer has accepted no grant of this one.
         spent = max(0, use.admitted - account.admitted) if known else 0
@@ -240,14 +260,14 @@
 
     def _level(self, bucket: _Bucket, now: float) -> float:
         """Return what may be granted, less in the first windows of an issuer."""
-        level = min(bucket.level, self._bounds.depth(bucket.customer))
+        level = min(bucket.level, self._capacity(bucket, now))
         if now < self._ramp_ends:
             level = min(level, bucket.ramp)
         if now < self._ramp_ends + VALID_S:
             # Grants of a predecessor may be used beside those of this issuer.
             customer, bounds = bucket.customer, self._bounds
             cap = customer.per_s * bounds.window_s + bounds.depth(customer)
-            cap += bounds.start_extra_per_s(customer) * (bounds.window_s + IMMEDIATE_S)
+            cap += bounds.start_extra_per_s(customer) * (bounds.window_s + ON_DEMAND_S)
             level = min(level, cap - bucket.issued)
         return level
 
--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -23,11 +23,11 @@
 """Time after the start of a confirmed round in which a leader issues grants, in seconds; some
 heartbeats. A successor issues nothing for the same time after its election."""
 
-IMMEDIATE_S = 0.3
+ON_DEMAND_S = 0.3
 """Longest validity of a grant for a request that waits, after the holder sent its request, in
 seconds; some round trips."""
 
-MAX_IMMEDIATE_SHARE = 0.4
+MAX_ON_DEMAND_SHARE = 0.4
 """Part of the granted tolerance that grants for waiting requests may use, at most."""
 
 START_PER_S = 1.2
@@ -99,10 +99,10 @@
         granted = GRANTED_SHARE * tolerance - self._reserved(customer)
         return max(1, math.floor(granted - min(MAX_DEPTH_SHARE * tolerance, needed)))
 
-    def immediate_s(self, customer: Customer) -> float:
+    def on_demand_s(self, customer: Customer) -> float:
         """Return how long a grant for a request that waits is valid, in seconds."""
-        most = MAX_IMMEDIATE_SHARE * GRANTED_SHARE * self.tolerance(customer)
-        return min(IMMEDIATE_S, most / customer.per_s)
+        most = MAX_ON_DEMAND_SHARE * GRANTED_SHARE * self.tolerance(customer)
+        return min(ON_DEMAND_S, most / customer.per_s)
 
     def start_extra_per_s(self, customer: Customer) -> float:
         """Return what a new issuer grants beyond the rate in its first window, per second.
@@ -114,13 +114,13 @@
         return max(0.0, min(START_PER_S - customer.per_s, most))
 
     def _reserved(self, customer: Customer) -> float:
-        """Return the part of the tolerance for immediate grants and for new issuers, in requests.
+        """Return the part of the tolerance for on-demand grants and for new issuers, in requests.
 
-        Immediate grants are used within their validity, so a window holds what the bucket gives in
+        On-demand grants are used within their validity, so a window holds what the bucket gives in
         a time that is longer by it.
         """
-        late = customer.per_s * self.immediate_s(customer)
-        return late + self.start_extra_per_s(customer) * (self.window_s + IMMEDIATE_S)
+        late = customer.per_s * self.on_demand_s(customer)
+        return late + self.start_extra_per_s(customer) * (self.window_s + ON_DEMAND_S)
 
     def fallback(self, customer: Customer) -> int:
         """Return the requests in one window that all holders admit without an issuer."""
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -14,7 +14,7 @@
 from bramleycrank.customers import Customer
 from bramleycrank.customers.allowances import Admit, AllowanceBounds, Ask, Holder, Issuer
 from bramleycrank.customers.allowances.limits import LEASE_S
-from bramleycrank.proto.peer_pb2 import GrantReply
+from bramleycrank.proto.peer_pb2 import AllowanceUse, GrantReply, GrantRequest
 
 WAIT_S = 0.3
 CALL_TIMEOUT_S = 0.5
@@ -289,6 +289,45 @@
     assert 100 < len(world.ran["a"]) <= world.bounds.depth(customer) + 1
 
 
+def grant_on_demand(issuer: Issuer, vm: str, sequence: int, accepted: int, now: float) -> int:
+    """Return the grants for one request that waits, after a reply that the holder accepted."""
+    use = AllowanceUse(customer="a", waiting=1, accepted_sequence=accepted)
+    request = GrantRequest(vm_id=vm, sequence=sequence, issuer_term=1, uses=[use])
+    return sum(grant.on_demand for grant in issuer.on_request(request, now).grants)
+
+
+def issuer_without_tolerance(per_s: float) -> Issuer:
+    """Return an issuer that has granted nothing yet, with a bucket of 3 requests."""
+    issuer = Issuer(AllowanceBounds(overage=0.0, slack=0.0))
+    issuer.set_customers([Customer("a", per_s=per_s, burst=4.0)], 1, 0.0)
+    issuer.lead(1, 0.0)
+    return issuer
+
+
+def test_grants_of_a_lost_reply_are_granted_again():
+    """Guards against a bucket that each lost reply to a request that waits empties further."""
+    issuer = issuer_without_tolerance(0.001)
+    sequences = ((1, 0), (2, 0), (3, 2), (4, 3), (5, 4))  # the first reply is lost
+    granted = [grant_on_demand(issuer, "x", n, accepted, 30.0 + n) for n, accepted in sequences]
+    assert granted == [1, 1, 1, 1, 0]
+
+
+def test_bucket_keeps_room_for_grants_of_a_lost_reply():
+    """Guards against a full bucket that is granted beside what is put back later."""
+    issuer = issuer_without_tolerance(1.0)
+    assert grant_on_demand(issuer, "x", 1, 0, 30.0) == 1  # the reply is lost
+    granted = sum(grant_on_demand(issuer, "y", n, n - 1, 31.5) for n in range(1, 6))
+    granted += sum(grant_on_demand(issuer, "x", n, n - 1 if n > 2 else 0, 31.5) for n in (2, 3, 4))
+    assert granted == 3
+
+
+def test_issuer_stops_once_a_holder_names_its_successor():
+    """Guards against grants that are put back because their holder reports to another issuer."""
+    issuer = issuer_without_tolerance(1.0)
+    request = GrantRequest(vm_id="x", sequence=1, issuer_term=2)
+    assert not issuer.on_request(request, 30.0).issuing
+
+
 def test_requests_wait_for_an_issuer_after_a_time_without_limit():
     """Guards against refusals beside a leader of a build that knows no grants, each few seconds."""
     holder = Holder("vm", 1, AllowanceBounds())
