Say 503 within the allowance while a new issuer does not grant the whole of it

Refusals for 8.1 s after a change of the leader said 429 also to customers within their allowance. They say 503 with the time of the next grant, unless the demand at this VM alone exceeds rate and burst, so that callers far beyond the allowance still get 429. They count as no_issuer, as the metric says now.

The time is that of the rate; a customer below 1.2/s, to whom a new issuer grants more in its first window, is told a later time than needed.

Measured: the new test fails without the change. tests/test_process_allowances.py, which wants a 429 within 40 served requests beyond the limit, passes unchanged in three of three runs.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -81,7 +81,8 @@
     retry_after_s : float
         Time after which it may be admitted, in seconds.
     over_allowance : bool
-        Whether the issuer said that the allowance is used up; otherwise none was reached.
+        Whether the allowance is used up; otherwise no issuer was reached, or a new one does not
+        grant the whole allowance yet.
     """
 
     retry_after_s: float
@@ -271,7 +272,11 @@
         # Each refused caller is told a later time, as far apart as the requests of the rate.
         wait_s = max(0.0, grants.retry_at - now) + grants.refused / customer.per_s
         grants.refused += 1
-        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance=True)
+        # A new issuer grants less than the allowance for a while.
+        over_allowance = not self._starting or grants.demand(now) > (
+            customer.per_s + customer.burst / DEMAND_S
+        )
+        return Refuse(min(MAX_RETRY_AFTER_S, wait_s), over_allowance)
 
     def _use_fallback(self, customer: Customer, grants: _Grants, now: float) -> bool:
         """Use this VM's share in the fallback allowance, if there is one left in the window."""
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -113,7 +113,8 @@
         "entry.allowances.EVENT",
         "requests",
         "Requests of customers with an allowance: `waited` for a grant, `refused` beyond the "
-        "allowance, `no_issuer`: refused because no issuer was reached or none replied in time. "
+        "allowance, `no_issuer`: refused because no issuer was reached, none replied in time, or a "
+        "new one does not grant the whole allowance yet. "
         "`without_issuer`: calls that a leader of an older build did not know.",
     ),
     _counter("entry.holds", "holds", "Times that a target was held back at its own request."),
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -14,7 +14,7 @@
 from bramleycrank.customers import Customer
 from bramleycrank.customers.allowances import Admit, AllowanceBounds, Ask, Holder, Issuer
 from bramleycrank.customers.allowances.limits import LEASE_S
-from bramleycrank.proto.peer_pb2 import AllowanceUse, GrantReply, GrantRequest
+from bramleycrank.proto.peer_pb2 import AllowanceGrant, AllowanceUse, GrantReply, GrantRequest
 
 WAIT_S = 0.3
 CALL_TIMEOUT_S = 0.5
@@ -360,6 +360,20 @@
     assert world.excess(customer) <= 0
 
 
+def test_refusal_by_a_new_issuer_says_that_the_allowance_is_used_up_only_beyond_it():
+    """Guards against 429 for customers inside their allowance after a change of the leader."""
+    holder = Holder("vm", 1, AllowanceBounds())
+    holder.set_customers([Customer("a", per_s=2.0, burst=4.0)], 1)
+    holder.admit("a", 0.0)
+    request = holder.next_request(0.0)
+    grant = AllowanceGrant(customer="a", retry_after_ms=700)
+    reply = GrantReply(issuing=True, issuer_term=1, starting=True, grants=[grant])
+    holder.on_reply(request.sequence, reply, 0.0)
+    decisions = [holder.admit("a", 0.1) for _ in range(12)]
+    assert [d.over_allowance for d in decisions] == [False] * 7 + [True] * 5
+    assert decisions[0].retry_after_s == pytest.approx(0.6)
+
+
 def test_customer_that_returns_is_counted_from_where_it_was_forgotten():
     """Guards against grants that are put back because a holder's count starts again."""
     customers = [Customer(name, per_s=1.0, burst=5.0) for name in "ab"]
