--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -14,7 +14,7 @@
 from bramleycrank.customers import Customer
 from bramleycrank.customers.allowances import Admit, AllowanceBounds, Ask, Holder, Issuer
 from bramleycrank.customers.allowances.limits import LEASE_S
-from bramleycrank.proto.peer_pb2 import GrantReply
+from bramleycrank.proto.peer_pb2 import AllowanceGrant, AllowanceUse, GrantReply, GrantRequest
 
 WAIT_S = 0.3
 CALL_TIMEOUT_S = 0.5
@@ -27,7 +27,8 @@
     def __init__(self, world: World, name: str, rng: random.Random) -> None:
         self.world, self.name = world, name
         self.rate, self.offset = 1 + rng.uniform(-0.0005, 0.0005), rng.uniform(0, 1000)
-        self.suspended_until, self.cut_until, self.starts = 0.0, 0.0, 0
+        self.suspended_until = self.cut_until = self.deaf_until = 0.0
+        self.starts = 0
         self.start()
 
     def start(self) -> None:
@@ -102,6 +103,7 @@
         self.events: list = []
         self.order = itertools.count()
         self.leaders: list[tuple[float, Issuer, float]] = []
+        self.ended: set[int] = set()  # numbers of the leaders that lost power
         self.vms = [Vm(self, f"vm{n}", self.rng) for n in range(vms)]
         for vm in self.vms:
             self.at(self.rng.random() * 0.02, vm.every, 1, vm=vm)
@@ -125,6 +127,10 @@
         issuer.lead(len(self.leaders) + 1, self.now + offset)
         self.leaders.append((self.now, issuer, offset))
 
+    def end_leader(self) -> None:
+        """End the leader; no VM issues until another one is elected."""
+        self.ended.add(len(self.leaders) - 1)
+
     def send(self, vm: Vm, starts: int, request) -> None:
         self.calls += 1
         answered = [False]
@@ -140,7 +146,8 @@
         recent = [
             n
             for n in range(len(self.leaders))
-            if n + 1 == len(self.leaders) or self.now < self.leaders[n + 1][0] + 1.0
+            if n not in self.ended
+            and (n + 1 == len(self.leaders) or self.now < self.leaders[n + 1][0] + 1.0)
         ]
         for _ in range(copies):
             if recent and self.rng.random() >= self.loss and vm.cut_until <= self.now:
@@ -159,7 +166,7 @@
         else:
             reply = issuer.on_request(request, self.now + offset)
         self.sent_bytes += reply.ByteSize() + 100
-        if self.rng.random() >= self.loss and vm.cut_until <= self.now:
+        if self.rng.random() >= self.loss and max(vm.cut_until, vm.deaf_until) <= self.now:
             self.at(self.travel(), deliver, reply, vm=vm)
 
     def demand(self, name: str, per_s: float, vms: list[Vm], start: float, end: float) -> None:
@@ -198,7 +205,9 @@
     st.tuples(
         st.sampled_from(FLOODS),
         st.floats(-0.5, 8.0),
-        st.sampled_from(["elect", "elect", "kill", "kill all", "suspend", "cut", "join"]),
+        st.sampled_from(
+            ["elect", "elect", "end", "kill", "kill all", "suspend", "cut", "deaf", "join"]
+        ),
         st.floats(0.1, 8.0),
         st.integers(0, 5),
     ),
@@ -210,6 +219,9 @@
     vm = world.vms[number % len(world.vms)]
     if kind == "elect":
         world.elect()
+    elif kind == "end":
+        world.end_leader()
+        world.at(duration / 2, world.elect)
     elif kind == "kill":
         vm.start()
         world.at(0.0, vm.every, vm.starts, vm=vm)
@@ -221,6 +233,9 @@
         vm.suspended_until = world.now + duration
     elif kind == "cut":
         vm.cut_until = world.now + duration
+    elif kind == "deaf":  # requests arrive, replies are lost
+        for vm in world.vms[number:]:
+            vm.deaf_until = world.now + duration
     else:
         joined = Vm(world, f"vm{len(world.vms)}", world.rng)
         world.vms.append(joined)
@@ -274,6 +289,91 @@
     assert 100 < len(world.ran["a"]) <= world.bounds.depth(customer) + 1
 
 
+def grant_on_demand(issuer: Issuer, vm: str, sequence: int, accepted: int, now: float) -> int:
+    """Return the grants for one request that waits, after a reply that the holder accepted."""
+    use = AllowanceUse(customer="a", waiting=1, accepted_sequence=accepted)
+    request = GrantRequest(vm_id=vm, sequence=sequence, issuer_term=1, uses=[use])
+    return sum(grant.on_demand for grant in issuer.on_request(request, now).grants)
+
+
+def issuer_without_tolerance(per_s: float) -> Issuer:
+    """Return an issuer that has granted nothing yet, with a bucket of 3 requests."""
+    issuer = Issuer(AllowanceBounds(overage=0.0, slack=0.0))
+    issuer.set_customers([Customer("a", per_s=per_s, burst=4.0)], 1, 0.0)
+    issuer.lead(1, 0.0)
+    return issuer
+
+
+def test_grants_of_a_lost_reply_are_granted_again():
+    """Guards against a bucket that each lost reply to a request that waits empties further."""
+    issuer = issuer_without_tolerance(0.001)
+    sequences = ((1, 0), (2, 0), (3, 2), (4, 3), (5, 4))  # the first reply is lost
+    granted = [grant_on_demand(issuer, "x", n, accepted, 30.0 + n) for n, accepted in sequences]
+    assert granted == [1, 1, 1, 1, 0]
+
+
+def test_bucket_keeps_room_for_grants_of_a_lost_reply():
+    """Guards against a full bucket that is granted beside what is put back later."""
+    issuer = issuer_without_tolerance(1.0)
+    assert grant_on_demand(issuer, "x", 1, 0, 30.0) == 1  # the reply is lost
+    granted = sum(grant_on_demand(issuer, "y", n, n - 1, 31.5) for n in range(1, 6))
+    granted += sum(grant_on_demand(issuer, "x", n, n - 1 if n > 2 else 0, 31.5) for n in (2, 3, 4))
+    assert granted == 3
+
+
+def test_issuer_stops_once_a_holder_names_its_successor():
+    """Guards against grants that are put back because their holder reports to another issuer."""
+    issuer = issuer_without_tolerance(1.0)
+    request = GrantRequest(vm_id="x", sequence=1, issuer_term=2)
+    assert not issuer.on_request(request, 30.0).issuing
+
+
+def test_requests_wait_for_an_issuer_after_a_time_without_limit():
+    """Guards against refusals beside a leader of a build that knows no grants, each few seconds."""
+    holder = Holder("vm", 1, AllowanceBounds())
+    holder.set_customers([Customer("a", per_s=2.0, burst=4.0)], 1)
+    for now in (0.0, 6.0, 12.0):
+        assert isinstance(holder.admit("a", now), Ask)
+        holder.on_unsupported(holder.next_request(now).sequence, now)
+        assert isinstance(holder.admit("a", now, again=True), Admit)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_bucket_is_not_used_in_a_window_with_late_grants_of_a_predecessor(seed):
+    """Guards against late grants to waiting requests beside a full bucket of the successor."""
+    customer = Customer("a", per_s=1.5, burst=60.0)
+    world = World(seed, [customer], 40, slack=4.0)
+
+    def flood(delay: float) -> None:
+        world.travel = lambda: delay
+        for vm in world.vms:
+            for _ in range(40):
+                vm.decide("a", world.now, again=False)
+            vm.poll()
+
+    world.elect()
+    world.at(60.0, world.elect)
+    world.at(60.65, flood, 0.14)  # until 60.8 the predecessor grants from a full bucket
+    world.at(60.8 + world.bounds.window_s + 0.01, flood, 0.001)
+    world.run(70.0)
+    assert sum(t < 61.0 for t in world.ran["a"]) > 0.8 * customer.burst
+    assert world.excess(customer) <= 0
+
+
+def test_refusal_by_a_new_issuer_says_that_the_allowance_is_used_up_only_beyond_it():
+    """Guards against 429 for customers inside their allowance after a change of the leader."""
+    holder = Holder("vm", 1, AllowanceBounds())
+    holder.set_customers([Customer("a", per_s=2.0, burst=4.0)], 1)
+    holder.admit("a", 0.0)
+    request = holder.next_request(0.0)
+    grant = AllowanceGrant(customer="a", retry_after_ms=700)
+    reply = GrantReply(issuing=True, issuer_term=1, starting=True, grants=[grant])
+    holder.on_reply(request.sequence, reply, 0.0)
+    decisions = [holder.admit("a", 0.1) for _ in range(12)]
+    assert [d.over_allowance for d in decisions] == [False] * 7 + [True] * 5
+    assert decisions[0].retry_after_s == pytest.approx(0.6)
+
+
 def test_customer_that_returns_is_counted_from_where_it_was_forgotten():
     """Guards against grants that are put back because a holder's count starts again."""
     customers = [Customer(name, per_s=1.0, burst=5.0) for name in "ab"]
