Read through the change: the adapter decides no limit, one name for one margin, exact figures

- How much memory a decoded document may take was decided in the adapter; it is now daemon/document_limits.py, and the adapter applies it.
- Two constants of one name had different values; the margin on validities has its own name.
- The retry-after of a quarantine said that only a change of targets helps.

--- a/bramleycrank/customers/allowances/holder.py
+++ b/bramleycrank/customers/allowances/holder.py
@@ -10,9 +10,9 @@
 import attrs
 
 from bramleycrank.customers.allowances.limits import (
-    CLOCK_DRIFT_SHARE,
     FALLBACK_S,
     VALID_S,
+    VALIDITY_MARGIN,
     AllowanceBounds,
 )
 from bramleycrank.customers.decay import DecayingSum
@@ -402,7 +402,7 @@
                 del self._grants[name]
 
     def _apply(self, grants: _Grants, grant: AllowanceGrant, sent_at: float, now: float) -> None:
-        valid = 1 - CLOCK_DRIFT_SHARE
+        valid = 1 - VALIDITY_MARGIN
         used = grants.admitted - grants.asked_admitted
         customer = self._customers.get(grant.customer)
         if customer is not None:
--- a/bramleycrank/customers/allowances/limits.py
+++ b/bramleycrank/customers/allowances/limits.py
@@ -16,7 +16,7 @@
 """Validity of a share in the fallback allowance after the last reply, in seconds. After all VMs
 have ended at once, nobody has a share for this time."""
 
-CLOCK_DRIFT_SHARE = 0.002
+VALIDITY_MARGIN = 0.002
 """Part by which a holder shortens each validity, since clocks of two VMs run at different rates."""
 
 LEASE_S = 0.8
--- a/bramleycrank/platform/__main__.py
+++ b/bramleycrank/platform/__main__.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+from bramleycrank.daemon.document_limits import document_room
 from bramleycrank.daemon.http_process import run
 from bramleycrank.daemon.settings_file import SettingsFile
 from bramleycrank.exceptions import BramleycrankError
@@ -26,7 +27,8 @@
     except BramleycrankError as exc:
         print(f"error {exc.code} {exc.name}: {exc.message}", file=sys.stderr)
         return exc.exit_code
-    adapter = PlatformAdapter(str(cfg.control) if cfg.control else "", cfg.memory_bytes)
+    control = str(cfg.control) if cfg.control else ""
+    adapter = PlatformAdapter(control, document_room(cfg.memory_bytes))
     return run(cfg, adapter, ExposedMetrics("bramleycrank"), settings)
 
 
--- a/bramleycrank/platform/adapter.py
+++ b/bramleycrank/platform/adapter.py
@@ -24,12 +24,6 @@
 INSTANCES_PATH = "/-/instances/"
 EVACUATIONS_PATH = "/-/evacuate/"
 
-DECODING_SHARE = 1 / 4
-"""Part of a VM's memory for one decoded document; orders are decoded one after the other."""
-
-DEFAULT_ROOM_BYTES = 256 * 1024 * 1024
-"""Memory for one decoded document on a VM whose memory limit is unknown."""
-
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
@@ -40,12 +34,12 @@
     ----------
     control_address : str
         ``host:port`` at which this VM receives reports; empty if it receives none.
-    memory_bytes : int, optional
-        Memory limit of the process; 0 if unknown.
+    room_bytes : int, optional
+        Memory for one decoded document, in bytes; larger ones are refused. None for any amount.
     """
 
-    def __init__(self, control_address: str, memory_bytes: int = 0) -> None:
-        self._room_bytes = int(memory_bytes * DECODING_SHARE) or DEFAULT_ROOM_BYTES
+    def __init__(self, control_address: str, room_bytes: int | None = None) -> None:
+        self._room_bytes = room_bytes
         self.dialect = PlatformHeaders()
         self._refusals = RequestLog(log, time.monotonic)
         self._report_response = json.dumps({"HeartbeatAddr": control_address}).encode()
@@ -152,7 +146,7 @@
     return segment
 
 
-def _incarnation(body: bytes, room_bytes: int) -> int | None:
+def _incarnation(body: bytes, room_bytes: int | None) -> int | None:
     if not body.strip():
         return None
     fields = Fields.from_json(body, "leave", room_bytes)
--- a/bramleycrank/scatter/quarantine.py
+++ b/bramleycrank/scatter/quarantine.py
@@ -31,7 +31,8 @@
 """Rounds of sub-requests that one attempt may lose before it ends."""
 
 QUARANTINE_RETRY_AFTER_S = 600.0
-"""Retry-after for a request in quarantine, in seconds; only a change of the targets helps."""
+"""Retry-after for a request in quarantine, in seconds. Its callers stay away while it may end
+targets; a trial of a request that comes all the same can end the quarantine earlier."""
 
 SUSPECT_RETRY_AFTER_S = 1.0
 """Retry-after for a suspected request while another one tries a target, in seconds."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bramleycrank.customers.allowances import AllowanceBounds
+from bramleycrank.daemon.document_limits import document_room
 from bramleycrank.daemon.domain_orders import DomainOrder
 from bramleycrank.exceptions import (
     InvalidRequest,
@@ -21,7 +22,7 @@
     VersionConflict,
 )
 from bramleycrank.platform import documents, node_file
-from bramleycrank.platform.adapter import DECODING_SHARE, DEFAULT_ROOM_BYTES, PlatformAdapter
+from bramleycrank.platform.adapter import PlatformAdapter
 from bramleycrank.platform.fields import Fields, decoded_bytes
 from bramleycrank.platform.headers import PlatformHeaders
 from bramleycrank.proto.target_pb2 import TARGET_STATE_LEAVING, TARGET_STATE_SERVING
@@ -317,7 +318,7 @@
 
 def test_a_document_without_room_is_refused_before_it_is_decoded():
     """Guards against orders, reports and leaves that are measured only once decoded."""
-    adapter = PlatformAdapter("", memory_bytes=1_000_000)
+    adapter = PlatformAdapter("", document_room(1_000_000))
     body = b'{"a":[' + b"{}," * 2_000 + b"0]}"
     for method, target in (
         (b"PUT", b"/-/config"),
@@ -332,8 +333,8 @@
 def test_a_large_ordinary_document_has_room():
     """Guards against a room that refuses tables of some thousand routes; 300 MB is usual."""
     document = dumped({**CONFIG, "Routes": CONFIG["Routes"] * 5_000})
-    assert decoded_bytes(document) < 300 * 1024 * 1024 * DECODING_SHARE
-    assert decoded_bytes(document * (8 * 1024 * 1024 // len(document))) < DEFAULT_ROOM_BYTES
+    assert decoded_bytes(document) < document_room(300 * 1024 * 1024)
+    assert decoded_bytes(document * (8 * 1024 * 1024 // len(document))) < document_room(0)
 
 
 def test_leave_without_a_body_applies_to_the_newest_incarnation():
--- a/tests/test_process_pressure.py
+++ b/tests/test_process_pressure.py
@@ -18,7 +18,7 @@
 import pytest
 from http_fakes import FakeTarget, ok
 
-from bramleycrank.platform.adapter import DECODING_SHARE
+from bramleycrank.daemon.document_limits import document_room
 from bramleycrank.platform.fields import decoded_bytes
 from bramleycrank.platform.node_file import METRICS_PORT
 from harness.platform_fleet import CONTROL_PORT, ENTRY_PORT, READY_PORT, Fleet, PlatformVm
@@ -342,7 +342,7 @@
 
 def test_the_largest_order_with_room_is_taken_within_the_memory(tmp_path):
     """Guards against a room for orders that ordinary ones of that size exceed once applied."""
-    room_bytes = int(MEMORY_MB * 1024 * 1024 * DECODING_SHARE)
+    room_bytes = document_room(MEMORY_MB * 1024 * 1024)
     more = [route("quick", 4000) | {"PathPrefix": f"/p{1000 + i}/"} for i in range(9000)]
     count = int(0.99 * room_bytes / decoded_bytes(json.dumps(more[0]).encode() + b","))
     order = {**CONFIG, "Version": 2, "Routes": CONFIG["Routes"] + more[:count]}
