--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -175,8 +176,13 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
+                preexec_fn=self._limit_files if self.platform.file_bytes else None,
             )
 
+    def _limit_files(self) -> None:
+        size = self.platform.file_bytes
+        resource.setrlimit(resource.RLIMIT_FSIZE, (size, size))
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self.alive:
@@ -200,14 +206,21 @@
         Zone of each edge machine.
     more_settings : str, optional
         Further lines of the settings files.
+    file_bytes : int, optional
+        Size that no file of a process may exceed, in bytes; 0 for any.
     """
 
     def __init__(
-        self, regions: dict[str, str], edges: Iterable[str], more_settings: str = ""
+        self,
+        regions: dict[str, str],
+        edges: Iterable[str],
+        more_settings: str = "",
+        file_bytes: int = 0,
     ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.regions = regions
         self.more_settings = more_settings
+        self.file_bytes = file_bytes
         prefix = f"127.{random.randrange(16, 240)}.{random.randrange(1, 250)}"
         self.backend_ip = f"{prefix}.200"
         self._ips = (f"{prefix}.{number}" for number in range(10, 200))
