Review: case 7 replaces a core machine instead of freezing one

After 930 acknowledged manifests of 3,465 routes, with no order in progress, a core machine is replaced as planned. Each leader in turn sends the new one up to 256 tables in a message, again and again, exceeds 296 MiB and is killed.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -221,6 +221,7 @@
         self.regions = regions
         self.more_settings = more_settings
         self.file_bytes = file_bytes
+        self._machines: list[Machine] = []
         prefix = f"127.{random.randrange(16, 240)}.{random.randrange(1, 250)}"
         self.backend_ip = f"{prefix}.200"
         self._ips = (f"{prefix}.{number}" for number in range(10, 200))
@@ -230,7 +231,14 @@
         self.edges = [self._machine(f"edge-{z}-{next(counts)}", z, core=False) for z in edges]
 
     def _machine(self, name: str, zone: str, *, core: bool) -> Machine:
-        return Machine(self, name, next(self._ips), zone, core=core)
+        self._machines.append(Machine(self, name, next(self._ips), zone, core=core))
+        return self._machines[-1]
+
+    def add_core(self, zone: str) -> Machine:
+        """Return a further core machine, with an empty disk; the caller starts it."""
+        number = sum(machine.zone == zone for machine in self.cores) + 1
+        self.cores.append(self._machine(f"core-{zone}-{number}", zone, core=True))
+        return self.cores[-1]
 
     def start(self) -> None:
         """Start all machines as at the first start of the system."""
@@ -239,7 +247,7 @@
 
     def stop(self) -> None:
         """End all processes and remove their folder."""
-        for machine in [*self.cores, *self.edges]:
+        for machine in self._machines:
             machine.kill()
         shutil.rmtree(self.folder, ignore_errors=True)
 
