Read and write the log of a voter in parts

What was seen: a voter that starts on a log of 1,000 large route tables, and a follower that is sent 256 of them, hold the whole file or message several times.

Cause: a segment was read with one call and decoded beside it, and an action of any size became one batch, which is copied four times while it is encoded.

Change: frames are read one at a time; an action of more than 1 MiB becomes several batches, each synced before the next, since only the last one of a segment may be torn.

--- a/bramleycrank/storage/files.py
+++ b/bramleycrank/storage/files.py
@@ -10,8 +10,9 @@
 import contextlib
 import os
 import struct
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from pathlib import Path
+from typing import BinaryIO
 
 import xxhash
 
@@ -24,12 +25,19 @@
     return _HEADER.pack(len(payload), _checksum(payload, seed)) + payload
 
 
-def decode_frames(data: bytes, seed: int = 0) -> Iterator[tuple[int, bytes]]:
-    """Yield the end offset and payload of each intact frame, up to the first damaged one."""
-    offset = 0
-    while (end := _frame_end(data, offset, seed)) is not None:
-        yield end, data[offset + _HEADER.size : end]
-        offset = end
+def decode_frames(file: BinaryIO, seed: int = 0) -> Iterator[tuple[int, bytes]]:
+    """Yield the end offset and payload of each intact frame, up to the first damaged one.
+
+    The file is read frame by frame, as it may be large beside the memory of the VM.
+    """
+    size = os.fstat(file.fileno()).st_size
+    end = 0
+    while len(header := file.read(_HEADER.size)) == _HEADER.size:
+        length, checksum = _HEADER.unpack(header)
+        end += _HEADER.size + length
+        if end > size or _checksum(payload := file.read(length), seed) != checksum:
+            return
+        yield end, payload
 
 
 def has_frame_after(data: bytes, offset: int, seed: int = 0) -> bool:
@@ -53,9 +61,14 @@
 
 def write_synced(path: Path, data: bytes) -> None:
     """Replace a file atomically and durably: sync a temporary file, rename it, sync the folder."""
+    write_parts_synced(path, [data])
+
+
+def write_parts_synced(path: Path, parts: Iterable[bytes]) -> None:
+    """Replace a file like `write_synced`, by parts that need not be in memory together."""
     temporary = path.with_name(path.name + ".tmp")
     with open(temporary, "wb") as file:
-        file.write(data)
+        file.writelines(parts)
         file.flush()
         os.fsync(file.fileno())
     os.replace(temporary, path)
@@ -64,10 +77,9 @@
 
 def read_single_frame(path: Path, seed: int = 0) -> bytes | None:
     """Return the payload of a file that is one frame; ``None`` if missing or damaged."""
-    with contextlib.suppress(FileNotFoundError):
-        data = path.read_bytes()
-        for end, payload in decode_frames(data, seed):
-            return payload if end == len(data) else None
+    with contextlib.suppress(FileNotFoundError), open(path, "rb") as file:
+        for end, payload in decode_frames(file, seed):
+            return payload if end == os.fstat(file.fileno()).st_size else None
     return None
 
 
--- a/bramleycrank/storage/segment.py
+++ b/bramleycrank/storage/segment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Iterator
 from pathlib import Path
 
 import attrs
@@ -10,8 +11,16 @@
 
 from bramleycrank.consensus.types import Persist
 from bramleycrank.exceptions import CorruptLog
-from bramleycrank.proto.log_pb2 import Entry, HardState, LogBatch, LogRecord, LogSnapshot
-from bramleycrank.storage.files import decode_frames, encode_frame, has_frame_after, write_synced
+from bramleycrank.proto.log_pb2 import Entry, HardState, LogBatch, LogSnapshot
+from bramleycrank.storage.files import (
+    decode_frames,
+    encode_frame,
+    has_frame_after,
+    write_parts_synced,
+)
+
+BATCH_BYTES = 1024 * 1024
+"""Size of the entries in one batch, in bytes, beyond which a further batch begins."""
 
 
 @attrs.define
@@ -85,9 +94,9 @@
 
     @classmethod
     def create(cls, path: Path, seed: int, content: SegmentContent) -> Segment:
-        """Create a segment with ``content`` as its first batch, durably under its final name."""
+        """Create a segment with ``content`` as its first batches, durably under its final name."""
         action = Persist(content.hard_state, 0, content.entries)
-        write_synced(path, _encode_batch(action, seed))
+        write_parts_synced(path, _encode_batches(action, seed))
         return cls(path, seed, content)
 
     @classmethod
@@ -101,27 +110,34 @@
             out of order. The first batch cannot be torn, because ``create`` writes it to a
             temporary file first.
         """
-        data = path.read_bytes()
         content = SegmentContent(first_index)
         intact_bytes = 0
-        for end, payload in decode_frames(data, seed):
-            content.replay(_decode_batch(payload, path, intact_bytes))
-            intact_bytes = end
-        if intact_bytes == 0 or has_frame_after(data, intact_bytes, seed):
-            raise CorruptLog(f"{path} is damaged at byte {intact_bytes}")
         with open(path, "r+b") as file:
-            if intact_bytes < len(data):
+            for end, payload in decode_frames(file, seed):
+                content.replay(_decode_batch(payload, path, intact_bytes))
+                intact_bytes = end
+            file.seek(intact_bytes)
+            tail = file.read()
+            if intact_bytes == 0 or has_frame_after(tail, 0, seed):
+                raise CorruptLog(f"{path} is damaged at byte {intact_bytes}")
+            if tail:
                 file.truncate(intact_bytes)
             # After a failed sync, the data just read may be only in the page cache.
             os.fsync(file.fileno())
         return cls(path, seed, content)
 
     def append(self, action: Persist) -> None:
-        """Append one action as one batch and sync the file."""
-        unwritten = memoryview(_encode_batch(action, self._seed))
-        while unwritten:
-            unwritten = unwritten[self._file.write(unwritten) :]
-        os.fsync(self._file.fileno())
+        """Append one action and sync the file.
+
+        An action with many bytes becomes several batches, so that their copies need little memory.
+        Each is synced before the next, since only the last batch of a segment may be torn. A power
+        loss keeps a prefix of the action, which nobody has been told of.
+        """
+        for batch in _encode_batches(action, self._seed):
+            unwritten = memoryview(batch)
+            while unwritten:
+                unwritten = unwritten[self._file.write(unwritten) :]
+            os.fsync(self._file.fileno())
         self.content.apply(action)
 
     def close(self) -> None:
@@ -129,14 +145,20 @@
         self._file.close()
 
 
-def _encode_batch(action: Persist, seed: int) -> bytes:
-    batch = LogBatch()
+def _encode_batches(action: Persist, seed: int) -> Iterator[bytes]:
+    """Yield the frames of an action; there is at least one, and the first has all but entries."""
+    batch, entry_bytes = LogBatch(), 0
     if action.hard_state is not None:
-        batch.records.append(LogRecord(hard_state=action.hard_state))
+        batch.records.add().hard_state.CopyFrom(action.hard_state)
     if action.truncate_from:
-        batch.records.append(LogRecord(truncate_from=action.truncate_from))
-    batch.records.extend(LogRecord(entry=entry) for entry in action.entries)
-    return encode_frame(batch.SerializeToString(), seed)
+        batch.records.add().truncate_from = action.truncate_from
+    for entry in action.entries:
+        if entry_bytes >= BATCH_BYTES:
+            yield encode_frame(batch.SerializeToString(), seed)
+            batch, entry_bytes = LogBatch(), 0
+        batch.records.add().entry.CopyFrom(entry)
+        entry_bytes += entry.ByteSize()
+    yield encode_frame(batch.SerializeToString(), seed)
 
 
 def _decode_batch(payload: bytes, path: Path, offset: int) -> LogBatch:
