Bound the log, its messages and what is in flight in bytes

Operators hardly got a read in 30 s.

Cause: limits by count on entries of any size. A message held up to 256 entries, four such windows were in flight, and a probing member was sent the same again on each heartbeat. Ruled out: queued messages, a second list of entries, calls that outlive their timeout.

Change: `LogBounds` derives bounds in bytes from Limits.MemoryMb and Limits.DiskMb: the size at which the log is compacted, what is retained after that, uncommitted entries, one message. A member is sent one large message at a time, only once its log is known to match and while it responds; until an answer or a timeout, which doubles, only heartbeats follow. A link holds one large message in its queue and one in flight. Proposals beyond the bound on uncommitted bytes are rejected at once. A single larger entry passes each bound. Small messages go as before. No message, record or file is new.

Lost large messages are logged.

--- a/bramleycrank/consensus/leadership.py
+++ b/bramleycrank/consensus/leadership.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from collections.abc import Sequence
 
 import attrs
 
 from bramleycrank.consensus import quorum
+from bramleycrank.consensus.bounds import LARGE_BYTES
 from bramleycrank.consensus.core import NodeCore
 from bramleycrank.consensus.replication import Replication
 from bramleycrank.consensus.types import (
@@ -85,10 +87,9 @@
         """Append the proposed commands as one batch; reject those beyond the uncommitted limit."""
         core = self._core
         error = self._transfer_error()
-        free_entries = core.cfg.max_uncommitted_entries - (core.log.last_index - core.commit_index)
-        accepted = [] if error else proposals[: max(0, free_entries)]
+        accepted = [] if error else proposals[: self._count_accepted(proposals)]
         for proposal in proposals[len(accepted) :]:
-            rejection = error or NoQuorum("too many uncommitted entries", outcome=Outcome.NOT_RUN)
+            rejection = error or NoQuorum("too much is uncommitted", outcome=Outcome.NOT_RUN)
             core.add_action(ProposalRejected(proposal.proposal_id, rejection))
         first = core.log.last_index + 1
         entries = [
@@ -200,6 +201,24 @@
             },
         }
 
+    def _count_accepted(self, proposals: Sequence[Proposal]) -> int:
+        """Return how many of the proposals the bounds on uncommitted entries allow.
+
+        A proposal of any size is allowed while hardly anything is uncommitted.
+        """
+        core = self._core
+        uncommitted = core.log.last_index - core.commit_index
+        free_entries = max(0, core.cfg.max_uncommitted_entries - uncommitted)
+        uncommitted_bytes = core.log.bytes_between(core.commit_index + 1, core.log.last_index)
+        sizes = [len(proposal.command) for proposal in proposals[:free_entries]]
+        sums = itertools.accumulate(sizes, initial=uncommitted_bytes)
+        bound = core.cfg.bounds.uncommitted_bytes
+        allowed = itertools.takewhile(
+            lambda item: item[0] < LARGE_BYTES or sum(item) <= bound,
+            zip(sums, sizes, strict=False),
+        )
+        return len(list(allowed))
+
     def _append(self, entries: list[Entry]) -> None:
         self._core.append(entries)
         self.replication.broadcast_entries()
--- a/bramleycrank/consensus/node.py
+++ b/bramleycrank/consensus/node.py
@@ -168,7 +168,7 @@
                 membership=core.log.membership_at(index),
                 image=image,
             )
-            core.log.compact(snapshot)
+            core.log.compact(snapshot, core.cfg.bounds.retained_bytes)
             core.add_action(PersistSnapshot(snapshot))
         return core.pop_actions()
 
@@ -194,6 +194,8 @@
             "commit_index": core.commit_index,
             "last_index": core.log.last_index,
             "snapshot_index": core.log.snapshot_index,
+            "snapshot_bytes": core.log.snapshot_bytes,
+            "log_bytes": core.log.memory_bytes,
             "members": {
                 m.node_id: "voter" if m.voter else "learner" for m in core.log.membership.members
             },
@@ -255,6 +257,21 @@
         """Index of the last entry in the log."""
         return self._core.log.last_index
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the log entries in memory, in bytes."""
+        return self._core.log.memory_bytes
+
+    @property
+    def needs_compaction(self) -> bool:
+        """Whether the entries that a snapshot could cover are too large, or larger than it was.
+
+        The second condition bounds the cost of images that exceed the bound by themselves.
+        """
+        core = self._core
+        covered_bytes = core.log.bytes_between(core.log.snapshot_index + 1, core.commit_index)
+        return covered_bytes > max(core.cfg.bounds.log_bytes, core.log.snapshot_bytes)
+
     @property
     def membership(self) -> Membership:
         """Membership in effect: the newest one in the log, committed or not."""
--- a/bramleycrank/consensus/progress.py
+++ b/bramleycrank/consensus/progress.py
@@ -5,6 +5,28 @@
 import attrs
 
 
+@attrs.frozen
+class Transfer:
+    """A large message that a member has not answered.
+
+    Parameters
+    ----------
+    index : int
+        Index of the last entry that it covers.
+    size : int
+        Size in bytes.
+    due : float
+        Time after which it counts as lost, in seconds.
+    is_snapshot : bool
+        Whether it is a snapshot instead of entries.
+    """
+
+    index: int
+    size: int
+    due: float
+    is_snapshot: bool = False
+
+
 @attrs.define
 class Progress:
     """Replication progress of one member.
@@ -21,8 +43,10 @@
         Whether the last common entry of the logs is unknown; then one message is sent at a time.
     acked_round : int
         Highest heartbeat round that the member replied to.
-    snapshot_due : float or None
-        Time at which an unanswered snapshot is sent again; ``None`` if none is in flight.
+    transfer : Transfer or None
+        Large message or snapshot that is in flight; no entries are sent until it is answered.
+    lost_transfers : int
+        Transfers that were lost since the last progress.
     removed_at : int
         Index of the entry that removes the member; 0 if none does.
     """
@@ -32,15 +56,26 @@
     match_index: int = 0
     probing: bool = True
     acked_round: int = 0
-    snapshot_due: float | None = None
+    transfer: Transfer | None = None
+    lost_transfers: int = 0
     removed_at: int = 0
 
     def on_match(self, index: int) -> None:
         """Record that the member's synced log equals the leader's up to ``index``."""
-        self.match_index = max(self.match_index, index)
+        if index > self.match_index:
+            self.match_index, self.lost_transfers = index, 0
+        if self.transfer is not None and index >= self.transfer.index:
+            self.transfer = None
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
 
+    def expire_transfer(self, now: float) -> None:
+        """Count an unanswered transfer that is due as lost; the log is compared again first."""
+        if self.transfer is not None and now >= self.transfer.due:
+            self.transfer = None
+            self.lost_transfers += 1
+            self.next_index, self.probing = self.match_index + 1, True
+
     def on_conflict(self, index: int) -> bool:
         """Lower ``next_index`` to ``index``; repeated replies return false."""
         new_next_index = max(self.match_index + 1, index)
--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -5,17 +5,26 @@
 from collections.abc import Callable
 
 from bramleycrank.consensus import quorum
+from bramleycrank.consensus.bounds import LARGE_BYTES
 from bramleycrank.consensus.core import NodeCore
-from bramleycrank.consensus.progress import Progress
+from bramleycrank.consensus.progress import Progress, Transfer
 from bramleycrank.proto.log_pb2 import AppendReply, AppendRequest, InstallSnapshot
 
 # Append messages with entries that may be in flight to one member.
 APPEND_WINDOW_MESSAGES = 4
 
+# A member that answers heartbeats but no transfers is sent one every 8 timeouts.
+MAX_TRANSFER_BACKOFF = 8
+
 
 class Replication:
     """Sends entries, heartbeats and snapshots, and tracks the members' progress.
 
+    What is in flight to a member is bounded in bytes. A large message (`LARGE_BYTES`) is sent only
+    to a member whose log is known to match up to it and that responds, and nothing but heartbeats
+    follows until it is answered or counts as lost. So a member that is far behind costs the memory
+    of one message, however far behind it is and however long it takes.
+
     Each heartbeat starts a new round. A reply to a round proves that the member followed this
     leader after the round started; replies of a majority confirm the leadership for reads.
     """
@@ -48,9 +57,7 @@
         commit = self._core.commit_index
         for node_id, progress in list(self.progress.items()):
             if progress.removed_at and progress.removed_at <= commit:
-                # Messages may be reordered, so one message carries all unacknowledged entries.
-                progress.next_index, progress.probing = progress.match_index + 1, True
-                self.send_entries_or_heartbeat(node_id, progress)
+                self._send_removal(node_id, progress)
                 del self.progress[node_id]
 
     def broadcast_entries(self) -> None:
@@ -70,45 +77,89 @@
     def send_entries_or_heartbeat(self, node_id: str, progress: Progress) -> None:
         """Send the next entries or snapshot, or an empty append if nothing is due."""
         if not self.send_entries(node_id, progress):
-            self._send_append(node_id, progress, 0)
+            self._send_heartbeat(node_id, progress)
 
     def send_entries(self, node_id: str, progress: Progress) -> bool:
         """Send entries or a snapshot as far as the window allows; returns whether any was sent."""
-        core, log = self._core, self._core.log
-        if progress.snapshot_due is not None and core.now < progress.snapshot_due:
+        log = self._core.log
+        progress.expire_transfer(self._core.now)
+        if progress.transfer is not None:
             return False
-        if log.term_at(progress.next_index - 1) is None:
+        if log.term_at(progress.next_index - 1) is None or self._is_snapshot_cheaper(progress):
             return self._send_snapshot(node_id, progress)
-        sent, limit = False, core.cfg.max_entries_per_append
-        while progress.next_index <= log.last_index:
-            in_flight = progress.next_index - progress.match_index - 1
-            if not progress.probing and in_flight >= APPEND_WINDOW_MESSAGES * limit:
+        sent = False
+        while progress.next_index <= log.last_index and progress.transfer is None:
+            last = self._last_sendable(progress)
+            if last < progress.next_index:
                 break
-            count = min(limit, log.last_index + 1 - progress.next_index)
-            self._send_append(node_id, progress, count)
+            self._send_append(node_id, progress, last)
             sent = True
             if progress.probing:
                 break
-            progress.next_index += count
+            progress.next_index = last + 1
         return sent
 
+    def _send_removal(self, node_id: str, progress: Progress) -> None:
+        """Send all unacknowledged entries that fit a message, as messages may be reordered."""
+        cfg, log = self._core.cfg, self._core.log
+        progress.next_index, progress.probing = progress.match_index + 1, True
+        if log.term_at(progress.match_index) is None or progress.match_index == log.last_index:
+            self.send_entries_or_heartbeat(node_id, progress)
+            return
+        max_bytes = cfg.bounds.message_bytes
+        last = log.last_within(progress.next_index, cfg.max_entries_per_append, max_bytes)
+        self._send_append(node_id, progress, last)
+
+    def _last_sendable(self, progress: Progress) -> int:
+        """Return the last entry of the next message; less than ``next_index`` if none is due."""
+        log, cfg = self._core.log, self._core.cfg
+        first = progress.next_index
+        max_bytes = LARGE_BYTES - 1 if progress.probing else cfg.bounds.message_bytes
+        last = log.last_within(first, cfg.max_entries_per_append, max_bytes)
+        size = log.bytes_between(first, last)
+        if size >= LARGE_BYTES and (progress.probing or not self._is_responsive(progress)):
+            return first - 1
+        if progress.probing:
+            return last
+        in_flight = first - progress.match_index - 1
+        bytes_in_flight = log.bytes_between(progress.match_index + 1, first - 1)
+        is_open = in_flight < APPEND_WINDOW_MESSAGES * cfg.max_entries_per_append and (
+            not in_flight or bytes_in_flight + size <= cfg.bounds.message_bytes
+        )
+        return last if is_open else first - 1
+
+    def _is_responsive(self, progress: Progress) -> bool:
+        core = self._core
+        return core.now - progress.heard_at <= core.cfg.election_timeout_s[1]
+
+    def _is_snapshot_cheaper(self, progress: Progress) -> bool:
+        """Return whether the snapshot is smaller than the entries that it replaces.
+
+        The difference has to be large, since a snapshot makes the member write its files anew.
+        """
+        log = self._core.log
+        if progress.probing or progress.next_index > log.snapshot_index:
+            return False
+        replaced_bytes = log.bytes_between(progress.next_index, log.snapshot_index)
+        return replaced_bytes >= log.snapshot_bytes + LARGE_BYTES
+
     def on_append_reply(self, node_id: str, reply: AppendReply) -> None:
         """Record a member's reply to an append and send further entries."""
         progress = self.progress[node_id]
         self._record_reply(progress, reply.round)
         if reply.success:
             progress.on_match(reply.match_index)
-            if self._core.log.term_at(progress.next_index - 1) is not None:
-                progress.snapshot_due = None
-            self.send_entries(node_id, progress)
-        elif progress.snapshot_due is None and progress.on_conflict(reply.conflict_index):
             self.send_entries(node_id, progress)
+        elif progress.transfer is None and progress.on_conflict(reply.conflict_index):
+            # Beside a transfer a heartbeat may arrive first, so a conflict says nothing.
+            self.send_entries_or_heartbeat(node_id, progress)
 
     def on_snapshot_reply(self, node_id: str, match_index: int, reply_round: int) -> None:
         """Record that a member has installed the snapshot and send the entries after it."""
         progress = self.progress[node_id]
         self._record_reply(progress, reply_round)
-        progress.snapshot_due = None
+        if progress.transfer is not None and progress.transfer.is_snapshot:
+            progress.transfer = None
         progress.on_match(match_index)
         self.send_entries(node_id, progress)
 
@@ -161,28 +212,66 @@
         progress.acked_round = max(progress.acked_round, reply_round)
         self.update_confirmed_round()
 
-    def _send_append(self, node_id: str, progress: Progress, count: int) -> None:
-        core, log = self._core, self._core.log
+    def _send_heartbeat(self, node_id: str, progress: Progress) -> None:
+        log = self._core.log
         prev = progress.next_index - 1
-        prev_term = log.term_at(prev)
-        if prev_term is None:
+        if progress.transfer is not None and log.term_at(progress.match_index) is not None:
+            # The heartbeat may arrive before the transfer.
+            prev = progress.match_index
+        if log.term_at(prev) is None:
             # The member needs a snapshot; this message only prevents it from starting an election.
-            prev, prev_term = log.snapshot_index, log.snapshot.term
+            prev = log.snapshot_index
+        self._send_append_after(node_id, prev, prev)
+
+    def _send_append(self, node_id: str, progress: Progress, last: int) -> None:
+        """Send the entries from ``next_index`` to ``last``."""
+        size = self._core.log.bytes_between(progress.next_index, last)
+        if size >= LARGE_BYTES:
+            progress.transfer = self._new_transfer(progress, last, size)
+        self._send_append_after(node_id, progress.next_index - 1, last)
+
+    def _send_append_after(self, node_id: str, prev: int, last: int) -> None:
+        core, log = self._core, self._core.log
         req = AppendRequest(
             prev_index=prev,
-            prev_term=prev_term,
-            entries=log.entries_between(prev + 1, prev + count),
+            prev_term=log.term_at(prev) if prev != log.snapshot_index else log.snapshot.term,
+            entries=log.entries_between(prev + 1, last),
             commit_index=core.commit_index,
             round=self.round,
         )
         core.send(node_id, append_request=req)
 
+    def _new_transfer(
+        self, progress: Progress, index: int, size: int, *, is_snapshot: bool = False
+    ) -> Transfer:
+        cfg = self._core.cfg
+        timeout_s = cfg.answer_timeout_s + size / cfg.min_bytes_per_s
+        if is_snapshot:
+            timeout_s = max(timeout_s, cfg.snapshot_retry_s)
+        backoff = min(2**progress.lost_transfers, MAX_TRANSFER_BACKOFF)
+        return Transfer(index, size, self._core.now + timeout_s * backoff, is_snapshot)
+
     def _send_snapshot(self, node_id: str, progress: Progress) -> bool:
-        core = self._core
-        if core.now - progress.heard_at > core.cfg.election_timeout_s[1]:
-            # The image may be large; an empty append checks first whether the member responds.
+        core, log = self._core, self._core.log
+        # The image may be large; an empty append checks first whether the member responds.
+        if not self._is_responsive(progress) or not self._may_send_snapshot():
             return False
-        progress.snapshot_due = core.now + core.cfg.snapshot_retry_s
-        req = InstallSnapshot(snapshot=core.log.snapshot, round=self.round)
-        core.send(node_id, install_snapshot=req)
+        progress.transfer = self._new_transfer(
+            progress, log.snapshot_index, log.snapshot_bytes, is_snapshot=True
+        )
+        core.send(
+            node_id, install_snapshot=InstallSnapshot(snapshot=log.snapshot, round=self.round)
+        )
         return True
+
+    def _may_send_snapshot(self) -> bool:
+        """Return whether the bound on messages allows a further snapshot; one is always allowed."""
+        core = self._core
+        sizes = [
+            other.transfer.size
+            for other in self.progress.values()
+            if other.transfer is not None
+            and other.transfer.is_snapshot
+            and core.now < other.transfer.due
+        ]
+        return not sizes or sum(sizes) + core.log.snapshot_bytes <= core.cfg.bounds.message_bytes
--- a/bramleycrank/consensus/types.py
+++ b/bramleycrank/consensus/types.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from bramleycrank.consensus.bounds import LogBounds
 from bramleycrank.exceptions import BramleycrankError
 from bramleycrank.proto.log_pb2 import (
     ConsensusMessage,
@@ -47,7 +48,14 @@
     max_uncommitted_entries : int
         Maximum number of uncommitted entries of a leader; further proposals are rejected.
     snapshot_retry_s : float
-        Time in seconds after which a snapshot without a reply is sent again.
+        Shortest time in seconds after which a snapshot without a reply is sent again.
+    bounds : LogBounds
+        Bounds on the bytes of the log and of messages.
+    answer_timeout_s : float
+        Time in seconds after which a large message without a reply counts as lost, beside the time
+        for its bytes. Longer than a sender tries, so that a member is never sent two at once.
+    min_bytes_per_s : float
+        Throughput of the slowest supported link.
     restart_window_s : float
         Time in seconds after a start in which a node that has received nothing from a leader uses
         ``restart_election_timeout_s``.
@@ -64,6 +72,9 @@
     max_entries_per_append: int = 256
     max_uncommitted_entries: int = 8192
     snapshot_retry_s: float = 3.0
+    bounds: LogBounds = attrs.field(factory=LogBounds)
+    answer_timeout_s: float = 0.5
+    min_bytes_per_s: float = 2e6
     restart_window_s: float = 3.0
     restart_election_timeout_s: tuple[float, float] = (0.03, 0.12)
     restart_all_pre_votes_s: float = 0.3
@@ -234,6 +245,7 @@
     "Apply",
     "Demote",
     "DurableState",
+    "LogBounds",
     "Membership",
     "MembershipChange",
     "Persist",
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from bramleycrank.consensus import RaftNode, Role
+from bramleycrank.consensus import LogBounds, RaftNode, Role
 from bramleycrank.daemon.claim_floors import ClaimFloorProposer
 from bramleycrank.daemon.explain import explain_role, lagging_members
 from bramleycrank.daemon.identity import Directory, Identity, format_address
@@ -56,6 +56,8 @@
         Receiver of metrics.
     traffic : Traffic, optional
         Counts the messages to other members of the log.
+    bounds : LogBounds, optional
+        Bounds on the bytes of the log.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         rng: random.Random,
         metrics: Metrics | None = None,
         traffic: Traffic | None = None,
+        bounds: LogBounds | None = None,
     ) -> None:
         self._metrics = metrics or NullMetrics()
         self.identity = identity
@@ -78,6 +81,7 @@
             self,
             on_reopened=self._notify,
             traffic=traffic,
+            bounds=bounds or LogBounds(),
         )
         self._callbacks: list[Callable[[], None]] = []
         self._floor_proposer = ClaimFloorProposer(self)
@@ -217,6 +221,11 @@
             "log": self._runner.dump() if self._runner else None,
         }
 
+    def report_bytes(self) -> None:
+        """Set the gauges of the bytes that the log holds, on a VM that has one."""
+        if self._runner is not None:
+            self._runner.report_bytes()
+
     def confirmed_at(self) -> float | None:
         """Return the time up to which the state includes every commit, or None if not leading."""
         return self._node.confirmed_at if self._node else None
--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from bramleycrank.consensus import LogBounds
 from bramleycrank.daemon.config_controller import ConfigController
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.directory import PeerDirectory
@@ -51,6 +52,7 @@
         delegation_port: int = 0,
         decode_routes: Callable[[bytes], log_pb2.RouteTable] | None = None,
         has_customers: Callable[[bytes], bool] = lambda document: True,
+        log_bounds: LogBounds | None = None,
     ) -> ControlParts:
         """Build and connect the parts without starting them.
 
@@ -74,6 +76,8 @@
             Decodes the operator's document of a route table that an older build accepted.
         has_customers : callable, optional
             Returns whether such a document has customers, also if it cannot be decoded.
+        log_bounds : LogBounds, optional
+            Bounds on the bytes of the replicated log.
         """
         traffic = Traffic(metrics)
         clients = PeerClients(traffic)
@@ -88,7 +92,13 @@
         traffic.is_remote = membership.core.is_remote
         directory = PeerDirectory(membership, seeds, clients)
         consensus = ConsensusController(
-            _identity_of(cfg, replace_damaged), directory, clients, rng, metrics, traffic
+            _identity_of(cfg, replace_damaged),
+            directory,
+            clients,
+            rng,
+            metrics,
+            traffic,
+            log_bounds,
         )
         config = ConfigController(
             cfg.config,
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -11,6 +11,7 @@
 import attrs
 from grpclib.server import Server
 
+from bramleycrank.consensus import LogBounds
 from bramleycrank.customers.allowances import AllowanceBounds
 from bramleycrank.daemon.allowance_issuer import AllowanceIssuer
 from bramleycrank.daemon.connection_limits import ConnectionLimits
@@ -101,6 +102,8 @@
         Bandwidth of the VM's link; 0 if unknown.
     memory_bytes : int
         Memory limit of the process; 0 if unknown.
+    disk_bytes : int
+        Size of the disk; 0 if unknown.
     max_fds : int
         Descriptor limit of the process; 0 if unknown.
     voting : VotingConfig
@@ -127,6 +130,7 @@
     extra: RetryBudgetConfig = attrs.field(factory=RetryBudgetConfig)
     link_bytes_per_s: float = 0.0
     memory_bytes: int = 0
+    disk_bytes: int = 0
     max_fds: int = 0
     voting: VotingConfig = attrs.field(factory=VotingConfig)
     warmup: WarmupBounds = attrs.field(factory=WarmupBounds)
@@ -260,6 +264,7 @@
             delegation_port=cfg.delegation.port if cfg.delegation is not None else 0,
             decode_routes=self._adapter.decode_routes,
             has_customers=self._adapter.has_customers,
+            log_bounds=LogBounds.from_limits(cfg.memory_bytes, cfg.disk_bytes),
         )
         loop = asyncio.get_running_loop()
         self._domain_isolation = DomainIsolation(cfg.base.vm.domain, parts.membership, loop.time)
@@ -478,6 +483,8 @@
 
     def _on_metrics(self, exchange: Exchange) -> None:
         self._metrics.gauge("http.memory", self._receive_budget.used_bytes)
+        if self._parts is not None:
+            self._parts.consensus.report_bytes()
         if self._entry is not None:
             self._entry.report_customers()
         content_type = (b"Content-Type", b"text/plain; version=0.0.4")
--- a/bramleycrank/daemon/log_host.py
+++ b/bramleycrank/daemon/log_host.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 
-from bramleycrank.consensus import RaftConfig, RaftNode
+from bramleycrank.consensus import LogBounds, RaftConfig, RaftNode
 from bramleycrank.daemon.identity import Identity
 from bramleycrank.daemon.raft_runner import Listener, RaftRunner
 from bramleycrank.exceptions import CorruptLog, StorageError
@@ -42,6 +42,8 @@
         Called after the log was reopened.
     traffic : Traffic or None
         Counts the bytes and messages to other voters.
+    bounds : LogBounds
+        Bounds on the bytes of the log.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         listener: Listener,
         on_reopened: Callable[[], None],
         traffic: Traffic | None,
+        bounds: LogBounds,
     ) -> None:
         self._identity = identity
         self._address_of = address_of
@@ -61,6 +64,7 @@
         self._listener = listener
         self._on_reopened = on_reopened
         self._traffic = traffic
+        self._bounds = bounds
         self._store: LogStore | None = None
         self._links: ConsensusLinks | None = None
         self._reopen_task: asyncio.Task[None] | None = None
@@ -138,8 +142,9 @@
         snapshot = durable.snapshot
         now = asyncio.get_running_loop().time()
         self._links = ConsensusLinks(self._address_of, self._traffic)
+        cfg = RaftConfig(self.node_id, bounds=self._bounds)
         self.runner = RaftRunner(
-            RaftNode.from_config(RaftConfig(self.node_id), durable, self._rng, now),
+            RaftNode.from_config(cfg, durable, self._rng, now),
             store,
             ReplicatedState.from_image(snapshot.image if snapshot else b""),
             self._links,
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -212,6 +212,7 @@
         parts.metrics.gauge("config.stale", parts.config.stale_ms())
         parts.metrics.gauge("membership.vms", len(parts.membership.vms()))
         parts.metrics.gauge("membership.targets", usable)
+        parts.consensus.report_bytes()
         loop = asyncio.get_running_loop()
         self._gauge_timer = loop.call_later(GAUGE_PERIOD_S, self._report_gauges)
 
--- a/bramleycrank/daemon/raft_runner.py
+++ b/bramleycrank/daemon/raft_runner.py
@@ -31,7 +31,8 @@
 
 log = logging.getLogger(__name__)
 
-# Bounds the log that a restart replays and the time of one compaction.
+# Bounds the log that a restart replays and the time of one compaction. Large entries reach the
+# bound in bytes earlier.
 COMPACT_ENTRIES = 1000
 
 
@@ -186,6 +187,14 @@
         """Transfer the leadership to the follower with the most recent log."""
         self._run(self.node.transfer_leadership)
 
+    def report_bytes(self) -> None:
+        """Set the gauges of the bytes that the log holds in memory, on disk and for members."""
+        self._metrics.gauge("consensus.log_memory", self.node.log_bytes)
+        self._metrics.gauge("storage.log", self._store.log_bytes)
+        queued, in_flight = self._links.held_bytes()
+        self._metrics.labelled_gauge("consensus.queued", ("member",), queued)
+        self._metrics.labelled_gauge("consensus.in_flight", ("member",), in_flight)
+
     def dump(self) -> dict[str, object]:
         """Return the state of the node, its files and its pending calls in JSON form."""
         return {
@@ -270,7 +279,7 @@
             case types.PersistSnapshot():
                 self._store.save_snapshot(action.snapshot)
             case types.Send():
-                self._links.send(action.message)
+                self._send(action.message)
             case types.Apply():
                 self._apply(action.entries)
             case types.RestoreState():
@@ -291,6 +300,12 @@
             case _:
                 raise InternalError(f"unknown action {type(action).__name__}")
 
+    def _send(self, message: log_pb2.ConsensusMessage) -> None:
+        if message.WhichOneof("body") == "install_snapshot":
+            log.info("consensus: sends a snapshot to %s", message.recipient)
+            self._metrics.incr("consensus.snapshots_sent")
+        self._links.send(message)
+
     def _apply(self, entries: Sequence[log_pb2.Entry]) -> None:
         for entry in entries:
             result = self.state.apply(entry)
@@ -304,8 +319,15 @@
         self._listener.on_applied()
 
     def _compact(self) -> None:
-        if self.applied_index - self._compacted_index < COMPACT_ENTRIES:
+        is_long = self.applied_index - self._compacted_index >= COMPACT_ENTRIES
+        if not is_long and not self.node.needs_compaction:
             return
         self._compacted_index = self.applied_index
-        for action in self.node.compact(self.applied_index, self.state.image()):
+        image = self.state.image()
+        log.info(
+            "consensus: compacts the log up to entry %s into %s bytes",
+            self.applied_index,
+            len(image),
+        )
+        for action in self.node.compact(self.applied_index, image):
             self._execute(action)
--- a/bramleycrank/observability/exposition.py
+++ b/bramleycrank/observability/exposition.py
@@ -6,7 +6,9 @@
 from collections.abc import Iterator, Mapping
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+_Family = CounterMetricFamily | GaugeMetricFamily
 
 LATENCY_BUCKETS_S = (
     *(0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15),
@@ -32,7 +34,7 @@
         self._counters: dict[str, Counter] = {}
         self._histograms: dict[str, Histogram] = {}
         self._gauges: dict[str, Gauge] = {}
-        self._labelled: dict[str, CounterMetricFamily] = {}
+        self._labelled: dict[str, _Family] = {}
         self._registry.register(self)
 
     def incr(self, name: str, count: int = 1) -> None:
@@ -68,13 +70,21 @@
         self, name: str, labels: tuple[str, ...], values: Mapping[tuple[str, ...], int]
     ) -> None:
         """Replace all values of a counter that has labels."""
-        family = CounterMetricFamily(self._name(name), name, labels=labels)
+        self._replace(CounterMetricFamily(self._name(name), name, labels=labels), name, values)
+
+    def labelled_gauge(
+        self, name: str, labels: tuple[str, ...], values: Mapping[tuple[str, ...], float]
+    ) -> None:
+        """Replace all values of a gauge that has labels."""
+        self._replace(GaugeMetricFamily(self._name(name), name, labels=labels), name, values)
+
+    def _replace(self, family: _Family, name: str, values: Mapping[tuple[str, ...], float]) -> None:
         for key, value in values.items():
             family.add_metric(key, value)
         self._labelled[name] = family
 
-    def collect(self) -> Iterator[CounterMetricFamily]:
-        """Yield the counters that have labels, for the registry."""
+    def collect(self) -> Iterator[_Family]:
+        """Yield the metrics that have labels, for the registry."""
         yield from self._labelled.values()
 
     def close(self) -> None:
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -161,6 +161,19 @@
     _counter("consensus.role_changes", "changes", "Changes of the VM's role in the log."),
     _gauge("consensus.voters", "voters", "Voters of the log, on the leader."),
     _gauge("consensus.voters_silent", "voters", "Voters that do not respond to the leader."),
+    _gauge("consensus.log_memory", "bytes", "Log entries in the memory of a voter."),
+    _gauge(
+        "consensus.queued",
+        "bytes",
+        "Messages of the log that wait to be sent, by the label `member`.",
+    ),
+    _gauge(
+        "consensus.in_flight",
+        "bytes",
+        "Messages of the log whose calls are in progress, by the label `member`.",
+    ),
+    _counter("consensus.snapshots_sent", "snapshots", "Snapshots sent to members of the log."),
+    _gauge("storage.log", "bytes", "Size of the log file."),
     _timing("consensus.propose", "Time from a proposal to its result."),
     _timing("storage.sync", "Time to write and sync records of the log."),
 )
--- a/bramleycrank/observability/metrics.py
+++ b/bramleycrank/observability/metrics.py
@@ -37,6 +37,12 @@
         """Replace all values of a counter that has labels."""
         ...
 
+    def labelled_gauge(
+        self, name: str, labels: tuple[str, ...], values: Mapping[tuple[str, ...], float]
+    ) -> None:
+        """Replace all values of a gauge that has labels."""
+        ...
+
     def close(self) -> None:
         """Release the socket."""
         ...
@@ -59,6 +65,11 @@
     ) -> None:
         """Do nothing."""
 
+    def labelled_gauge(
+        self, name: str, labels: tuple[str, ...], values: Mapping[tuple[str, ...], float]
+    ) -> None:
+        """Do nothing."""
+
     def close(self) -> None:
         """Do nothing."""
 
@@ -105,6 +116,11 @@
     ) -> None:
         """Do nothing, as statsd has no labels."""
 
+    def labelled_gauge(
+        self, name: str, labels: tuple[str, ...], values: Mapping[tuple[str, ...], float]
+    ) -> None:
+        """Do nothing, as statsd has no labels."""
+
     def close(self) -> None:
         """Close the socket; later metrics are dropped."""
         self._client.close()
--- a/bramleycrank/platform/node_file.py
+++ b/bramleycrank/platform/node_file.py
@@ -119,6 +119,7 @@
         ),
         link_bytes_per_s=float(entries.get("Limits.LinkMbps") or 0) * 1e6 / 8,
         memory_bytes=int(entries.get("Limits.MemoryMb") or 0) * 1024 * 1024,
+        disk_bytes=int(entries.get("Limits.DiskMb") or 0) * 1024 * 1024,
         max_fds=int(entries.get("Limits.MaxFds") or 0),
         warmup=WarmupBounds(
             overage=float(entries.get("Bounds.WarmupOverage") or 1),
--- a/bramleycrank/storage/log_store.py
+++ b/bramleycrank/storage/log_store.py
@@ -137,6 +137,11 @@
         """
         self._write_or_disable(lambda: self._switch_generation(snapshot))
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the log file, in bytes."""
+        return self._segment.path.stat().st_size
+
     def dump(self) -> dict[str, object]:
         """Return the identity and the sizes of the log for operators."""
         content = self._segment.content
@@ -148,7 +153,7 @@
             "entries": len(content.entries),
             "term": content.hard_state.term,
             "voted_for": content.hard_state.voted_for,
-            "log_bytes": self._segment.path.stat().st_size,
+            "log_bytes": self.log_bytes,
             "failed": self._failed,
         }
 
--- a/bramleycrank/transport/consensus_links.py
+++ b/bramleycrank/transport/consensus_links.py
@@ -2,22 +2,28 @@
 
 Each peer has its own queue and task, so a silent peer does not delay the others. A full queue drops
 its oldest messages: the consensus core sends again whatever is still needed, and newer messages
-supersede older ones.
+supersede older ones. A peer has at most one large message in the queue and one in flight, so its
+memory is bounded by these and 68 small ones.
 """
 
 from __future__ import annotations
 
 import asyncio
 import collections
+import functools
+import logging
 from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 
+from bramleycrank.consensus.bounds import LARGE_BYTES
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.proto import log_pb2
 from bramleycrank.transport.peer_client import PeerClients
 
+log = logging.getLogger(__name__)
+
 # A longer queue would only delay newer messages.
 QUEUE_LIMIT = 64
 
@@ -44,10 +50,25 @@
         """Return ``host:port``, or None if the node is unknown."""
 
 
+@attrs.frozen
+class _Queued:
+    """A message with its size in bytes and the time at which it was queued."""
+
+    message: log_pb2.ConsensusMessage
+    size: int
+    queued_at: float
+
+    @property
+    def is_large(self) -> bool:
+        return self.size >= LARGE_BYTES
+
+
 @attrs.define
 class LinkStats:
-    """Counters of one link."""
+    """Counters of one link, and the bytes that it holds."""
 
+    queued_bytes: int = 0
+    in_flight_bytes: int = 0
     sent: int = 0
     failed: int = 0
     dropped: int = 0
@@ -72,7 +93,8 @@
         self._node_id = node_id
         self._address_of = address_of
         self._clients = clients
-        self._queue: collections.deque[tuple[float, log_pb2.ConsensusMessage]] = collections.deque()
+        self._queue: collections.deque[_Queued] = collections.deque()
+        self._large_in_flight = False
         self._message_queued = asyncio.Event()
         self._address: str | None = None
         self.stats = LinkStats()
@@ -81,11 +103,19 @@
         self._task = asyncio.ensure_future(self._run())
 
     def put(self, message: log_pb2.ConsensusMessage) -> None:
-        """Queue a message, and drop the oldest one if the queue is full."""
+        """Queue a message, and drop the oldest one if the queue is full.
+
+        A large message takes the place of the large one before it.
+        """
+        queued = _Queued(message, message.ByteSize(), asyncio.get_running_loop().time())
+        if queued.is_large:
+            for older in [item for item in self._queue if item.is_large]:
+                self._queue.remove(older)
+                self._drop(older, "a newer one takes its place")
         if len(self._queue) >= QUEUE_LIMIT:
-            self._queue.popleft()
-            self.stats.dropped += 1
-        self._queue.append((asyncio.get_running_loop().time(), message))
+            self._drop(self._queue.popleft(), "the queue is full")
+        self._queue.append(queued)
+        self.stats.queued_bytes += queued.size
         self._message_queued.set()
 
     def close(self) -> None:
@@ -99,6 +129,8 @@
         return {
             "address": self._address,
             "queued": len(self._queue),
+            "queued_bytes": self.stats.queued_bytes,
+            "in_flight_bytes": self.stats.in_flight_bytes,
             "sent": self.stats.sent,
             "failed": self.stats.failed,
             "dropped": self.stats.dropped,
@@ -113,30 +145,54 @@
             while not self._queue:
                 self._message_queued.clear()
                 await self._message_queued.wait()
-            queued_at, message = self._queue.popleft()
-            if loop.time() - queued_at > MAX_AGE_S:
-                self.stats.dropped += 1
+            queued = self._queue.popleft()
+            reason = ""
+            if loop.time() - queued.queued_at > MAX_AGE_S:
+                reason = "it is too old"
+            elif queued.is_large and self._large_in_flight:
+                reason = "the one before it is in flight"
+            if reason:
+                self._drop(queued, reason)
                 self._slots.release()
                 continue
-            task = asyncio.ensure_future(self._send(message))
+            self.stats.queued_bytes -= queued.size
+            self.stats.in_flight_bytes += queued.size
+            self._large_in_flight |= queued.is_large
+            task = asyncio.ensure_future(self._send(queued.message, queued.size))
             self._send_tasks.add(task)
-            task.add_done_callback(self._on_sent)
+            task.add_done_callback(functools.partial(self._on_sent, queued.size))
 
-    def _on_sent(self, task: asyncio.Task) -> None:
+    def _on_sent(self, size: int, task: asyncio.Task) -> None:
         self._send_tasks.discard(task)
+        self.stats.in_flight_bytes -= size
+        if size >= LARGE_BYTES:
+            self._large_in_flight = False
         self._slots.release()
 
-    async def _send(self, message: log_pb2.ConsensusMessage) -> None:
+    def _drop(self, queued: _Queued, reason: str) -> None:
+        self.stats.queued_bytes -= queued.size
+        self.stats.dropped += 1
+        if queued.is_large:
+            self._log_lost(queued.size, reason)
+
+    def _log_lost(self, size: int, reason: str) -> None:
+        log.warning(
+            "consensus: a message of %s bytes to %s was lost: %s", size, self._node_id, reason
+        )
+
+    async def _send(self, message: log_pb2.ConsensusMessage, size: int) -> None:
         self._address = self._address_of(self._node_id)
         if self._address is None:
             self.stats.last_error = "address unknown"
             return
-        timeout_s = SEND_TIMEOUT_S + message.ByteSize() / MIN_BYTES_PER_S
+        timeout_s = SEND_TIMEOUT_S + size / MIN_BYTES_PER_S
         try:
             await self._clients.stub(self._address).Consensus(message, timeout=timeout_s)
         except Exception as exc:
             self.stats.failed += 1
             self.stats.last_error = f"{type(exc).__name__}: {exc}"
+            if size >= LARGE_BYTES:
+                self._log_lost(size, self.stats.last_error)
         else:
             self.stats.sent += 1
             self.stats.last_error = ""
@@ -177,6 +233,12 @@
         self.keep_only(lambda _: False)
         self._clients.close()
 
+    def held_bytes(self) -> tuple[dict[tuple[str], int], dict[tuple[str], int]]:
+        """Return the queued bytes and those in flight, by the labels of each node."""
+        stats = {(node_id,): link.stats for node_id, link in self._links.items()}
+        queued = {labels: item.queued_bytes for labels, item in stats.items()}
+        return queued, {labels: item.in_flight_bytes for labels, item in stats.items()}
+
     def dump(self, now: float) -> dict[str, object]:
         """Return the JSON-ready state of all links."""
         return {node_id: link.dump(now) for node_id, link in sorted(self._links.items())}
--- a/tests/test_daemon_consensus_links.py
+++ b/tests/test_daemon_consensus_links.py
@@ -4,6 +4,7 @@
 
 from grpclib.server import Server
 
+from bramleycrank.consensus.bounds import LARGE_BYTES
 from bramleycrank.proto import log_pb2, peer_pb2
 from bramleycrank.proto.peer_grpc import PeerBase
 from bramleycrank.transport import consensus_links
@@ -102,6 +103,34 @@
     run(scenario)
 
 
+def large_message(recipient, term):
+    entry = log_pb2.Entry(command=b"x" * 2 * LARGE_BYTES)
+    append = log_pb2.AppendRequest(entries=[entry])
+    return log_pb2.ConsensusMessage(recipient=recipient, term=term, append_request=append)
+
+
+def test_a_silent_peer_holds_at_most_two_large_messages():
+    """Guards against copies of large messages that wait for one peer, or live on after a timeout.
+
+    A heartbeat passes them, so that the peer starts no election.
+    """
+
+    async def scenario(links, peers):
+        peers["a"].frozen = True
+        for term in range(40):
+            links.send(large_message("a", term))
+            await asyncio.sleep(0.002)
+            queued, in_flight = links.held_bytes()
+            assert queued["a",] + in_flight["a",] <= 5 * LARGE_BYTES
+        peers["a"].frozen = False
+        links.send(message("a", 99))
+        await wait_until(lambda: 99 in peers["a"].terms)
+        await wait_until(lambda: links.held_bytes() == ({("a",): 0}, {("a",): 0}))
+        assert 0 in peers["a"].terms
+
+    run(scenario)
+
+
 def test_unknown_address_is_reported():
     async def scenario(links, peers):
         links.send(message("nobody", 1))
--- a/tests/test_daemon_raft_runner.py
+++ b/tests/test_daemon_raft_runner.py
@@ -30,6 +30,7 @@
             receive=lambda msg, now: self.actions,
             next_deadline=lambda: asyncio.get_running_loop().time() + 60,
             compact=self.compact,
+            needs_compaction=False,
             dump=dict,
         )
         self.store = SimpleNamespace(persist=self.persist, dump=dict)
--- a/tests/test_observability_metrics.py
+++ b/tests/test_observability_metrics.py
@@ -15,7 +15,13 @@
 from bramleycrank.observability.metric_names import METRICS
 from bramleycrank.settings import Address, LoggingSettings, MetricsSettings
 
-METHOD_KINDS = {"incr": "counter", "labelled": "counter", "timing": "timing", "gauge": "gauge"}
+METHOD_KINDS = {
+    "incr": "counter",
+    "labelled": "counter",
+    "labelled_gauge": "gauge",
+    "timing": "timing",
+    "gauge": "gauge",
+}
 SOURCES = sorted(Path(bramleycrank.__file__).parent.rglob("*.py"))
 
 
--- a/tests/test_process_upgrade.py
+++ b/tests/test_process_upgrade.py
@@ -31,9 +31,13 @@
 ROOT = Path(__file__).parent.parent
 
 
-def landed_build(folder: Path) -> Path:
-    """Return a folder with the sources of the build in production, from the history."""
-    commit = tomllib.loads((ROOT / "deploy/system.toml").read_text())["production"]
+BEFORE_CUSTOMERS = "b15910c7f9bed7defbc6d1057ac61d86812c8fd6"
+"""The last landed build that knew no customers, from which a deployment may still be upgraded."""
+
+
+def landed_build(folder: Path, commit: str = "") -> Path:
+    """Return a folder with the sources of a build, by default of the one in production."""
+    commit = commit or tomllib.loads((ROOT / "deploy/system.toml").read_text())["production"]
     archive = subprocess.run(
         ["git", "archive", commit, "bramleycrank"], cwd=ROOT, check=True, capture_output=True
     ).stdout
@@ -317,12 +321,17 @@
         assert "key-" not in text
 
 
-def run_upgrade(tmp_path: Path, kind: type[Upgrade], steps: Callable[[Upgrade], Awaitable]) -> None:
+def run_upgrade(
+    tmp_path: Path,
+    kind: type[Upgrade],
+    steps: Callable[[Upgrade], Awaitable],
+    commit: str = "",
+) -> None:
     """Run the steps of an upgrade with real processes and scripted targets."""
 
     async def body() -> None:
         fleet = Fleet(tmp_path, entries=2)
-        upgrade = kind(fleet, landed_build(tmp_path / "landed"))
+        upgrade = kind(fleet, landed_build(tmp_path / "landed", commit))
         fleet.entries[0].partition_file = tmp_path / "x.cut"
         fakes = [*upgrade.fakes.values(), upgrade.deadly]
         for fake in fakes:
@@ -348,9 +357,9 @@
 
 def test_a_table_keeps_its_customers_at_vms_of_the_landed_build(tmp_path):
     """Guards against customers that are lost when an old VM accepts, passes on or stores them."""
-    run_upgrade(tmp_path, Customers, customers_scenario)
+    run_upgrade(tmp_path, Customers, customers_scenario, BEFORE_CUSTOMERS)
 
 
 def test_changed_keys_reach_vms_of_both_builds(tmp_path):
     """Guards against a difference to a VM of the landed build, and a whole table to others."""
-    run_upgrade(tmp_path, Customers, differences_scenario)
+    run_upgrade(tmp_path, Customers, differences_scenario, BEFORE_CUSTOMERS)
