Let large messages to a member share one window

Cause: one large message at a time made orders of 107 KB wait for each other's round trips.

Since they may overtake each other (several calls are in flight), a refusal beside them is noted, and what was refused is sent again with the next confirmation instead of after the timeout. The timeout begins anew when the member makes progress. Links bound their large messages by bytes instead of by count.

--- a/bramleycrank/consensus/bounds.py
+++ b/bramleycrank/consensus/bounds.py
@@ -14,7 +14,7 @@
 """Part of a VM's disk that the log may take; a compaction writes the new log beside the old one."""
 
 LARGE_BYTES = 64 * 1024
-"""Size from which a message is large: a member is sent one at a time, and no copy of it."""
+"""Size from which a message is large, in bytes: it is not sent again before it counts as lost."""
 
 
 @attrs.frozen
--- a/bramleycrank/consensus/progress.py
+++ b/bramleycrank/consensus/progress.py
@@ -7,24 +7,21 @@
 
 @attrs.frozen
 class Transfer:
-    """A large message that a member has not answered.
+    """Large messages that a member has not answered, with the small ones after them.
 
     Parameters
     ----------
     index : int
         Index of the last entry that it covers.
-    size : int
-        Size in bytes.
     due : float
-        Time after which it counts as lost, in seconds.
-    is_snapshot : bool
-        Whether it is a snapshot instead of entries.
+        Time after which it counts as lost unless the member makes progress, in seconds.
+    snapshot_bytes : int
+        Size of the snapshot in bytes; 0 for entries.
     """
 
     index: int
-    size: int
     due: float
-    is_snapshot: bool = False
+    snapshot_bytes: int = 0
 
 
 @attrs.define
@@ -44,7 +41,9 @@
     acked_round : int
         Highest heartbeat round that the member replied to.
     transfer : Transfer or None
-        Large message or snapshot that is in flight; no entries are sent until it is answered.
+        Large messages or a snapshot in flight; ``None`` if all have been answered.
+    refused : bool
+        Whether the member refused a message beside a transfer, which may have overtaken it.
     lost_transfers : int
         Transfers that were lost since the last progress.
     removed_at : int
@@ -57,6 +56,7 @@
     probing: bool = True
     acked_round: int = 0
     transfer: Transfer | None = None
+    refused: bool = False
     lost_transfers: int = 0
     removed_at: int = 0
 
@@ -64,6 +64,9 @@
         """Record that the member's synced log equals the leader's up to ``index``."""
         if index > self.match_index:
             self.match_index, self.lost_transfers = index, 0
+            if self.refused:
+                # What followed has been refused too.
+                self.next_index, self.transfer, self.refused = index + 1, None, False
         if self.transfer is not None and index >= self.transfer.index:
             self.transfer = None
         self.next_index = max(self.next_index, self.match_index + 1)
@@ -72,7 +75,7 @@
     def expire_transfer(self, now: float) -> None:
         """Count an unanswered transfer that is due as lost; the log is compared again first."""
         if self.transfer is not None and now >= self.transfer.due:
-            self.transfer = None
+            self.transfer, self.refused = None, False
             self.lost_transfers += 1
             self.next_index, self.probing = self.match_index + 1, True
 
--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from bramleycrank.consensus import quorum
 from bramleycrank.consensus.bounds import LARGE_BYTES
 from bramleycrank.consensus.core import NodeCore
@@ -21,9 +23,9 @@
     """Sends entries, heartbeats and snapshots, and tracks the members' progress.
 
     What is in flight to a member is bounded in bytes. A large message (`LARGE_BYTES`) is sent only
-    to a member whose log is known to match up to it and that responds, and nothing but heartbeats
-    follows until it is answered or counts as lost. So a member that is far behind costs the memory
-    of one message, however far behind it is and however long it takes.
+    to a member whose log is known to match and that responds. It is not sent again before it counts
+    as lost. So a member that is far behind costs the memory of one window, however far behind it is
+    and however long it takes.
 
     Each heartbeat starts a new round. A reply to a round proves that the member followed this
     leader after the round started; replies of a majority confirm the leadership for reads.
@@ -83,12 +85,12 @@
         """Send entries or a snapshot as far as the window allows; returns whether any was sent."""
         log = self._core.log
         progress.expire_transfer(self._core.now)
-        if progress.transfer is not None:
+        if progress.transfer is not None and progress.transfer.snapshot_bytes:
             return False
         if log.term_at(progress.next_index - 1) is None or self._is_snapshot_cheaper(progress):
             return self._send_snapshot(node_id, progress)
         sent = False
-        while progress.next_index <= log.last_index and progress.transfer is None:
+        while progress.next_index <= log.last_index:
             last = self._last_sendable(progress)
             if last < progress.next_index:
                 break
@@ -148,19 +150,20 @@
         progress = self.progress[node_id]
         self._record_reply(progress, reply.round)
         if reply.success:
-            progress.on_match(reply.match_index)
+            self._on_match(progress, reply.match_index)
             self.send_entries(node_id, progress)
-        elif progress.transfer is None and progress.on_conflict(reply.conflict_index):
-            # Beside a transfer a heartbeat may arrive first, so a conflict says nothing.
+        elif progress.transfer is not None:
+            progress.refused = True
+        elif progress.on_conflict(reply.conflict_index):
             self.send_entries_or_heartbeat(node_id, progress)
 
     def on_snapshot_reply(self, node_id: str, match_index: int, reply_round: int) -> None:
         """Record that a member has installed the snapshot and send the entries after it."""
         progress = self.progress[node_id]
         self._record_reply(progress, reply_round)
-        if progress.transfer is not None and progress.transfer.is_snapshot:
+        if progress.transfer is not None and progress.transfer.snapshot_bytes:
             progress.transfer = None
-        progress.on_match(match_index)
+        self._on_match(progress, match_index)
         self.send_entries(node_id, progress)
 
     def quorum_match_index(self) -> int:
@@ -207,6 +210,15 @@
         ]
         return quorum.quorum_value(values)
 
+    def _on_match(self, progress: Progress, match_index: int) -> None:
+        """Record a member's synced log; a member that makes progress has more time to answer."""
+        before = progress.match_index
+        progress.on_match(match_index)
+        transfer = progress.transfer
+        if transfer is not None and progress.match_index > before:
+            due = self._answer_due(progress, 0)
+            progress.transfer = attrs.evolve(transfer, due=max(transfer.due, due))
+
     def _record_reply(self, progress: Progress, reply_round: int) -> None:
         progress.heard_at = self._core.now
         progress.acked_round = max(progress.acked_round, reply_round)
@@ -226,8 +238,10 @@
     def _send_append(self, node_id: str, progress: Progress, last: int) -> None:
         """Send the entries from ``next_index`` to ``last``."""
         size = self._core.log.bytes_between(progress.next_index, last)
-        if size >= LARGE_BYTES:
-            progress.transfer = self._new_transfer(progress, last, size)
+        if progress.transfer is not None:
+            progress.transfer = attrs.evolve(progress.transfer, index=last)
+        elif size >= LARGE_BYTES:
+            progress.transfer = Transfer(last, self._answer_due(progress, size))
         self._send_append_after(node_id, progress.next_index - 1, last)
 
     def _send_append_after(self, node_id: str, prev: int, last: int) -> None:
@@ -241,24 +255,21 @@
         )
         core.send(node_id, append_request=req)
 
-    def _new_transfer(
-        self, progress: Progress, index: int, size: int, *, is_snapshot: bool = False
-    ) -> Transfer:
+    def _answer_due(self, progress: Progress, size: int, min_timeout_s: float = 0.0) -> float:
+        """Return the time until which a member may answer, on the slowest supported link."""
         cfg = self._core.cfg
-        timeout_s = cfg.answer_timeout_s + size / cfg.min_bytes_per_s
-        if is_snapshot:
-            timeout_s = max(timeout_s, cfg.snapshot_retry_s)
+        in_flight_bytes = max(size, cfg.bounds.message_bytes)
+        timeout_s = cfg.answer_timeout_s + in_flight_bytes / cfg.min_bytes_per_s
         backoff = min(2**progress.lost_transfers, MAX_TRANSFER_BACKOFF)
-        return Transfer(index, size, self._core.now + timeout_s * backoff, is_snapshot)
+        return self._core.now + max(timeout_s, min_timeout_s) * backoff
 
     def _send_snapshot(self, node_id: str, progress: Progress) -> bool:
         core, log = self._core, self._core.log
         # The image may be large; an empty append checks first whether the member responds.
         if not self._is_responsive(progress) or not self._may_send_snapshot():
             return False
-        progress.transfer = self._new_transfer(
-            progress, log.snapshot_index, log.snapshot_bytes, is_snapshot=True
-        )
+        due = self._answer_due(progress, log.snapshot_bytes, core.cfg.snapshot_retry_s)
+        progress.transfer = Transfer(log.snapshot_index, due, log.snapshot_bytes)
         core.send(
             node_id, install_snapshot=InstallSnapshot(snapshot=log.snapshot, round=self.round)
         )
@@ -267,11 +278,10 @@
     def _may_send_snapshot(self) -> bool:
         """Return whether the bound on messages allows a further snapshot; one is always allowed."""
         core = self._core
-        sizes = [
-            other.transfer.size
-            for other in self.progress.values()
-            if other.transfer is not None
-            and other.transfer.is_snapshot
-            and core.now < other.transfer.due
-        ]
-        return not sizes or sum(sizes) + core.log.snapshot_bytes <= core.cfg.bounds.message_bytes
+        transfers = (other.transfer for other in self.progress.values())
+        size = sum(
+            transfer.snapshot_bytes
+            for transfer in transfers
+            if transfer is not None and core.now < transfer.due
+        )
+        return not size or size + core.log.snapshot_bytes <= core.cfg.bounds.message_bytes
--- a/bramleycrank/consensus/types.py
+++ b/bramleycrank/consensus/types.py
@@ -53,7 +53,7 @@
         Bounds on the bytes of the log and of messages.
     answer_timeout_s : float
         Time in seconds after which a large message without a reply counts as lost, beside the time
-        for its bytes. Longer than a sender tries, so that a member is never sent two at once.
+        for its bytes. Longer than a link tries to send it, so that it is not sent twice at once.
     min_bytes_per_s : float
         Throughput of the slowest supported link.
     restart_window_s : float
--- a/bramleycrank/daemon/log_host.py
+++ b/bramleycrank/daemon/log_host.py
@@ -141,7 +141,10 @@
         durable = store.load()
         snapshot = durable.snapshot
         now = asyncio.get_running_loop().time()
-        self._links = ConsensusLinks(self._address_of, self._traffic)
+        # A window of the core may follow one whose calls have not ended yet.
+        self._links = ConsensusLinks(
+            self._address_of, self._traffic, 2 * self._bounds.message_bytes
+        )
         cfg = RaftConfig(self.node_id, bounds=self._bounds)
         self.runner = RaftRunner(
             RaftNode.from_config(cfg, durable, self._rng, now),
--- a/bramleycrank/transport/consensus_links.py
+++ b/bramleycrank/transport/consensus_links.py
@@ -2,8 +2,7 @@
 
 Each peer has its own queue and task, so a silent peer does not delay the others. A full queue drops
 its oldest messages: the consensus core sends again whatever is still needed, and newer messages
-supersede older ones. A peer has at most one large message in the queue and one in flight, so its
-memory is bounded by these and 68 small ones.
+supersede older ones. The large messages of a peer, queued and in flight, are bounded in bytes.
 """
 
 from __future__ import annotations
@@ -17,7 +16,7 @@
 
 import attrs
 
-from bramleycrank.consensus.bounds import LARGE_BYTES
+from bramleycrank.consensus.bounds import LARGE_BYTES, LogBounds
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.proto import log_pb2
 from bramleycrank.transport.peer_client import PeerClients
@@ -87,14 +86,24 @@
         Called for each message, because a restarted node may have another address.
     clients : PeerClients
         Connections that carry only consensus messages.
+    max_large_bytes : int
+        Maximum size of the large messages in the queue, and of those in flight; a single larger
+        one passes.
     """
 
-    def __init__(self, node_id: str, address_of: AddressLookup, clients: PeerClients) -> None:
+    def __init__(
+        self,
+        node_id: str,
+        address_of: AddressLookup,
+        clients: PeerClients,
+        max_large_bytes: int,
+    ) -> None:
         self._node_id = node_id
         self._address_of = address_of
         self._clients = clients
         self._queue: collections.deque[_Queued] = collections.deque()
-        self._large_in_flight = False
+        self._max_large_bytes = max_large_bytes
+        self._large_in_flight_bytes = 0
         self._message_queued = asyncio.Event()
         self._address: str | None = None
         self.stats = LinkStats()
@@ -105,19 +114,23 @@
     def put(self, message: log_pb2.ConsensusMessage) -> None:
         """Queue a message, and drop the oldest one if the queue is full.
 
-        A large message takes the place of the large one before it.
+        A large message takes the place of older ones if there is no room for all of them.
         """
         queued = _Queued(message, message.ByteSize(), asyncio.get_running_loop().time())
         if queued.is_large:
-            for older in [item for item in self._queue if item.is_large]:
-                self._queue.remove(older)
-                self._drop(older, "a newer one takes its place")
+            self._make_room(queued.size)
         if len(self._queue) >= QUEUE_LIMIT:
             self._drop(self._queue.popleft(), "the queue is full")
         self._queue.append(queued)
         self.stats.queued_bytes += queued.size
         self._message_queued.set()
 
+    def _make_room(self, size: int) -> None:
+        large = collections.deque(item for item in self._queue if item.is_large)
+        while large and sum(item.size for item in large) + size > self._max_large_bytes:
+            self._queue.remove(large[0])
+            self._drop(large.popleft(), "a newer one takes its place")
+
     def close(self) -> None:
         """Cancel all sends, queued or in flight."""
         for task in (self._task, *self._send_tasks):
@@ -149,24 +162,27 @@
             reason = ""
             if loop.time() - queued.queued_at > MAX_AGE_S:
                 reason = "it is too old"
-            elif queued.is_large and self._large_in_flight:
-                reason = "the one before it is in flight"
+            elif queued.is_large and self._exceeds_room(queued.size):
+                reason = "others are in flight"
             if reason:
                 self._drop(queued, reason)
                 self._slots.release()
                 continue
             self.stats.queued_bytes -= queued.size
             self.stats.in_flight_bytes += queued.size
-            self._large_in_flight |= queued.is_large
+            self._large_in_flight_bytes += queued.size if queued.is_large else 0
             task = asyncio.ensure_future(self._send(queued.message, queued.size))
             self._send_tasks.add(task)
-            task.add_done_callback(functools.partial(self._on_sent, queued.size))
+            task.add_done_callback(functools.partial(self._on_sent, queued))
+
+    def _exceeds_room(self, size: int) -> bool:
+        in_flight_bytes = self._large_in_flight_bytes
+        return bool(in_flight_bytes) and in_flight_bytes + size > self._max_large_bytes
 
-    def _on_sent(self, size: int, task: asyncio.Task) -> None:
+    def _on_sent(self, queued: _Queued, task: asyncio.Task) -> None:
         self._send_tasks.discard(task)
-        self.stats.in_flight_bytes -= size
-        if size >= LARGE_BYTES:
-            self._large_in_flight = False
+        self.stats.in_flight_bytes -= queued.size
+        self._large_in_flight_bytes -= queued.size if queued.is_large else 0
         self._slots.release()
 
     def _drop(self, queued: _Queued, reason: str) -> None:
@@ -208,10 +224,18 @@
         Looks up the address of a node.
     traffic : Traffic, optional
         Counts the messages.
+    max_large_bytes : int, optional
+        Maximum size of the large messages to one peer in its queue, and of those in flight.
     """
 
-    def __init__(self, address_of: AddressLookup, traffic: Traffic | None = None) -> None:
+    def __init__(
+        self,
+        address_of: AddressLookup,
+        traffic: Traffic | None = None,
+        max_large_bytes: int = LogBounds().message_bytes,
+    ) -> None:
         self._address_of = address_of
+        self._max_large_bytes = max_large_bytes
         # Separate connections, so that a burst of other calls does not delay heartbeats.
         self._clients = PeerClients(traffic)
         self._links: dict[str, ConsensusLink] = {}
@@ -244,4 +268,4 @@
         return {node_id: link.dump(now) for node_id, link in sorted(self._links.items())}
 
     def _new_link(self, node_id: str) -> ConsensusLink:
-        return ConsensusLink(node_id, self._address_of, self._clients)
+        return ConsensusLink(node_id, self._address_of, self._clients, self._max_large_bytes)
--- a/tests/test_consensus_bounds.py
+++ b/tests/test_consensus_bounds.py
@@ -20,6 +20,12 @@
 MESSAGE_BYTES = MEMORY_BYTES // 64
 """Bound on the bytes on the way to a member: four copies of each go to six members."""
 
+ORDER_RESEND_S = 1.0
+"""Time after which an operator sends an order to another VM, in seconds."""
+
+CONFIG_APPLY_S = 3.0
+"""Time until a change has to be in force, in seconds."""
+
 SEEDS = range(int(os.environ.get("BOUNDS_SEEDS", "12")))
 
 
@@ -130,6 +136,26 @@
     assert_all_equal(cluster)
 
 
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize(
+    ("max_delay_s", "limit_s"),
+    [(0.02, ORDER_RESEND_S), (0.1, ORDER_RESEND_S), (0.3, CONFIG_APPLY_S)],
+)
+def test_large_orders_in_progress_do_not_wait_for_each_other(seed, max_delay_s, limit_s):
+    """Guards against orders that wait for timeouts, since large messages overtake each other."""
+    cluster = SizedCluster(3, seed)
+    cluster.run(3)
+    cluster.max_delay_s = max_delay_s
+    proposals = []
+    for number in range(8):
+        size = 400_000 if number % 3 else 70_000
+        proposals.append(cluster.propose(cluster.leader(), large_command(number, size)))
+        cluster.run(0.01)
+    cluster.run(limit_s)
+    assert set(proposals) <= cluster.oracle.acknowledged.keys()
+    assert cluster.peak_live <= MESSAGE_BYTES
+
+
 def test_an_entry_larger_than_every_bound_still_travels():
     """Guards against a bound that keeps a single large entry from a member for ever."""
     cluster = SizedCluster(3, seed=3, cfg={"bounds": raft.LogBounds(300_000, 150_000, 70_000, 1)})
