Find out early that a large message or its reply was lost

Cause: beside large messages heartbeats name the last entry that is known to match, so they no longer told the leader of lost messages or replies; both waited for the timeout. In a trial on a machine with too little processor time (load average 12 on 8 cores) calls with large messages timed out after 0.45 s because the receiver had not read them yet, 34 times, and eight orders at a time made little progress.

Change: a call with a large message may take 1 s longer than its bytes; heartbeats still find silent connections. A link reports a large message that it could not send, and the core compares the logs again at once; pauses between large messages double with each loss in a row. A follower whose log ends with an entry of its leader's term answers with the end of its log, which then equals the leader's.

--- a/bramleycrank/consensus/follower.py
+++ b/bramleycrank/consensus/follower.py
@@ -36,7 +36,10 @@
         last = req.prev_index + len(req.entries)
         # The log is known to equal the leader's only up to the last entry of this message.
         core.commit_to(min(req.commit_index, last))
-        self._accept(msg, last)
+        # Only the leader of a term creates entries of it, so a log that ends with one of its own
+        # equals the leader's. A heartbeat is thus answered with what earlier replies said, which
+        # may have been lost.
+        self._accept(msg, core.log.last_index if core.log.last_term == core.term else last)
 
     def on_snapshot(self, msg: ConsensusMessage) -> None:
         """Install a snapshot, unless the log already holds the entries that it covers."""
--- a/bramleycrank/consensus/node.py
+++ b/bramleycrank/consensus/node.py
@@ -103,6 +103,13 @@
         self._step_down_if_removed()
         return self._core.pop_actions()
 
+    def report_unsent(self, node_id: str, now: float) -> list[Action]:
+        """Handle that a large message to a member could not be sent."""
+        self._core.now = now
+        if node_id in self._progress:
+            self._leadership.replication.on_unsent(node_id)
+        return self._core.pop_actions()
+
     def propose(self, proposals: Sequence[Proposal], now: float) -> list[Action]:
         """Append commands, which are persisted together."""
         self._core.now = now
--- a/bramleycrank/consensus/progress.py
+++ b/bramleycrank/consensus/progress.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# A member that answers heartbeats but no large messages is sent one every 8 pauses.
+MAX_BACKOFF = 8
+
 
 @attrs.frozen
 class Transfer:
@@ -46,6 +49,8 @@
         Whether the member refused a message beside a transfer, which may have overtaken it.
     lost_transfers : int
         Transfers that were lost since the last progress.
+    large_from : float
+        Time from which a large message may be sent, in seconds.
     removed_at : int
         Index of the entry that removes the member; 0 if none does.
     """
@@ -58,6 +63,7 @@
     transfer: Transfer | None = None
     refused: bool = False
     lost_transfers: int = 0
+    large_from: float = 0.0
     removed_at: int = 0
 
     def on_match(self, index: int) -> None:
@@ -72,12 +78,20 @@
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
 
-    def expire_transfer(self, now: float) -> None:
-        """Count an unanswered transfer that is due as lost; the log is compared again first."""
-        if self.transfer is not None and now >= self.transfer.due:
-            self.transfer, self.refused = None, False
-            self.lost_transfers += 1
-            self.next_index, self.probing = self.match_index + 1, True
+    def on_transfer_lost(self, now: float, pause_s: float) -> None:
+        """Record that the transfer was lost; the log is compared again before the next one.
+
+        Parameters
+        ----------
+        now : float
+            Current time in seconds.
+        pause_s : float
+            Time without large messages in seconds; each further loss in a row doubles it.
+        """
+        self.transfer, self.refused = None, False
+        self.large_from = now + pause_s * min(2**self.lost_transfers, MAX_BACKOFF)
+        self.lost_transfers += 1
+        self.next_index, self.probing = self.match_index + 1, True
 
     def on_conflict(self, index: int) -> bool:
         """Lower ``next_index`` to ``index``; repeated replies return false."""
--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -15,9 +15,6 @@
 # Append messages with entries that may be in flight to one member.
 APPEND_WINDOW_MESSAGES = 4
 
-# A member that answers heartbeats but no transfers is sent one every 8 timeouts.
-MAX_TRANSFER_BACKOFF = 8
-
 
 class Replication:
     """Sends entries, heartbeats and snapshots, and tracks the members' progress.
@@ -84,7 +81,8 @@
     def send_entries(self, node_id: str, progress: Progress) -> bool:
         """Send entries or a snapshot as far as the window allows; returns whether any was sent."""
         log = self._core.log
-        progress.expire_transfer(self._core.now)
+        if progress.transfer is not None and self._core.now >= progress.transfer.due:
+            self._on_transfer_lost(progress)
         if progress.transfer is not None and progress.transfer.snapshot_bytes:
             return False
         if log.term_at(progress.next_index - 1) is None or self._is_snapshot_cheaper(progress):
@@ -119,7 +117,7 @@
         max_bytes = LARGE_BYTES - 1 if progress.probing else cfg.bounds.message_bytes
         last = log.last_within(first, cfg.max_entries_per_append, max_bytes)
         size = log.bytes_between(first, last)
-        if size >= LARGE_BYTES and (progress.probing or not self._is_responsive(progress)):
+        if size >= LARGE_BYTES and not self._may_send_large(progress):
             return first - 1
         if progress.probing:
             return last
@@ -130,6 +128,11 @@
         )
         return last if is_open else first - 1
 
+    def _may_send_large(self, progress: Progress) -> bool:
+        if progress.probing or self._core.now < progress.large_from:
+            return False
+        return self._is_responsive(progress)
+
     def _is_responsive(self, progress: Progress) -> bool:
         core = self._core
         return core.now - progress.heard_at <= core.cfg.election_timeout_s[1]
@@ -145,6 +148,12 @@
         replaced_bytes = log.bytes_between(progress.next_index, log.snapshot_index)
         return replaced_bytes >= log.snapshot_bytes + LARGE_BYTES
 
+    def on_unsent(self, node_id: str) -> None:
+        """Record that a large message to a member was lost on the way, without its reply."""
+        progress = self.progress[node_id]
+        if progress.transfer is not None:
+            self._on_transfer_lost(progress)
+
     def on_append_reply(self, node_id: str, reply: AppendReply) -> None:
         """Record a member's reply to an append and send further entries."""
         progress = self.progress[node_id]
@@ -216,8 +225,7 @@
         progress.on_match(match_index)
         transfer = progress.transfer
         if transfer is not None and progress.match_index > before:
-            due = self._answer_due(progress, 0)
-            progress.transfer = attrs.evolve(transfer, due=max(transfer.due, due))
+            progress.transfer = attrs.evolve(transfer, due=max(transfer.due, self._answer_due(0)))
 
     def _record_reply(self, progress: Progress, reply_round: int) -> None:
         progress.heard_at = self._core.now
@@ -241,7 +249,7 @@
         if progress.transfer is not None:
             progress.transfer = attrs.evolve(progress.transfer, index=last)
         elif size >= LARGE_BYTES:
-            progress.transfer = Transfer(last, self._answer_due(progress, size))
+            progress.transfer = Transfer(last, self._answer_due(size))
         self._send_append_after(node_id, progress.next_index - 1, last)
 
     def _send_append_after(self, node_id: str, prev: int, last: int) -> None:
@@ -255,29 +263,33 @@
         )
         core.send(node_id, append_request=req)
 
-    def _answer_due(self, progress: Progress, size: int, min_timeout_s: float = 0.0) -> float:
+    def _answer_due(self, size: int, min_timeout_s: float = 0.0) -> float:
         """Return the time until which a member may answer, on the slowest supported link."""
         cfg = self._core.cfg
         in_flight_bytes = max(size, cfg.bounds.message_bytes)
         timeout_s = cfg.answer_timeout_s + in_flight_bytes / cfg.min_bytes_per_s
-        backoff = min(2**progress.lost_transfers, MAX_TRANSFER_BACKOFF)
-        return self._core.now + max(timeout_s, min_timeout_s) * backoff
+        return self._core.now + max(timeout_s, min_timeout_s)
+
+    def _on_transfer_lost(self, progress: Progress) -> None:
+        progress.on_transfer_lost(self._core.now, self._core.cfg.heartbeat_s)
 
     def _send_snapshot(self, node_id: str, progress: Progress) -> bool:
         core, log = self._core, self._core.log
         # The image may be large; an empty append checks first whether the member responds.
-        if not self._is_responsive(progress) or not self._may_send_snapshot():
+        if not self._is_responsive(progress) or not self._may_send_snapshot(progress):
             return False
-        due = self._answer_due(progress, log.snapshot_bytes, core.cfg.snapshot_retry_s)
+        due = self._answer_due(log.snapshot_bytes, core.cfg.snapshot_retry_s)
         progress.transfer = Transfer(log.snapshot_index, due, log.snapshot_bytes)
         core.send(
             node_id, install_snapshot=InstallSnapshot(snapshot=log.snapshot, round=self.round)
         )
         return True
 
-    def _may_send_snapshot(self) -> bool:
+    def _may_send_snapshot(self, progress: Progress) -> bool:
         """Return whether the bound on messages allows a further snapshot; one is always allowed."""
         core = self._core
+        if core.now < progress.large_from:
+            return False
         transfers = (other.transfer for other in self.progress.values())
         size = sum(
             transfer.snapshot_bytes
--- a/bramleycrank/consensus/types.py
+++ b/bramleycrank/consensus/types.py
@@ -73,7 +73,7 @@
     max_uncommitted_entries: int = 8192
     snapshot_retry_s: float = 3.0
     bounds: LogBounds = attrs.field(factory=LogBounds)
-    answer_timeout_s: float = 0.5
+    answer_timeout_s: float = 1.2
     min_bytes_per_s: float = 2e6
     restart_window_s: float = 3.0
     restart_election_timeout_s: tuple[float, float] = (0.03, 0.12)
--- a/bramleycrank/daemon/log_host.py
+++ b/bramleycrank/daemon/log_host.py
@@ -137,13 +137,17 @@
         if self._store is not None:
             self._store.close()
 
+    def _on_unsent(self, node_id: str) -> None:
+        if self.runner is not None:
+            self.runner.on_unsent(node_id)
+
     def _start_runner(self, store: LogStore) -> None:
         durable = store.load()
         snapshot = durable.snapshot
         now = asyncio.get_running_loop().time()
         # A window of the core may follow one whose calls have not ended yet.
         self._links = ConsensusLinks(
-            self._address_of, self._traffic, 2 * self._bounds.message_bytes
+            self._address_of, self._traffic, 2 * self._bounds.message_bytes, self._on_unsent
         )
         cfg = RaftConfig(self.node_id, bounds=self._bounds)
         self.runner = RaftRunner(
--- a/bramleycrank/daemon/raft_runner.py
+++ b/bramleycrank/daemon/raft_runner.py
@@ -113,6 +113,7 @@
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
         self._inbox: list[log_pb2.ConsensusMessage] = []
+        self._unsent: set[str] = set()
         self._batch: list[types.Proposal] = []
         self._pending = _PendingCalls()
         self._compacted_index = applied_index
@@ -139,6 +140,12 @@
         self._inbox.append(message)
         self._schedule_iteration()
 
+    def on_unsent(self, node_id: str) -> None:
+        """Note a large message that could not be sent, for the next iteration of the event loop."""
+        if not self._closed:
+            self._unsent.add(node_id)
+            self._schedule_iteration()
+
     def propose(self, proposal_id: str, command: log_pb2.Command) -> asyncio.Future:
         """Queue a command for the next loop turn.
 
@@ -234,6 +241,9 @@
         self._iteration_handle = None
         inbox, self._inbox = self._inbox, []
         batch, self._batch = self._batch, []
+        unsent, self._unsent = sorted(self._unsent), set()
+        for node_id in unsent:
+            self._run(lambda now, node_id=node_id: self.node.report_unsent(node_id, now))
         for message in inbox:
             self._run(lambda now, message=message: self.node.receive(message, now))
         if batch:
--- a/bramleycrank/transport/consensus_links.py
+++ b/bramleycrank/transport/consensus_links.py
@@ -33,6 +33,10 @@
 # before the peer starts an election.
 SEND_TIMEOUT_S = 0.4
 
+# A busy peer may take longer to read a large message, and what was sent of it would be lost.
+# Heartbeats beside it find out whether the connection is silent.
+LARGE_SEND_TIMEOUT_S = 1.0
+
 # With one call at a time, a round trip longer than the heartbeat interval (150 ms) would fill the
 # queue. Calls on one connection stay in order, except that a small message may overtake a large
 # snapshot.
@@ -89,6 +93,8 @@
     max_large_bytes : int
         Maximum size of the large messages in the queue, and of those in flight; a single larger
         one passes.
+    on_unsent : callable
+        Called with the node id after a large message could not be sent.
     """
 
     def __init__(
@@ -97,12 +103,14 @@
         address_of: AddressLookup,
         clients: PeerClients,
         max_large_bytes: int,
+        on_unsent: Callable[[str], None],
     ) -> None:
         self._node_id = node_id
         self._address_of = address_of
         self._clients = clients
         self._queue: collections.deque[_Queued] = collections.deque()
         self._max_large_bytes = max_large_bytes
+        self._on_unsent = on_unsent
         self._large_in_flight_bytes = 0
         self._message_queued = asyncio.Event()
         self._address: str | None = None
@@ -189,9 +197,10 @@
         self.stats.queued_bytes -= queued.size
         self.stats.dropped += 1
         if queued.is_large:
-            self._log_lost(queued.size, reason)
+            self._report_unsent(queued.size, reason)
 
-    def _log_lost(self, size: int, reason: str) -> None:
+    def _report_unsent(self, size: int, reason: str) -> None:
+        self._on_unsent(self._node_id)
         log.warning(
             "consensus: a message of %s bytes to %s was lost: %s", size, self._node_id, reason
         )
@@ -201,14 +210,16 @@
         if self._address is None:
             self.stats.last_error = "address unknown"
             return
-        timeout_s = SEND_TIMEOUT_S + size / MIN_BYTES_PER_S
+        is_large = size >= LARGE_BYTES
+        timeout_s = LARGE_SEND_TIMEOUT_S if is_large else SEND_TIMEOUT_S
+        timeout_s += size / MIN_BYTES_PER_S
         try:
             await self._clients.stub(self._address).Consensus(message, timeout=timeout_s)
         except Exception as exc:
             self.stats.failed += 1
             self.stats.last_error = f"{type(exc).__name__}: {exc}"
-            if size >= LARGE_BYTES:
-                self._log_lost(size, self.stats.last_error)
+            if is_large:
+                self._report_unsent(size, self.stats.last_error)
         else:
             self.stats.sent += 1
             self.stats.last_error = ""
@@ -226,6 +237,8 @@
         Counts the messages.
     max_large_bytes : int, optional
         Maximum size of the large messages to one peer in its queue, and of those in flight.
+    on_unsent : callable, optional
+        Called with the node id after a large message could not be sent, also while it is queued.
     """
 
     def __init__(
@@ -233,9 +246,11 @@
         address_of: AddressLookup,
         traffic: Traffic | None = None,
         max_large_bytes: int = LogBounds().message_bytes,
+        on_unsent: Callable[[str], None] = lambda node_id: None,
     ) -> None:
         self._address_of = address_of
         self._max_large_bytes = max_large_bytes
+        self._on_unsent = on_unsent
         # Separate connections, so that a burst of other calls does not delay heartbeats.
         self._clients = PeerClients(traffic)
         self._links: dict[str, ConsensusLink] = {}
@@ -268,4 +283,6 @@
         return {node_id: link.dump(now) for node_id, link in sorted(self._links.items())}
 
     def _new_link(self, node_id: str) -> ConsensusLink:
-        return ConsensusLink(node_id, self._address_of, self._clients, self._max_large_bytes)
+        return ConsensusLink(
+            node_id, self._address_of, self._clients, self._max_large_bytes, self._on_unsent
+        )
