Send large messages beside the heartbeats of a link

Cause: a link makes four calls at once. Large messages to a peer that is slow to read them took all four for more than a second, longer than an election timeout.

Change: large messages have a queue and calls of their own. The core expects that messages overtake large ones.

The new test fails without the change (no heartbeat within 0.6 s).

--- a/bramleycrank/transport/consensus_links.py
+++ b/bramleycrank/transport/consensus_links.py
@@ -11,7 +11,7 @@
 import collections
 import functools
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import attrs
@@ -38,8 +38,7 @@
 LARGE_SEND_TIMEOUT_S = 1.0
 
 # With one call at a time, a round trip longer than the heartbeat interval (150 ms) would fill the
-# queue. Calls on one connection stay in order, except that a small message may overtake a large
-# snapshot.
+# queue. Calls on one connection mostly stay in order, but a small message may overtake a large one.
 MAX_IN_FLIGHT = 4
 
 # Extends the timeout of large messages; throughput of the slowest supported link.
@@ -68,10 +67,8 @@
 
 @attrs.define
 class LinkStats:
-    """Counters of one link, and the bytes that it holds."""
+    """Counters of one link."""
 
-    queued_bytes: int = 0
-    in_flight_bytes: int = 0
     sent: int = 0
     failed: int = 0
     dropped: int = 0
@@ -79,8 +76,95 @@
     last_error: str = ""
 
 
+class _Lane:
+    """Queue of a link, whose messages are sent in order with a few calls in flight.
+
+    Parameters
+    ----------
+    send : callable
+        Sends one message.
+    on_dropped : callable
+        Called with a message that is not sent, and the reason.
+    max_bytes : int
+        Maximum size of the messages in the queue, and of those in flight; a single larger one
+        passes. 0 for any size.
+    """
+
+    def __init__(
+        self,
+        send: Callable[[_Queued], Awaitable[None]],
+        on_dropped: Callable[[_Queued, str], None],
+        max_bytes: int = 0,
+    ) -> None:
+        self._send = send
+        self._on_dropped = on_dropped
+        self._max_bytes = max_bytes
+        self._queue: collections.deque[_Queued] = collections.deque()
+        self._message_queued = asyncio.Event()
+        self._slots = asyncio.Semaphore(MAX_IN_FLIGHT)
+        self._send_tasks: set[asyncio.Task] = set()
+        self.queued_bytes = 0
+        self.in_flight_bytes = 0
+        self._task = asyncio.ensure_future(self._run())
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def put(self, message: _Queued) -> None:
+        """Queue a message; the oldest ones make room for it."""
+        while self._queue and (
+            len(self._queue) >= QUEUE_LIMIT or self._exceeds(self.queued_bytes, message)
+        ):
+            self._on_dropped(self._pop(), "a newer one takes its place")
+        self._queue.append(message)
+        self.queued_bytes += message.size
+        self._message_queued.set()
+
+    def close(self) -> None:
+        """Cancel all sends, queued or in flight."""
+        for task in (self._task, *self._send_tasks):
+            task.cancel()
+
+    def _exceeds(self, held_bytes: int, message: _Queued) -> bool:
+        if not self._max_bytes or not held_bytes:
+            return False
+        return held_bytes + message.size > self._max_bytes
+
+    def _pop(self) -> _Queued:
+        message = self._queue.popleft()
+        self.queued_bytes -= message.size
+        return message
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._slots.acquire()
+            while not self._queue:
+                self._message_queued.clear()
+                await self._message_queued.wait()
+            message = self._pop()
+            if loop.time() - message.queued_at > MAX_AGE_S:
+                self._on_dropped(message, "it is too old")
+            elif self._exceeds(self.in_flight_bytes, message):
+                self._on_dropped(message, "others are in flight")
+            else:
+                self.in_flight_bytes += message.size
+                task = asyncio.ensure_future(self._send(message))
+                self._send_tasks.add(task)
+                task.add_done_callback(functools.partial(self._on_sent, message))
+                continue
+            self._slots.release()
+
+    def _on_sent(self, message: _Queued, task: asyncio.Task) -> None:
+        self._send_tasks.discard(task)
+        self.in_flight_bytes -= message.size
+        self._slots.release()
+
+
 class ConsensusLink:
-    """Sends messages to one node in order, with a few calls in flight.
+    """Sends messages to one node, large ones beside the others.
+
+    A peer that reads large messages slowly thus still gets heartbeats.
 
     Parameters
     ----------
@@ -91,8 +175,7 @@
     clients : PeerClients
         Connections that carry only consensus messages.
     max_large_bytes : int
-        Maximum size of the large messages in the queue, and of those in flight; a single larger
-        one passes.
+        Maximum size of the large messages in the queue, and of those in flight.
     on_unsent : callable
         Called with the node id after a large message could not be sent.
     """
@@ -108,50 +191,41 @@
         self._node_id = node_id
         self._address_of = address_of
         self._clients = clients
-        self._queue: collections.deque[_Queued] = collections.deque()
-        self._max_large_bytes = max_large_bytes
         self._on_unsent = on_unsent
-        self._large_in_flight_bytes = 0
-        self._message_queued = asyncio.Event()
         self._address: str | None = None
         self.stats = LinkStats()
-        self._slots = asyncio.Semaphore(MAX_IN_FLIGHT)
-        self._send_tasks: set[asyncio.Task] = set()
-        self._task = asyncio.ensure_future(self._run())
+        self._small = _Lane(self._send, self._on_dropped)
+        self._large = _Lane(self._send, self._on_dropped, max_large_bytes)
 
-    def put(self, message: log_pb2.ConsensusMessage) -> None:
-        """Queue a message, and drop the oldest one if the queue is full.
+    @property
+    def queued_bytes(self) -> int:
+        """Size of the messages that wait to be sent."""
+        return self._small.queued_bytes + self._large.queued_bytes
 
-        A large message takes the place of older ones if there is no room for all of them.
-        """
-        queued = _Queued(message, message.ByteSize(), asyncio.get_running_loop().time())
-        if queued.is_large:
-            self._make_room(queued.size)
-        if len(self._queue) >= QUEUE_LIMIT:
-            self._drop(self._queue.popleft(), "the queue is full")
-        self._queue.append(queued)
-        self.stats.queued_bytes += queued.size
-        self._message_queued.set()
+    @property
+    def in_flight_bytes(self) -> int:
+        """Size of the messages whose calls are in progress."""
+        return self._small.in_flight_bytes + self._large.in_flight_bytes
 
-    def _make_room(self, size: int) -> None:
-        large = collections.deque(item for item in self._queue if item.is_large)
-        while large and sum(item.size for item in large) + size > self._max_large_bytes:
-            self._queue.remove(large[0])
-            self._drop(large.popleft(), "a newer one takes its place")
+    def put(self, message: log_pb2.ConsensusMessage) -> None:
+        """Queue a message; a full queue drops its oldest ones."""
+        queued = _Queued(message, message.ByteSize(), asyncio.get_running_loop().time())
+        lane = self._large if queued.is_large else self._small
+        lane.put(queued)
 
     def close(self) -> None:
         """Cancel all sends, queued or in flight."""
-        for task in (self._task, *self._send_tasks):
-            task.cancel()
+        self._small.close()
+        self._large.close()
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the JSON-ready state of the link."""
         last_ok = self.stats.last_ok
         return {
             "address": self._address,
-            "queued": len(self._queue),
-            "queued_bytes": self.stats.queued_bytes,
-            "in_flight_bytes": self.stats.in_flight_bytes,
+            "queued": len(self._small) + len(self._large),
+            "queued_bytes": self.queued_bytes,
+            "in_flight_bytes": self.in_flight_bytes,
             "sent": self.stats.sent,
             "failed": self.stats.failed,
             "dropped": self.stats.dropped,
@@ -159,67 +233,31 @@
             "last_error": self.stats.last_error,
         }
 
-    async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await self._slots.acquire()
-            while not self._queue:
-                self._message_queued.clear()
-                await self._message_queued.wait()
-            queued = self._queue.popleft()
-            reason = ""
-            if loop.time() - queued.queued_at > MAX_AGE_S:
-                reason = "it is too old"
-            elif queued.is_large and self._exceeds_room(queued.size):
-                reason = "others are in flight"
-            if reason:
-                self._drop(queued, reason)
-                self._slots.release()
-                continue
-            self.stats.queued_bytes -= queued.size
-            self.stats.in_flight_bytes += queued.size
-            self._large_in_flight_bytes += queued.size if queued.is_large else 0
-            task = asyncio.ensure_future(self._send(queued.message, queued.size))
-            self._send_tasks.add(task)
-            task.add_done_callback(functools.partial(self._on_sent, queued))
-
-    def _exceeds_room(self, size: int) -> bool:
-        in_flight_bytes = self._large_in_flight_bytes
-        return bool(in_flight_bytes) and in_flight_bytes + size > self._max_large_bytes
-
-    def _on_sent(self, queued: _Queued, task: asyncio.Task) -> None:
-        self._send_tasks.discard(task)
-        self.stats.in_flight_bytes -= queued.size
-        self._large_in_flight_bytes -= queued.size if queued.is_large else 0
-        self._slots.release()
-
-    def _drop(self, queued: _Queued, reason: str) -> None:
-        self.stats.queued_bytes -= queued.size
+    def _on_dropped(self, message: _Queued, reason: str) -> None:
         self.stats.dropped += 1
-        if queued.is_large:
-            self._report_unsent(queued.size, reason)
+        if message.is_large:
+            self._report_unsent(message.size, reason)
 
     def _report_unsent(self, size: int, reason: str) -> None:
-        self._on_unsent(self._node_id)
         log.warning(
             "consensus: a message of %s bytes to %s was lost: %s", size, self._node_id, reason
         )
+        self._on_unsent(self._node_id)
 
-    async def _send(self, message: log_pb2.ConsensusMessage, size: int) -> None:
+    async def _send(self, message: _Queued) -> None:
         self._address = self._address_of(self._node_id)
         if self._address is None:
             self.stats.last_error = "address unknown"
             return
-        is_large = size >= LARGE_BYTES
-        timeout_s = LARGE_SEND_TIMEOUT_S if is_large else SEND_TIMEOUT_S
-        timeout_s += size / MIN_BYTES_PER_S
+        timeout_s = LARGE_SEND_TIMEOUT_S if message.is_large else SEND_TIMEOUT_S
+        timeout_s += message.size / MIN_BYTES_PER_S
         try:
-            await self._clients.stub(self._address).Consensus(message, timeout=timeout_s)
+            await self._clients.stub(self._address).Consensus(message.message, timeout=timeout_s)
         except Exception as exc:
             self.stats.failed += 1
             self.stats.last_error = f"{type(exc).__name__}: {exc}"
-            if is_large:
-                self._report_unsent(size, self.stats.last_error)
+            if message.is_large:
+                self._report_unsent(message.size, self.stats.last_error)
         else:
             self.stats.sent += 1
             self.stats.last_error = ""
@@ -274,9 +312,8 @@
 
     def held_bytes(self) -> tuple[dict[tuple[str], int], dict[tuple[str], int]]:
         """Return the queued bytes and those in flight, by the labels of each node."""
-        stats = {(node_id,): link.stats for node_id, link in self._links.items()}
-        queued = {labels: item.queued_bytes for labels, item in stats.items()}
-        return queued, {labels: item.in_flight_bytes for labels, item in stats.items()}
+        queued = {(node_id,): link.queued_bytes for node_id, link in self._links.items()}
+        return queued, {(node_id,): link.in_flight_bytes for node_id, link in self._links.items()}
 
     def dump(self, now: float) -> dict[str, object]:
         """Return the JSON-ready state of all links."""
--- a/tests/test_daemon_consensus_links.py
+++ b/tests/test_daemon_consensus_links.py
@@ -11,17 +11,23 @@
 from bramleycrank.transport.consensus_links import ConsensusLinks
 from bramleycrank.transport.grpc_errors import unary
 
+ELECTION_TIMEOUT_S = 0.6
+"""Shortest time without a heartbeat after which a follower starts an election, in seconds."""
+
 
 class Peer(PeerBase):
-    """Receives consensus messages; does not reply while `frozen` is set."""
+    """Receives consensus messages; does not reply while `frozen` is set.
+
+    While `slow` is set, it does not reply to large ones.
+    """
 
     def __init__(self):
         self.terms = []
-        self.frozen = False
+        self.frozen = self.slow = False
 
     @unary
     async def Consensus(self, request):  # noqa: N802
-        while self.frozen:
+        while self.frozen or (self.slow and request.ByteSize() >= LARGE_BYTES):
             await asyncio.sleep(0.01)
         self.terms.append(request.term)
         return peer_pb2.Ack()
@@ -39,7 +45,7 @@
             await asyncio.sleep(0.005)
 
 
-def run(scenario, names=("a", "b")):
+def run(scenario, names=("a", "b"), max_large_bytes=7 * LARGE_BYTES):
     async def body():
         peers, servers, addresses = {}, [], {}
         for name in names:
@@ -48,7 +54,7 @@
             await server.start("127.0.0.1", 0)
             servers.append(server)
             addresses[name] = f"127.0.0.1:{server._server.sockets[0].getsockname()[1]}"
-        links = ConsensusLinks(addresses.get, max_large_bytes=7 * LARGE_BYTES)
+        links = ConsensusLinks(addresses.get, max_large_bytes=max_large_bytes)
         try:
             await scenario(links, peers)
         finally:
@@ -131,6 +137,21 @@
     run(scenario)
 
 
+def test_heartbeats_pass_large_messages_that_a_peer_does_not_answer():
+    """Guards against elections because large messages take all calls to a busy peer."""
+
+    async def scenario(links, peers):
+        peers["a"].slow = True
+        for term in range(6):
+            links.send(large_message("a", term))
+        await asyncio.sleep(0.05)
+        links.send(message("a", 99))
+        await wait_until(lambda: 99 in peers["a"].terms, ELECTION_TIMEOUT_S)
+        assert peers["a"].terms == [99]
+
+    run(scenario, max_large_bytes=32 * LARGE_BYTES)
+
+
 def test_unknown_address_is_reported():
     async def scenario(links, peers):
         links.send(message("nobody", 1))
