--- a/bramleycrank/consensus/node.py
+++ b/bramleycrank/consensus/node.py
@@ -177,6 +177,9 @@
             )
             core.log.compact(snapshot, core.cfg.bounds.retained_bytes)
             core.add_action(PersistSnapshot(snapshot))
+            if self._leadership is not None:
+                self._leadership.replication.needs_snapshot = False
+                self._leadership.replication.broadcast_entries()
         return core.pop_actions()
 
     def next_deadline(self) -> float:
@@ -271,11 +274,14 @@
 
     @property
     def needs_compaction(self) -> bool:
-        """Whether the entries that a snapshot could cover are too large, or larger than it was.
+        """Whether the entries that a snapshot could cover are too large, or a member needs it.
 
-        The second condition bounds the cost of images that exceed the bound by themselves.
+        They may be as large as the last snapshot, which bounds the cost of images that exceed the
+        bound by themselves.
         """
         core = self._core
+        if self._leadership is not None and self._leadership.replication.needs_snapshot:
+            return core.log.snapshot_index < core.commit_index
         covered_bytes = core.log.bytes_between(core.log.snapshot_index + 1, core.commit_index)
         return covered_bytes > max(core.cfg.bounds.log_bytes, core.log.snapshot_bytes)
 
--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -36,6 +36,8 @@
         self.heartbeat_due = core.now
         self._round_started_at: dict[int, float] = {}
         self.progress: dict[str, Progress] = {}
+        # Whether a member waits for a new snapshot, since it lacks too much beside the last one.
+        self.needs_snapshot = False
         self.update_members()
 
     def update_members(self) -> None:
@@ -85,6 +87,9 @@
             self._on_transfer_lost(progress)
         if progress.transfer is not None and progress.transfer.snapshot_bytes:
             return False
+        if self._is_far_behind(progress):
+            self.needs_snapshot = True
+            return False
         if log.term_at(progress.next_index - 1) is None or self._is_snapshot_cheaper(progress):
             return self._send_snapshot(node_id, progress)
         sent = False
@@ -137,6 +142,18 @@
         core = self._core
         return core.now - progress.heard_at <= core.cfg.election_timeout_s[1]
 
+    def _is_far_behind(self, progress: Progress) -> bool:
+        """Return whether a member lacks much more than a new snapshot would have.
+
+        While the log grows, such a member would catch up slowly or never by entries.
+        """
+        core, log = self._core, self._core.log
+        if progress.probing and log.term_at(progress.next_index - 1) is not None:
+            return False
+        first = max(progress.match_index, log.snapshot_index) + 1
+        lacked_bytes = log.bytes_between(first, core.commit_index)
+        return lacked_bytes >= 2 * log.snapshot_bytes + core.cfg.bounds.message_bytes
+
     def _is_snapshot_cheaper(self, progress: Progress) -> bool:
         """Return whether the snapshot is smaller than the entries that it replaces.
 
--- a/tests/test_consensus_bounds.py
+++ b/tests/test_consensus_bounds.py
@@ -10,7 +10,7 @@
 from consensus_cluster import Cluster, SimNode, isolate, put_service_command
 
 from bramleycrank import consensus as raft
-from bramleycrank.exceptions import NoQuorum
+from bramleycrank.exceptions import BramleycrankError, NoQuorum
 from bramleycrank.proto import log_pb2 as pb
 
 MIB = 1024 * 1024
@@ -23,6 +23,9 @@
 ORDER_RESEND_S = 1.0
 """Time after which an operator sends an order to another VM, in seconds."""
 
+CATCH_UP_S = 4.0
+"""Time after which a new member has to be a voter, in seconds."""
+
 CONFIG_APPLY_S = 3.0
 """Time until a change has to be in force, in seconds."""
 
@@ -185,6 +188,26 @@
     assert proposal in cluster.oracle.acknowledged
 
 
+def test_a_new_member_catches_up_while_the_log_grows():
+    """Guards against a member that is not promoted, since entries come as fast as it gets them."""
+    cluster = SizedCluster(3, seed=8)
+    cluster.run(3)
+    propose_in_turn(cluster, 120, 100_000)
+    cluster.max_delay_s = 0.3
+    new = cluster.add("new/0")
+    leader = cluster.leader()
+    cluster.change(leader, raft.AddLearner(pb.Member(node_id=new.node_id)))
+    started, promoted = cluster.now, ""
+    while cluster.now < started + CATCH_UP_S and promoted not in cluster.oracle.acknowledged:
+        number = round(1000 * cluster.now)
+        cluster.propose_all(leader, [large_command(number + i, 100_000) for i in range(4)])
+        if not promoted or isinstance(cluster.outcomes.get(promoted), BramleycrankError):
+            promoted = cluster.change(leader, raft.Promote(new.node_id))
+        cluster.run(0.4)
+    assert promoted in cluster.oracle.acknowledged
+    assert cluster.peak_live <= MESSAGE_BYTES
+
+
 def test_an_entry_larger_than_every_bound_still_travels():
     """Guards against a bound that keeps a single large entry from a member for ever."""
     cluster = SizedCluster(3, seed=3, cfg={"bounds": raft.LogBounds(300_000, 150_000, 70_000, 1)})
