--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -104,67 +104,6 @@
             progress.next_index = last + 1
         return sent
 
-    def _send_removal(self, node_id: str, progress: Progress) -> None:
-        """Send all unacknowledged entries that fit a message, as messages may be reordered."""
-        cfg, log = self._core.cfg, self._core.log
-        progress.next_index, progress.probing = progress.match_index + 1, True
-        if log.term_at(progress.match_index) is None or progress.match_index == log.last_index:
-            self.send_entries_or_heartbeat(node_id, progress)
-            return
-        max_bytes = cfg.bounds.message_bytes
-        last = log.last_within(progress.next_index, cfg.max_entries_per_append, max_bytes)
-        self._send_append(node_id, progress, last)
-
-    def _last_sendable(self, progress: Progress) -> int:
-        """Return the last entry of the next message; less than ``next_index`` if none is due."""
-        log, cfg = self._core.log, self._core.cfg
-        first = progress.next_index
-        max_bytes = LARGE_BYTES - 1 if progress.probing else cfg.bounds.message_bytes
-        last = log.last_within(first, cfg.max_entries_per_append, max_bytes)
-        size = log.bytes_between(first, last)
-        if size >= LARGE_BYTES and not self._may_send_large(progress):
-            return first - 1
-        if progress.probing:
-            return last
-        in_flight = first - progress.match_index - 1
-        bytes_in_flight = log.bytes_between(progress.match_index + 1, first - 1)
-        is_open = in_flight < APPEND_WINDOW_MESSAGES * cfg.max_entries_per_append and (
-            not in_flight or bytes_in_flight + size <= cfg.bounds.message_bytes
-        )
-        return last if is_open else first - 1
-
-    def _may_send_large(self, progress: Progress) -> bool:
-        if progress.probing or self._core.now < progress.large_from:
-            return False
-        return self._is_responsive(progress)
-
-    def _is_responsive(self, progress: Progress) -> bool:
-        core = self._core
-        return core.now - progress.heard_at <= core.cfg.election_timeout_s[1]
-
-    def _is_far_behind(self, progress: Progress) -> bool:
-        """Return whether a member lacks much more than a new snapshot would have.
-
-        While the log grows, such a member would catch up slowly or never by entries.
-        """
-        core, log = self._core, self._core.log
-        if progress.probing and log.term_at(progress.next_index - 1) is not None:
-            return False
-        first = max(progress.match_index, log.snapshot_index) + 1
-        lacked_bytes = log.bytes_between(first, core.commit_index)
-        return lacked_bytes >= 2 * log.snapshot_bytes + core.cfg.bounds.message_bytes
-
-    def _is_snapshot_cheaper(self, progress: Progress) -> bool:
-        """Return whether the snapshot is smaller than the entries that it replaces.
-
-        The difference has to be large, since a snapshot makes the member write its files anew.
-        """
-        log = self._core.log
-        if progress.probing or progress.next_index > log.snapshot_index:
-            return False
-        replaced_bytes = log.bytes_between(progress.next_index, log.snapshot_index)
-        return replaced_bytes >= log.snapshot_bytes + LARGE_BYTES
-
     def on_unsent(self, node_id: str) -> None:
         """Record that a large message to a member was lost on the way, without its reply."""
         progress = self.progress[node_id]
@@ -249,6 +188,67 @@
         progress.acked_round = max(progress.acked_round, reply_round)
         self.update_confirmed_round()
 
+    def _send_removal(self, node_id: str, progress: Progress) -> None:
+        """Send all unacknowledged entries that fit a message, as messages may be reordered."""
+        cfg, log = self._core.cfg, self._core.log
+        progress.next_index, progress.probing = progress.match_index + 1, True
+        if log.term_at(progress.match_index) is None or progress.match_index == log.last_index:
+            self.send_entries_or_heartbeat(node_id, progress)
+            return
+        max_bytes = cfg.bounds.message_bytes
+        last = log.last_within(progress.next_index, cfg.max_entries_per_append, max_bytes)
+        self._send_append(node_id, progress, last)
+
+    def _last_sendable(self, progress: Progress) -> int:
+        """Return the last entry of the next message; less than ``next_index`` if none is due."""
+        log, cfg = self._core.log, self._core.cfg
+        first = progress.next_index
+        max_bytes = LARGE_BYTES - 1 if progress.probing else cfg.bounds.message_bytes
+        last = log.last_within(first, cfg.max_entries_per_append, max_bytes)
+        size = log.bytes_between(first, last)
+        if size >= LARGE_BYTES and not self._may_send_large(progress):
+            return first - 1
+        if progress.probing:
+            return last
+        in_flight = first - progress.match_index - 1
+        bytes_in_flight = log.bytes_between(progress.match_index + 1, first - 1)
+        is_open = in_flight < APPEND_WINDOW_MESSAGES * cfg.max_entries_per_append and (
+            not in_flight or bytes_in_flight + size <= cfg.bounds.message_bytes
+        )
+        return last if is_open else first - 1
+
+    def _may_send_large(self, progress: Progress) -> bool:
+        if progress.probing or self._core.now < progress.large_from:
+            return False
+        return self._is_responsive(progress)
+
+    def _is_responsive(self, progress: Progress) -> bool:
+        core = self._core
+        return core.now - progress.heard_at <= core.cfg.election_timeout_s[1]
+
+    def _is_far_behind(self, progress: Progress) -> bool:
+        """Return whether a member lacks much more than a new snapshot would have.
+
+        While the log grows, such a member would catch up slowly or never by entries.
+        """
+        core, log = self._core, self._core.log
+        if progress.probing and log.term_at(progress.next_index - 1) is not None:
+            return False
+        first = max(progress.match_index, log.snapshot_index) + 1
+        lacked_bytes = log.bytes_between(first, core.commit_index)
+        return lacked_bytes >= 2 * log.snapshot_bytes + core.cfg.bounds.message_bytes
+
+    def _is_snapshot_cheaper(self, progress: Progress) -> bool:
+        """Return whether the snapshot is smaller than the entries that it replaces.
+
+        The difference has to be large, since a snapshot makes the member write its files anew.
+        """
+        log = self._core.log
+        if progress.probing or progress.next_index > log.snapshot_index:
+            return False
+        replaced_bytes = log.bytes_between(progress.next_index, log.snapshot_index)
+        return replaced_bytes >= log.snapshot_bytes + LARGE_BYTES
+
     def _send_heartbeat(self, node_id: str, progress: Progress) -> None:
         log = self._core.log
         prev = progress.next_index - 1
--- a/bramleycrank/daemon/raft_runner.py
+++ b/bramleycrank/daemon/raft_runner.py
@@ -195,7 +195,12 @@
         self._run(self.node.transfer_leadership)
 
     def report_bytes(self) -> None:
-        """Set the gauges of the bytes that the log holds in memory, on disk and for members."""
+        """Set the gauges of the bytes that the log holds in memory, on disk and for members.
+
+        After a failure of the disk they keep their values until the log is open again.
+        """
+        if self._closed:
+            return
         self._metrics.gauge("consensus.log_memory", self.node.log_bytes)
         self._metrics.gauge("storage.log", self._store.log_bytes)
         queued, in_flight = self._links.held_bytes()
--- a/bramleycrank/storage/log_store.py
+++ b/bramleycrank/storage/log_store.py
@@ -139,8 +139,8 @@
 
     @property
     def log_bytes(self) -> int:
-        """Size of the log file, in bytes."""
-        return self._segment.path.stat().st_size
+        """Size of the log file while the store is open, in bytes."""
+        return self._segment.size
 
     def dump(self) -> dict[str, object]:
         """Return the identity and the sizes of the log for operators."""
@@ -153,7 +153,7 @@
             "entries": len(content.entries),
             "term": content.hard_state.term,
             "voted_for": content.hard_state.voted_for,
-            "log_bytes": self.log_bytes,
+            "log_bytes": self._segment.path.stat().st_size,
             "failed": self._failed,
         }
 
--- a/bramleycrank/storage/segment.py
+++ b/bramleycrank/storage/segment.py
@@ -140,6 +140,11 @@
             os.fsync(self._file.fileno())
         self.content.apply(action)
 
+    @property
+    def size(self) -> int:
+        """Size of the open file, in bytes."""
+        return os.fstat(self._file.fileno()).st_size
+
     def close(self) -> None:
         """Close the segment file."""
         self._file.close()
