Read through the change: one term and one constant for one thing

`transfer` stood for a change of the leader and for large messages; the latter are now `LargeSend`. The throughput of the slowest link was a constant of the links and an option of the core; both take MIN_BYTES_PER_S. A queue of a link is named so. No behaviour changes.

--- a/bramleycrank/consensus/bounds.py
+++ b/bramleycrank/consensus/bounds.py
@@ -16,6 +16,9 @@
 LARGE_BYTES = 64 * 1024
 """Size from which a message is large, in bytes: it is not sent again before it counts as lost."""
 
+MIN_BYTES_PER_S = 2_000_000
+"""Throughput of the slowest supported link, which extends the timeouts of large messages."""
+
 
 @attrs.frozen
 class LogBounds:
--- a/bramleycrank/consensus/progress.py
+++ b/bramleycrank/consensus/progress.py
@@ -9,7 +9,7 @@
 
 
 @attrs.frozen
-class Transfer:
+class LargeSend:
     """Large messages that a member has not answered, with the small ones after them.
 
     Parameters
@@ -43,12 +43,12 @@
         Whether the last common entry of the logs is unknown; then one message is sent at a time.
     acked_round : int
         Highest heartbeat round that the member replied to.
-    transfer : Transfer or None
+    large_send : LargeSend or None
         Large messages or a snapshot in flight; ``None`` if all have been answered.
     refused : bool
-        Whether the member refused a message beside a transfer, which may have overtaken it.
-    lost_transfers : int
-        Transfers that were lost since the last progress.
+        Whether the member refused a message beside a large one, which may have overtaken it.
+    lost_sends : int
+        Large sends that were lost since the last progress.
     large_from : float
         Time from which a large message may be sent, in seconds.
     removed_at : int
@@ -60,26 +60,26 @@
     match_index: int = 0
     probing: bool = True
     acked_round: int = 0
-    transfer: Transfer | None = None
+    large_send: LargeSend | None = None
     refused: bool = False
-    lost_transfers: int = 0
+    lost_sends: int = 0
     large_from: float = 0.0
     removed_at: int = 0
 
     def on_match(self, index: int) -> None:
         """Record that the member's synced log equals the leader's up to ``index``."""
         if index > self.match_index:
-            self.match_index, self.lost_transfers = index, 0
+            self.match_index, self.lost_sends = index, 0
             if self.refused:
                 # What followed has been refused too.
-                self.next_index, self.transfer, self.refused = index + 1, None, False
-        if self.transfer is not None and index >= self.transfer.index:
-            self.transfer = None
+                self.next_index, self.large_send, self.refused = index + 1, None, False
+        if self.large_send is not None and index >= self.large_send.index:
+            self.large_send = None
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
 
-    def on_transfer_lost(self, now: float, pause_s: float) -> None:
-        """Record that the transfer was lost; the log is compared again before the next one.
+    def on_large_lost(self, now: float, pause_s: float) -> None:
+        """Record that large messages were lost; the log is compared again before the next one.
 
         Parameters
         ----------
@@ -88,9 +88,9 @@
         pause_s : float
             Time without large messages in seconds; each further loss in a row doubles it.
         """
-        self.transfer, self.refused = None, False
-        self.large_from = now + pause_s * min(2**self.lost_transfers, MAX_BACKOFF)
-        self.lost_transfers += 1
+        self.large_send, self.refused = None, False
+        self.large_from = now + pause_s * min(2**self.lost_sends, MAX_BACKOFF)
+        self.lost_sends += 1
         self.next_index, self.probing = self.match_index + 1, True
 
     def on_conflict(self, index: int) -> bool:
--- a/bramleycrank/consensus/replication.py
+++ b/bramleycrank/consensus/replication.py
@@ -7,9 +7,9 @@
 import attrs
 
 from bramleycrank.consensus import quorum
-from bramleycrank.consensus.bounds import LARGE_BYTES
+from bramleycrank.consensus.bounds import LARGE_BYTES, MIN_BYTES_PER_S
 from bramleycrank.consensus.core import NodeCore
-from bramleycrank.consensus.progress import Progress, Transfer
+from bramleycrank.consensus.progress import LargeSend, Progress
 from bramleycrank.proto.log_pb2 import AppendReply, AppendRequest, InstallSnapshot
 
 # Append messages with entries that may be in flight to one member.
@@ -83,9 +83,9 @@
     def send_entries(self, node_id: str, progress: Progress) -> bool:
         """Send entries or a snapshot as far as the window allows; returns whether any was sent."""
         log = self._core.log
-        if progress.transfer is not None and self._core.now >= progress.transfer.due:
-            self._on_transfer_lost(progress)
-        if progress.transfer is not None and progress.transfer.snapshot_bytes:
+        if progress.large_send is not None and self._core.now >= progress.large_send.due:
+            self._on_large_lost(progress)
+        if progress.large_send is not None and progress.large_send.snapshot_bytes:
             return False
         if self._is_far_behind(progress):
             self.needs_snapshot = True
@@ -107,8 +107,8 @@
     def on_unsent(self, node_id: str) -> None:
         """Record that a large message to a member was lost on the way, without its reply."""
         progress = self.progress[node_id]
-        if progress.transfer is not None:
-            self._on_transfer_lost(progress)
+        if progress.large_send is not None:
+            self._on_large_lost(progress)
 
     def on_append_reply(self, node_id: str, reply: AppendReply) -> None:
         """Record a member's reply to an append and send further entries."""
@@ -117,7 +117,7 @@
         if reply.success:
             self._on_match(progress, reply.match_index)
             self.send_entries(node_id, progress)
-        elif progress.transfer is not None:
+        elif progress.large_send is not None:
             progress.refused = True
         elif progress.on_conflict(reply.conflict_index):
             self.send_entries_or_heartbeat(node_id, progress)
@@ -126,8 +126,8 @@
         """Record that a member has installed the snapshot and send the entries after it."""
         progress = self.progress[node_id]
         self._record_reply(progress, reply_round)
-        if progress.transfer is not None and progress.transfer.snapshot_bytes:
-            progress.transfer = None
+        if progress.large_send is not None and progress.large_send.snapshot_bytes:
+            progress.large_send = None
         self._on_match(progress, match_index)
         self.send_entries(node_id, progress)
 
@@ -179,9 +179,9 @@
         """Record a member's synced log; a member that makes progress has more time to answer."""
         before = progress.match_index
         progress.on_match(match_index)
-        transfer = progress.transfer
-        if transfer is not None and progress.match_index > before:
-            progress.transfer = attrs.evolve(transfer, due=max(transfer.due, self._answer_due(0)))
+        sent = progress.large_send
+        if sent is not None and progress.match_index > before:
+            progress.large_send = attrs.evolve(sent, due=max(sent.due, self._answer_due(0)))
 
     def _record_reply(self, progress: Progress, reply_round: int) -> None:
         progress.heard_at = self._core.now
@@ -252,8 +252,8 @@
     def _send_heartbeat(self, node_id: str, progress: Progress) -> None:
         log = self._core.log
         prev = progress.next_index - 1
-        if progress.transfer is not None and log.term_at(progress.match_index) is not None:
-            # The heartbeat may arrive before the transfer.
+        if progress.large_send is not None and log.term_at(progress.match_index) is not None:
+            # The heartbeat may arrive before the large message.
             prev = progress.match_index
         if log.term_at(prev) is None:
             # The member needs a snapshot; this message only prevents it from starting an election.
@@ -263,10 +263,10 @@
     def _send_append(self, node_id: str, progress: Progress, last: int) -> None:
         """Send the entries from ``next_index`` to ``last``."""
         size = self._core.log.bytes_between(progress.next_index, last)
-        if progress.transfer is not None:
-            progress.transfer = attrs.evolve(progress.transfer, index=last)
+        if progress.large_send is not None:
+            progress.large_send = attrs.evolve(progress.large_send, index=last)
         elif size >= LARGE_BYTES:
-            progress.transfer = Transfer(last, self._answer_due(size))
+            progress.large_send = LargeSend(last, self._answer_due(size))
         self._send_append_after(node_id, progress.next_index - 1, last)
 
     def _send_append_after(self, node_id: str, prev: int, last: int) -> None:
@@ -284,11 +284,11 @@
         """Return the time until which a member may answer, on the slowest supported link."""
         cfg = self._core.cfg
         in_flight_bytes = max(size, cfg.bounds.message_bytes)
-        timeout_s = cfg.answer_timeout_s + in_flight_bytes / cfg.min_bytes_per_s
+        timeout_s = cfg.answer_timeout_s + in_flight_bytes / MIN_BYTES_PER_S
         return self._core.now + max(timeout_s, min_timeout_s)
 
-    def _on_transfer_lost(self, progress: Progress) -> None:
-        progress.on_transfer_lost(self._core.now, self._core.cfg.heartbeat_s)
+    def _on_large_lost(self, progress: Progress) -> None:
+        progress.on_large_lost(self._core.now, self._core.cfg.heartbeat_s)
 
     def _send_snapshot(self, node_id: str, progress: Progress) -> bool:
         core, log = self._core, self._core.log
@@ -296,7 +296,7 @@
         if not self._is_responsive(progress) or not self._may_send_snapshot(progress):
             return False
         due = self._answer_due(log.snapshot_bytes, core.cfg.snapshot_retry_s)
-        progress.transfer = Transfer(log.snapshot_index, due, log.snapshot_bytes)
+        progress.large_send = LargeSend(log.snapshot_index, due, log.snapshot_bytes)
         core.send(
             node_id, install_snapshot=InstallSnapshot(snapshot=log.snapshot, round=self.round)
         )
@@ -307,10 +307,8 @@
         core = self._core
         if core.now < progress.large_from:
             return False
-        transfers = (other.transfer for other in self.progress.values())
+        sends = (other.large_send for other in self.progress.values())
         size = sum(
-            transfer.snapshot_bytes
-            for transfer in transfers
-            if transfer is not None and core.now < transfer.due
+            send.snapshot_bytes for send in sends if send is not None and core.now < send.due
         )
         return not size or size + core.log.snapshot_bytes <= core.cfg.bounds.message_bytes
--- a/bramleycrank/consensus/types.py
+++ b/bramleycrank/consensus/types.py
@@ -54,8 +54,6 @@
     answer_timeout_s : float
         Time in seconds after which a large message without a reply counts as lost, beside the time
         for its bytes. Longer than a link tries to send it, so that it is not sent twice at once.
-    min_bytes_per_s : float
-        Throughput of the slowest supported link.
     restart_window_s : float
         Time in seconds after a start in which a node that has received nothing from a leader uses
         ``restart_election_timeout_s``.
@@ -74,7 +72,6 @@
     snapshot_retry_s: float = 3.0
     bounds: LogBounds = attrs.field(factory=LogBounds)
     answer_timeout_s: float = 1.2
-    min_bytes_per_s: float = 2e6
     restart_window_s: float = 3.0
     restart_election_timeout_s: tuple[float, float] = (0.03, 0.12)
     restart_all_pre_votes_s: float = 0.3
--- a/bramleycrank/transport/consensus_links.py
+++ b/bramleycrank/transport/consensus_links.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from bramleycrank.consensus.bounds import LARGE_BYTES, LogBounds
+from bramleycrank.consensus.bounds import LARGE_BYTES, MIN_BYTES_PER_S, LogBounds
 from bramleycrank.observability.traffic import Traffic
 from bramleycrank.proto import log_pb2
 from bramleycrank.transport.peer_client import PeerClients
@@ -41,9 +41,6 @@
 # queue. Calls on one connection mostly stay in order, but a small message may overtake a large one.
 MAX_IN_FLIGHT = 4
 
-# Extends the timeout of large messages; throughput of the slowest supported link.
-MIN_BYTES_PER_S = 2_000_000
-
 
 class AddressLookup(Protocol):
     """Looks up the address of a node."""
@@ -76,7 +73,7 @@
     last_error: str = ""
 
 
-class _Lane:
+class _SendQueue:
     """Queue of a link, whose messages are sent in order with a few calls in flight.
 
     Parameters
@@ -194,8 +191,8 @@
         self._on_unsent = on_unsent
         self._address: str | None = None
         self.stats = LinkStats()
-        self._small = _Lane(self._send, self._on_dropped)
-        self._large = _Lane(self._send, self._on_dropped, max_large_bytes)
+        self._small = _SendQueue(self._send, self._on_dropped)
+        self._large = _SendQueue(self._send, self._on_dropped, max_large_bytes)
 
     @property
     def queued_bytes(self) -> int:
@@ -210,8 +207,8 @@
     def put(self, message: log_pb2.ConsensusMessage) -> None:
         """Queue a message; a full queue drops its oldest ones."""
         queued = _Queued(message, message.ByteSize(), asyncio.get_running_loop().time())
-        lane = self._large if queued.is_large else self._small
-        lane.put(queued)
+        queue = self._large if queued.is_large else self._small
+        queue.put(queued)
 
     def close(self) -> None:
         """Cancel all sends, queued or in flight."""
--- a/tests/test_daemon_consensus_links.py
+++ b/tests/test_daemon_consensus_links.py
@@ -116,10 +116,7 @@
 
 
 def test_large_messages_to_a_silent_peer_are_bounded_in_bytes():
-    """Guards against copies of large messages that wait for one peer, or live on after a timeout.
-
-    A heartbeat passes them, so that the peer starts no election.
-    """
+    """Guards against copies of large messages that wait for a peer or outlive a timeout."""
 
     async def scenario(links, peers):
         peers["a"].frozen = True
