--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from typing import Any
@@ -277,6 +278,18 @@
             await asyncio.sleep(0.2)
         return False
 
+    async def configure(self, manifest: dict[str, Any]) -> None:
+        """Send a manifest until it is acknowledged, and wait until all edge machines are ready.
+
+        Raises
+        ------
+        CannotRun
+            One of the two does not come true in time.
+        """
+        if not await self.put_manifest(manifest):
+            raise CannotRun("no manifest is acknowledged")
+        await self.wait_ready()
+
     async def wait_ready(self, limit_s: float = 25.0) -> None:
         """Wait until all edge machines are ready."""
         for vm in self.edges:
@@ -589,9 +602,9 @@
         with tempfile.TemporaryDirectory(prefix="review-") as folder:
             held = asyncio.run(asyncio.wait_for(scenario(Path(folder), record), RUN_LIMIT_S))
         code = HELD if held else BROKEN
-    except (CannotRun, TimeoutError, OSError) as exc:
+    except Exception as exc:
         record.note("cannot run", reason=repr(exc))
-        print(f"cannot run: {exc!r}", file=sys.stderr)
+        traceback.print_exc()
         code = CANNOT_RUN
     record.note("exit", code=code)
     record.close()
