review: case 14, an acknowledged leave is forgotten by a loss of all processes

Tried: a backend's leave is acknowledged, all processes are killed 0.3 s later and started again, and a ready report that the backend sent before it left arrives 6 s late.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -186,11 +186,6 @@
             )
         self.fleet.started.append(self._popen)
 
-    @property
-    def pid(self) -> int:
-        """Process id."""
-        return self._popen.pid
-
     @property
     def exit_code(self) -> int | None:
         """Exit code of the process, negative for a signal; None while it runs."""
@@ -385,9 +380,15 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def refuse_new(self) -> None:
-        """Refuse new connections and keep the open ones."""
-        self._server.close()
+    def stop_reports(self) -> None:
+        """Send no more liveness reports."""
+        if self._beats is not None:
+            self._beats.cancel()
+
+    @property
+    def born(self) -> int:
+        """Start of the backend in Unix milliseconds."""
+        return self._born
 
     def crash(self) -> None:
         """End: refuse and reset all connections, and send no reports."""
