--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -191,6 +191,17 @@
         """Exit code of the process, negative for a signal; None while it runs."""
         return self._popen.poll() if self._popen is not None else None
 
+    @property
+    def memory_bytes(self) -> int:
+        """Private resident memory of the process in bytes; 0 if it does not run."""
+        if self._popen is None or self._popen.poll() is not None:
+            return 0
+        try:
+            fields = Path(f"/proc/{self._popen.pid}/statm").read_text().split()
+        except OSError:
+            return 0
+        return (int(fields[1]) - int(fields[2])) * os.sysconf("SC_PAGE_SIZE")
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self._popen is not None and self._popen.poll() is None:
