Log and count what VMs learn of targets that are new to them and that leave

Change: a line for the first report of a target (rate-limited, with incarnation and sequence), and the counters targets.first_reports, targets.outdated_reports and targets.leaves.

--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -88,6 +88,7 @@
             seeds,
             clients,
             rng=rng,
+            metrics=metrics,
         )
         traffic.is_remote = membership.core.is_remote
         directory = PeerDirectory(membership, seeds, clients)
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -13,7 +13,13 @@
 from bramleycrank.daemon.dead_vms import DeadVms
 from bramleycrank.daemon.subscribers import notify
 from bramleycrank.entry.suspect_exchange import SuspectExchange
-from bramleycrank.exceptions import BramleycrankError, Draining, Outcome, Refused
+from bramleycrank.exceptions import (
+    BramleycrankError,
+    Draining,
+    InvalidRequest,
+    Outcome,
+    Refused,
+)
 from bramleycrank.membership import (
     MembershipConfig,
     PushRecords,
@@ -26,6 +32,8 @@
     VmMembership,
 )
 from bramleycrank.membership.records import address_of, state_name
+from bramleycrank.observability.metrics import Metrics, NullMetrics
+from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_ALIVE,
     VM_STATE_DRAINING,
@@ -92,6 +100,8 @@
         Source of random choices.
     clock : callable, optional
         Monotonic time in seconds.
+    metrics : Metrics, optional
+        Receiver of metrics.
     """
 
     def __init__(
@@ -103,8 +113,11 @@
         *,
         rng: Random | None = None,
         clock: Callable[[], float] = time.monotonic,
+        metrics: Metrics | None = None,
     ) -> None:
         self._clock = clock
+        self._metrics = metrics or NullMetrics()
+        self._report_lines = RequestLog(log, clock)
         self._clients = clients
         now = clock()
         record = VmRecord()
@@ -297,12 +310,32 @@
                 "the VM is joining", outcome=Outcome.NOT_RUN, retry_after_ms=JOIN_RETRY_MS
             )
         push_scheduled = self.registry.has_new_targets
-        reply, actions = self.registry.announce(request, self._clock())
+        is_first = self.registry.get(request.record.target_id) is None
+        try:
+            reply, actions = self.registry.announce(request, self._clock())
+        except InvalidRequest:
+            self._metrics.incr("targets.outdated_reports")
+            raise
+        if is_first:
+            self._record_first_report(request.record)
         self._execute(actions)
         if self.registry.has_new_targets and not push_scheduled:
             self._spawn(self._push_new_targets())
         return reply
 
+    def _record_first_report(self, record: TargetRecord) -> None:
+        """Record that this VM knew nothing of a target, as after a start."""
+        self._metrics.incr("targets.first_reports")
+        self._report_lines.record(
+            "first report of a target",
+            b"",
+            self._clock(),
+            failed=False,
+            target=record.target_id,
+            incarnation=record.incarnation,
+            sequence=record.sequence,
+        )
+
     async def _push_new_targets(self) -> None:
         """Push new targets to other VMs in one batch, after a short delay.
 
@@ -318,6 +351,7 @@
         An immediate reply would lose the record if this VM failed right after it.
         """
         target_id = request.target_id
+        self._metrics.incr("targets.leaves")
         self._execute(self.registry.leave(request, self._clock()))
         if self.core.has_unacknowledged_push(target_id):
             acknowledged = self._leaves_in_progress.setdefault(target_id, asyncio.Event())
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -158,6 +158,17 @@
     _gauge("config.stale", "ms", "Age of the last confirmation by the leader; 0 while current."),
     _gauge("membership.vms", "VMs", "VMs in the state alive."),
     _gauge("membership.targets", "targets", "Known targets that are usable."),
+    _counter(
+        "targets.first_reports",
+        "reports",
+        "Reports of targets of which this VM knew nothing, as after its start.",
+    ),
+    _counter(
+        "targets.outdated_reports",
+        "reports",
+        "Reports of an old incarnation of a target, or of one that has left.",
+    ),
+    _counter("targets.leaves", "leaves", "Leaves that targets reported to this VM."),
     _counter("consensus.role_changes", "changes", "Changes of the VM's role in the log."),
     _gauge("consensus.voters", "voters", "Voters of the log, on the leader."),
     _gauge("consensus.voters_silent", "voters", "Voters that do not respond to the leader."),
