Commit the leave of a target before acknowledging it, and know it after a start

Cause: records of targets were in memory only, on VMs with a disk too, so an acknowledgement bore the loss of one VM and not that of all.

Change: a leave is an entry of the replicated log before it is acknowledged, on each call by which a target can say it; without a quorum it is obeyed and answered 503. The state keeps the newest incarnation of each target that left, bounded in number and bytes, in its image. Voters refuse reports of such incarnations, turn records of other VMs into leaves, take reports only once their log has all that was confirmed (or 3 s after the start without a quorum), and push leaves that the VM which took them did not. An image of the landed build gets the known leaves before it is taken over.

The fake log in test_daemon_config_controller.py now returns the index that the interface states.

--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -43,6 +43,9 @@
 PUSH_TIMEOUT_S = 1.0
 MIN_TICK_S = 0.02
 
+# Revision in a request that needs no configuration objects in its reply.
+NO_OBJECTS = 2**63
+
 # Delay after a failed tick: it may fail each time, and its tracebacks must not fill the log.
 FAILED_TICK_DELAY_S = 1.0
 
@@ -274,6 +277,25 @@
                 "this VM is still behind the revision of the leader", outcome=Outcome.NOT_RUN
             )
 
+    async def confirmed_index(self) -> int:
+        """Return an index of the log that a quorum confirmed after this call began.
+
+        It is 0 if the leader runs a build that does not tell it.
+
+        Raises
+        ------
+        NotLeader, NoQuorum, PeerUnreachable
+            The index cannot be determined now.
+        """
+        if self._consensus.is_leader:
+            return await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+        address = self._consensus.leader_address() or self.leader_address()
+        if not address:
+            raise NoQuorum("no leader is known", outcome=Outcome.NOT_RUN)
+        request = peer_pb2.FetchConfigRequest(from_revision=NO_OBJECTS, leader_confirmed=True)
+        reply = await self._clients.stub(address).FetchConfig(request, timeout=CONFIRM_TIMEOUT_S)
+        return reply.confirmed_index
+
     # Events.
 
     def on_gossip(
@@ -292,12 +314,15 @@
         NoQuorum
             No quorum confirmed in time.
         """
+        confirmed_index = 0
         if request.leader_confirmed:
-            await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+            confirmed_index = await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
             self._adopt_local_state()
-        return self._follower.fetch_reply(
+        reply = self._follower.fetch_reply(
             request.from_revision, self._loop.time(), request.routes_digest
         )
+        reply.confirmed_index = confirmed_index
+        return reply
 
     def _on_consensus(self) -> None:
         """Adopt the replicated state if the revision, the leader or the confirmation changed.
--- a/bramleycrank/daemon/consensus_controller.py
+++ b/bramleycrank/daemon/consensus_controller.py
@@ -226,6 +226,20 @@
         if self._runner is not None:
             self._runner.report_bytes()
 
+    @property
+    def has_log(self) -> bool:
+        """Whether this VM has a copy of the replicated log."""
+        return self._runner is not None
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last entry of the log that the state includes; 0 without a log."""
+        return self._runner.applied_index if self._runner else 0
+
+    def has_left(self, target_id: str, incarnation: int) -> bool:
+        """Return whether a target has left according to the log of this VM, committed or not."""
+        return self._runner is not None and self._runner.has_left(target_id, incarnation)
+
     def confirmed_at(self) -> float | None:
         """Return the time up to which the state includes every commit, or None if not leading."""
         return self._node.confirmed_at if self._node else None
--- a/bramleycrank/daemon/control_parts.py
+++ b/bramleycrank/daemon/control_parts.py
@@ -13,6 +13,7 @@
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.directory import PeerDirectory
 from bramleycrank.daemon.identity import Identity
+from bramleycrank.daemon.leave_log import LeaveLog
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.daemon.voter_changes import VoterChanges
 from bramleycrank.exceptions import StorageError
@@ -37,6 +38,7 @@
     consensus: ConsensusController
     config: ConfigController
     voters: VoterChanges
+    leaves: LeaveLog
     metrics: Metrics
 
     @classmethod
@@ -116,7 +118,9 @@
         membership.subscribe_config_status(config.on_gossip)
         membership.subscribe_config_replies(config.on_gossip)
         voters = VoterChanges(consensus, clients)
-        return cls(clients, directory, membership, consensus, config, voters, metrics)
+        leaves = LeaveLog(consensus, config.confirmed_index, metrics)
+        membership.set_leave_log(leaves)
+        return cls(clients, directory, membership, consensus, config, voters, leaves, metrics)
 
 
 def _identity_of(cfg: Settings, replace_damaged: bool) -> Identity:
--- a/bramleycrank/daemon/control_service.py
+++ b/bramleycrank/daemon/control_service.py
@@ -15,6 +15,7 @@
     ConfigurationUnavailable,
     InvalidChange,
     Outcome,
+    Refused,
     VersionConflict,
 )
 from bramleycrank.proto import log_pb2, target_pb2
@@ -29,6 +30,9 @@
 READ_RETRIES = 2
 """Number of retries of a read, for a change of the leader in the meantime."""
 
+UNKNOWN_TARGET_RETRY_MS = 500
+"""Retry-after for a leave without an incarnation of a target that is not known, in milliseconds."""
+
 READ_RETRY_S = 0.15
 """Delay before a read is retried, in seconds."""
 
@@ -149,6 +153,8 @@
             The report is invalid, of an old incarnation, or of one that has already left.
         Draining, Refused
             This VM cannot accept the report now; another VM may.
+        NoQuorum
+            The target reports that it leaves, and that is not committed yet.
         """
         if record.state == target_pb2.TARGET_STATE_LEAVING:
             await self.leave(record.target_id, record.incarnation)
@@ -156,7 +162,7 @@
         await self._registry.announce(target_pb2.AnnounceRequest(record=record))
 
     async def leave(self, target_id: str, incarnation: int | None) -> None:
-        """Record that a target leaves; return after the acknowledgements or a short timeout.
+        """Record that a target leaves; return once that is committed.
 
         Parameters
         ----------
@@ -164,12 +170,27 @@
             The target.
         incarnation : int or None
             Its incarnation; None for the newest known one.
+
+        Raises
+        ------
+        Refused
+            No incarnation is given and none is known, so that nothing could keep a late report of
+            the target out; another VM may know one.
+        NoQuorum
+            The leave is not committed yet; it can be sent again, to any VM.
         """
-        known = self._registry.incarnation_of(target_id)
         if incarnation is None:
-            incarnation = known
+            incarnation = self._registry.incarnation_of(target_id)
         if incarnation is None:
-            return  # no VM sends to a target that was never announced
+            raise Refused(
+                "the leave names no incarnation, and none is known",
+                outcome=Outcome.NOT_RUN,
+                retry_after_ms=UNKNOWN_TARGET_RETRY_MS,
+            )
         request = target_pb2.LeaveRequest(target_id=target_id, incarnation=incarnation)
-        await self._registry.leave_target(request)
+        self.in_flight += 1
+        try:
+            await self._registry.leave_target(request)
+        finally:
+            self.in_flight -= 1
         log.info("control: target leaves", extra={"target": target_id, "incarnation": incarnation})
--- a/bramleycrank/daemon/http_node.py
+++ b/bramleycrank/daemon/http_node.py
@@ -282,6 +282,7 @@
             )
         await parts.consensus.start()
         await parts.config.start()
+        parts.leaves.start()
         self._voter_manager = VoterManager(
             cfg.voting,
             parts.consensus,
@@ -466,6 +467,7 @@
         if parts is None:
             return
         await parts.config.stop()
+        parts.leaves.stop()
         await parts.membership.stop()
         if self._grpc is not None:
             self._grpc.close()
--- a/bramleycrank/daemon/log_host.py
+++ b/bramleycrank/daemon/log_host.py
@@ -13,7 +13,7 @@
 from bramleycrank.exceptions import CorruptLog, StorageError
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.observability.traffic import Traffic
-from bramleycrank.state import ReplicatedState
+from bramleycrank.state import LeaveTable, ReplicatedState
 from bramleycrank.storage import LogStore
 from bramleycrank.transport.consensus_links import ConsensusLinks
 
@@ -158,5 +158,6 @@
             self._listener,
             self._metrics,
             snapshot.index if snapshot else 0,
+            LeaveTable.from_entries(durable.entries),
         )
         self.runner.start()
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from bramleycrank.daemon.dead_vms import DeadVms
+from bramleycrank.daemon.leave_log import LeaveRecorder, NoLeaveLog
 from bramleycrank.daemon.subscribers import notify
 from bramleycrank.entry.suspect_exchange import SuspectExchange
 from bramleycrank.exceptions import (
@@ -32,6 +33,7 @@
     VmMembership,
 )
 from bramleycrank.membership.records import address_of, state_name
+from bramleycrank.membership.target_registry import check_report
 from bramleycrank.observability.metrics import Metrics, NullMetrics
 from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.proto.peer_pb2 import (
@@ -47,12 +49,14 @@
     VmRecord,
 )
 from bramleycrank.proto.target_pb2 import (
+    TARGET_STATE_LEAVING,
     AnnounceReply,
     AnnounceRequest,
     LeaveReply,
     LeaveRequest,
     TargetRecord,
 )
+from bramleycrank.state import is_recordable
 from bramleycrank.transport.peer_client import PeerClients
 
 log = logging.getLogger(__name__)
@@ -63,7 +67,8 @@
 # Longest wait of Leave for the acknowledgements of the other VMs before it replies.
 LEAVE_WAIT_S = 0.5
 
-# Longest wait of an announcement until this VM has joined. Reports of targets time out after 1 s.
+# Longest wait of an announcement until this VM has joined and knows the leaves of the log. Reports
+# of targets time out after 1 s.
 JOIN_WAIT_S = 0.6
 
 # Delay of the push of a new target, to batch it with others that report at the same time.
@@ -141,6 +146,8 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._loop_task: asyncio.Task[None] | None = None
         self._draining = False
+        self._leave_log: LeaveRecorder = NoLeaveLog()
+        self._early_reports: dict[str, AnnounceRequest] = {}  # refused, by target
         self._leaves_in_progress: dict[str, asyncio.Event] = {}  # set once all VMs acknowledged it
         self._dead_vms = DeadVms()
 
@@ -208,9 +215,11 @@
         return self.registry.all_records()
 
     def incarnation_of(self, target_id: str) -> int | None:
-        """Return the newest known incarnation of a target."""
+        """Return the newest known incarnation of a target, or None."""
         known = self.registry.get(target_id)
-        return known.incarnation if known is not None else None
+        if known is not None:
+            return known.incarnation
+        return self._leave_log.incarnation_of(target_id)
 
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target may receive new sub-requests."""
@@ -244,6 +253,11 @@
         """Set the source of the `ConfigStatus` that each gossip message includes."""
         self._config_status = provider
 
+    def set_leave_log(self, leave_log: LeaveRecorder) -> None:
+        """Set where leaves of targets are kept beyond the end of this process."""
+        self._leave_log = leave_log
+        self.registry.has_left = leave_log.has_left
+
     def subscribe_config_status(self, callback: Callable[[str, ConfigStatus], None]) -> None:
         """Call back with ``host:port`` and the configuration status of each gossip sender."""
         self._status_callbacks.append(callback)
@@ -295,11 +309,21 @@
         Draining
             This VM drains; the target has to announce to another VM.
         Refused
-            This VM has not joined within `JOIN_WAIT_S`. It may not know yet that the target left,
-            and a delayed announcement would make it send new sub-requests to that target.
+            This VM has not joined within `JOIN_WAIT_S`, or its log does not have all leaves yet. It
+            may not know that the target left, and a delayed announcement would make it send new
+            sub-requests to that target.
+        NoQuorum
+            The target announces that it leaves, and that is not committed yet.
         InvalidRequest
             The announcement is invalid, of an old incarnation, or of one that has already left.
         """
+        if request.record.state == TARGET_STATE_LEAVING:
+            check_report(request.record)
+            leave = LeaveRequest(
+                target_id=request.record.target_id, incarnation=request.record.incarnation
+            )
+            await self.leave_target(leave)
+            return self.registry.reply()
         deadline = self._clock() + JOIN_WAIT_S
         while not self.core.joined and not self._draining and self._clock() < deadline:
             await asyncio.sleep(JOIN_POLL_S)
@@ -309,6 +333,16 @@
             raise Refused(
                 "the VM is joining", outcome=Outcome.NOT_RUN, retry_after_ms=JOIN_RETRY_MS
             )
+        if not await self._leave_log.wait_caught_up(deadline - self._clock()):
+            self._keep_early_report(request)
+            raise Refused(
+                "the log does not have all leaves of targets yet",
+                outcome=Outcome.NOT_RUN,
+                retry_after_ms=JOIN_RETRY_MS,
+            )
+        return self._accept_report(request)
+
+    def _accept_report(self, request: AnnounceRequest) -> AnnounceReply:
         push_scheduled = self.registry.has_new_targets
         is_first = self.registry.get(request.record.target_id) is None
         try:
@@ -323,6 +357,30 @@
             self._spawn(self._push_new_targets())
         return reply
 
+    def _keep_early_report(self, request: AnnounceRequest) -> None:
+        """Keep the newest report of a target until this VM knows all leaves.
+
+        Load pattern: all VMs start after a loss of power. The next report of a target comes a
+        renewal time later, and callers wait for the targets.
+        """
+        target_id = request.record.target_id
+        kept = self._early_reports.get(target_id)
+        if kept is not None and _age_order(kept) > _age_order(request):
+            return
+        if not self._early_reports:
+            self._spawn(self._accept_early_reports())
+        self._early_reports[target_id] = request
+
+    async def _accept_early_reports(self) -> None:
+        while not await self._leave_log.wait_caught_up(JOIN_WAIT_S):
+            pass
+        requests, self._early_reports = self._early_reports, {}
+        for request in requests.values():
+            try:
+                self._accept_report(request)
+            except InvalidRequest as exc:
+                log.info("membership: dropped an early report: %s", exc)
+
     def _record_first_report(self, record: TargetRecord) -> None:
         """Record that this VM knew nothing of a target, as after a start."""
         self._metrics.incr("targets.first_reports")
@@ -346,17 +404,30 @@
         self._execute(self.registry.push_new_targets())
 
     async def leave_target(self, request: LeaveRequest) -> LeaveReply:
-        """Handle `Registry.Leave`; reply once the other VMs acknowledged the record or after 0.5 s.
+        """Handle `Registry.Leave`; reply once the leave is committed and the other VMs have it.
+
+        The leave is obeyed at once. A reply before the commit would promise what is forgotten if
+        all processes end; one before the other VMs acknowledged the record, or 0.5 s passed, would
+        lose time if this VM failed right after it.
 
-        An immediate reply would lose the record if this VM failed right after it.
+        Raises
+        ------
+        InvalidRequest
+            The target's id is empty or too long to be kept.
+        NoQuorum
+            The leave is not committed yet; the target can send it again, to any VM.
         """
         target_id = request.target_id
+        if not is_recordable(target_id):
+            raise InvalidRequest("target_id is empty or too long", outcome=Outcome.NOT_RUN)
         self._metrics.incr("targets.leaves")
+        pushed_by = self._clock() + LEAVE_WAIT_S
         self._execute(self.registry.leave(request, self._clock()))
+        await self._leave_log.record(target_id, request.incarnation)
         if self.core.has_unacknowledged_push(target_id):
             acknowledged = self._leaves_in_progress.setdefault(target_id, asyncio.Event())
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(acknowledged.wait(), LEAVE_WAIT_S)
+                await asyncio.wait_for(acknowledged.wait(), max(0.0, pushed_by - self._clock()))
         return LeaveReply()
 
     def mark_leaving(self, target_id: str, incarnation: int) -> None:
@@ -370,11 +441,23 @@
             now = self._clock()
             try:
                 self._execute([*self.core.tick(now), *self.registry.tick(now)])
+                self._spread_committed_leaves(now)
             except Exception:
                 log.exception("membership: tick failed")
             delay_s = min(TICK_S, max(0.005, self.core.next_deadline() - self._clock()))
             await asyncio.sleep(delay_s)
 
+    def _spread_committed_leaves(self, now: float) -> None:
+        """Spread leaves that the VM which took them did not push, for example because it ended."""
+        for target_id, incarnation in self._leave_log.unspread(now):
+            actions = self.registry.spread_leave(target_id, incarnation, now)
+            if actions:
+                log.info(
+                    "membership: learned of a leave from the log",
+                    extra={"target": target_id, "incarnation": incarnation},
+                )
+            self._execute(actions)
+
     def _execute(self, actions: Iterable[Any]) -> list[asyncio.Task[Any]]:
         """Execute actions and return the tasks that send messages."""
         tasks = []
@@ -482,3 +565,8 @@
         notify(self._status_callbacks, address, gossip.config)
         if sent_at is not None:
             notify(self._reply_callbacks, address, gossip.config, sent_at)
+
+
+def _age_order(request: AnnounceRequest) -> tuple[int, int]:
+    """Return the order of a target's reports."""
+    return request.record.incarnation, request.record.sequence
--- a/bramleycrank/daemon/node.py
+++ b/bramleycrank/daemon/node.py
@@ -16,6 +16,7 @@
 from bramleycrank.daemon.consensus_controller import ConsensusController
 from bramleycrank.daemon.control_parts import ControlParts
 from bramleycrank.daemon.control_steps import ControlSteps
+from bramleycrank.daemon.leave_log import LeaveLog
 from bramleycrank.daemon.life_cycle import LifeCycle
 from bramleycrank.daemon.membership_controller import MembershipController
 from bramleycrank.daemon.query_controller import QueryController
@@ -79,6 +80,7 @@
     membership: MembershipController
     consensus: ConsensusController
     config: ConfigController
+    leaves: LeaveLog
     sessions: SessionController
     query: QueryController
     voters: VoterChanges
@@ -138,6 +140,7 @@
         parts = self._parts = self._build()
         await parts.consensus.start()
         await parts.config.start()
+        parts.leaves.start()
         self._server = Server(self._services(parts))
         await self._server.start(self._cfg.listen.grpc.host, self._cfg.listen.grpc.port)
         await parts.query.start()
@@ -194,6 +197,7 @@
         parts = self._parts
         if self._gauge_timer is not None:
             self._gauge_timer.cancel()
+        parts.leaves.stop()
         for step in (parts.query.stop(), parts.sessions.stop(), parts.config.stop()):
             await _log_failure(step)
         await _log_failure(parts.membership.stop())
@@ -243,6 +247,7 @@
             membership,
             consensus,
             config,
+            control.leaves,
             sessions,
             query,
             control.voters,
--- a/bramleycrank/daemon/raft_runner.py
+++ b/bramleycrank/daemon/raft_runner.py
@@ -25,7 +25,7 @@
 )
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto import log_pb2
-from bramleycrank.state import ReplicatedState
+from bramleycrank.state import LeaveTable, ReplicatedState, with_leaves
 from bramleycrank.storage import LogStore
 from bramleycrank.transport.consensus_links import ConsensusLinks
 
@@ -91,6 +91,8 @@
         Receiver of metrics.
     applied_index : int, optional
         Index of the last log entry that `state` includes.
+    logged_leaves : LeaveTable, optional
+        Leaves of targets in the entries that the node was loaded with, committed or not.
     """
 
     def __init__(
@@ -102,9 +104,11 @@
         listener: Listener,
         metrics: Metrics,
         applied_index: int = 0,
+        logged_leaves: LeaveTable | None = None,
     ) -> None:
         self.node = node
         self.state = state
+        self._logged_leaves = logged_leaves or LeaveTable()
         self.failure: BaseException | None = None
         self.applied_index = applied_index
         self._store = store
@@ -194,6 +198,14 @@
         """Transfer the leadership to the follower with the most recent log."""
         self._run(self.node.transfer_leadership)
 
+    def has_left(self, target_id: str, incarnation: int) -> bool:
+        """Return whether a target has left according to the log, committed or not.
+
+        A leave is true once the target has said it, so one without a quorum counts as well.
+        """
+        tables = (self.state.leaves, self._logged_leaves)
+        return any(table.covers(target_id, incarnation) for table in tables)
+
     def report_bytes(self) -> None:
         """Set the gauges of the bytes that the log holds in memory, on disk and for members.
 
@@ -250,12 +262,22 @@
         for node_id in unsent:
             self._run(lambda now, node_id=node_id: self.node.report_unsent(node_id, now))
         for message in inbox:
+            self._keep_leaves(message)
             self._run(lambda now, message=message: self.node.receive(message, now))
         if batch:
             self._run(lambda now: self.node.propose(batch, now))
         if self._loop.time() >= self.node.next_deadline():
             self._run(self.node.tick)
 
+    def _keep_leaves(self, message: log_pb2.ConsensusMessage) -> None:
+        """Add the known leaves to an image of a build that keeps none, before it replaces them.
+
+        The image is stored and sent on with them.
+        """
+        if message.WhichOneof("body") == "install_snapshot":
+            snapshot = message.install_snapshot.snapshot
+            snapshot.image = with_leaves(snapshot.image, self._logged_leaves, self.state.leaves)
+
     def _run(self, event: Callable[[float], Sequence[object]]) -> None:
         """Pass one event to the node and execute the actions that it returns.
 
--- a/bramleycrank/membership/target_registry.py
+++ b/bramleycrank/membership/target_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 import attrs
 
@@ -74,6 +74,9 @@
 
     def __init__(self, cfg: MembershipConfig, vm_id: str, now: float) -> None:
         self.queue = GossipQueue(vm_id)
+        self.has_left: Callable[[str, int], bool] = lambda target_id, incarnation: False
+        """Returns whether a target left in an incarnation, according to a source that outlives
+        this process."""
         self._cfg = cfg
         self._vm_id = vm_id
         self._table = TargetTable(cfg, vm_id)
@@ -110,27 +113,29 @@
             in this incarnation.
         """
         record = request.record
-        _validate(record)
+        check_report(record)
         if record.state == TARGET_STATE_LEAVING:
             leave = LeaveRequest(target_id=record.target_id, incarnation=record.incarnation)
-            return self._reply(), self.leave(leave, now)
+            return self.reply(), self.leave(leave, now)
         known = self._table.get(record.target_id)
         _check_incarnation(record, known)
+        if self.has_left(record.target_id, record.incarnation):
+            raise _left_error(record)
         if self._is_late(record):
-            return self._reply(), []
+            return self.reply(), []
         self._leases[record.target_id] = _Lease(
             record.incarnation, record.sequence, now + self._cfg.lease_s
         )
         cold_again = self._is_cold_again(record, known, now)
         new = self._next_record(record, known, cold_again)
         if new is None:
-            return self._reply(), []
+            return self.reply(), []
         actions = self._store(new, now)
         if actions and cold_again:
             actions.append(PushRecords((new,)))
         elif actions and not self._was_usable(known, record.incarnation):
             self._new_targets[record.target_id] = new
-        return self._reply(), actions
+        return self.reply(), actions
 
     @staticmethod
     def _was_usable(known: TargetRecord | None, incarnation: int) -> bool:
@@ -179,7 +184,8 @@
             new.sequence = max(known.sequence + 1, record.sequence)
         return new
 
-    def _reply(self) -> AnnounceReply:
+    def reply(self) -> AnnounceReply:
+        """Return the reply to a report of a target."""
         return AnnounceReply(
             lease_ms=round(self._cfg.lease_s * 1000),
             renew_ms=round(self._cfg.renew_s * 1000),
@@ -253,11 +259,15 @@
         -------
         list of Action
             `TargetChanged` for each change; `PushRecords` to a few VMs for targets that were
-            usable on this VM and leave or are cold again.
+            usable on this VM and leave or are cold again, and to all VMs for those that the other
+            VM did not know to have left.
         """
         actions: list[Action] = []
-        to_forward = []
-        for record in records:
+        to_forward, to_correct = [], []
+        for received in records:
+            record = self._corrected(received)
+            if record is not received:
+                to_correct.append(record)
             was_usable = self._table.is_usable(record.target_id)
             was_warm = self._table.warm_at(record.target_id) <= now
             changes = self._store(record, now, queue_for_gossip=queue_for_gossip)
@@ -270,8 +280,32 @@
             actions.append(
                 PushRecords(tuple(to_forward), fanout=FORWARD_FANOUT, own_domain_only=True)
             )
+        if to_correct:
+            actions.append(PushRecords(tuple(to_correct)))
         return actions
 
+    def _corrected(self, record: TargetRecord) -> TargetRecord:
+        """Return a LEAVING record for a received one of a target that has left."""
+        if record.state in ENDED_STATES or not self.has_left(record.target_id, record.incarnation):
+            return record
+        known = self._table.get(record.target_id)
+        if known is not None and target_key(known) > target_key(record):
+            return record  # the known record is newer, and gossip carries it
+        return _ended_record(record, TARGET_STATE_LEAVING, self._vm_id)
+
+    def spread_leave(self, target_id: str, incarnation: int, now: float) -> list[Action]:
+        """Record and push a leave that this VM has from another source, unless gossip brought it.
+
+        Returns
+        -------
+        list of Action
+            Those of `leave`; empty if the target is unknown, ended or in a newer incarnation here.
+        """
+        known = self._table.get(target_id)
+        if known is None or known.state in ENDED_STATES or known.incarnation > incarnation:
+            return []
+        return self.leave(LeaveRequest(target_id=target_id, incarnation=incarnation), now)
+
     def _store(
         self, record: TargetRecord, now: float, *, queue_for_gossip: bool = True
     ) -> list[Action]:
@@ -418,13 +452,19 @@
     if record.incarnation < known.incarnation:
         problem = f"has the newer incarnation {known.incarnation}"
     elif known.state == TARGET_STATE_LEAVING:
-        problem = f"left in incarnation {known.incarnation}"
+        raise _left_error(record)
     else:
         return
     raise InvalidRequest(f"target {record.target_id} {problem}", outcome=Outcome.NOT_RUN)
 
 
-def _validate(record: TargetRecord) -> None:
+def _left_error(record: TargetRecord) -> InvalidRequest:
+    message = f"target {record.target_id} left in incarnation {record.incarnation}"
+    return InvalidRequest(message, outcome=Outcome.NOT_RUN)
+
+
+def check_report(record: TargetRecord) -> None:
+    """Raise `InvalidRequest` if a field of a target's report is invalid."""
     problems = [
         message
         for is_invalid, message in (
--- a/bramleycrank/observability/metric_names.py
+++ b/bramleycrank/observability/metric_names.py
@@ -169,6 +169,13 @@
         "Reports of an old incarnation of a target, or of one that has left.",
     ),
     _counter("targets.leaves", "leaves", "Leaves that targets reported to this VM."),
+    _counter("targets.leaves_committed", "leaves", "Those that this VM committed for a target."),
+    _counter("targets.leaves_repeated", "leaves", "Those that had been committed before."),
+    _counter(
+        "targets.leaves_uncommitted",
+        "leaves",
+        "Those that were not committed in time, so that they were not acknowledged.",
+    ),
     _counter("consensus.role_changes", "changes", "Changes of the VM's role in the log."),
     _gauge("consensus.voters", "voters", "Voters of the log, on the leader."),
     _gauge("consensus.voters_silent", "voters", "Voters that do not respond to the leader."),
--- a/bramleycrank/state/__init__.py
+++ b/bramleycrank/state/__init__.py
@@ -3,7 +3,8 @@
 from bramleycrank.state.claims import ClaimTable
 from bramleycrank.state.config_state import ConfigState
 from bramleycrank.state.follower import ConfigFollower
-from bramleycrank.state.replicated import ReplicatedState
+from bramleycrank.state.replicated import ReplicatedState, with_leaves
+from bramleycrank.state.target_leaves import LeaveTable, is_recordable
 from bramleycrank.state.types import ConfigInForce, FetchConfig, FollowerAction, FollowerConfig
 
 __all__ = [
@@ -14,5 +15,8 @@
     "FetchConfig",
     "FollowerAction",
     "FollowerConfig",
+    "LeaveTable",
     "ReplicatedState",
+    "is_recordable",
+    "with_leaves",
 ]
--- a/bramleycrank/state/replicated.py
+++ b/bramleycrank/state/replicated.py
@@ -18,6 +18,7 @@
 )
 from bramleycrank.state.claims import ClaimTable
 from bramleycrank.state.config_state import ConfigState
+from bramleycrank.state.target_leaves import LeaveTable
 from bramleycrank.state.types import REMEMBERED_CHANGES
 from bramleycrank.state.validation import has_change_id
 
@@ -25,7 +26,7 @@
 
 
 class ReplicatedState:
-    """State machine that holds the configuration and the claims.
+    """State machine that holds the configuration, the claims and the leaves of targets.
 
     It depends on no clocks, random numbers or set order, so equal logs give equal states and equal
     images on every node.
@@ -34,6 +35,7 @@
     def __init__(self) -> None:
         self.config = ConfigState()
         self.claims = ClaimTable()
+        self.leaves = LeaveTable()
         self._changes: OrderedDict[str, CommandResult] = OrderedDict()
 
     @classmethod
@@ -43,6 +45,7 @@
         state = cls()
         state.config = ConfigState.from_image(image.config, image.deltas)
         state.claims = ClaimTable.from_claims(image.claims, image.claims_floor_ms)
+        state.leaves = LeaveTable.from_message(image.target_leaves)
         state._changes.update((item.change_id, item.result) for item in image.changes)
         return state
 
@@ -56,6 +59,7 @@
                 for change_id, result in self._changes.items()
             ],
             claims_floor_ms=self.claims.floor_ms,
+            target_leaves=self.leaves.message(),
         ).SerializeToString(deterministic=True)
         # Protobuf allows joining the serialized parts of a message. The claims are stored
         # serialized already.
@@ -78,7 +82,7 @@
             command = Command()
         if command.WhichOneof("body") == "change":
             return self._apply_change(command.change)
-        return self._with_revision(self._apply_claim_command(command))
+        return self._with_revision(self._apply_command(command))
 
     def floor_proposal(self, now_ms: int) -> Command | None:
         """Return the command that raises the claims floor, or ``None`` if it is high enough.
@@ -107,13 +111,14 @@
             "claims": len(self.claims),
             "claims_floor_ms": self.claims.floor_ms,
             "answer_bytes": self.claims.answer_bytes,
+            "target_leaves": len(self.leaves),
         }
 
     def _with_revision(self, result: CommandResult) -> CommandResult:
         result.revision = self.config.revision
         return result
 
-    def _apply_claim_command(self, command: Command) -> CommandResult:
+    def _apply_command(self, command: Command) -> CommandResult:
         match command.WhichOneof("body"):
             case "claim_open":
                 return self.claims.open(command.claim_open)
@@ -124,6 +129,9 @@
             case "claim_floor":
                 self.claims.raise_floor(command.claim_floor.floor_ms)
                 return CommandResult(code=ResultCode.RESULT_CODE_OK)
+            case "target_leaves":
+                self.leaves.record(command.target_leaves.leaves)
+                return CommandResult(code=ResultCode.RESULT_CODE_OK)
         return CommandResult(code=ResultCode.RESULT_CODE_INVALID, message="unreadable command")
 
     def _apply_change(self, change: Change) -> CommandResult:
@@ -141,6 +149,17 @@
         return result
 
 
+def with_leaves(data: bytes, *tables: LeaveTable) -> bytes:
+    """Return an image with the leaves of some tables, if it is of a build that keeps none."""
+    if StateImage.FromString(data).HasField("target_leaves"):
+        return data
+    leaves = LeaveTable()
+    for table in tables:
+        leaves.record(table.message().leaves)
+    # Protobuf allows joining the serialized parts of a message.
+    return data + StateImage(target_leaves=leaves.message()).SerializeToString()
+
+
 def _copy_result(result: CommandResult) -> CommandResult:
     copy = CommandResult()
     copy.CopyFrom(result)
--- a/tests/test_daemon_config_controller.py
+++ b/tests/test_daemon_config_controller.py
@@ -57,6 +57,7 @@
     async def confirm_read(self, timeout_s):
         if not self.confirmed:
             raise NotLeader()
+        return 1
 
     async def wait_role_change(self, timeout_s):
         await asyncio.sleep(timeout_s)
--- a/tests/test_process_upgrade.py
+++ b/tests/test_process_upgrade.py
@@ -15,6 +15,7 @@
 import pytest
 from http_fakes import FakeTarget, header, ok
 from test_entry_quarantine import CrashingTarget
+from test_process_leaves import body_of
 from test_process_replacement import (
     CATCH_UP_S,
     MARGIN_S,
@@ -73,6 +74,7 @@
             name: FakeTarget(lambda request, body=body: ok(request, body, Server_Limit=b"500"))
             for name, body in self.records.items()
         }
+        self.more_fakes: list[FakeTarget] = []
         self.cut_vm: PlatformVm | None = None
         self.deadly = CrashingTarget(self._crash)
 
@@ -321,6 +323,115 @@
         assert "key-" not in text
 
 
+LEFT_BORN = 5
+"""Incarnation of the targets that leave during the upgrade."""
+
+
+async def leave(upgrade: Upgrade, target_id: str, voter: PlatformVm) -> None:
+    """Have a target of service `a` report to a voter, and leave until that is acknowledged."""
+    assert await report_late(upgrade, target_id, voter)
+
+    async def is_acknowledged() -> bool:
+        body = {"born": LEFT_BORN}
+        reply = await upgrade.fleet.send(
+            "DELETE", f"/-/instances/{target_id}", body, voter.ip, CONTROL_PORT
+        )
+        return b" 200 " in reply[:20]
+
+    await wait_until(is_acknowledged, f"the leave of {target_id} is acknowledged", 10)
+
+
+async def report_late(upgrade: Upgrade, target_id: str, voter: PlatformVm) -> bool:
+    """Deliver a report of a target that leaves; return whether the voter took the call."""
+    body = body_of(upgrade.left.port, born=LEFT_BORN) | {"Service": "a"}
+    reply = await upgrade.fleet.send(
+        "PUT", f"/-/instances/{target_id}", body, voter.ip, CONTROL_PORT
+    )
+    return b" 200 " in reply[:20]
+
+
+async def end_all(upgrade: Upgrade, trees: dict[str, Path | None]) -> None:
+    """Kill all processes at once, and start them with the given builds."""
+    for vm in upgrade.vms:
+        vm.process.signal(signal.SIGKILL)
+    for vm in upgrade.vms:
+        vm.process.reap()
+        vm.start(tree=trees[vm.name])
+    await upgrade.all_serve(1)
+
+
+async def another_leads(fleet: Fleet, restarted: PlatformVm) -> bool:
+    """Return whether a voter other than one that was killed leads the log."""
+    for vm in fleet.voters:
+        log = (fleet.folder / f"{vm.name}.log").read_text()
+        roles = [line for line in log.splitlines() if "raft_runner" in line and " in term " in line]
+        if vm is not restarted and roles and "consensus: leader" in roles[-1]:
+            return True
+    return False
+
+
+async def leaves_scenario(upgrade: Leaves) -> None:
+    """Have targets leave before, during and after an upgrade, with a leader of each build."""
+    fleet, old = upgrade.fleet, upgrade.old
+    trees: dict[str, Path | None] = dict.fromkeys((vm.name for vm in upgrade.vms), old)
+    for vm in upgrade.vms:
+        vm.start(bootstrap=True, tree=old)
+    await fleet.put_config(document(1, 1))
+    await upgrade.all_serve(1)
+    await leave(upgrade, "left-before", fleet.voters[0])
+    for number, voter in enumerate(fleet.voters):
+        voter.process.signal(signal.SIGKILL)
+        voter.process.reap()
+        # A leader of the landed build, of either one, and of this build.
+        await wait_until(lambda v=voter: another_leads(fleet, v), "another voter leads", 10)
+        voter.start(tree=None)
+        trees[voter.name] = None
+        await wait_until(lambda v=voter: fleet.read_config(v), f"{voter.name} is back", 20)
+        await leave(upgrade, f"left-{number}", voter)
+        if not number:  # kept in memory only, by VMs of both builds
+            await upgrade.stays_out("left-before", fleet.voters[0])
+            await upgrade.stays_out("left-before", fleet.voters[2])
+        await end_all(upgrade, trees)
+        for vm in fleet.voters:  # a late report at each voter, also of the landed build
+            await upgrade.stays_out(f"left-{number}", vm)
+    # The rollback, with the logs and images of this build, and back again.
+    for tree in (old, None):
+        await end_all(upgrade, dict.fromkeys(trees, tree))
+        await fleet.put_config(document(2 if tree else 3, 1))
+        await leave(upgrade, f"left-{tree is None}", fleet.voters[1])
+    await end_all(upgrade, dict.fromkeys(trees))
+    for target_id in ("left-0", "left-1", "left-2", "left-True"):
+        await upgrade.stays_out(target_id, fleet.voters[0])
+    for vm in upgrade.vms:
+        text = (fleet.folder / f"{vm.name}.err").read_text()
+        assert "Traceback" not in text + (fleet.folder / f"{vm.name}.log").read_text(), vm.name
+
+
+class Leaves(Upgrade):
+    """A fleet of both builds from which targets of service `a` leave."""
+
+    def __init__(self, fleet: Fleet, old: Path) -> None:
+        super().__init__(fleet, old)
+        body = self.records["a"]
+        self.left = FakeTarget(lambda request: ok(request, body))
+        self.more_fakes.append(self.left)
+
+    async def stays_out(self, target_id: str, voter: PlatformVm) -> None:
+        """Deliver a late report; check that its target gets no requests after a moment.
+
+        A VM of the landed build may take the report. The others correct it.
+        """
+        await wait_until(lambda: report_late(self, target_id, voter), "a late report", 20)
+        await asyncio.sleep(CORRECTED_WITHIN_S)
+        requests = len(self.left.requests)
+        for _ in range(6):
+            assert all([await self.served(vm) for vm in self.fleet.entries])
+        assert len(self.left.requests) == requests, (target_id, voter.name)
+
+
+CORRECTED_WITHIN_S = 1.0
+
+
 def run_upgrade(
     tmp_path: Path,
     kind: type[Upgrade],
@@ -333,7 +444,7 @@
         fleet = Fleet(tmp_path, entries=2)
         upgrade = kind(fleet, landed_build(tmp_path / "landed", commit))
         fleet.entries[0].partition_file = tmp_path / "x.cut"
-        fakes = [*upgrade.fakes.values(), upgrade.deadly]
+        fakes = [*upgrade.fakes.values(), upgrade.deadly, *upgrade.more_fakes]
         for fake in fakes:
             await fake.start()
         reports = asyncio.create_task(upgrade.report())
@@ -355,6 +466,11 @@
     run_upgrade(tmp_path, Upgrade, scenario)
 
 
+def test_leaves_are_kept_beside_the_landed_build_and_after_a_rollback(tmp_path):
+    """Guards against a log entry or an image with leaves that the landed build does not bear."""
+    run_upgrade(tmp_path, Leaves, leaves_scenario)
+
+
 def test_a_table_keeps_its_customers_at_vms_of_the_landed_build(tmp_path):
     """Guards against customers that are lost when an old VM accepts, passes on or stores them."""
     run_upgrade(tmp_path, Customers, customers_scenario, BEFORE_CUSTOMERS)
