--- a/bramleycrank/entry/controller.py
+++ b/bramleycrank/entry/controller.py
@@ -684,6 +684,7 @@
             routes_version=self._index.version,
             latency_ms=round(latency_s * 1000, 1),
             sends=call.sends,
+            most_sends=max(call.execution.sends, default=0),
             missing=missing_services(route, action),
             target_failures=call.failures,
             **call.identity.log_fields(),
