Take each sub-request from the attempts of its shard where it is sent

Cause: the time of a hedge was also the time at which a deferred shard follows a slow canary, so a canary got one whatever its attempts, and a hedge asked for nothing but that time.

Change: Attempts bounds a shard, and _send takes one or sends nothing, so no path to a target can pass the bound. The wake-up of deferred shards is a time of its own. An attempt is given back when its failure arrives, once, instead of when a retry is considered: that of a hedge that was not sent was lost while the first sub-request was open.

The oracle of test_query_execution.py checks the bound of the other stack as well.

Also: a VM that starts asks every 10 ms whether its log is confirmed, instead of 20.

--- a/bramleycrank/daemon/leave_log.py
+++ b/bramleycrank/daemon/leave_log.py
@@ -32,7 +32,7 @@
 """Time after the start from which a VM takes reports although its log is not confirmed, in seconds.
 Without a quorum the targets in service would be lost otherwise."""
 
-CATCH_UP_POLL_S = 0.02
+CATCH_UP_POLL_S = 0.01
 """Polling period while this VM waits for a leader or for its own log, in seconds."""
 
 SPREAD_CHECK_S = 0.5
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -11,7 +11,7 @@
 from bramleycrank.scatter.delivery import ROUND_TRIP_S
 from bramleycrank.scatter.merge import trim_records
 from bramleycrank.scatter.policy import ScatterPolicy
-from bramleycrank.scatter.progress import OpenSubRequest, Shard
+from bramleycrank.scatter.progress import Attempts, OpenSubRequest, Shard
 from bramleycrank.scatter.quarantine import Canary, Verdict
 from bramleycrank.scatter.stream import LATEST_STREAM_SHARE, ReplyStream
 from bramleycrank.scatter.types import (
@@ -47,10 +47,6 @@
 HEDGE_RECHECK_AGE_SHARE = 0.25
 """The same delay as a share of the request's age; bounds the checks when many shards are slow."""
 
-MAX_REFUSED = 2
-"""Refusals per shard that don't count as attempts; more would burden targets that are full."""
-
-
 _FAILURE_CAUSES = {
     FailureKind.REFUSED: RefusalCause.TARGETS,
     FailureKind.NOT_SENT: RefusalCause.UNSENT,
@@ -109,7 +105,7 @@
         self._deadline = min(deadline, arrived + route.timeout_s)
         services = route.services if route.gather else (route.choose_service(),)
         self._shards = [
-            Shard(service, sends=count)
+            Shard(service, Attempts.from_route(route, count))
             for service, count in itertools.zip_longest(
                 services, sends[: len(services)], fillvalue=0
             )
@@ -158,8 +154,10 @@
             )
             return self._end_with(refusal, now)
         for shard in self._shards:
-            exhausted = shard.sends >= max(1, self.route.max_targets)
-            if exhausted or not self._policy.has_targets(shard.service, self._excluded(shard), now):
+            excluded = self._excluded(shard)
+            if not shard.attempts.left or not self._policy.has_targets(
+                shard.service, excluded, now
+            ):
                 self._mark_lost(shard)
         if len(self._shards) - self._lost < self._needed:
             return self._end_without_answer(now)
@@ -219,7 +217,10 @@
         shard, sub = open_sub
         self._remove_sub(shard, sub)
         shard.failure = failure
-        self._may_have_run |= failure.kind not in NOT_RUN_KINDS
+        if failure.kind in NOT_RUN_KINDS:
+            shard.attempts.give_back(failure.kind)
+        else:
+            self._may_have_run = True
         self._policy.on_failure(sub.target_id, failure, now)
         actions: list[Action] = []
         lost = failure.kind is FailureKind.LOST
@@ -247,7 +248,7 @@
     @property
     def sends(self) -> tuple[int, ...]:
         """Sub-requests that may have run at each service of the route."""
-        return tuple(shard.sends for shard in self._shards)
+        return tuple(shard.attempts.used for shard in self._shards)
 
     @property
     def deadline(self) -> float:
@@ -292,9 +293,7 @@
         list of Action or None
             The actions to execute; None if the request may run only here.
         """
-        attempts_left = any(count < self.route.max_targets for count in self.sends)
-        repeatable = self.route.idempotent or not any(self.sends)
-        if self.ended or not (repeatable and attempts_left):
+        if self.ended or not any(shard.attempts.left for shard in self._shards):
             return None
         self.ended = True
         self.waiting.clear()
@@ -345,42 +344,53 @@
 
         If the shard waited after a refusal, its next sub-request is an extra one.
         """
+        if not shard.attempts.left:
+            self._mark_lost(shard)
+            return
         target_id = self._choose(shard, now)
         if target_id is None and self._policy.has_targets(
             shard.service, self._excluded(shard), now
         ):
             self.waiting.add(shard.service)
-        elif target_id is None or not self._spend_unless_first(shard, now):
+        elif (
+            target_id is None
+            or not self._spend_unless_first(shard, now)
+            or not self._send(shard, target_id, now, actions)
+        ):
             self._mark_lost(shard)
-        else:
-            self._send(shard, target_id, now, actions)
 
     def _spend_unless_first(self, shard: Shard, now: float) -> bool:
         """Spend retry budget unless it is the shard's first sub-request to reach a target."""
-        first = not shard.sends and not shard.refused
-        return first or self._policy.spend_retry_budget(shard.service, now)
+        return shard.attempts.is_first or self._policy.spend_retry_budget(shard.service, now)
+
+    def _send(self, shard: Shard, target_id: str, now: float, actions: list[Action]) -> bool:
+        """Send a sub-request if the shard has an attempt left; return whether it was sent.
 
-    def _send(self, shard: Shard, target_id: str, now: float, actions: list[Action]) -> None:
+        Each path to a target ends here, so none can send to more than the route allows.
+        """
+        if not shard.attempts.take():
+            return False
+        self.waiting.discard(shard.service)
         sub = OpenSubRequest(next(self._sub_ids), target_id, now)
         shard.open.append(sub)
         shard.tried.append(target_id)
-        shard.sends += 1
         self._open_subs[sub.sub_id] = (shard, sub)
         self._policy.on_sent(target_id, now)
-        if self._may_hedge(shard):
+        may_hedge = self._may_hedge(shard)
+        shard.hedge_at = math.inf
+        if may_hedge or self._canary.awaits_reply:
             route = self.route
             scarce = not route.gather and self._policy.is_budget_scarce(shard.service, now)
             delay_s = self._policy.hedge_delay(route.name, route.objective_s, scarce=scarce)
-            shard.hedge_at = now + delay_s
-            self._next_hedge_at = min(self._next_hedge_at, shard.hedge_at)
-        else:
-            shard.hedge_at = math.inf
+            # A slow canary is followed by a deferred shard at the time at which it would be hedged.
+            self._next_hedge_at = min(self._next_hedge_at, now + delay_s)
+            if may_hedge:
+                shard.hedge_at = now + delay_s
         actions.append(Forward(sub.sub_id, target_id, shard.service, self._deadline))
+        return True
 
     def _may_hedge(self, shard: Shard) -> bool:
-        if self._canary.deferred and not self._canary.has_reply:
-            return True  # another shard is sent in place of a hedge
-        return self.route.idempotent and shard.sends < self.route.max_targets
+        return self.route.idempotent and shard.attempts.left
 
     # Sub-requests that are sent one at a time.
 
@@ -466,7 +476,7 @@
             due = [s for s in self._shards if not s.ended and s.open and now >= s.hedge_at]
             if self._canary.deferred:
                 self._send_canary(now, actions)
-            elif due and self._may_hedge(due[0]):
+            elif due:
                 self._try_hedge(due[0], len(due), now, actions)
         delay_s = max(MIN_HEDGE_RECHECK_DELAY_S, HEDGE_RECHECK_AGE_SHARE * (now - self._arrived))
         self._next_hedge_at = now + delay_s
@@ -483,11 +493,12 @@
         scarce = self.route.gather and self._policy.is_budget_scarce(shard.service, now)
         if scarce and unhedged_shards <= dispensable_shards:
             return False
+        if not self._may_hedge(shard):
+            return False
         target_id = self._choose(shard, now)
         if target_id is None or not self._policy.spend_retry_budget(shard.service, now):
             return False
-        self._send(shard, target_id, now, actions)
-        return True
+        return self._send(shard, target_id, now, actions)
 
     def _retry_or_mark_lost(
         self, shard: Shard, failure: SubFailure, now: float, actions: list[Action]
@@ -498,29 +509,21 @@
     def _retry(self, shard: Shard, failure: SubFailure, now: float, actions: list[Action]) -> bool:
         """Retry at another target after a failure; return whether it was sent or waits.
 
-        A sub-request that did not reach the target counts neither as an attempt nor against the
-        budget. A refused one costs budget but is no attempt, since attempts bound how often a
-        request may run.
+        The retry of a sub-request that did not reach its target costs no budget.
         """
-        not_sent = failure.kind is FailureKind.NOT_SENT
-        not_run = failure.kind in NOT_RUN_KINDS
-        if not_sent:
-            shard.sends -= 1
-        elif not_run and shard.refused < MAX_REFUSED:
-            shard.refused += 1
-            shard.sends -= 1
-        if shard.sends >= self.route.max_targets or not (self.route.idempotent or not_run):
+        if not shard.attempts.left:
             return False
         target_id = self._choose(shard, now)
         if target_id is None:
+            not_run = failure.kind in NOT_RUN_KINDS
             if not_run and self._policy.has_targets(shard.service, self._excluded(shard), now):
                 self.waiting.add(shard.service)
                 return True
             return False
-        if not not_sent and not self._policy.spend_retry_budget(shard.service, now):
+        free = failure.kind is FailureKind.NOT_SENT
+        if not free and not self._policy.spend_retry_budget(shard.service, now):
             return False
-        self._send(shard, target_id, now, actions)
-        return True
+        return self._send(shard, target_id, now, actions)
 
     def _remove_sub(self, shard: Shard, sub: OpenSubRequest) -> None:
         del self._open_subs[sub.sub_id]
--- a/bramleycrank/scatter/quarantine.py
+++ b/bramleycrank/scatter/quarantine.py
@@ -215,6 +215,11 @@
         """Whether the request goes to one target first."""
         return not self.has_reply and self.verdict is Verdict.CANARY
 
+    @property
+    def awaits_reply(self) -> bool:
+        """Whether shards are deferred until a target has replied."""
+        return bool(self.deferred) and not self.has_reply
+
     def may_hedge(self) -> bool:
         """Return whether a slow sub-request may be hedged before a target has replied.
 
--- a/tests/test_query_execution.py
+++ b/tests/test_query_execution.py
@@ -27,7 +27,7 @@
 )
 from bramleycrank.query.budgets import TokenBudget
 from bramleycrank.query.catalog import SnapshotCatalog
-from bramleycrank.query.execution import QueryExecution
+from bramleycrank.query.execution import MAX_RETRIES, QueryExecution
 from bramleycrank.query.policy import AdaptivePolicy, PlainPolicy
 from bramleycrank.query.replicas import ReplicaTable
 from bramleycrank.query.types import (
@@ -111,6 +111,12 @@
             )
         siblings = [s for s in self.sent.values() if s.open and s.request.shard == request.shard]
         assert len(siblings) <= 1, "at most one hedge"
+        before = [
+            s
+            for s in self.sent.values()
+            if (s.request.shard, s.request.snapshot) == (request.shard, request.snapshot)
+        ]
+        assert len(before) <= 1 + MAX_RETRIES, "one more than the first, a hedge and the retries"
         assert action.target_id not in {s.target_id for s in siblings}
         self.sent[request.sub_id] = Sent(action.target_id, request)
 
--- a/tests/test_scatter_quarantine.py
+++ b/tests/test_scatter_quarantine.py
@@ -17,7 +17,7 @@
     ScatterExecution,
     SubFailure,
 )
-from bramleycrank.scatter.progress import Shard
+from bramleycrank.scatter.progress import Attempts, Shard
 from bramleycrank.scatter.quarantine import (
     BURST_CANARY_S,
     BURST_SERVICES,
@@ -157,7 +157,7 @@
     """Guards against attempts that end the last targets of one shard after another."""
     counts = {"s0": 1, "s1": 2, "s2": 3, "s3": 2}
     canary = Canary(Quarantine(SuspectTable()), REQUEST)
-    canary.defer([Shard(service) for service in counts])
+    canary.defer([Shard(service, Attempts(1, repeatable=True)) for service in counts])
     order = [canary.next_deferred(counts.get).service for _ in counts]
     assert order[0] == "s2" and order[-1] == "s0"
 
