Share the leader's confirmed reply, and log any failure of a commit of leaves

Cause: two calls asked the leader in the same way; an unexpected error in the commit of leaves ended its task without a line, with its callers waiting for their timeout; a request that may run once and had been refused often was offered to another VM, which took the refusals for runs and answered 502.

Change: one call for both; the error is logged and given to the callers; such a request stays here.

--- a/bramleycrank/daemon/config_controller.py
+++ b/bramleycrank/daemon/config_controller.py
@@ -266,11 +266,7 @@
             await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
             self._adopt_local_state()
             return
-        address = self._consensus.leader_address() or self.leader_address()
-        if not address:
-            raise NoQuorum("no leader is known", outcome=Outcome.NOT_RUN)
-        request = peer_pb2.FetchConfigRequest(from_revision=self.revision, leader_confirmed=True)
-        reply = await self._clients.stub(address).FetchConfig(request, timeout=CONFIRM_TIMEOUT_S)
+        address, reply = await self._ask_leader(self.revision)
         self._execute(self._follower.on_fetched(address, reply, self._loop.time()))
         if self.revision < reply.status.revision:
             raise NoQuorum(
@@ -289,12 +285,17 @@
         """
         if self._consensus.is_leader:
             return await self._consensus.confirm_read(CONFIRM_TIMEOUT_S)
+        _, reply = await self._ask_leader(NO_OBJECTS)
+        return reply.confirmed_index
+
+    async def _ask_leader(self, from_revision: int) -> tuple[str, peer_pb2.FetchConfigReply]:
+        """Return the leader's address and its reply, which a quorum has confirmed."""
         address = self._consensus.leader_address() or self.leader_address()
         if not address:
             raise NoQuorum("no leader is known", outcome=Outcome.NOT_RUN)
-        request = peer_pb2.FetchConfigRequest(from_revision=NO_OBJECTS, leader_confirmed=True)
+        request = peer_pb2.FetchConfigRequest(from_revision=from_revision, leader_confirmed=True)
         reply = await self._clients.stub(address).FetchConfig(request, timeout=CONFIRM_TIMEOUT_S)
-        return reply.confirmed_index
+        return address, reply
 
     # Events.
 
--- a/bramleycrank/daemon/leave_log.py
+++ b/bramleycrank/daemon/leave_log.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from bramleycrank.exceptions import BramleycrankError, NoQuorum, Outcome
+from bramleycrank.exceptions import BramleycrankError, InternalError, NoQuorum, Outcome
 from bramleycrank.observability.metrics import Metrics
 from bramleycrank.proto import log_pb2
 from bramleycrank.state import LeaveTable, ReplicatedState
@@ -239,6 +239,9 @@
                 await self._replicated.propose(command, COMMIT_TIMEOUT_S)
             except BramleycrankError as exc:
                 error = exc
+            except Exception as exc:
+                log.exception("control: committing leaves of targets failed")
+                error = InternalError(str(exc))
             for key in keys:
                 future = self._waiting.pop(key)
                 if error is None:
--- a/bramleycrank/scatter/execution.py
+++ b/bramleycrank/scatter/execution.py
@@ -293,7 +293,10 @@
         list of Action or None
             The actions to execute; None if the request may run only here.
         """
-        if self.ended or not any(shard.attempts.left for shard in self._shards):
+        attempts_left = any(shard.attempts.left for shard in self._shards)
+        # The other VM takes every sub-request that is counted here for one that may have run.
+        repeatable = self.route.idempotent or not any(self.sends)
+        if self.ended or not (repeatable and attempts_left):
             return None
         self.ended = True
         self.waiting.clear()
