Have targets leave in the soak, with late reports and a check of acknowledged leaves

Change: from on targets leave by a call, beside all other faults; their older reports arrive late at one voter after another. A VM without a fault of its own must not ask such a target from the drain time on until its next incarnation.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import math
 from collections import Counter
 from collections.abc import Iterator
@@ -87,6 +88,7 @@
         *_check_planned_stops(evidence),
         *_check_retry_budgets(evidence.owed()),
         *_check_holds_and_leaving(evidence),
+        *_check_acknowledged_leaves(evidence),
         *_check_cut_vms(evidence.owed()),
         *_check_timeouts(evidence),
         *_check_customers(evidence),
@@ -185,6 +187,20 @@
                 yield f"{target_id}: requests after it announced that it leaves: {unwanted_ids}"
 
 
+def _check_acknowledged_leaves(evidence: Evidence) -> Iterator[str]:
+    """Yield targets that a VM without a fault asked long after their leave was acknowledged."""
+    observations = evidence.observations
+    entry_by_request = {outcome.request_id: outcome.entry for outcome in evidence.outcomes}
+    for target_id, times in observations.acknowledged_leaves.items():
+        for at, entry in itertools.product(times, sorted(set(entry_by_request.values()))):
+            until = min((t for t in observations.restarts[target_id] if t > at), default=math.inf)
+            unwanted_ids = _requests_in_period(
+                evidence, entry_by_request, target_id, entry, at + DRAIN_S, until
+            )
+            if unwanted_ids:
+                yield f"{target_id}: requests after its acknowledged leave: {unwanted_ids}"
+
+
 def _check_cut_vms(evidence: Evidence) -> Iterator[str]:
     """Yield VMs that were cut off from the targets and served far less than the others."""
     for event in evidence.events:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,6 +54,8 @@
     wide_rng : random.Random
         Random numbers for replacements of voters and outages of services. It is a second one, so
         that seeds of older runs still lead to the same faults of the first kind.
+    leave_rng : random.Random, optional
+        Random numbers for targets that leave; none leaves without it.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         targets: list[SoakTarget],
         rng: random.Random,
         wide_rng: random.Random,
+        leave_rng: random.Random | None = None,
     ) -> None:
         self.events: list[Event] = []
         self.problems: list[str] = []
@@ -69,6 +72,7 @@
         self._targets = targets
         self._rng = rng
         self._wide_rng = wide_rng
+        self._leave_rng = leave_rng
         self._busy: set[object] = set()
         self._service_down = ""
         self._faulty_entry: PlatformVm | None = None  # the one with the last fault
@@ -78,7 +82,7 @@
     async def run(self, seconds: float) -> None:
         """Start faults for the given time, then wait until all of them have ended."""
         end = self._loop.time() + seconds
-        wide_faults = asyncio.ensure_future(self._run_wide_faults(end))
+        wide_faults = asyncio.gather(self._run_wide_faults(end), self._run_leaves(end))
         while self._loop.time() < end:
             await asyncio.sleep(self._rng.uniform(0.2, 1.2))
             self._start_random_fault()
@@ -97,20 +101,31 @@
                 voter = self._wide_rng.choice(self._fleet.voters)
                 self._start_fault(voter, self._replace_voter, "voter")
 
+    async def _run_leaves(self, end: float) -> None:
+        while self._leave_rng is not None and self._loop.time() < end:
+            await asyncio.sleep(self._leave_rng.uniform(0.5, 3.0))
+            self._start_on_healthy_target(self._leave_rng, self._inject_leave)
+
     def _start_random_fault(self) -> None:
         kind = self._rng.choices(("target", "entry", "voter", "cut"), (5, 2, 2, 2))[0]
         if kind == "cut":
             self._start_cut()
         elif kind == "target":
-            healthy = [
-                t for t in self._targets if t not in self._busy and t.service != self._service_down
-            ]
-            if len(healthy) * 3 > len(self._targets) * 2:
-                self._start_fault(self._rng.choice(healthy), self._inject_target_fault)
+            self._start_on_healthy_target(self._rng, self._inject_target_fault)
         elif kind not in self._busy:
             vms = self._fleet.entries if kind == "entry" else self._fleet.voters
             self._start_fault(self._rng.choice(vms), self._inject_vm_fault, kind)
 
+    def _start_on_healthy_target(
+        self, rng: random.Random, fault: Callable[[SoakTarget], Awaitable[None]]
+    ) -> None:
+        """Start a fault of a target, if two thirds of all targets have none."""
+        healthy = [
+            t for t in self._targets if t not in self._busy and t.service != self._service_down
+        ]
+        if len(healthy) * 3 > len(self._targets) * 2:
+            self._start_fault(rng.choice(healthy), fault)
+
     def _start_fault(
         self,
         subject: SoakTarget | PlatformVm | str,
@@ -207,6 +222,17 @@
         target.proxy.set(Mode.PASS)
         event.until = self._loop.time()
 
+    async def _inject_leave(self, target: SoakTarget) -> None:
+        """Have a target leave, its older reports arrive late, and its next incarnation start."""
+        event = self._record_event("leave", target.target_id)
+        await target.leave(self._fleet)
+        await asyncio.sleep(self._leave_rng.uniform(0.5, 4.0))
+        await target.send_late_reports(self._fleet)
+        await asyncio.sleep(self._leave_rng.uniform(1.0, 4.0))
+        target.start_new_incarnation()
+        target.reporting = True
+        event.until = self._loop.time()
+
     async def _inject_vm_fault(self, vm: PlatformVm) -> None:
         if not vm.voter:
             self._faulty_entry = vm
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,6 +37,9 @@
 FLOOD_CALLERS_PER_ENTRY, FLOOD_THINK_TIME_S = 2, 0.01
 """Callers at each entry VM that send during a flood, and the mean time between their requests."""
 
+FIRST_SEED_WITH_LEAVES = 1_210_001
+"""In runs of older seeds no target leaves, so that they still lead to the same faults."""
+
 ZONES = "xyz"
 
 
@@ -82,7 +85,8 @@
         """Execute the run, write the report and return it."""
         started_at = asyncio.get_running_loop().time()
         wide_rng = random.Random(self._seed + 2)
-        injector = Injector(self._fleet, self._targets, self._rng, wide_rng)
+        leave_rng = random.Random(self._seed + 3) if self._seed >= FIRST_SEED_WITH_LEAVES else None
+        injector = Injector(self._fleet, self._targets, self._rng, wide_rng, leave_rng)
         if has_customers(self._seed):
             self._customers = Customers(self._seed, self._try_change_routes, injector.events)
         try:
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -10,7 +10,7 @@
 import random
 from collections import defaultdict
 
-from harness.platform_fleet import Fleet
+from harness.platform_fleet import CONTROL_PORT, Fleet
 from soak.proxy import Proxy
 
 RECORD_BYTES, RECORDS = 16, 5
@@ -44,6 +44,9 @@
     LEAVES = "leaves"  # it announces in each response that it leaves, then restarts
 
 
+MAX_LEAVE_CALLS = 12
+"""Calls by which a target says that it leaves, before it gives up."""
+
 HOLD_S = 2.0
 """Retry-After of a target with `Fault.HOLDS`."""
 
@@ -60,6 +63,7 @@
         self.target_requests: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self.holds: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self.leaves: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.acknowledged_leaves: dict[str, list[float]] = defaultdict(list)
         self.restarts: dict[str, list[float]] = defaultdict(list)
 
 
@@ -120,6 +124,26 @@
                 )
             await asyncio.sleep(REPORT_INTERVAL_S)
 
+    async def leave(self, fleet: Fleet) -> None:
+        """Tell the voters in turn that it leaves, until one acknowledges it; report no more."""
+        self.reporting = False
+        body = {"born": self.incarnation}
+        for voter in itertools.islice(itertools.cycle(fleet.voters), MAX_LEAVE_CALLS):
+            path = f"/-/instances/{self.target_id}"
+            reply = await fleet.send("DELETE", path, body, voter.ip, CONTROL_PORT)
+            if b" 200 " in reply[:20]:
+                now = asyncio.get_running_loop().time()
+                self._observations.acknowledged_leaves[self.target_id].append(now)
+                return
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def send_late_reports(self, fleet: Fleet) -> None:
+        """Have reports from before the leave arrive at one voter after another."""
+        for number in range(len(fleet.voters)):
+            await fleet.report(
+                self.service, self.target_id, self.address, number, self.zone, self.incarnation
+            )
+
     def start_new_incarnation(self) -> None:
         """Continue as a new incarnation at the same address."""
         self.incarnation += 1
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -115,7 +115,16 @@
     evidence.observations.restarts["s0-x"] = [1.2 + DRAIN_S]
 
 
-@pytest.mark.parametrize("introduce_violation", [asked_while_held, asked_while_leaving])
+def asked_after_an_acknowledged_leave(evidence):
+    evidence.observations.acknowledged_leaves["s0-x"] = [1.0]
+    evidence.observations.target_requests["s0-x"] = [(1.1 + DRAIN_S, "r1")]
+    evidence.observations.restarts["s0-x"] = [1.2 + DRAIN_S]
+
+
+@pytest.mark.parametrize(
+    "introduce_violation",
+    [asked_while_held, asked_while_leaving, asked_after_an_acknowledged_leave],
+)
 def test_a_vm_that_was_frozen_in_the_period_is_not_reported(introduce_violation):
     evidence = sound_evidence()
     introduce_violation(evidence)
@@ -140,6 +149,7 @@
     [
         asked_while_held,
         asked_while_leaving,
+        asked_after_an_acknowledged_leave,
         wrong_body,
         receipt_of_another_request,
         duplicate_part,
