Have the targets of the harness call the next voter after a second

Cause: soak reported 78 of 107 requests unserved at an entry that was cut off. Trace: from 6.09 s on all three entries knew no target, for 1.3 s. Each target's report waited up to 4 s for a voter that was frozen for 2.5 s, longer than the lease of 1.8 s, so all leases ended. A target calls the next VM if it has no answer within a second, which the harness did not do.

Change: a report goes to one voter after another, a second each, until one takes it.

--- a/harness/platform_fleet.py
+++ b/harness/platform_fleet.py
@@ -33,6 +33,9 @@
 
 CONTROL_PORT, ENTRY_PORT, READY_PORT = 18224, 18226, 18227
 
+REPORT_TIMEOUT_S = 1.0
+"""Time after which a target sends its report to the next voter, in seconds."""
+
 
 class PlatformVm:
     """A VM of the platform at its own loopback address."""
@@ -149,7 +152,14 @@
         self.seeds = [vm.ip for vm in self.voters]
 
     async def send(
-        self, method: str, path: str, body: object, ip: str, port: int, headers: str = ""
+        self,
+        method: str,
+        path: str,
+        body: object,
+        ip: str,
+        port: int,
+        headers: str = "",
+        timeout_s: float = 4.0,
     ) -> bytes:
         """Send one HTTP request and return the raw response, or b"" if there is none."""
         data = json.dumps(body).encode() if body is not None else b""
@@ -157,7 +167,7 @@
         request += f"{headers}Content-Length: {len(data)}\r\nConnection: close\r\n\r\n"
         reader, writer = None, None
         try:
-            async with asyncio.timeout(4):
+            async with asyncio.timeout(timeout_s):
                 reader, writer = await asyncio.open_connection(ip, port)
                 writer.write(request.encode() + data)
                 return await reader.read()
@@ -176,7 +186,10 @@
         zone: str = "x",
         incarnation: int = 1,
     ) -> None:
-        """Send a liveness report of a target to one voter; the sequence number selects it."""
+        """Send a liveness report of a target, to one voter after another until one takes it.
+
+        The sequence number selects the first one.
+        """
         body = {
             "Service": service,
             "Address": address,
@@ -186,8 +199,13 @@
             "Sequence": sequence,
             "born": incarnation,
         }
-        voter = self.voters[sequence % len(self.voters)]
-        await self.send("PUT", f"/-/instances/{target_id}", body, voter.ip, CONTROL_PORT)
+        voters = list(self.voters)
+        path = f"/-/instances/{target_id}"
+        for number in range(len(voters)):
+            ip = voters[(sequence + number) % len(voters)].ip
+            reply = await self.send("PUT", path, body, ip, CONTROL_PORT, timeout_s=REPORT_TIMEOUT_S)
+            if b" 200 " in reply[:20]:
+                return
 
     async def put_config(self, document: dict) -> None:
         """Send a configuration to all voters until one of them accepts it."""
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -18,6 +18,7 @@
     990101: 6.0,  # with customers
     720008: 12.0,  # a request left a frozen entry for another one, and both sent it
     990040: 12.0,  # a cut-off entry avoided the only others, whose route table was a newer one
+    1209016: 12.0,  # targets waited for a frozen voter for longer than their lease
     1210001: 6.0,  # with targets that leave
 }
 """Seeds and seconds of faults; a seed that failed stays, with a line on the cause."""
