--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -137,7 +137,7 @@
     _mechanism(
         "reports wait for the join",
         "all VMs start together",
-        ("daemon/membership_controller", "JOIN_WAIT_S", "0.0"),
+        ("daemon/target_calls", "JOIN_WAIT_S", "0.0"),
     ),
     _mechanism(
         "new targets pushed",
--- a/bramleycrank/daemon/membership_controller.py
+++ b/bramleycrank/daemon/membership_controller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -11,15 +10,12 @@
 from typing import Any
 
 from bramleycrank.daemon.dead_vms import DeadVms
-from bramleycrank.daemon.leave_log import LeaveRecorder, NoLeaveLog
+from bramleycrank.daemon.leave_log import LeaveRecorder
 from bramleycrank.daemon.subscribers import notify
+from bramleycrank.daemon.target_calls import JOIN_POLL_S, TargetCalls
 from bramleycrank.entry.suspect_exchange import SuspectExchange
 from bramleycrank.exceptions import (
     BramleycrankError,
-    Draining,
-    InvalidRequest,
-    Outcome,
-    Refused,
 )
 from bramleycrank.membership import (
     MembershipConfig,
@@ -33,9 +29,7 @@
     VmMembership,
 )
 from bramleycrank.membership.records import address_of, state_name
-from bramleycrank.membership.target_registry import check_report
 from bramleycrank.observability.metrics import Metrics, NullMetrics
-from bramleycrank.observability.request_log import RequestLog
 from bramleycrank.proto.peer_pb2 import (
     VM_STATE_ALIVE,
     VM_STATE_DRAINING,
@@ -49,14 +43,12 @@
     VmRecord,
 )
 from bramleycrank.proto.target_pb2 import (
-    TARGET_STATE_LEAVING,
     AnnounceReply,
     AnnounceRequest,
     LeaveReply,
     LeaveRequest,
     TargetRecord,
 )
-from bramleycrank.state import is_recordable
 from bramleycrank.transport.peer_client import PeerClients
 
 log = logging.getLogger(__name__)
@@ -64,28 +56,12 @@
 # Longest time between two ticks, which check leases and grace periods.
 TICK_S = 0.25
 
-# Longest wait of Leave for the acknowledgements of the other VMs before it replies.
-LEAVE_WAIT_S = 0.5
-
-# Longest wait of an announcement until this VM has joined and knows the leaves of the log. Reports
-# of targets time out after 1 s.
-JOIN_WAIT_S = 0.6
-
-# Delay of the push of a new target, to batch it with others that report at the same time.
-NEW_TARGETS_BATCH_S = 0.03
-
 # Number of VMs to which a VM sends a suspicion that is new to it; probes carry it to the others.
 SUSPECTS_FANOUT = 3
 
 # Limit of the call that sends a suspicion to one VM.
 SUSPECTS_TIMEOUT_S = 1.0
 
-# Retry-after for a target that announces before this VM has joined.
-JOIN_RETRY_MS = 500
-
-# Polling period while a call waits for this VM to join.
-JOIN_POLL_S = 0.02
-
 
 class MembershipController:
     """Owns the VM membership and the target registry of a VM.
@@ -121,8 +97,6 @@
         metrics: Metrics | None = None,
     ) -> None:
         self._clock = clock
-        self._metrics = metrics or NullMetrics()
-        self._report_lines = RequestLog(log, clock)
         self._clients = clients
         now = clock()
         record = VmRecord()
@@ -145,11 +119,10 @@
         self._vm_callbacks: list[Callable[[VmRecord], None]] = []
         self._tasks: set[asyncio.Task[Any]] = set()
         self._loop_task: asyncio.Task[None] | None = None
-        self._draining = False
-        self._leave_log: LeaveRecorder = NoLeaveLog()
-        self._early_reports: dict[str, AnnounceRequest] = {}  # refused, by target
-        self._leaves_in_progress: dict[str, asyncio.Event] = {}  # set once all VMs acknowledged it
         self._dead_vms = DeadVms()
+        self.target_calls = TargetCalls(
+            self.registry, self.core, self._execute, self._spawn, clock, metrics or NullMetrics()
+        )
 
     @classmethod
     def from_config(
@@ -177,20 +150,20 @@
 
     def drain(self) -> None:
         """Announce that this VM drains; targets are referred to other home VMs from now on."""
-        self._draining = True
+        self.target_calls.draining = True
         self._execute(self.core.drain(self._clock()))
 
     def resume(self) -> None:
         """Announce that this VM no longer drains."""
         local = self.core.local
-        if not self._draining or local.state != VM_STATE_DRAINING:
+        if not self.target_calls.draining or local.state != VM_STATE_DRAINING:
             return
-        self._draining = False
+        self.target_calls.draining = False
         self._execute(self.core.resume(self._clock()))
 
     async def leave(self, timeout_s: float = 1.0) -> None:
         """Announce that this VM left; wait at most `timeout_s` seconds for the replies."""
-        self._draining = True
+        self.target_calls.draining = True
         await self._wait_for_tasks(self._execute(self.core.leave(self._clock())), timeout_s)
 
     # Views for other controllers.
@@ -219,7 +192,7 @@
         known = self.registry.get(target_id)
         if known is not None:
             return known.incarnation
-        return self._leave_log.incarnation_of(target_id)
+        return self.target_calls.leave_log.incarnation_of(target_id)
 
     def is_usable(self, target_id: str) -> bool:
         """Return whether a target may receive new sub-requests."""
@@ -255,7 +228,7 @@
 
     def set_leave_log(self, leave_log: LeaveRecorder) -> None:
         """Set where leaves of targets are kept beyond the end of this process."""
-        self._leave_log = leave_log
+        self.target_calls.leave_log = leave_log
         self.registry.has_left = leave_log.has_left
 
     def subscribe_config_status(self, callback: Callable[[str, ConfigStatus], None]) -> None:
@@ -302,133 +275,12 @@
         return reply
 
     async def announce(self, request: AnnounceRequest) -> AnnounceReply:
-        """Handle `Registry.Announce`.
-
-        Raises
-        ------
-        Draining
-            This VM drains; the target has to announce to another VM.
-        Refused
-            This VM has not joined within `JOIN_WAIT_S`, or its log does not have all leaves yet. It
-            may not know that the target left, and a delayed announcement would make it send new
-            sub-requests to that target.
-        NoQuorum
-            The target announces that it leaves, and that is not committed yet.
-        InvalidRequest
-            The announcement is invalid, of an old incarnation, or of one that has already left.
-        """
-        if request.record.state == TARGET_STATE_LEAVING:
-            check_report(request.record)
-            leave = LeaveRequest(
-                target_id=request.record.target_id, incarnation=request.record.incarnation
-            )
-            await self.leave_target(leave)
-            return self.registry.reply()
-        deadline = self._clock() + JOIN_WAIT_S
-        while not self.core.joined and not self._draining and self._clock() < deadline:
-            await asyncio.sleep(JOIN_POLL_S)
-        if self._draining:
-            raise Draining(outcome=Outcome.NOT_RUN)
-        if not self.core.joined:
-            raise Refused(
-                "the VM is joining", outcome=Outcome.NOT_RUN, retry_after_ms=JOIN_RETRY_MS
-            )
-        if not await self._leave_log.wait_caught_up(deadline - self._clock()):
-            self._keep_early_report(request)
-            raise Refused(
-                "the log does not have all leaves of targets yet",
-                outcome=Outcome.NOT_RUN,
-                retry_after_ms=JOIN_RETRY_MS,
-            )
-        return self._accept_report(request)
-
-    def _accept_report(self, request: AnnounceRequest) -> AnnounceReply:
-        push_scheduled = self.registry.has_new_targets
-        is_first = self.registry.get(request.record.target_id) is None
-        try:
-            reply, actions = self.registry.announce(request, self._clock())
-        except InvalidRequest:
-            self._metrics.incr("targets.outdated_reports")
-            raise
-        if is_first:
-            self._record_first_report(request.record)
-        self._execute(actions)
-        if self.registry.has_new_targets and not push_scheduled:
-            self._spawn(self._push_new_targets())
-        return reply
-
-    def _keep_early_report(self, request: AnnounceRequest) -> None:
-        """Keep the newest report of a target until this VM knows all leaves.
-
-        Load pattern: all VMs start after a loss of power. The next report of a target comes a
-        renewal time later, and callers wait for the targets.
-        """
-        target_id = request.record.target_id
-        kept = self._early_reports.get(target_id)
-        if kept is not None and _age_order(kept) > _age_order(request):
-            return
-        if not self._early_reports:
-            self._spawn(self._accept_early_reports())
-        self._early_reports[target_id] = request
-
-    async def _accept_early_reports(self) -> None:
-        while not await self._leave_log.wait_caught_up(JOIN_WAIT_S):
-            pass
-        requests, self._early_reports = self._early_reports, {}
-        for request in requests.values():
-            try:
-                self._accept_report(request)
-            except InvalidRequest as exc:
-                log.info("membership: dropped an early report: %s", exc)
-
-    def _record_first_report(self, record: TargetRecord) -> None:
-        """Record that this VM knew nothing of a target, as after a start."""
-        self._metrics.incr("targets.first_reports")
-        self._report_lines.record(
-            "first report of a target",
-            b"",
-            self._clock(),
-            failed=False,
-            target=record.target_id,
-            incarnation=record.incarnation,
-            sequence=record.sequence,
-        )
-
-    async def _push_new_targets(self) -> None:
-        """Push new targets to other VMs in one batch, after a short delay.
-
-        After a power loss all targets announce themselves at about the same time, and callers
-        wait for them.
-        """
-        await asyncio.sleep(NEW_TARGETS_BATCH_S)
-        self._execute(self.registry.push_new_targets())
+        """Handle `Registry.Announce`; see `TargetCalls.announce` for the errors."""
+        return await self.target_calls.announce(request)
 
     async def leave_target(self, request: LeaveRequest) -> LeaveReply:
-        """Handle `Registry.Leave`; reply once the leave is committed and the other VMs have it.
-
-        The leave is obeyed at once. A reply before the commit would promise what is forgotten if
-        all processes end; one before the other VMs acknowledged the record, or 0.5 s passed, would
-        lose time if this VM failed right after it.
-
-        Raises
-        ------
-        InvalidRequest
-            The target's id is empty or too long to be kept.
-        NoQuorum
-            The leave is not committed yet; the target can send it again, to any VM.
-        """
-        target_id = request.target_id
-        if not is_recordable(target_id):
-            raise InvalidRequest("target_id is empty or too long", outcome=Outcome.NOT_RUN)
-        self._metrics.incr("targets.leaves")
-        pushed_by = self._clock() + LEAVE_WAIT_S
-        self._execute(self.registry.leave(request, self._clock()))
-        await self._leave_log.record(target_id, request.incarnation)
-        if self.core.has_unacknowledged_push(target_id):
-            acknowledged = self._leaves_in_progress.setdefault(target_id, asyncio.Event())
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(acknowledged.wait(), max(0.0, pushed_by - self._clock()))
-        return LeaveReply()
+        """Handle `Registry.Leave`; see `TargetCalls.leave` for the errors."""
+        return await self.target_calls.leave(request)
 
     def mark_leaving(self, target_id: str, incarnation: int) -> None:
         """Record that a target announced to this VM that it leaves."""
@@ -441,23 +293,12 @@
             now = self._clock()
             try:
                 self._execute([*self.core.tick(now), *self.registry.tick(now)])
-                self._spread_committed_leaves(now)
+                self.target_calls.spread_committed_leaves(now)
             except Exception:
                 log.exception("membership: tick failed")
             delay_s = min(TICK_S, max(0.005, self.core.next_deadline() - self._clock()))
             await asyncio.sleep(delay_s)
 
-    def _spread_committed_leaves(self, now: float) -> None:
-        """Spread leaves that the VM which took them did not push, for example because it ended."""
-        for target_id, incarnation in self._leave_log.unspread(now):
-            actions = self.registry.spread_leave(target_id, incarnation, now)
-            if actions:
-                log.info(
-                    "membership: learned of a leave from the log",
-                    extra={"target": target_id, "incarnation": incarnation},
-                )
-            self._execute(actions)
-
     def _execute(self, actions: Iterable[Any]) -> list[asyncio.Task[Any]]:
         """Execute actions and return the tasks that send messages."""
         tasks = []
@@ -522,10 +363,7 @@
             self._execute(self.core.on_probe_failed(action.probe_id, self._clock()))
         else:
             self._execute(self.core.on_probe_reply(action.probe_id, reply, self._clock()))
-        for target_id in [
-            i for i in self._leaves_in_progress if not self.core.has_unacknowledged_push(i)
-        ]:
-            self._leaves_in_progress.pop(target_id).set()
+        self.target_calls.on_push_ended()
 
     async def _relay(self, action: RelayProbe) -> bool:
         reply = await self._call("Probe", action)
@@ -565,8 +403,3 @@
         notify(self._status_callbacks, address, gossip.config)
         if sent_at is not None:
             notify(self._reply_callbacks, address, gossip.config, sent_at)
-
-
-def _age_order(request: AnnounceRequest) -> tuple[int, int]:
-    """Return the order of a target's reports."""
-    return request.record.incarnation, request.record.sequence
--- a/tests/test_leave_log.py
+++ b/tests/test_leave_log.py
@@ -95,7 +95,7 @@
 @pytest.fixture(autouse=True)
 def short_times(monkeypatch):
     monkeypatch.setattr(leave_log, "COMMIT_WAIT_S", 0.1)
-    monkeypatch.setattr("bramleycrank.daemon.membership_controller.JOIN_WAIT_S", 0.1)
+    monkeypatch.setattr("bramleycrank.daemon.target_calls.JOIN_WAIT_S", 0.1)
 
 
 @pytest.mark.parametrize("by_report", [False, True])
