--- a/bench/mechanisms.py
+++ b/bench/mechanisms.py
@@ -84,7 +84,9 @@
         (EXECUTION, "LATE_FACTOR", "0.0"),
     ),
     _mechanism(
-        "refusals are no attempts", "half of the targets shed", (EXECUTION, "MAX_REFUSED", "0")
+        "refusals are no attempts",
+        "half of the targets shed",
+        ("scatter/progress", "MAX_REFUSED", "0"),
     ),
     _mechanism("ejection", "a target that fails", (TARGETS, "FAILURES_TO_EJECT", "10**9")),
     _mechanism(
