Test that the runner completes an image of the landed build

Cause: the tests covered with_leaves, and only a trial covered that the runner calls it.

Measured: fails with the call taken out, passes with it.

--- a/tests/test_daemon_raft_runner.py
+++ b/tests/test_daemon_raft_runner.py
@@ -163,3 +163,21 @@
             await waiting
 
     run(scenario)
+
+
+def test_an_image_of_a_build_without_leaves_is_completed_before_it_is_stored():
+    """Guards against a landed leader whose snapshot takes the leaves of targets away."""
+
+    async def scenario(fixture):
+        leave = log_pb2.TargetLeave(target_id="t", incarnation=3)
+        fixture.runner.state.leaves.record([leave])
+        received = []
+        fixture.node.receive = lambda message, now: received.append(message) or []
+        message = log_pb2.ConsensusMessage()
+        message.install_snapshot.snapshot.index = 9
+        fixture.runner.receive(message)
+        await asyncio.sleep(0.01)
+        image = received[0].install_snapshot.snapshot.image
+        assert ReplicatedState.from_image(image).leaves.covers("t", 3)
+
+    run(scenario)
